--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the fireflycleat binary, a file for each.
+package cmds
--- /dev/null
+++ b/pkg/codes/codes_test.go
@@ -0,0 +1,29 @@
+package codes
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a code without a table row, which would answer with HTTP status 0.
+func TestTableIsComplete(t *testing.T) {
+	c := qt.New(t)
+	seen := make(map[Code]bool)
+	for _, code := range All() {
+		c.Assert(seen[code], qt.IsFalse, qt.Commentf("code %d stands twice", code))
+		seen[code] = true
+		c.Assert(code.Title(), qt.Not(qt.Equals), "")
+		c.Assert(code.HTTPStatus() >= 200, qt.IsTrue)
+		c.Assert(code == OK || code.ExitCode() > 0, qt.IsTrue)
+	}
+}
+
+// Guards against a wrapped error losing its code or an uncoded one being reported as not run.
+func TestFrom(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(From(nil) == nil, qt.IsTrue)
+	c.Assert(From(errors.Wrap(New(StaleBase, "x"), "y")).Code(), qt.Equals, StaleBase)
+	c.Assert(From(errors.New("x")).Outcome(), qt.Equals, Unknown)
+}
--- /dev/null
+++ b/pkg/spec/spec.go
@@ -0,0 +1,203 @@
+package spec
+
+import "time"
+
+// The urgency classes of work, most urgent first. Engines honour the same order.
+const (
+	Urgent Urgency = iota
+	Normal
+	Bulk
+)
+
+// The kinds of template.
+const (
+	ModelTemplate   Kind = "model"
+	ServiceTemplate Kind = "service"
+)
+
+type (
+	// Urgency is the class of a request; lower values go first.
+	Urgency int
+
+	// Kind tells what a template describes.
+	Kind string
+
+	// Template is what an operator publishes under a name: one model with its adapters, or one plain service.
+	Template struct {
+		Name    string   `json:"name"`
+		Kind    Kind     `json:"kind"`
+		Model   *Model   `json:"model,omitempty"`
+		Service *Service `json:"service,omitempty"`
+	}
+
+	// Model describes a model that engines can load.
+	Model struct {
+		Version      string `json:"version"`
+		MaxReplicas  int    `json:"maxReplicas"`
+		MinReplicas  int    `json:"minReplicas"`
+		WeightBytes  int64  `json:"weightBytes"`
+		KVBytes      int64  `json:"kvBytes"`      // KVBytes is the KV cache share reserved with a replica.
+		AdapterBytes int64  `json:"adapterBytes"` // AdapterBytes is the adapter pool reserved with a replica.
+		Slots        int    `json:"slots"`        // Slots is the number of requests a replica batches at once.
+		// LoadMillis is the expected time of a load from the weight store at full speed, in milliseconds.
+		LoadMillis int64 `json:"loadMillis"`
+		// TokenMicros is the expected time between two tokens at a full batch, in microseconds.
+		TokenMicros int64     `json:"tokenMicros"`
+		Adapters    []Adapter `json:"adapters,omitempty"`
+	}
+
+	// Adapter describes an adapter of a model.
+	Adapter struct {
+		Name  string `json:"name"`
+		Bytes int64  `json:"bytes"`
+	}
+
+	// Service describes a plain service that the system routes to.
+	Service struct {
+		// Repeatable lists the HTTP methods that may be sent again after a missing answer.
+		Repeatable []string `json:"repeatable"`
+		// TimeoutMillis is the longest time a call may take, in milliseconds.
+		TimeoutMillis int64 `json:"timeoutMillis"`
+	}
+
+	// Team holds the parameters of a team.
+	Team struct {
+		Name string `json:"name"`
+		// KeyDigests are hex SHA-256 digests of the API keys of the team.
+		KeyDigests []string `json:"keyDigests"`
+		Models     []string `json:"models"`   // Models lists the models the team may call; "*" means all.
+		Adapters   []string `json:"adapters"` // Adapters lists the adapters the team may call; "*" means all.
+		Services   []string `json:"services"` // Services lists the services the team may call; "*" means all.
+		Urgency    Urgency  `json:"urgency"`  // Urgency is the class of a request that names none.
+		// MaxUrgency is the most urgent class that the team's requests may name.
+		MaxUrgency Urgency `json:"maxUrgency"`
+		// MaxInFlight limits the requests of the team in progress over all hosts; zero means no limit.
+		MaxInFlight int `json:"maxInFlight"`
+		// DeadlineMillis is the time to the first token for a request that names none, in milliseconds.
+		DeadlineMillis int64 `json:"deadlineMillis"`
+	}
+
+	// View is an immutable snapshot of configuration at one log offset.
+	View struct {
+		offset    int64
+		templates map[string]Template
+		teams     map[string]Team
+		byKey     map[string]string
+	}
+)
+
+// NewView returns a snapshot of the given templates and teams as of the log offset.
+func NewView(offset int64, templates []Template, teams []Team) *View {
+	v := &View{
+		offset:    offset,
+		templates: make(map[string]Template, len(templates)),
+		teams:     make(map[string]Team, len(teams)),
+		byKey:     make(map[string]string),
+	}
+	for _, t := range templates {
+		v.templates[t.Name] = t
+	}
+	for _, t := range teams {
+		v.teams[t.Name] = t
+		for _, k := range t.KeyDigests {
+			v.byKey[k] = t.Name
+		}
+	}
+	return v
+}
+
+// Offset returns the log offset that the snapshot reflects.
+func (v *View) Offset() int64 { return v.offset }
+
+// Model returns the model template with the name.
+func (v *View) Model(name string) (Model, bool) {
+	t, ok := v.templates[name]
+	if !ok || t.Model == nil {
+		return Model{}, false
+	}
+	return *t.Model, true
+}
+
+// Service returns the service template with the name.
+func (v *View) Service(name string) (Service, bool) {
+	t, ok := v.templates[name]
+	if !ok || t.Service == nil {
+		return Service{}, false
+	}
+	return *t.Service, true
+}
+
+// Team returns the team with the name.
+func (v *View) Team(name string) (Team, bool) {
+	t, ok := v.teams[name]
+	return t, ok
+}
+
+// TeamByKey returns the team that owns the API key with the hex SHA-256 digest.
+func (v *View) TeamByKey(digest string) (Team, bool) {
+	name, ok := v.byKey[digest]
+	if !ok {
+		return Team{}, false
+	}
+	return v.Team(name)
+}
+
+// Models returns the names of all models in ascending order.
+func (v *View) Models() []string {
+	var names []string
+	for _, n := range sortedKeys(v.templates) {
+		if v.templates[n].Model != nil {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// Teams returns the names of all teams in ascending order.
+func (v *View) Teams() []string { return sortedKeys(v.teams) }
+
+// Templates returns the names of all templates in ascending order.
+func (v *View) Templates() []string { return sortedKeys(v.templates) }
+
+// Template returns the template with the name.
+func (v *View) Template(name string) (Template, bool) {
+	t, ok := v.templates[name]
+	return t, ok
+}
+
+// ReplicaBytes returns the accelerator memory that one replica reserves, in bytes.
+func (m Model) ReplicaBytes() int64 { return m.WeightBytes + m.KVBytes + m.AdapterBytes }
+
+// LoadTime returns the expected time of a load from the weight store at full speed.
+func (m Model) LoadTime() time.Duration { return time.Duration(m.LoadMillis) * time.Millisecond }
+
+// TokenTime returns the expected time between two tokens.
+func (m Model) TokenTime() time.Duration { return time.Duration(m.TokenMicros) * time.Microsecond }
+
+// Adapter returns the adapter with the name.
+func (m Model) Adapter(name string) (Adapter, bool) {
+	for _, a := range m.Adapters {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Adapter{}, false
+}
+
+// String returns the name of the class as it appears in requests.
+func (u Urgency) String() string {
+	if u < Urgent || u > Bulk {
+		return "invalid"
+	}
+	return [...]string{"urgent", "normal", "bulk"}[u]
+}
+
+// ParseUrgency returns the class with the name; ok is false for an unknown name.
+func ParseUrgency(name string) (Urgency, bool) {
+	for u := Urgent; u <= Bulk; u++ {
+		if u.String() == name {
+			return u, true
+		}
+	}
+	return Normal, false
+}
