--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -21,6 +21,7 @@
 	ConfirmAge      time.Duration // ConfirmAge is the age of the last lease confirmation at which orders stop.
 	OrderTimeout    time.Duration // OrderTimeout is the time without an answer after which an order is in doubt.
 	QueryInterval   time.Duration // QueryInterval is the time between two queries of the same order.
+	DoubtDelay      time.Duration // DoubtDelay is the time after a sender's end from which "never seen" is trusted.
 	FailureDelay    time.Duration // FailureDelay is the time for which a failed load is not repeated on an upstream.
 	ClaimInterval   time.Duration // ClaimInterval is the time between two claims for the same model.
 	DemandLife      time.Duration // DemandLife is the least time for which a demand counts without being repeated.
@@ -48,6 +49,7 @@
 		ConfirmAge:          2 * time.Second,
 		OrderTimeout:        2 * time.Second,
 		QueryInterval:       500 * time.Millisecond,
+		DoubtDelay:          500 * time.Millisecond,
 		FailureDelay:        3 * time.Second,
 		ClaimInterval:       2 * time.Second,
 		DemandLife:          10 * time.Second,
--- a/pkg/cell/types.go
+++ b/pkg/cell/types.go
@@ -64,9 +64,10 @@
 	// LeaseGained tells that this daemon holds the cell lease.
 	LeaseGained struct {
 		Fence int64
-		// PriorHolder is the previous holder, or empty if there was none or it is known to have released.
+		// PriorHolder is the previous holder, or empty if there was none, it is this daemon or it is known to have released.
 		PriorHolder string
-		// Earlier lists further tenures, older than that of PriorHolder, without release or proof of gone.
+		PriorFence  int64 // PriorFence is the tenure of PriorHolder; zero means that any release by it counts.
+		// Earlier lists older tenures of other daemons without release or proof of gone.
 		Earlier []Hold
 	}
 
@@ -98,6 +99,7 @@
 		Host     string
 		Model    string
 		InFlight int
+		Urgent   int // Urgent is the part of InFlight that is urgent.
 	}
 
 	// UpstreamAdded tells that an engine joined the cell, or that its host list entry changed.
@@ -126,7 +128,8 @@
 	PermitChanged struct {
 		Model  string
 		Count  int
-		Frozen bool // Frozen tells that the permits of all cells exceed maxReplicas, so that no load may start.
+		Offset int64 // Offset is that of the permit record; a Claim names it as its base.
+		Frozen bool  // Frozen tells that the permits of all cells exceed maxReplicas, so that no load may start.
 	}
 
 	// PermitAsked asks the cell to fall to Count permits of a model, because another cell needs one or maxReplicas fell.
@@ -160,6 +163,7 @@
 		UsedBytes     int64
 		OrdersPending int
 		HighestFence  int64
+		ReportedAt    time.Time // ReportedAt is the time of the Running and Waiting figures; zero means AskedAt.
 		Leaving       bool
 		Replicas      []StatusReplica
 		Cached        []CachedCopy
@@ -207,6 +211,7 @@
 	// Claim asks the log for a number of permits of a model; a Count below the held number yields permits.
 	Claim struct {
 		Fence int64 // Fence is the lease under which the claim is made; the record is void under any other.
+		Base  int64 // Base is the offset of the permit record on which the claim builds; zero means none.
 		Model string
 		Count int
 	}
@@ -243,6 +248,9 @@
 	// Released tells that the lease with this fence was lost and none of its orders is in flight or in doubt any more.
 	Released struct{ Fence int64 }
 
+	// ReadStatus asks for a status of the upstream without waiting for the next regular one.
+	ReadStatus struct{ Upstream string }
+
 	// Wake asks for a Tick at the time At.
 	Wake struct{ At time.Time }
 )
@@ -264,10 +272,11 @@
 func (ViewChanged) isEvent()     {}
 func (Tick) isEvent()            {}
 
-func (Order) isAction()    {}
-func (Query) isAction()    {}
-func (Claim) isAction()    {}
-func (Publish) isAction()  {}
-func (Forecast) isAction() {}
-func (Released) isAction() {}
-func (Wake) isAction()     {}
+func (Order) isAction()      {}
+func (Query) isAction()      {}
+func (Claim) isAction()      {}
+func (Publish) isAction()    {}
+func (Forecast) isAction()   {}
+func (Released) isAction()   {}
+func (ReadStatus) isAction() {}
+func (Wake) isAction()       {}
