--- /dev/null
+++ b/pkg/route/types.go
@@ -0,0 +1,32 @@
+package route
+
+import "time"
+
+type (
+	// Replica is one line of a cell's directory: a model on an upstream.
+	Replica struct {
+		Upstream   string
+		DataCentre string
+		Model      string
+		Version    string
+		Adapters   []string // Adapters lists the adapters that are loaded.
+		Slots      int
+		Ready      bool
+		ReadyAt    time.Time // ReadyAt is when a replica that is not ready is expected to be.
+	}
+
+	// Settings are the parameters of a Table; Defaults returns usable values.
+	Settings struct {
+		// UrgentReserve is the share of slots of each replica that bulk work may not take.
+		UrgentReserve float64
+		// SlowRatio is the ratio to the median of the other upstreams from which an upstream counts as slowed.
+		SlowRatio float64
+		// EjectTime is how long a slowed upstream is avoided before the first probe; it doubles up to eight times that.
+		EjectTime time.Duration
+	}
+)
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{UrgentReserve: 0.2, SlowRatio: 2, EjectTime: time.Second}
+}
