--- /dev/null
+++ b/pkg/entry/attempt.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/retry"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+const (
+	hedgeSamples   = 20 // The learned quantiles are used from this many samples on.
+	coldFactor     = 3  // Before that, a first token is late after this multiple of the expected time.
+	medianFactor   = 4  // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	leastHedgeWait = 5 * time.Millisecond
+)
+
+// send starts the next attempt of a call at the chosen replica.
+func (e *Entry) send(now time.Time, c *call, choice route.Choice, hedge bool) {
+	c.sends++
+	a := &attempt{number: c.sends, upstream: choice.Upstream, hedge: hedge}
+	a.flight = e.table.Sent(now, choice, c.Urgency, c.tokens)
+	c.attempts = append(c.attempts, a)
+	e.emit(Send{ID: c.id, Attempt: a.number, Upstream: a.upstream, Priority: c.Urgency, ResumeFrom: c.tokens})
+	if hedge {
+		return
+	}
+	e.hedges.Earn()
+	e.dequeue(c)
+	c.state, c.fresh = running, false
+	c.queue.sent(now, c.Urgency)
+	if !c.bound() {
+		return
+	}
+	c.hedgeAt = time.Time{}
+	next := c.Deadline
+	if c.Repeatable && c.Urgency != spec.Bulk {
+		c.hedgeAt = now.Add(choice.Wait + c.queue.lateAfter(choice.First))
+		next = earlier(next, c.hedgeAt)
+	}
+	e.timers.set(&c.timer, next)
+}
+
+// lateAfter returns the delay after which a first token is late.
+func (q *queue) lateAfter(expected time.Duration) time.Duration {
+	if q.median.Count() < hedgeSamples {
+		return max(coldFactor*expected, leastHedgeWait)
+	}
+	return max(min(q.late.Value(), medianFactor*q.median.Value()), leastHedgeWait)
+}
+
+// callDue handles the timer of a call whose first token is missing.
+func (e *Entry) callDue(now time.Time, c *call) {
+	if c.state != running || !c.bound() {
+		return
+	}
+	if !now.Before(c.Deadline) {
+		e.refuse(c, codes.DeadlineMissed, e.promise(now, c))
+		return
+	}
+	if !c.hedgeAt.IsZero() && !now.Before(c.hedgeAt) {
+		c.hedgeAt = time.Time{}
+		e.hedge(now, c)
+	}
+	e.timers.set(&c.timer, earlier(c.Deadline, c.hedgeAt))
+}
+
+func (e *Entry) hedge(now time.Time, c *call) {
+	if len(c.attempts) != 1 || c.attempts[0].cancelled {
+		return
+	}
+	first := c.attempts[0]
+	e.table.Overdue(now, &first.flight)
+	if !e.hedges.Available() && !e.mutant.freeHedges {
+		return
+	}
+	choice, ok := e.table.Pick(now, c.query(first.upstream))
+	if !ok || !choice.Free || now.Add(choice.First).After(c.Deadline) {
+		return
+	}
+	e.hedges.Take()
+	e.send(now, c, choice, true)
+}
+
+func (c *call) query(exclude string) route.Query {
+	return route.Query{
+		Model: c.Model, Adapter: c.Adapter, Urgency: c.Urgency, Aged: c.aged, Repeatable: c.Repeatable, Exclude: exclude,
+	}
+}
+
+func (e *Entry) firstToken(now time.Time, ev FirstToken) {
+	c := e.calls[ev.ID]
+	if c == nil {
+		return
+	}
+	a := c.attempt(ev.Attempt)
+	if a == nil {
+		return
+	}
+	took := e.table.First(now, &a.flight)
+	if c.state != running || a.cancelled || c.delivers != 0 {
+		return
+	}
+	if took > 0 && c.tokens == 0 && !a.hedge {
+		c.queue.median.Add(took)
+		c.queue.late.Add(took)
+	}
+	e.deliver(now, c, a)
+	e.mark(c.queue)
+}
+
+// deliver makes the attempt the only one whose tokens reach the caller.
+func (e *Entry) deliver(now time.Time, c *call, a *attempt) {
+	c.delivers, c.streamAt, c.started = a.number, now, true
+	e.timers.set(&c.timer, time.Time{})
+	e.emit(Deliver{ID: c.id, Attempt: a.number})
+	for _, o := range c.attempts {
+		if o != a {
+			e.cancel(c, o)
+		}
+	}
+	e.list(c)
+}
+
+func (e *Entry) progress(now time.Time, ev Progress) {
+	c := e.calls[ev.ID]
+	if c == nil {
+		return
+	}
+	a := c.attempt(ev.Attempt)
+	if a == nil || c.delivers != a.number {
+		return
+	}
+	e.table.Progress(now, &a.flight, ev.Tokens)
+	c.tokens = max(c.tokens, ev.Tokens)
+	e.mark(c.queue)
+}
+
+func (e *Entry) attemptEnded(now time.Time, ev AttemptEnded) {
+	c := e.calls[ev.ID]
+	if c == nil {
+		return
+	}
+	a := c.attempt(ev.Attempt)
+	if a == nil { // A duplicate.
+		return
+	}
+	if e.mutant.doubleEnd && c.state == over && ev.Result == retry.Done {
+		e.emit(Complete{ID: c.id})
+	}
+	e.table.Ended(now, &a.flight, max(ev.Tokens, c.tokens), ev.Result == retry.Done)
+	c.drop(a)
+	c.queue.hint = a.upstream
+	e.mark(c.queue)
+	if ev.Result != retry.NotRun {
+		c.maybeRan = true
+	}
+	c.ran = c.ran || ev.Result == retry.Failed
+	switch {
+	case c.state == over:
+		e.forget(c)
+	case a.cancelled && c.state != suspended, c.delivers != 0 && c.delivers != a.number:
+		// Another attempt won, or this one was replaced.
+	case ev.Result == retry.Done:
+		if c.delivers == 0 { // The first token and the end crossed, or the answer is empty.
+			e.deliver(now, c, a)
+		}
+		e.retries.Earn()
+		e.complete(c)
+	default:
+		if c.delivers == a.number {
+			c.tokens = max(c.tokens, ev.Tokens)
+		}
+		e.failed(now, c, a.upstream, ev.Result)
+	}
+}
+
+// failed decides what follows an attempt that ended without the whole answer.
+func (e *Entry) failed(now time.Time, c *call, upstream string, r retry.Result) {
+	if c.active() { // A hedge is still under way.
+		return
+	}
+	e.unlist(c)
+	if c.state == suspended {
+		c.preempted++
+		e.requeue(now, c, "")
+		return
+	}
+	delivered := c.tokens
+	if c.started {
+		delivered = max(delivered, 1)
+	}
+	verdict := retry.Decide(r, c.Repeatable || e.mutant.resendAll, delivered)
+	c.failures++
+	code := failureCode(r, delivered)
+	switch {
+	case verdict == retry.Stop:
+		e.refuse(c, code, 0)
+	case c.failures >= e.settings.MaxAttempts || !e.retries.Take():
+		e.refuse(c, code, e.promise(now, c))
+	default:
+		c.notBefore = now.Add(retry.Backoff(c.failures, e.random))
+		e.requeue(now, c, upstream)
+	}
+}
+
+func failureCode(r retry.Result, tokens int) codes.Code {
+	switch {
+	case tokens > 0:
+		return codes.StreamBroken
+	case r == retry.NotRun:
+		return codes.UpstreamRefused
+	case r == retry.Failed:
+		return codes.UpstreamFailed
+	}
+	return codes.UpstreamUnknown
+}
+
+func (e *Entry) requeue(now time.Time, c *call, avoid string) {
+	c.delivers, c.avoid, c.since, c.aged = 0, avoid, now, false
+	e.timers.set(&c.timer, time.Time{})
+	e.enqueue(c)
+}
+
+// upstreamGone ends the attempts at a lost upstream. Attempts that deliver tokens are cancelled and keep their call until
+// AttemptEnded tells the exact token index.
+func (e *Entry) upstreamGone(now time.Time, upstream string) {
+	var hit []*call
+	for _, c := range e.calls {
+		if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return a.upstream == upstream }) {
+			hit = append(hit, c)
+		}
+	}
+	slices.SortFunc(hit, func(a, b *call) int { return int(a.id) - int(b.id) })
+	for _, c := range hit {
+		for _, a := range slices.Clone(c.attempts) {
+			if a.upstream != upstream || c.attempt(a.number) == nil || a.cancelled || a.lost {
+				continue
+			}
+			a.lost = true
+			e.emit(Cancel{ID: c.id, Attempt: a.number, Upstream: a.upstream})
+			if c.delivers != a.number {
+				e.attemptEnded(now, AttemptEnded{ID: c.id, Attempt: a.number, Result: retry.Unknown})
+			}
+		}
+	}
+}
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -59,6 +59,8 @@
 		ReadyAt    time.Time
 		Refused    bool
 		RetryAfter time.Duration
+		// Others is the number of requests of other hosts that wait for the same replica, if the controller tells it.
+		Others int
 	}
 
 	// FirstToken reports the first token of an attempt.
--- /dev/null
+++ b/pkg/entry/predict.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+const (
+	// A request is admitted to the queue if it starts in time even when the queue drains slower than predicted, and is
+	// refused later only if it misses although the queue drains faster. The gap keeps noise of the prediction from
+	// refusing admitted requests.
+	admitMargin = 1.25
+	keepMargin  = 0.75
+
+	leastShare    = 0.1              // Least share of the drain rate that a class is predicted to get.
+	forecastGrace = 2 * time.Second  // A forecast stays valid this long after its time, because directories lag.
+	refusalTime   = time.Second      // A refused forecast answers for new requests this long at most.
+	resumeLimit   = 60 * time.Second // A started stream waits this long for any replica.
+)
+
+type (
+	// forecast is the last answer of the controller for a model and adapter.
+	forecast struct {
+		readyAt    time.Time
+		refused    bool
+		retryAfter time.Duration
+		others     int
+		until      time.Time // until is the end of validity.
+	}
+
+	// outlook is the prediction for all waiting calls of a model at one moment.
+	outlook struct {
+		load  route.Load
+		slots int                // slots is that of one new replica.
+		rate  [classes]float64   // rate is the number of calls of the class that this host can start each second.
+		ready map[string]bool    // ready tells by adapter whether a replica can serve now.
+		plans map[string]arrival // plans tells by adapter when the next replica can.
+	}
+
+	// arrival is the expected time of a replica; known is false if the controller has not answered.
+	arrival struct {
+		at      time.Time
+		known   bool
+		refused bool
+		others  int
+	}
+)
+
+func (e *Entry) forecast(now time.Time, f Forecast) {
+	q := e.queues[f.Model]
+	if q == nil || len(q.demands) == 0 && len(q.calls) == 0 {
+		return // Nothing waits, so the answer would only take memory.
+	}
+	until := f.ReadyAt.Add(forecastGrace)
+	if f.Refused {
+		until = now.Add(min(max(f.RetryAfter, e.settings.DemandInterval), refusalTime))
+	}
+	q.forecasts[f.Adapter] = &forecast{
+		readyAt: f.ReadyAt, refused: f.Refused, retryAfter: f.RetryAfter, others: f.Others, until: until,
+	}
+	e.mark(q)
+}
+
+func (e *Entry) outlook(now time.Time, q *queue) *outlook {
+	o := &outlook{load: e.table.Load(q.model), slots: 1, ready: make(map[string]bool), plans: make(map[string]arrival)}
+	if m, ok := e.view.Model(q.model); ok {
+		o.slots = m.Slots
+	}
+	fair := min(max(o.load.Slots/e.hosts, 1), max(o.load.All, 1))
+	share := 1.0
+	if o.load.All >= o.load.Slots && o.load.Slots > 0 {
+		share = min(float64(max(o.load.Own, fair))/float64(max(o.load.All, 1)), 1)
+	}
+	rate, higher := o.load.Rate*share, 0.0
+	for c := range o.rate {
+		o.rate[c] = max(rate-higher, leastShare*rate)
+		higher += q.rates[c].now(now)
+	}
+	return o
+}
+
+// look returns whether a replica for the adapter is ready, and otherwise when one is expected.
+func (e *Entry) look(q *queue, o *outlook, adapter string) (bool, arrival) {
+	ready, ok := o.ready[adapter]
+	if ok {
+		return ready, o.plans[adapter]
+	}
+	ready = e.table.Candidates(q.model, adapter) > 0
+	o.ready[adapter] = ready
+	if ready {
+		return true, arrival{}
+	}
+	var a arrival
+	if f := q.forecasts[adapter]; f != nil {
+		a = arrival{at: f.readyAt, known: true, refused: f.refused, others: f.others}
+	} else if at := e.table.Loading(q.model); adapter == "" && !at.IsZero() {
+		a = arrival{at: at, known: true}
+	}
+	o.plans[adapter] = a
+	return false, a
+}
+
+// failAt returns the moment from which the call can no longer be in time, if nothing changes before. Ahead is the number of
+// calls before it, and margin scales the predicted drain time.
+func (e *Entry) failAt(now time.Time, q *queue, o *outlook, c *call, ahead int, margin float64) (time.Time, codes.Code) {
+	ready, plan := e.look(q, o, c.Adapter)
+	if !c.bound() {
+		if ready {
+			return now.Add(noDeadline), codes.OK
+		}
+		return c.since.Add(resumeLimit), codes.StreamBroken
+	}
+	latest := c.Deadline.Add(-o.load.First)
+	switch {
+	case ready:
+		return latest.Add(-o.drain(c.Urgency, ahead+1, margin)), codes.OverCapacity
+	case !plan.known:
+		return earlier(latest, c.since.Add(e.settings.ForecastWait)), codes.NoTimeToLoad
+	case plan.refused:
+		return now, codes.OverCapacity
+	}
+	at := latest.Add(-o.drain(c.Urgency, ahead+plan.others+1-o.slots, margin))
+	if plan.at.After(at) {
+		return now, codes.NoTimeToLoad
+	}
+	return at, codes.NoTimeToLoad
+}
+
+// drain returns the predicted time until that many calls of the class have started.
+func (o *outlook) drain(u spec.Urgency, calls int, margin float64) time.Duration {
+	if calls <= 0 || o.rate[u] <= 0 {
+		return 0
+	}
+	return time.Duration(float64(calls) / o.rate[u] * margin * float64(time.Second))
+}
+
+// refuseLate refuses the waiting calls whose prediction fails, notes when the next one would, and reports whether it
+// refused any.
+func (e *Entry) refuseLate(now time.Time, q *queue) bool {
+	q.failAt = time.Time{}
+	if len(q.calls) == 0 {
+		return false
+	}
+	_, known := e.view.Model(q.model)
+	o := e.outlook(now, q)
+	ahead := 0
+	waiting := slices.Clone(q.calls)
+	for _, c := range waiting {
+		if !known {
+			e.refuseUnknown(c)
+			continue
+		}
+		at, code := e.callFailAt(now, q, o, c, ahead)
+		if !at.After(now) {
+			e.refuse(c, code, e.promise(now, c))
+			continue
+		}
+		if c.fresh { // It passed the stricter test; from now on the other margin counts.
+			c.fresh = false
+			at, _ = e.callFailAt(now, q, o, c, ahead)
+		}
+		q.failAt = earlier(q.failAt, at)
+		ahead++
+	}
+	return ahead < len(waiting)
+}
+
+func (e *Entry) callFailAt(now time.Time, q *queue, o *outlook, c *call, ahead int) (time.Time, codes.Code) {
+	if e.mutant.lateRefusal && c.bound() {
+		return c.Deadline, codes.DeadlineMissed
+	}
+	if !c.fresh {
+		return e.failAt(now, q, o, c, ahead, keepMargin)
+	}
+	if !c.promised { // Callers who return as they were told go first.
+		ahead += q.books[c.Urgency].dueBy(now.Add(o.drain(c.Urgency, ahead+1, 1)))
+	}
+	return e.failAt(now, q, o, c, ahead, admitMargin)
+}
+
+// nextDue returns when the queue has to be looked at again if nothing happens before.
+func (e *Entry) nextDue(now time.Time, q *queue) time.Time {
+	next := q.failAt
+	for _, c := range q.calls {
+		if c.notBefore.After(now) {
+			next = earlier(next, c.notBefore)
+		}
+		if c.started && !c.aged {
+			next = earlier(next, c.since.Add(ageAfter))
+		}
+	}
+	for _, f := range q.forecasts {
+		next = earlier(next, f.until)
+	}
+	for _, d := range q.demands {
+		next = earlier(next, d.next)
+	}
+	for c := range q.books {
+		next = earlier(next, q.books[c].expiry())
+	}
+	return next
+}
+
+// expire drops promises and forecasts whose time has passed.
+func (q *queue) expire(now time.Time) {
+	for c := range q.books {
+		q.books[c].expire(now)
+	}
+	for a, f := range q.forecasts {
+		if !f.until.After(now) {
+			delete(q.forecasts, a)
+		}
+	}
+}
