feat(stand): first stand-ins of log, host list, engine, store and plain service

The daemon is built against stand-ins of the platform, which did not exist. Adds them as HTTP servers with fault switches and latency, and the standin commands.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -31,5 +31,6 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return codes.New(codes.BadArgument, err.Error())
 	})
+	c.AddCommand(newStandin())
 	return c
 }
--- /dev/null
+++ b/internal/cmds/standin.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/stand"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+// serving holds the flags that all stand-ins share.
+type serving struct {
+	listen string
+	oneWay time.Duration
+}
+
+func newStandin() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Runs a stand-in of a platform service for tests and trials",
+	}
+	c.AddCommand(newStandinLog(), newStandinStore(), newStandinHosts(), newStandinEngine(), newStandinService())
+	return c
+}
+
+func (s *serving) flags(c *cobra.Command) {
+	c.Flags().StringVar(&s.listen, "listen", "127.0.0.1:0", "`IP:port` to listen on; port 0 takes a free one")
+	c.Flags().DurationVar(&s.oneWay, "one-way", 0, "network latency to inject in each direction")
+}
+
+// run serves the handler until the process is told to stop, and then closes the stand-in.
+func (s *serving) run(c *cobra.Command, h http.Handler, closeAll func()) error {
+	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", s.listen)
+	if err != nil {
+		return codes.New(codes.BadArgument, err.Error())
+	}
+	srv := &http.Server{Handler: stand.Latency(s.oneWay, h), ReadHeaderTimeout: time.Minute}
+	defer context.AfterFunc(ctx, func() {
+		closeAll()
+		_ = srv.Close() // Serve returns in any case.
+	})()
+	fmt.Fprintf(c.OutOrStdout(), "listening on %s\n", l.Addr())
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return codes.New(codes.Internal, err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/standin_hosts.go
@@ -0,0 +1,28 @@
+package cmds
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/stand/hosts"
+)
+
+func newStandinHosts() *cobra.Command {
+	var (
+		s   serving
+		set hosts.Settings
+	)
+	c := &cobra.Command{
+		Use:   "hosts",
+		Short: "Runs the host list",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			l := hosts.New(set)
+			return s.run(c, l.Handler(), l.Close)
+		},
+	}
+	s.flags(c)
+	c.Flags().DurationVar(&set.Lag, "lag", 5*time.Second, "age of the state that the list shows")
+	return c
+}
--- /dev/null
+++ b/internal/stand/model/cache.go
@@ -0,0 +1,135 @@
+package model
+
+import (
+	"container/list"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+)
+
+type (
+	// tiers holds the checkpoints cached on the engine's host, most recently used first.
+	tiers struct {
+		memory, disk       []checkpoint
+		memoryMax, diskMax int
+	}
+
+	checkpoint struct{ model, version string }
+
+	// blockCache is the prefix cache: the blocks of prompts, least recently used evicted first.
+	blockCache struct {
+		set    Settings
+		recent *list.List // recent holds block names, most recently used first.
+		byName map[string]*list.Element
+		seq    int64
+		events []wire.CacheEvent // events holds those not lost, in order.
+	}
+)
+
+// maxEvents is the number of cache events that an engine keeps for readers.
+const maxEvents = 10000
+
+func newTiers(set Settings) tiers {
+	t := tiers{memoryMax: set.MemoryCopies, diskMax: set.DiskCopies}
+	for _, c := range set.Cached {
+		k := checkpoint{c.Model, c.Version}
+		switch c.Tier {
+		case wire.TierMemory:
+			t.memory = append(t.memory, k)
+		case wire.TierDisk:
+			t.disk = append(t.disk, k)
+		}
+	}
+	return t
+}
+
+// nearest returns the nearest tier that holds the checkpoint.
+func (t *tiers) nearest(c checkpoint) wire.Tier {
+	switch {
+	case slices.Contains(t.memory, c):
+		return wire.TierMemory
+	case slices.Contains(t.disk, c):
+		return wire.TierDisk
+	}
+	return wire.TierRemote
+}
+
+// used records that the checkpoint was loaded, which leaves a copy in both tiers.
+func (t *tiers) used(c checkpoint) {
+	t.memory = touch(t.memory, c, t.memoryMax)
+	t.disk = touch(t.disk, c, t.diskMax)
+}
+
+func (t *tiers) dropMemory() { t.memory = nil }
+
+func (t *tiers) copies() []wire.CachedCopy {
+	all := []wire.CachedCopy{}
+	for _, c := range t.memory {
+		all = append(all, wire.CachedCopy{Model: c.model, Version: c.version, Tier: wire.TierMemory})
+	}
+	for _, c := range t.disk {
+		if !slices.Contains(t.memory, c) {
+			all = append(all, wire.CachedCopy{Model: c.model, Version: c.version, Tier: wire.TierDisk})
+		}
+	}
+	return all
+}
+
+func touch(l []checkpoint, c checkpoint, limit int) []checkpoint {
+	l = slices.DeleteFunc(l, func(o checkpoint) bool { return o == c })
+	l = slices.Insert(l, 0, c)
+	return l[:min(len(l), limit)]
+}
+
+func newBlockCache(set Settings) *blockCache {
+	return &blockCache{set: set, recent: list.New(), byName: make(map[string]*list.Element)}
+}
+
+// store caches the blocks and returns how many of them, counted from the first, were cached before.
+func (c *blockCache) store(blocks []string, now time.Time) int {
+	hits, miss := 0, false
+	for _, b := range blocks {
+		el, ok := c.byName[b]
+		if ok {
+			c.recent.MoveToFront(el)
+		} else {
+			c.byName[b] = c.recent.PushFront(b)
+			c.record(wire.CacheStored, b, now)
+		}
+		miss = miss || !ok
+		if !miss {
+			hits++
+		}
+	}
+	for c.recent.Len() > c.set.PrefixBlocks {
+		b := c.recent.Remove(c.recent.Back()).(string)
+		delete(c.byName, b)
+		c.record(wire.CacheEvicted, b, now)
+	}
+	return hits
+}
+
+func (c *blockCache) record(k wire.CacheEventKind, block string, now time.Time) {
+	c.seq++
+	if rand.Float64() < c.set.EventLoss {
+		return
+	}
+	c.events = append(c.events, wire.CacheEvent{Seq: c.seq, At: now, Kind: k, Block: block})
+	c.events = c.events[max(0, len(c.events)-maxEvents):]
+}
+
+// published returns the events from the sequence number on that are old enough to be shown.
+func (c *blockCache) published(from, limit int64, now time.Time) []wire.CacheEvent {
+	out := []wire.CacheEvent{}
+	for _, ev := range c.events {
+		if now.Sub(ev.At) < c.set.EventLag || int64(len(out)) >= limit {
+			break
+		}
+		if ev.Seq >= from {
+			out = append(out, ev)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/store/client.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+)
+
+// Client loads through a weight store at an address; only the stand-in engines use it.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient returns a client of the store at IP:port.
+func NewClient(address string) *Client {
+	return &Client{url: "http://" + address + "/v1/loads", http: &http.Client{}}
+}
+
+// Load waits until the store has done the load; it has no time limit but that of the context.
+func (c *Client) Load(ctx context.Context, l wire.StoreLoad) error {
+	b, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answered %s", a.Status)
+	}
+	return nil
+}
