--- /dev/null
+++ b/internal/setup/read_test.go
@@ -0,0 +1,51 @@
+package setup
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const valid = `
+[host]
+name = "a-1"
+dataCentre = "colombo"
+[listen]
+traffic = "127.0.0.1:7001"
+peers = "127.0.0.1:7002"
+operator = "127.0.0.1:7003"
+[platform]
+log = "127.0.0.1:9001"
+hostList = "127.0.0.1:9002"
+`
+
+// Guards against a fault that is accepted silently, or reported without its line or key.
+func TestParse(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"valid", "", "", ""},
+		{"unknown key", "[platform]", "[platform]\nlogg = 1", "f.toml:10: platform.logg: is not a known key"},
+		{"host name", `"127.0.0.1:9001"`, `"localhost:9001"`, "f.toml:10: platform.log: must be an IP number"},
+		{"missing unit", "[platform]", "[platform]\nstatusInterval = \"5\"", "f.toml:10: platform.statusInterval: must be a duration"},
+		{"impossible limit", "[platform]", "[store]\nslots = 0\n[platform]", "f.toml:10: store.slots: must be between"},
+		{"token", `"127.0.0.1:7003"`, `"10.0.0.1:7003"`, "f.toml:1: operator.token: is needed"},
+		{"missing key", `log = "127.0.0.1:9001"`, "", "f.toml:9: platform.log: is missing"},
+		{"wrong type", `name = "a-1"`, "name = 3", "f.toml:3: host.name"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, faults := Parse("f.toml", []byte(strings.Replace(valid, tc.old, tc.new, 1)))
+			if tc.want == "" {
+				qt.Assert(t, faults, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, AsError(faults), qt.ErrorMatches, "(?s).*"+tc.want+".*")
+		})
+	}
+}
+
+// Guards against a panic of the decoder or the line finder on hostile input.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("a.b = [[1]]\n[[x]]\ny = {z = 1}"))
+	f.Fuzz(func(_ *testing.T, data []byte) { Parse("f", data) })
+}
--- /dev/null
+++ b/internal/telem/metrics.go
@@ -0,0 +1,108 @@
+package telem
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+const namespace = "fireflycleat"
+
+// Metrics holds the metrics of one daemon.
+type Metrics struct {
+	registry   *prometheus.Registry
+	requests   *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	attempts   *prometheus.CounterVec
+	appends    *prometheus.CounterVec
+	peerCalls  *prometheus.CounterVec
+	control    prometheus.Histogram
+	queue      prometheus.Gauge
+	inFlight   prometheus.Gauge
+	offset     prometheus.Gauge
+	current    prometheus.Gauge
+}
+
+// NewMetrics returns registered metrics, with those of the Go runtime and the process.
+func NewMetrics() *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+	}
+	m := &Metrics{
+		registry:  prometheus.NewRegistry(),
+		requests:  counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
+		attempts:  counter("attempts_total", "Attempts at upstreams, by result.", "result"),
+		appends:   counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
+		peerCalls: counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
+		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "first_token_seconds",
+			Help:    "Time from arrival to the first token, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+		}, []string{"urgency"}),
+		control: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "control_step_seconds",
+			Help:    "Time of one step of the control thread, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10),
+		}),
+		queue:    gauge("queued_requests", "Requests that wait for a replica."),
+		inFlight: gauge("in_flight_requests", "Requests in progress."),
+		offset:   gauge("log_offset", "Offset of the last log record applied."),
+		current:  gauge("current_state", "1 when the configuration is proven current, else 0."),
+	}
+	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.firstToken, m.control, m.queue, m.inFlight,
+		m.offset, m.current, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts a request that ended.
+func (m *Metrics) Request(door string, c codes.Code) {
+	m.requests.WithLabelValues(door, strconv.Itoa(int(c))).Inc()
+}
+
+// FirstToken records the time from arrival to the first token.
+func (m *Metrics) FirstToken(urgency string, d time.Duration) {
+	m.firstToken.WithLabelValues(urgency).Observe(d.Seconds())
+}
+
+// Attempt counts an attempt at an upstream.
+func (m *Metrics) Attempt(result string) { m.attempts.WithLabelValues(result).Inc() }
+
+// Append counts an append to the log.
+func (m *Metrics) Append(kind, result string) { m.appends.WithLabelValues(kind, result).Inc() }
+
+// PeerCall counts a call to a peer.
+func (m *Metrics) PeerCall(method, result string) { m.peerCalls.WithLabelValues(method, result).Inc() }
+
+// ControlStep records the time of one step of the control thread.
+func (m *Metrics) ControlStep(d time.Duration) { m.control.Observe(d.Seconds()) }
+
+// Load records the number of queued requests and of requests in progress.
+func (m *Metrics) Load(queued, inFlight int) {
+	m.queue.Set(float64(queued))
+	m.inFlight.Set(float64(inFlight))
+}
+
+// State records the log offset and whether it is proven current.
+func (m *Metrics) State(offset int64, current bool) {
+	m.offset.Set(float64(offset))
+	value := 0.0
+	if current {
+		value = 1
+	}
+	m.current.Set(value)
+}
