--- /dev/null
+++ b/internal/peers/client.go
@@ -0,0 +1,102 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+const (
+	// CallTimeout is the longest time that a call between daemons may take.
+	CallTimeout = 2 * time.Second
+	dialTimeout = time.Second
+)
+
+type (
+	// Client calls other daemons. It keeps one connection to each and is safe for concurrent use.
+	Client struct {
+		mu    sync.Mutex
+		conns map[string]*rpc.Client
+	}
+)
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{conns: make(map[string]*rpc.Client)} }
+
+// Call calls the method of the daemon at the address. A PeerUnavailable error has the outcome NotRun when the connection
+// was refused or could not be opened, else Unknown.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.result(address, conn, call.Error)
+	case <-ctx.Done():
+		return codes.New(codes.PeerUnavailable, ctx.Err().Error())
+	}
+}
+
+// Refused reports whether the error proves that no process listens at the address.
+func Refused(err error) bool {
+	return codes.From(err).Field() == refusedField
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	clear(c.conns)
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn, ok := c.conns[address]
+	c.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, dialError(err)
+	}
+	fresh := rpc.NewClientWithCodec(&clientCodec{newCodec(raw)})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		_ = fresh.Close()
+		return conn, nil
+	}
+	c.conns[address] = fresh
+	return fresh, nil
+}
+
+func (c *Client) result(address string, conn *rpc.Client, err error) error {
+	var remote rpc.ServerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &remote):
+		return codes.New(codes.BadPeerMessage, string(remote))
+	}
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+	return codes.New(codes.PeerUnavailable, err.Error())
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,62 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+type echo struct{}
+
+// Echo returns its argument.
+func (echo) Echo(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+// Guards against an oversized message being read into memory, and against a broken connection being kept.
+func TestSizeLimit(t *testing.T) {
+	c := qt.New(t)
+	s, err := Listen("127.0.0.1:0", echo{})
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(s.Close)
+	p := NewClient()
+	t.Cleanup(p.Close)
+	var reply string
+	for _, size := range []int{10, MaxMessageBytes / 2, 2 * MaxMessageBytes, 10} {
+		err := p.Call(context.Background(), s.Address(), "Peer.Echo", strings.Repeat("x", size), &reply)
+		if size > MaxMessageBytes {
+			c.Assert(codes.From(err).Code(), qt.Equals, codes.PeerUnavailable)
+			continue
+		}
+		c.Assert(err, qt.IsNil)
+		c.Assert(len(reply), qt.Equals, size)
+	}
+}
+
+// Guards against bytes that are not gob taking the server down, and against a time-out being read as a refusal.
+func TestRefusedIsProof(t *testing.T) {
+	c := qt.New(t)
+	s, err := Listen("127.0.0.1:0", echo{})
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	raw, err := net.Dial("tcp", s.Address())
+	c.Assert(err, qt.IsNil)
+	_, err = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	_ = raw.Close()
+	p := NewClient()
+	var reply string
+	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Echo", "x", &reply), qt.IsNil)
+	p.Close()
+	s.Close()
+	err = p.Call(context.Background(), s.Address(), "Peer.Echo", "x", &reply)
+	c.Assert(Refused(err), qt.IsTrue)
+	c.Assert(Refused(codes.New(codes.PeerUnavailable, "timeout")), qt.IsFalse)
+}
--- /dev/null
+++ b/internal/peers/server.go
@@ -0,0 +1,68 @@
+package peers
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ServiceName is the name under which a daemon's methods are called.
+const ServiceName = "Peer"
+
+// Server accepts calls from other daemons.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+// Listen returns a server that serves the methods of the service at the address.
+func Listen(address string, service any) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer listener")
+	}
+	s := &Server{listener: l, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	if err := s.rpc.RegisterName(ServiceName, service); err != nil {
+		_ = l.Close()
+		return nil, errors.Wrap(err, "peer service")
+	}
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.conns[conn] = true
+		s.mu.Unlock()
+		go s.serve(conn)
+	}
+}
+
+// Close stops accepting and closes all connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	s.rpc.ServeCodec(&serverCodec{newCodec(conn)})
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
