feat: callers' HTTP API

Cause: callers need addresses, streamed answers, bookings and refusals with codes over the usual protocols.

--- /dev/null
+++ b/internal/front/models.go
@@ -0,0 +1,167 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	openai "github.com/sashabaranov/go-openai"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+const (
+	urgencyHeader = "X-Urgency"
+	timeoutHeader = "X-Request-Timeout" // in seconds
+	bytesPerToken = 4
+	defaultTokens = 256
+	maxTokens     = 1 << 20
+	chatPath      = "/v1/chat/completions"
+	textPath      = "/v1/completions"
+	maxSeconds    = 24 * 60 * 60
+)
+
+// brokenError marks an error that came after the answer had begun; it has been sent as the last event.
+type brokenError struct{ error }
+
+// Unwrap returns the coded error.
+func (b brokenError) Unwrap() error { return b.error }
+
+func answered(err error) bool {
+	var b brokenError
+	return errors.As(err, &b)
+}
+
+func (c *Callers) models(w http.ResponseWriter, _ *http.Request, t spec.Team) error {
+	list := openai.ModelsList{Models: []openai.Model{}}
+	for _, name := range c.View().Models() {
+		if t.MayCallModel(name, "") {
+			list.Models = append(list.Models, openai.Model{ID: name, Object: "model", OwnedBy: t.Name})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+	return nil
+}
+
+func (c *Callers) chat(w http.ResponseWriter, r *http.Request, t spec.Team) error {
+	body, err := readBody(w, r, c.Limits)
+	if err != nil {
+		return err
+	}
+	var q openai.ChatCompletionRequest
+	if err := json.Unmarshal(body, &q); err != nil {
+		return jsonFault(err)
+	}
+	if len(q.Messages) == 0 {
+		return codes.New(codes.BadRequest, "must not be empty").WithField("messages")
+	}
+	call, err := c.modelCall(r, t, q.Model, max(q.MaxTokens, q.MaxCompletionTokens), body)
+	if err != nil {
+		return err
+	}
+	call.Path = chatPath
+	if q.Stream {
+		return c.stream(w, r, call)
+	}
+	return c.whole(w, r, call, newChatAnswer(call))
+}
+
+func (c *Callers) completions(w http.ResponseWriter, r *http.Request, t spec.Team) error {
+	body, err := readBody(w, r, c.Limits)
+	if err != nil {
+		return err
+	}
+	var q openai.CompletionRequest
+	if err := json.Unmarshal(body, &q); err != nil {
+		return jsonFault(err)
+	}
+	if q.Prompt == nil {
+		return codes.New(codes.BadRequest, "is missing").WithField("prompt")
+	}
+	call, err := c.modelCall(r, t, q.Model, q.MaxTokens, body)
+	if err != nil {
+		return err
+	}
+	call.Path = textPath
+	if q.Stream {
+		return c.stream(w, r, call)
+	}
+	return c.whole(w, r, call, newTextAnswer(call))
+}
+
+// modelCall checks what both kinds of model call have in common.
+func (c *Callers) modelCall(r *http.Request, t spec.Team, name string, tokens int, body []byte) (ModelCall, error) {
+	model, adapter, _ := strings.Cut(name, ":")
+	m, ok := c.View().Model(model)
+	switch {
+	case model == "":
+		return ModelCall{}, codes.New(codes.BadRequest, "is missing").WithField("model")
+	case !ok:
+		return ModelCall{}, codes.New(codes.UnknownModel, model).WithField("model")
+	case !t.MayCallModel(model, adapter):
+		return ModelCall{}, codes.New(codes.Forbidden, name).WithField("model")
+	case tokens < 0 || tokens > maxTokens:
+		return ModelCall{}, codes.New(codes.BadRequest, "is out of range").WithField("max_tokens")
+	}
+	if _, ok := m.Adapter(adapter); adapter != "" && !ok {
+		return ModelCall{}, codes.New(codes.UnknownModel, "adapter "+adapter).WithField("model")
+	}
+	urgency, err := urgencyOf(r, t)
+	if err != nil {
+		return ModelCall{}, err
+	}
+	timeout, err := timeoutOf(r)
+	if err != nil {
+		return ModelCall{}, err
+	}
+	streamed, err := askForStream(body)
+	if err != nil {
+		return ModelCall{}, err
+	}
+	if tokens == 0 {
+		tokens = defaultTokens
+	}
+	return ModelCall{
+		ID: "req-" + uuid.NewString(), Team: t, Model: model, Adapter: adapter, Urgency: urgency, Timeout: timeout,
+		Body: streamed, PromptTokens: len(body) / bytesPerToken, MaxTokens: tokens,
+	}, nil
+}
+
+func urgencyOf(r *http.Request, t spec.Team) (spec.Urgency, error) {
+	text := r.Header.Get(urgencyHeader)
+	if text == "" {
+		return t.Urgency, nil
+	}
+	u, ok := spec.ParseUrgency(text)
+	if !ok {
+		return 0, codes.New(codes.BadRequest, "must be urgent, normal or bulk").WithField(urgencyHeader)
+	}
+	return max(u, t.MaxUrgency), nil
+}
+
+func timeoutOf(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(timeoutHeader)
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0 && seconds <= maxSeconds) {
+		return 0, codes.New(codes.BadRequest, "must be a number of seconds above 0").WithField(timeoutHeader)
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// askForStream returns the body with stream set, and leaves fields alone that this version does not know.
+func askForStream(body []byte) ([]byte, error) {
+	fields := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, jsonFault(err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
