refactor(stand): use the types of go-openai for model answers

go.mod now declares go-openai, so the engine's own chat types were a second definition of the same protocol. The id of an answer is now the request id as sent, and refusals use the OpenAI error document. Builds; not tested yet.

--- a/internal/cmds/standin_engine.go
+++ b/internal/cmds/standin_engine.go
@@ -54,7 +54,7 @@
 	f.Float64Var(&set.BatchSlope, "batch-slope", 0.1, "share of the token time that each further request adds")
 	f.DurationVar(&set.PrefillTime, "prefill-time", 100*time.Microsecond, "time for each prompt word that is not cached")
 	f.IntVar(&set.PrefixBlocks, "prefix-blocks", 4096, "size of the prefix cache in blocks")
-	f.IntVar(&set.DefaultTokens, "default-tokens", 64, "length of an answer when the request sets none")
+	f.IntVar(&set.DefaultTokens, "default-tokens", 256, "length of an answer when the request sets none")
 	f.DurationVar(&set.StatusLag, "status-lag", time.Second, "age of the load figures in the status")
 	f.DurationVar(&set.EventLag, "event-lag", time.Second, "time until a cache event is published")
 	f.Float64Var(&set.EventLoss, "event-loss", 0.05, "share of cache events that are never published")
--- a/internal/stand/answer.go
+++ b/internal/stand/answer.go
@@ -6,7 +6,7 @@
 	"hash/fnv"
 	"strings"
 
-	"github.com/fireflycleat/fireflycleat/internal/wire"
+	openai "github.com/sashabaranov/go-openai"
 )
 
 // checksumPrefix starts the last token of every answer.
@@ -52,15 +52,27 @@
 	return i >= 0 && Checksum([]string{text[:i]}) == text[i:]
 }
 
-// ChatPrompt returns the prompt that a chat request stands for.
-func ChatPrompt(messages []wire.ChatMessage) string {
+// ChatPrompt returns the prompt that the messages of a chat stand for.
+func ChatPrompt(messages []openai.ChatCompletionMessage) string {
 	var b strings.Builder
 	for _, m := range messages {
-		b.WriteString(m.Role + ": " + m.Content + "\n")
+		b.WriteString(m.Role + ": " + m.Content)
+		for _, p := range m.MultiContent {
+			b.WriteString(p.Text)
+		}
+		b.WriteByte('\n')
 	}
 	return b.String()
 }
 
+// TextPrompt returns the prompt that the prompt field of a completion request stands for.
+func TextPrompt(prompt any) string {
+	if s, ok := prompt.(string); ok {
+		return s
+	}
+	return fmt.Sprint(prompt)
+}
+
 // token names the index, so that a missing, repeated or foreign token shows in the text.
 func token(seed uint64, i int) string {
 	// The multiplier is that of splitmix64; it spreads neighbouring indices.
--- a/internal/stand/model/chat.go
+++ b/internal/stand/model/chat.go
@@ -8,7 +8,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
+
+	openai "github.com/sashabaranov/go-openai"
 
 	"github.com/fireflycleat/fireflycleat/internal/stand"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
@@ -17,21 +18,20 @@
 const (
 	maxPriority     = 2
 	defaultPriority = 1
-	finishStop      = "stop"
 )
 
 // call is a request on its way to the batch, and how to write its answer.
 type call struct {
 	request
 	stream bool
-	chunk  func(c *call, text string, last bool) any
+	chunk  func(c *call, token string, last bool) any
 	whole  func(c *call, text string) any
 }
 
 func (e *Engine) postChat(w http.ResponseWriter, r *http.Request) {
-	var in wire.ChatRequest
+	var in openai.ChatCompletionRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		stand.NotRun(w, http.StatusBadRequest, err.Error())
+		refuse(w, true, http.StatusBadRequest, err.Error())
 		return
 	}
 	c := &call{stream: in.Stream, chunk: chatChunk, whole: chatAnswer}
@@ -40,13 +40,13 @@
 }
 
 func (e *Engine) postCompletion(w http.ResponseWriter, r *http.Request) {
-	var in wire.CompletionRequest
+	var in openai.CompletionRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		stand.NotRun(w, http.StatusBadRequest, err.Error())
+		refuse(w, true, http.StatusBadRequest, err.Error())
 		return
 	}
 	c := &call{stream: in.Stream, chunk: completionChunk, whole: completionAnswer}
-	c.model, c.prompt = in.Model, in.Prompt
+	c.model, c.prompt = in.Model, stand.TextPrompt(in.Prompt)
 	e.serve(w, r, c, in.MaxTokens)
 }
 
@@ -55,12 +55,12 @@
 		maxTokens = e.set.DefaultTokens
 	}
 	if err := c.headers(r.Header, maxTokens); err != nil {
-		stand.NotRun(w, http.StatusBadRequest, err.Error())
+		refuse(w, true, http.StatusBadRequest, err.Error())
 		return
 	}
 	c.tokens = stand.Answer(c.model, c.prompt, maxTokens)
 	if status, detail := e.start(&c.request); status != 0 {
-		stand.NotRun(w, status, detail)
+		refuse(w, true, status, detail)
 		return
 	}
 	defer func() {
@@ -77,7 +77,7 @@
 
 // headers reads the engine's request headers; n is the length of the whole answer.
 func (c *call) headers(h http.Header, n int) error {
-	c.id = h.Get(wire.HeaderRequestID)
+	c.id = h.Get(wire.HeaderRequestID) // The answer's id field repeats it.
 	if c.id == "" {
 		c.id = fmt.Sprintf("unnamed-%016x", rand.Uint64())
 	}
@@ -194,54 +194,17 @@
 	e.mu.Lock()
 	started := c.started
 	e.mu.Unlock()
-	if started {
-		stand.Fail(w, http.StatusServiceUnavailable, "request was cancelled")
-		return
-	}
-	stand.NotRun(w, http.StatusServiceUnavailable, "request was cancelled before it started")
-}
-
-func (c *call) usage() wire.Usage {
-	u := wire.Usage{PromptTokens: len(strings.Fields(c.prompt)), CompletionTokens: len(c.tokens) - c.from}
-	u.TotalTokens = u.PromptTokens + u.CompletionTokens
-	return u
-}
-
-func chatChunk(c *call, text string, last bool) any {
-	ch := wire.ChatChunkChoice{Delta: wire.ChatDelta{Role: "assistant", Content: text}}
-	if last {
-		reason := finishStop
-		ch.FinishReason = &reason
-	}
-	return wire.ChatChunk{
-		ID: "chatcmpl-" + c.id, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: c.model,
-		Choices: []wire.ChatChunkChoice{ch},
-	}
+	refuse(w, !started, http.StatusServiceUnavailable, "request was cancelled")
 }
 
-func chatAnswer(c *call, text string) any {
-	return wire.ChatAnswer{
-		ID: "chatcmpl-" + c.id, Object: "chat.completion", Created: time.Now().Unix(), Model: c.model, Usage: c.usage(),
-		Choices: []wire.ChatChoice{{
-			Message: wire.ChatMessage{Role: "assistant", Content: text}, FinishReason: finishStop,
-		}},
+// refuse answers with an error of the OpenAI protocol.
+func refuse(w http.ResponseWriter, notRun bool, status int, detail string) {
+	if notRun {
+		w.Header().Set(wire.HeaderNotRun, "true")
 	}
-}
-
-func completionChunk(c *call, text string, last bool) any {
-	a := wire.CompletionAnswer{
-		ID: "cmpl-" + c.id, Object: "text_completion", Created: time.Now().Unix(), Model: c.model,
-		Choices: []wire.CompletionChoice{{Text: text}},
+	kind := "server_error"
+	if status/100 == 4 {
+		kind = "invalid_request_error"
 	}
-	if last {
-		a.Choices[0].FinishReason = finishStop
-	}
-	return a
-}
-
-func completionAnswer(c *call, text string) any {
-	a := completionChunk(c, text, true).(wire.CompletionAnswer)
-	u := c.usage()
-	a.Usage = &u
-	return a
+	stand.Reply(w, status, openai.ErrorResponse{Error: &openai.APIError{Message: detail, Type: kind}})
 }
