--- /dev/null
+++ b/pkg/fold/fold_test.go
@@ -0,0 +1,239 @@
+package fold
+
+import (
+	"bytes"
+	"crypto/sha512"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// tape is a log in memory with the state that folds it.
+type tape struct {
+	s    *State
+	data [][]byte
+}
+
+func newTape(members ...string) *tape {
+	t := &tape{s: New()}
+	for _, m := range members {
+		t.put(Record{Kind: MemberUpKind, By: m, MemberUp: up(m, t.s.HostOffset(m))})
+	}
+	return t
+}
+
+// put appends the record; an empty id becomes unique, and Seen becomes the state's offset unless it is set.
+func (t *tape) put(r Record) Verdict {
+	if r.ID == "" {
+		r.ID = fmt.Sprintf("id%d", t.s.offset+1)
+	}
+	if r.Seen == 0 {
+		r.Seen = t.s.offset
+	}
+	data, err := Encode(r)
+	if err != nil {
+		panic(err)
+	}
+	return t.raw(data)
+}
+
+func (t *tape) raw(data []byte) Verdict {
+	t.data = append(t.data, data)
+	o := int64(len(t.data))
+	return t.s.Apply(o, epoch.Add(time.Duration(o)*time.Second), data)
+}
+
+func up(host string, base int64) *MemberUp {
+	return &MemberUp{Host: host, Base: base, DataCentre: "dc1", Addresses: Addresses{Callers: host + ":1", Peers: host + ":2"}}
+}
+
+func model(name string, replicas int) *spec.Template {
+	return &spec.Template{Name: name, Kind: spec.ModelTemplate, Model: &spec.Model{
+		Version: "v1", MaxReplicas: replicas, WeightBytes: 1, Slots: 1, LoadMillis: 1, TokenMicros: 1,
+	}}
+}
+
+func set(by, name string, base int64, replicas int) Record {
+	return Record{Kind: TemplateKind, By: by, Template: &TemplateChange{Name: name, Base: base, Set: model(name, replicas)}}
+}
+
+func lease(by, cell string, base int64, release bool) Record {
+	return Record{Kind: CellLeaseKind, By: by, CellLease: []LeaseChange{{cell, base, by, by, release}}}
+}
+
+func claim(by, cell string, fence int64, count int) Record {
+	return Record{Kind: PermitKind, By: by, Permit: []PermitChange{{cell, fence, "m", count}}}
+}
+
+func keys(by, holder, backup string, base int64, blind bool) Record {
+	return Record{Kind: KeyRangeKind, By: by, KeyRange: []RangeChange{{3, base, holder, backup, blind}}}
+}
+
+// Guards against a record being accepted, or rejected with another code, in each situation that the design names.
+// The members a, b and c are at offsets 1 to 3.
+func TestVerdicts(t *testing.T) {
+	c := qt.New(t)
+	p := newTape("a", "b", "c")
+	steps := []struct {
+		r    Record
+		want codes.Code
+	}{
+		{set("a", "m", 0, 2), codes.OK},                // 4
+		{set("b", "m", 0, 3), codes.StaleBase},         // 5: lost the race to 4
+		{set("b", "m", 4, 3), codes.OK},                // 6
+		{set("x", "m", 6, 3), codes.StaleLease},        // 7: not a member
+		{lease("a", "c1", 0, false), codes.OK},         // 8
+		{lease("b", "c1", 0, false), codes.StaleBase},  // 9
+		{claim("a", "c1", 8, 3), codes.OK},             // 10
+		{claim("a", "c1", 8, 4), codes.OverCapacity},   // 11
+		{lease("b", "c1", 8, false), codes.OK},         // 12: a is unsettled
+		{claim("a", "c1", 8, 1), codes.StaleLease},     // 13
+		{set("a", "m", 6, 1), codes.OK},                // 14: maxReplicas falls below the sum
+		{claim("b", "c1", 12, 2), codes.OK},            // 15: lowering is accepted above the maximum
+		{claim("b", "c1", 12, 3), codes.OverCapacity},  // 16
+		{lease("a", "c1", 12, true), codes.StaleLease}, // 17: not a's lease
+		{lease("a", "c1", 8, true), codes.OK},          // 18: a is settled
+		{lease("b", "c1", 12, true), codes.OK},         // 19
+		{claim("b", "c1", 12, 1), codes.StaleLease},    // 20: released
+		{keys("a", "a", "b", 0, false), codes.OK},      // 21
+		{keys("c", "c", "a", 21, false), codes.StaleLease},
+		{keys("b", "b", "c", 0, false), codes.StaleBase},
+		{keys("b", "b", "c", 21, false), codes.OK}, // 24
+		{keys("a", "a", "c", 24, true), codes.OK},  // 25
+		{Record{Kind: MemberGoneKind, By: "b", MemberGone: []string{"a", "x"}}, codes.OK},
+		{Record{Kind: MemberGoneKind, By: "c", MemberGone: []string{"a"}}, codes.StaleBase},
+		{Record{Kind: MemberUpKind, By: "a2", MemberUp: up("a", 1)}, codes.StaleBase}, // 28: a late registration
+		{Record{Kind: MemberUpKind, By: "a2", MemberUp: up("a", 26)}, codes.OK},       // 29
+		{Record{Kind: TemplateKind, By: "b", Seen: 28, Template: &TemplateChange{Name: "m", Base: 14, Delete: true}}, codes.NoMajority},
+		{Record{Kind: TemplateKind, By: "b", Template: &TemplateChange{Name: "m", Base: 14, Delete: true}}, codes.OK},
+		{Record{Kind: WithdrawKind, By: "b", Withdraw: &Withdraw{ID: "w"}}, codes.OK}, // 32
+		{Record{Kind: MemberGoneKind, ID: "w", By: "b", MemberGone: []string{"c"}}, codes.AppendInDoubt},
+		{set("a2", "m", 0, 3), codes.StaleBase}, // The tombstone keeps the base check.
+		{Record{Kind: TeamKind, By: "b", Team: &TeamChange{Name: "t", Set: &spec.Team{Name: "t"}}}, codes.OK},
+	}
+	for i, s := range steps {
+		v := p.put(s.r)
+		got := codes.OK
+		if v.Err != nil {
+			got = v.Err.Code()
+		}
+		c.Assert(got, qt.Equals, s.want, qt.Commentf("offset %d: %v", i+4, v.Err))
+		c.Assert(v.Outcome == Accepted, qt.Equals, s.want == codes.OK)
+	}
+	l, _ := p.s.Lease("c1")
+	c.Assert(l, qt.DeepEquals, Lease{Cell: "c1", Holder: Holder{"b", "b", 12}, Released: true, Unsettled: []Holder{}})
+	c.Assert(p.s.KeyRange(3), qt.Equals, KeyRange{3, "a", "c", 25, epoch.Add(25 * time.Second)})
+	c.Assert(p.s.Permit("m", "c1"), qt.Equals, 2)
+	c.Assert(p.s.TemplateOffset("m"), qt.Equals, int64(31))
+	c.Assert(p.s.View().Models(), qt.HasLen, 0)
+	c.Assert(p.s.View(), qt.Equals, p.s.View())
+	c.Assert(p.s.Apply(3, epoch, nil).Outcome, qt.Equals, Old)
+	c.Assert(p.s.Apply(99, epoch, nil).Outcome, qt.Equals, Gap)
+}
+
+// Guards against a decoder that lets a fault pass or does not name the field.
+func TestDecodeNamesTheField(t *testing.T) {
+	c := qt.New(t)
+	good, err := Encode(Record{Kind: TemplateKind, ID: "i", By: "a", Template: &TemplateChange{Name: "m", Set: model("m", 2)}})
+	c.Assert(err, qt.IsNil)
+	for _, s := range []struct{ old, next, field string }{
+		{`"seen":0`, `"seen":"0"`, "seen"},
+		{`"seen":0`, `"seen":null`, "seen"},
+		{`"seen":0`, `"Seen":0`, "Seen"},
+		{`"seen":0`, `"seen":0,"seen":1`, "seen"},
+		{`"seen":0`, `"seen":-1`, "seen"},
+		{`"seen":0,`, ``, "seen"},
+		{`"id":"i"`, `"id":""`, "id"},
+		{`"by":"a"`, `"by":"` + strings.Repeat("a", 65) + `"`, "by"},
+		{`"kind":"template"`, `"kind":"team"`, "team"},
+		{`"kind":"template"`, `"kind":"x"`, "kind"},
+		{`"base":0,`, ``, "template.base"},
+		{`"slots":1`, `"slots":1.5`, "template.set.model.slots"},
+		{`"slots":1`, `"slots":0`, "template.set.model.slots"},
+		{`"slots":1`, `"slots":1,"x":{"y":[1]}`, "template.set.model.x"},
+		{`"slots":1,`, ``, "template.set.model.slots"},
+		{`"delete":false`, `"delete":true`, "template.set"},
+		{`"name":"m","kind"`, `"name":"n","kind"`, "template.set.name"},
+		{`}`, ``, "record"},
+		{`"i"`, `"` + strings.Repeat("i", MaxRecordBytes) + `"`, "record"},
+	} {
+		c.Assert(strings.Contains(string(good), s.old), qt.IsTrue, qt.Commentf("%s", s.old))
+		data := strings.Replace(string(good), s.old, s.next, 1)
+		p := newTape("a")
+		v := p.raw([]byte(data))
+		c.Assert(v.Outcome, qt.Equals, Skipped, qt.Commentf("%s for %s", s.next, s.old))
+		c.Assert(v.Err.Code(), qt.Equals, codes.BadRecord)
+		c.Assert(v.Err.Field(), qt.Equals, s.field, qt.Commentf("%v", v.Err))
+		c.Assert(p.s.BadRecords(), qt.Equals, int64(1))
+		c.Assert(p.put(set("a", "m", 0, 1)).Outcome, qt.Equals, Accepted)
+	}
+}
+
+// Guards against a resend or a late first arrival being accepted once its change id is forgotten, and against memory
+// growing with the log.
+func TestWindow(t *testing.T) {
+	c := qt.New(t)
+	p := newTape("a")
+	late := set("a", "m", 0, 2)
+	late.ID = "late"
+	c.Assert(p.put(late).Outcome, qt.Equals, Accepted)
+	late.Seen = 1
+	v := p.put(late)
+	c.Assert(v.Outcome, qt.Equals, Duplicate)
+	c.Assert(v.First, qt.Equals, int64(2))
+	p.put(Record{Kind: TemplateKind, By: "a", Template: &TemplateChange{Name: "m", Base: 2, Delete: true}})
+	for range ChangeWindow * 5 / 4 {
+		p.raw([]byte(`{}`))
+	}
+	c.Assert(p.s.changes, qt.HasLen, 0)
+	c.Assert(p.s.templates, qt.HasLen, 0)
+	c.Assert(p.put(late).Err.Code(), qt.Equals, codes.StaleBase)
+	c.Assert(p.put(set("a", "m", 0, 2)).Outcome, qt.Equals, Accepted)
+}
+
+// Guards against a snapshot in the log that a later reader cannot use, and against a merge that goes back.
+func TestSnapshotRecords(t *testing.T) {
+	c := qt.New(t)
+	p := newTape("a", "b")
+	for i := range 3000 {
+		r := set("a", fmt.Sprintf("m%d", i), 0, 2)
+		r.Template.Set.Model.Version = fmt.Sprintf("%x", sha512.Sum512([]byte{byte(i), byte(i >> 8)}))
+		p.put(r)
+	}
+	old := p.s.Snapshot()
+	parts, err := p.s.Parts("b", "snap")
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(parts) > 1, qt.IsTrue)
+	f := NewFinder()
+	p.put(set("a", "x", 0, 2))
+	for _, r := range parts {
+		c.Assert(f.State(), qt.IsNil)
+		c.Assert(p.put(r).Outcome, qt.Equals, Accepted)
+		c.Assert(f.Add([]byte(`{}`)), qt.IsFalse)
+		data, _ := json.Marshal(r)
+		f.Add(data)
+	}
+	s := f.State()
+	for o := s.Offset() + 1; o <= p.s.Offset(); o++ {
+		s.Apply(o, epoch.Add(time.Duration(o)*time.Second), p.data[o-1])
+	}
+	c.Assert(bytes.Equal(s.Snapshot(), p.s.Snapshot()), qt.IsTrue)
+	c.Assert(p.s.SnapshotAsOf(), qt.Equals, int64(3002))
+	m, err := s.Merge(old)
+	c.Assert(err, qt.IsNil)
+	c.Assert(m, qt.Equals, s)
+	_, err = s.Merge(old[:len(old)-2])
+	c.Assert(codes.From(err).Code(), qt.Equals, codes.BadRecord)
+	e, _ := Restore(old)
+	m, _ = e.Merge(s.Snapshot())
+	c.Assert(m.Offset(), qt.Equals, s.Offset())
+}
--- /dev/null
+++ b/pkg/fold/state.go
@@ -0,0 +1,257 @@
+package fold
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+// The outcomes of Apply.
+const (
+	Accepted  Outcome = iota // Accepted means that the record changed the state.
+	Duplicate                // Duplicate means that a record with the same change id was folded before.
+	Rejected                 // Rejected means that the record is valid but lost or is not allowed.
+	Skipped                  // Skipped means that the record cannot be decoded.
+	Old                      // Old means that the offset was folded before.
+	Gap                      // Gap means that records before the offset are missing; the state is unchanged.
+)
+
+type (
+	// Outcome tells what Apply did with a record.
+	Outcome int
+
+	// Verdict is the result of folding one record.
+	Verdict struct {
+		Outcome Outcome
+		Record  Record // Record is the decoded record; it is empty if the record was skipped, old or after a gap.
+		Offset  int64
+		// First is the offset at which the change id was folded first; it differs from Offset for a duplicate.
+		First int64
+		// Err tells why the record was not accepted; a duplicate repeats the error of the first.
+		Err *codes.Error
+	}
+
+	// Version is the value of a template or team, and the offset of the record that set or deleted it.
+	Version[T any] struct {
+		Value   T     `json:"value"`
+		Offset  int64 `json:"offset"`
+		Deleted bool  `json:"deleted,omitempty"`
+	}
+
+	// Member is a registered daemon that is not recorded as gone.
+	Member struct {
+		Incarnation string    `json:"incarnation"`
+		Host        string    `json:"host"`
+		DataCentre  string    `json:"dataCentre"`
+		Addresses   Addresses `json:"addresses"`
+		Offset      int64     `json:"offset"`
+		Up          time.Time `json:"up"` // Up is the log's time of the registration.
+	}
+
+	// Holder is a daemon that holds or held a lease.
+	Holder struct {
+		Host        string `json:"host"`
+		Incarnation string `json:"incarnation"`
+		Offset      int64  `json:"offset"` // Offset is the fencing number of the lease.
+	}
+
+	// Lease is the lease of a cell.
+	Lease struct {
+		Cell string `json:"cell"`
+		Holder
+		Released bool `json:"released,omitempty"`
+		// Unsettled lists earlier holders that neither released their lease nor are recorded as gone.
+		Unsettled []Holder `json:"unsettled,omitempty"`
+	}
+
+	// Permits is the number of replica permits of a model that a cell holds.
+	Permits struct {
+		Cell  string `json:"cell"`
+		Model string `json:"model"`
+		Count int    `json:"count"`
+	}
+
+	// KeyRange is the assignment of a key range.
+	KeyRange struct {
+		Range  int    `json:"range"`
+		Holder string `json:"holder"`
+		Backup string `json:"backup,omitempty"`
+		Epoch  int64  `json:"epoch"` // Epoch is the offset of the accepted record.
+		// BlindAt is the log's time of the last blind start, or zero.
+		BlindAt time.Time `json:"blindAt,omitzero"`
+	}
+
+	// change is what is remembered of a change id.
+	change struct {
+		ID     string     `json:"id"`
+		Offset int64      `json:"offset"`
+		Code   codes.Code `json:"code,omitempty"`
+		Detail string     `json:"detail,omitempty"`
+	}
+
+	// hostVersion is the last member record of a host; it outlives the member for ChangeWindow offsets.
+	hostVersion struct {
+		Host   string `json:"host"`
+		Offset int64  `json:"offset"`
+		Live   string `json:"live,omitempty"`
+	}
+
+	// guards switches single checks off, so that tests can show that the properties depend on them.
+	guards struct {
+		noBase, noLease, noChangeID, noPermitSum, noWindow, noMemberCheck bool
+	}
+
+	// State is the control state as of an offset.
+	State struct {
+		offset     int64
+		clock      time.Time
+		bad        int64
+		snapshotAt int64
+		membership int64
+		templates  map[string]Version[spec.Template]
+		teams      map[string]Version[spec.Team]
+		members    map[string]Member
+		hosts      map[string]hostVersion
+		leases     map[string]Lease
+		permits    map[string]map[string]int // By model, then cell.
+		ranges     [KeyRanges]KeyRange
+		changes    map[string]change
+		order      []change // In ascending order of offset, the oldest first.
+		view       *spec.View
+		off        guards
+	}
+)
+
+// New returns the state before the first record, whose offset is 1; a record at offset 0 is not folded.
+func New() *State {
+	s := &State{
+		templates: make(map[string]Version[spec.Template]),
+		teams:     make(map[string]Version[spec.Team]),
+		members:   make(map[string]Member),
+		hosts:     make(map[string]hostVersion),
+		leases:    make(map[string]Lease),
+		permits:   make(map[string]map[string]int),
+		changes:   make(map[string]change),
+	}
+	for i := range s.ranges {
+		s.ranges[i].Range = i
+	}
+	return s
+}
+
+// Offset returns the offset of the last folded record, or zero.
+func (s *State) Offset() int64 { return s.offset }
+
+// Clock returns the latest log time folded.
+func (s *State) Clock() time.Time { return s.clock }
+
+// BadRecords returns the number of records that could not be decoded.
+func (s *State) BadRecords() int64 { return s.bad }
+
+// SnapshotAsOf returns the highest offset for which all parts of a snapshot may be in the log.
+func (s *State) SnapshotAsOf() int64 { return s.snapshotAt }
+
+// MembershipOffset returns the offset of the last accepted member record.
+func (s *State) MembershipOffset() int64 { return s.membership }
+
+// View returns the configuration; the same pointer is returned until a template or team changes.
+func (s *State) View() *spec.View {
+	if s.view == nil {
+		s.view = spec.NewView(s.offset, values(s.templates), values(s.teams))
+	}
+	return s.view
+}
+
+// TemplateOffset returns the offset at which the template was last set or deleted, or zero.
+func (s *State) TemplateOffset(name string) int64 { return s.templates[name].Offset }
+
+// TeamOffset returns the offset at which the team was last set or deleted, or zero.
+func (s *State) TeamOffset(name string) int64 { return s.teams[name].Offset }
+
+// Member returns the live member with the incarnation.
+func (s *State) Member(incarnation string) (Member, bool) {
+	m, ok := s.members[incarnation]
+	return m, ok
+}
+
+// Members returns the live members in the order in which they registered.
+func (s *State) Members() []Member {
+	return slices.SortedFunc(maps.Values(s.members), func(a, b Member) int { return cmp.Compare(a.Offset, b.Offset) })
+}
+
+// HostOffset returns the offset of the host's last member record, or zero.
+func (s *State) HostOffset(host string) int64 { return s.hosts[host].Offset }
+
+// Lease returns the lease of the cell.
+func (s *State) Lease(cell string) (Lease, bool) {
+	l, ok := s.leases[cell]
+	return l, ok
+}
+
+// Leases returns all leases in the order of their cells.
+func (s *State) Leases() []Lease { return inOrder(s.leases) }
+
+// Permit returns the number of permits of the model that the cell holds.
+func (s *State) Permit(model, cell string) int { return s.permits[model][cell] }
+
+// Permits returns the permits of the model in the order of cells.
+func (s *State) Permits(model string) []Permits {
+	list := make([]Permits, 0, len(s.permits[model]))
+	for _, c := range slices.Sorted(maps.Keys(s.permits[model])) {
+		list = append(list, Permits{Cell: c, Model: model, Count: s.permits[model][c]})
+	}
+	return list
+}
+
+// PermitSum returns the sum of the model's permits over all cells and the model's maxReplicas, zero if it is deleted.
+func (s *State) PermitSum(model string) (sum, limit int) {
+	for _, n := range s.permits[model] {
+		sum += n
+	}
+	if t := s.templates[model]; !t.Deleted && t.Value.Model != nil {
+		limit = t.Value.Model.MaxReplicas
+	}
+	return sum, limit
+}
+
+// KeyRange returns the assignment of the range; an epoch of zero means that it was never assigned.
+func (s *State) KeyRange(i int) KeyRange { return s.ranges[i] }
+
+// Seen returns the verdict on the change id, if a record with it was folded within ChangeWindow.
+func (s *State) Seen(id string) (Verdict, bool) {
+	c, ok := s.changes[id]
+	if !ok {
+		return Verdict{}, false
+	}
+	return c.verdict(c.Offset), true
+}
+
+func (c change) verdict(offset int64) Verdict {
+	v := Verdict{Outcome: Duplicate, Offset: offset, First: c.Offset}
+	if c.Code != codes.OK {
+		v.Err = codes.New(c.Code, c.Detail)
+	}
+	return v
+}
+
+func values[T any](m map[string]Version[T]) []T {
+	list := make([]T, 0, len(m))
+	for _, v := range m {
+		if !v.Deleted {
+			list = append(list, v.Value)
+		}
+	}
+	return list
+}
+
+func inOrder[T any](m map[string]T) []T {
+	list := make([]T, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[k])
+	}
+	return list
+}
