feat(idemp): holder, backup and assignment rules of key ranges

Cause: a call with an idempotency key must run at most once while hosts die, pause and lose messages. Change: the Host machine with replication before a run, epoch checks, table transfer, take-over, blind reset and hand-over; a simulated log, network and service check it.

--- /dev/null
+++ b/pkg/idemp/world_test.go
@@ -0,0 +1,307 @@
+package idemp
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+type (
+	// world is a log, a network and a plain service around a few hosts; draw(n) chooses every next step below n.
+	world struct {
+		draw    func(n int) int
+		faults  faults
+		now     time.Time
+		nodes   []*node
+		log     []Assignment
+		current map[int]Assignment
+		down    bool
+		packets []packet
+		appends []Propose
+		calls   []serviceCall
+		gen     int
+		begins  int
+		keys    []string
+		runs    map[string]int    // runs counts by key what the service ran.
+		answers map[string]string // answers holds by key what the service answered.
+		ran     map[string]bool   // ran lists the Begin IDs that ran.
+		notRun  map[string]bool   // notRun lists the Begin IDs that were told so.
+		keyOf   map[string]string
+		total   int
+		err     error
+	}
+
+	node struct {
+		name          string
+		h             *Host
+		alive, paused bool
+		gone          bool
+		draining      bool
+		folded        int
+	}
+
+	packet struct {
+		to    string
+		event Event
+	}
+
+	serviceCall struct {
+		at  *node
+		run Run
+	}
+)
+
+func newWorld(hosts int, f faults, draw func(n int) int) *world {
+	w := &world{
+		draw: draw, faults: f, now: time.Unix(1_700_000_000, 0), current: make(map[int]Assignment),
+		runs: make(map[string]int), answers: make(map[string]string), ran: make(map[string]bool),
+		notRun: make(map[string]bool), keyOf: make(map[string]string),
+	}
+	for range hosts {
+		w.nodes = append(w.nodes, w.boot())
+	}
+	w.newKeys()
+	return w
+}
+
+func (w *world) boot() *node {
+	w.gen++
+	n := &node{name: fmt.Sprintf("h%d", w.gen), alive: true}
+	n.h = New(Config{Incarnation: n.name, Ranges: 2, MaxKeys: 50}, rand.New(rand.NewPCG(uint64(w.gen), 1)))
+	n.h.faults = w.faults
+	return n
+}
+
+func (w *world) newKeys() {
+	w.keys = nil
+	for i := range 5 {
+		w.keys = append(w.keys, fmt.Sprintf("key-%d-%d", w.begins, i))
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = errors.Newf(format, args...)
+	}
+}
+
+func (w *world) find(name string) *node {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) handle(n *node, e Event) {
+	for _, a := range n.h.Handle(w.now, e) {
+		switch m := a.(type) {
+		case Send:
+			w.packets = append(w.packets, packet{m.To, m.Message})
+		case Run:
+			w.calls = append(w.calls, serviceCall{n, m})
+		case Propose:
+			w.appends = append(w.appends, m)
+		case Forward:
+			w.packets = append(w.packets, packet{m.To, Begin{ID: m.ID, Key: w.keyOf[m.ID], Digest: "d", Forwarded: true}})
+		case Answer:
+			w.answered(m)
+		}
+	}
+}
+
+func (w *world) answered(a Answer) {
+	key := w.keyOf[a.ID]
+	switch {
+	case a.Err == nil && string(a.Stored.Body) != w.answers[key]:
+		w.fail("%s got the answer %q of another request", a.ID, a.Stored.Body)
+	case a.Err != nil && a.Err.Outcome() == codes.NotRun:
+		w.notRun[a.ID] = true
+		if w.ran[a.ID] {
+			w.fail("%s ran and was told not run: %v", a.ID, a.Err)
+		}
+	}
+}
+
+func (w *world) begin(n *node, key string) string {
+	w.begins++
+	id := fmt.Sprintf("b%d", w.begins)
+	w.keyOf[id] = key
+	w.handle(n, Begin{ID: id, Key: key, Digest: "d"})
+	return id
+}
+
+// serve lets the service run a call and is the only place that counts runs.
+func (w *world) serve(r Run) Stored {
+	w.runs[r.Key]++
+	w.total++
+	w.ran[r.ID] = true
+	w.answers[r.Key] = "answer to " + r.ID
+	if w.runs[r.Key] > 1 {
+		w.fail("%s ran %d times", r.Key, w.runs[r.Key])
+	}
+	if w.notRun[r.ID] {
+		w.fail("%s ran after it was told not run", r.ID)
+	}
+	return Stored{Status: 200, Body: []byte(w.answers[r.Key])}
+}
+
+func (w *world) call(i, how int) {
+	c := w.calls[i]
+	w.calls = append(w.calls[:i:i], w.calls[i+1:]...)
+	o := Outcome{Attempt: c.run.Attempt, Result: codes.Unknown}
+	switch how {
+	case 0:
+		o.Result, o.Proof = codes.NotRun, NoByteSent
+	case 1:
+		o.Result, o.Proof = codes.NotRun, ServiceSaid
+	case 2:
+		o.Result = codes.NotRun // The claim has no proof, and the service did run the call.
+		w.serve(c.run)
+	case 3:
+		w.serve(c.run) // The answer is lost.
+	case 4: // Neither ran nor answered.
+	default:
+		o.Result, o.Stored = codes.Ran, w.serve(c.run)
+	}
+	if c.at.alive {
+		w.handle(c.at, o)
+	}
+}
+
+// append applies the rule of the fold: only a proposal on the current epoch is accepted.
+func (w *world) append(i int, keep bool) {
+	p := w.appends[i]
+	if !keep {
+		w.appends = append(w.appends[:i:i], w.appends[i+1:]...)
+	}
+	cur := w.current[p.Range]
+	if p.Base != cur.Epoch {
+		return
+	}
+	a := Assignment{
+		Range: p.Range, Epoch: int64(len(w.log) + 1), Base: p.Base, Holder: p.Holder, Backup: p.Backup,
+		BlindEpoch: cur.BlindEpoch, BlindSince: cur.BlindSince,
+	}
+	if p.Blind {
+		a.BlindEpoch, a.BlindSince = a.Epoch, w.now
+	}
+	w.current[p.Range] = a
+	w.log = append(w.log, a)
+}
+
+func (w *world) deliver(i int, keep bool) {
+	p := w.packets[i]
+	if _, isBegin := p.event.(Begin); !keep || isBegin { // A Begin is a call of its own and is never duplicated.
+		w.packets = append(w.packets[:i:i], w.packets[i+1:]...)
+	}
+	if n := w.find(p.to); n != nil && n.alive && !n.paused {
+		w.handle(n, p.event)
+	}
+}
+
+// peers tells a node who is lost; wrong suspicions are drawn if the network is noisy.
+func (w *world) peers(n *node, noisy bool) {
+	var m []Member
+	for _, o := range w.nodes {
+		if o.gone {
+			continue
+		}
+		lost := !o.alive || o.paused
+		if noisy && w.draw(6) == 0 {
+			lost = !lost
+		}
+		m = append(m, Member{Incarnation: o.name, Lost: lost && o != n, Draining: o.draining})
+	}
+	w.handle(n, Peers{Members: m})
+}
+
+func (w *world) fold(n *node, most int) {
+	for ; most > 0 && n.folded < len(w.log); most-- {
+		n.folded++
+		w.handle(n, w.log[n.folded-1])
+	}
+}
+
+// kill ends a process; calls that it had sent may still reach the service.
+func (w *world) kill(n *node) {
+	n.alive, n.paused = false, false
+	for i := len(w.calls) - 1; i >= 0; i-- {
+		if w.calls[i].at == n {
+			w.call(i, 3+w.draw(2))
+		}
+	}
+}
+
+func (w *world) restart(n *node) {
+	n.gone = true
+	w.nodes = append(w.nodes, w.boot())
+}
+
+// settle runs the system without faults until nothing moves.
+func (w *world) settle(rounds int) {
+	for range rounds {
+		w.now = w.now.Add(500 * time.Millisecond)
+		for _, n := range w.nodes {
+			if !n.alive {
+				continue
+			}
+			if !w.down {
+				w.fold(n, len(w.log))
+			}
+			w.peers(n, false)
+			w.handle(n, Tick{})
+		}
+		for len(w.packets) > 0 {
+			w.deliver(0, false)
+		}
+		for len(w.calls) > 0 {
+			w.call(0, 9)
+		}
+		for len(w.appends) > 0 && !w.down {
+			w.append(0, false)
+		}
+		w.appends = nil
+	}
+}
+
+// heal ends all faults and replaces stopped processes.
+func (w *world) heal() {
+	w.down = false
+	for _, n := range append([]*node(nil), w.nodes...) {
+		n.paused = false
+		if n.draining && n.alive {
+			w.kill(n)
+		}
+		if !n.alive && !n.gone {
+			w.restart(n)
+		}
+	}
+	w.settle(60)
+}
+
+// runsNew reports whether a new minted key of each range runs through every live node.
+func (w *world) runsNew() bool {
+	for _, n := range w.nodes {
+		for keyRange := range 2 {
+			if !n.alive {
+				continue
+			}
+			key, err := n.h.Mint(keyRange)
+			if err != nil {
+				return false
+			}
+			w.begin(n, key)
+			w.settle(2)
+			if w.runs[key] != 1 {
+				return false
+			}
+		}
+	}
+	return true
+}
