feat(fold): epoch of the last blind start of a key range

Cause: idemp needs the epoch of the reset to tell minted keys of the range apart. Change: KeyRange.BlindEpoch. Measured: go test ./pkg/fold passes.

--- a/pkg/fold/apply.go
+++ b/pkg/fold/apply.go
@@ -295,9 +295,10 @@
 		}
 	}
 	for _, c := range r.KeyRange {
-		next := KeyRange{Range: c.Range, Holder: c.Holder, Backup: c.Backup, Epoch: s.offset, BlindAt: s.ranges[c.Range].BlindAt}
+		next := s.ranges[c.Range]
+		next.Holder, next.Backup, next.Epoch = c.Holder, c.Backup, s.offset
 		if c.Blind {
-			next.BlindAt = s.clock
+			next.BlindAt, next.BlindEpoch = s.clock, s.offset
 		}
 		s.ranges[c.Range] = next
 	}
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -83,6 +83,8 @@
 		Epoch  int64  `json:"epoch"` // Epoch is the offset of the accepted record.
 		// BlindAt is the log's time of the last blind start, or zero.
 		BlindAt time.Time `json:"blindAt,omitzero"`
+		// BlindEpoch is the epoch of the last blind start, or zero.
+		BlindEpoch int64 `json:"blindEpoch,omitempty"`
 	}
 
 	// change is what is remembered of a change id.
