--- a/internal/stand/model/http.go
+++ b/internal/stand/model/http.go
@@ -19,6 +19,10 @@
 	m.HandleFunc("GET /v1/audit", func(w http.ResponseWriter, _ *http.Request) {
 		stand.Reply(w, http.StatusOK, e.Audit())
 	})
+	m.HandleFunc("POST /v1/restart", func(w http.ResponseWriter, _ *http.Request) {
+		e.Restart()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	m.HandleFunc("POST /v1/chat/completions", e.gate(e.postChat))
 	m.HandleFunc("POST /v1/completions", e.gate(e.postCompletion))
 	m.HandleFunc("DELETE /v1/requests/{id}", e.gate(e.deleteRequest))
