test(stand): engine stand-in and the standin commands

Tests of the engine in virtual time: streams, resume, batching, cancellation, fencing, load faults, draining, tiers, adapters and late reports; one over real connections with the go-openai client. A free slot is now taken at once: before, a request that arrived within a decode step could be overtaken although a slot was free. go test -race of internal/cmds and internal/stand passed.

--- a/internal/stand/model/batch.go
+++ b/internal/stand/model/batch.go
@@ -65,12 +65,12 @@
 	})
 	p.waiting = slices.Insert(p.waiting, i, r)
 	e.requests[r.id] = append(e.requests[r.id], r)
+	e.noteLoad()
+	e.admit(p)
 	if !p.stepping {
 		p.stepping = true
-		e.admit(p)
 		go e.run(p, e.life)
 	}
-	e.noteLoad()
 }
 
 // run produces tokens until the replica has no request left.
@@ -78,17 +78,17 @@
 	for {
 		e.mu.Lock()
 		e.admit(p)
-		n := len(p.running)
-		if n == 0 || l.ctx.Err() != nil {
+		batch := slices.Clone(p.running)
+		if len(batch) == 0 || l.ctx.Err() != nil {
 			p.stepping = false
 			e.mu.Unlock()
 			return
 		}
 		e.mu.Unlock()
-		factor := (1 + e.set.BatchSlope*float64(n-1)) * e.faults.Get().slow()
+		factor := (1 + e.set.BatchSlope*float64(len(batch)-1)) * e.faults.Get().slow()
 		stand.Sleep(l.ctx, time.Duration(float64(e.set.TokenTime)*factor))
 		e.faults.Hold(l.ctx, func(f Faults) bool { return f.Hang })
-		e.step(p, l)
+		e.step(batch, l)
 	}
 }
 
@@ -117,16 +117,16 @@
 	return time.Duration(float64(words) * float64(e.set.PrefillTime) * e.faults.Get().slow())
 }
 
-// step gives a token to every running request whose prompt has been computed.
-func (e *Engine) step(p *replica, l *life) {
+// step gives a token to every request of the batch that still runs and whose prompt has been computed.
+func (e *Engine) step(batch []*request, l *life) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.ctx.Err() != nil {
 		return
 	}
 	now := time.Now()
-	for _, r := range slices.Clone(p.running) {
-		if now.Before(r.readyAt) {
+	for _, r := range batch {
+		if r.ended || now.Before(r.readyAt) {
 			continue
 		}
 		r.next = min(r.next+1, len(r.tokens))
--- /dev/null
+++ b/internal/stand/model/help_test.go
@@ -0,0 +1,150 @@
+package model
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	openai "github.com/sashabaranov/go-openai"
+
+	"github.com/fireflycleat/fireflycleat/internal/stand"
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+)
+
+// bench is an engine under test in virtual time.
+type bench struct {
+	*qt.C
+	e *Engine
+	h http.Handler
+}
+
+// reply is what a caller saw; status is 0 when the connection was dropped before an answer.
+type reply struct {
+	status  int
+	notRun  bool
+	dropped bool
+	body    string
+	first   time.Duration
+	took    time.Duration
+}
+
+// run runs the test with an engine that makes a token each 10 ms and loads 1 kB/s remotely, 2 from disk, 4 from memory.
+func run(t *testing.T, alter func(*Settings), test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		set := Settings{
+			Name: "e", CapacityBytes: 5000, Slots: 2, ChecksFence: true, TokenTime: 10 * time.Millisecond, DefaultTokens: 5,
+			RemoteRate: 1000, DiskRate: 2000, MemoryRate: 4000, MemoryCopies: 1, DiskCopies: 2, PrefixBlocks: 100,
+			AdapterMin: 6 * time.Millisecond, AdapterMax: 20 * time.Millisecond,
+		}
+		if alter != nil {
+			alter(&set)
+		}
+		b := &bench{C: qt.New(t), e: New(set)}
+		b.h = b.e.Handler()
+		defer synctest.Wait()
+		defer b.e.Close()
+		test(b)
+	})
+}
+
+func (b *bench) faults(f Faults) { b.Assert(b.e.SetFaults(f), qt.IsNil) }
+
+type timed struct {
+	*httptest.ResponseRecorder
+	start time.Time
+	first time.Duration
+}
+
+func (w *timed) Write(p []byte) (int, error) {
+	if w.first == 0 {
+		w.first = time.Since(w.start)
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// call makes a call that is given up after a minute; headers are pairs of name and value.
+func (b *bench) call(method, path, body string, headers ...string) (a reply) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	return b.callCtx(ctx, method, path, body, headers...)
+}
+
+func (b *bench) callCtx(ctx context.Context, method, path, body string, headers ...string) (a reply) {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := &timed{ResponseRecorder: httptest.NewRecorder(), start: time.Now()}
+	defer func() {
+		a = reply{w.Code, w.Header().Get(wire.HeaderNotRun) == "true", recover() != nil, w.Body.String(), w.first, time.Since(w.start)}
+		if a.dropped && a.body == "" {
+			a.status = 0
+		}
+	}()
+	b.h.ServeHTTP(w, r)
+	return a
+}
+
+// order sends an order and returns the answer, with an empty state when there was none.
+func (b *bench) order(o wire.Order) (int, wire.OrderAnswer) {
+	data, _ := json.Marshal(o)
+	a := b.call(http.MethodPost, "/v1/orders", string(data))
+	var out wire.OrderAnswer
+	_ = json.Unmarshal([]byte(a.body), &out) // A dropped answer leaves it empty.
+	return a.status, out
+}
+
+// state returns the state of an order.
+func (b *bench) state(id string) wire.OrderState {
+	var out wire.OrderAnswer
+	b.Assert(json.Unmarshal([]byte(b.call(http.MethodGet, "/v1/orders/"+id, "").body), &out), qt.IsNil)
+	return out.State
+}
+
+// load loads a model of the size and waits for it.
+func (b *bench) load(model string, bytes int64) {
+	id := fmt.Sprintf("load-%s-%d", model, time.Now().UnixNano())
+	status, _ := b.order(wire.Order{ID: id, Fence: 1, Op: wire.OpLoad, Model: model, Version: "1", Bytes: bytes})
+	b.Assert(status, qt.Equals, http.StatusAccepted)
+	for b.state(id) == wire.OrderPending {
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+	}
+	b.Assert(b.state(id), qt.Equals, wire.OrderDone)
+}
+
+// chat makes a streamed chat call for n tokens.
+func (b *bench) chat(ctx context.Context, model, prompt string, n int, headers ...string) reply {
+	body, _ := json.Marshal(openai.ChatCompletionRequest{
+		Model: model, MaxTokens: n, Stream: true, Messages: []openai.ChatCompletionMessage{{Role: "user", Content: prompt}},
+	})
+	return b.callCtx(ctx, http.MethodPost, "/v1/chat/completions", string(body), headers...)
+}
+
+// tokens reads the events of a stream and checks that their ids count from the index.
+func (b *bench) tokens(a reply, from int) (tokens []string, done bool) {
+	for event := range strings.SplitSeq(strings.TrimSuffix(a.body, "\n\n"), "\n\n") {
+		if event == "data: [DONE]" {
+			done = true
+			continue
+		}
+		id, data, ok := strings.Cut(event, "\ndata: ")
+		b.Assert(ok && !done, qt.IsTrue, qt.Commentf("event %q", event))
+		b.Assert(id, qt.Equals, fmt.Sprintf("id: %d", from+len(tokens)))
+		var chunk openai.ChatCompletionStreamResponse
+		b.Assert(json.Unmarshal([]byte(data), &chunk), qt.IsNil)
+		tokens = append(tokens, chunk.Choices[0].Delta.Content)
+	}
+	return tokens, done
+}
+
+func answer(model, prompt string, n int) []string {
+	return stand.Answer(model, stand.ChatPrompt([]openai.ChatCompletionMessage{{Role: "user", Content: prompt}}), n)
+}
