--- /dev/null
+++ b/internal/cmds/config.go
@@ -0,0 +1,30 @@
+package cmds
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/setup"
+)
+
+func newConfig() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Works on settings files"}
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE...",
+		Short: "Reports every fault of settings files and starts nothing",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			var all []setup.Fault
+			for _, f := range files {
+				_, faults := setup.Read(f)
+				all = append(all, faults...)
+				if len(faults) == 0 {
+					fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", f)
+				}
+			}
+			return setup.AsError(all)
+		},
+	})
+	return c
+}
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -13,6 +14,7 @@
 func Main(args []string) int {
 	c := newRoot()
 	c.SetArgs(args)
+	c.SetContext(context.Background())
 	if err := c.Execute(); err != nil {
 		e := codes.From(err)
 		fmt.Fprintf(os.Stderr, "fireflycleat: error %d: %v\n", e.Code(), e)
@@ -31,6 +33,6 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return codes.New(codes.BadArgument, err.Error())
 	})
-	c.AddCommand(newStandin())
+	c.AddCommand(newServe(), newConfig(), newStandin())
 	return c
 }
--- /dev/null
+++ b/internal/daemon/cells.go
@@ -0,0 +1,390 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/entry"
+	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
+)
+
+type (
+	// cells holds a controller for each cell; those whose lease this daemon holds give orders.
+	cells struct {
+		d      *Daemon
+		byName map[string]*cellRun
+	}
+
+	// cellRun carries out the actions of one cell's controller. It belongs to the control thread.
+	cellRun struct {
+		d       *Daemon
+		name    string
+		control *cell.Controller
+		alarm   *alarm
+		held    bool
+		fence   int64
+		earlier map[string]int64
+		// released is the highest fence of this incarnation whose orders have all ended after the lease was lost.
+		released  int64
+		directory peers.Directory
+		permits   map[string]permitState
+	}
+
+	permitState struct {
+		count  int
+		frozen bool
+	}
+)
+
+func newCells(d *Daemon) *cells { return &cells{d: d, byName: make(map[string]*cellRun)} }
+
+// get returns the run of the cell; the first call creates it.
+func (c *cells) get(name string) *cellRun {
+	if r, ok := c.byName[name]; ok {
+		return r
+	}
+	s := cell.DefaultSettings()
+	s.Cell = name
+	s.Home = func(model string) bool { return home(model, c.d.upstreams.cells) == name }
+	s.StoreLoadsPerSecond = c.d.settings.Store.LoadsPerSecond / float64(max(1, len(c.d.upstreams.cells)))
+	s.StoreSlots = max(1, c.d.settings.Store.Slots/max(1, len(c.d.upstreams.cells)))
+	s.AdaptersInFlight = max(1, c.d.settings.Store.AdaptersInFlight/max(1, len(c.d.upstreams.cells)))
+	r := &cellRun{
+		d: c.d, name: name, control: cell.New(s), earlier: make(map[string]int64), permits: make(map[string]permitState),
+	}
+	r.directory.Cell = name
+	r.alarm = newAlarm(c.d.control, func() { r.handle(cell.Tick{}) })
+	c.byName[name] = r
+	r.handle(cell.ViewChanged{View: c.d.state.View()})
+	return r
+}
+
+// home returns the cell with the highest rendezvous weight for the model.
+func home(model string, cells []string) string {
+	best, found := uint64(0), ""
+	for _, c := range cells {
+		if w := xxhash.Sum64String(model + "\x00" + c); found == "" || w > best {
+			best, found = w, c
+		}
+	}
+	return found
+}
+
+// demand sends the number of waiting requests to the controller of the cell.
+func (c *cells) demand(a entry.Demand) {
+	e := cell.Demand{
+		Host: c.d.settings.Host.Name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
+		EarliestDeadline: a.EarliestDeadline,
+	}
+	c.toController(a.Cell, e)
+}
+
+// use tells the controllers how many attempts of this host are in progress for each model.
+func (c *cells) use(counts map[modelUse]int) {
+	for key, n := range counts {
+		c.toController(key.cell, cell.Use{Host: c.d.settings.Host.Name, Model: key.model, InFlight: n})
+		if n == 0 {
+			delete(counts, key)
+		}
+	}
+}
+
+// toController passes the event to the cell's controller, wherever it is. What is lost on the way is repeated by its sender.
+func (c *cells) toController(name string, e cell.Event) {
+	if r := c.get(name); r.held {
+		r.handle(e)
+		return
+	}
+	lease, ok := c.d.state.Lease(name)
+	if !ok {
+		return
+	}
+	c.d.tellMember(lease.Incarnation, "CellEvent", peers.CellEvent{Cell: name, Event: e})
+}
+
+// sync compares the leases and permits of the fold with what the controllers know.
+func (c *cells) sync(viewChanged bool) {
+	for _, l := range c.d.state.Leases() {
+		c.get(l.Cell).sync(l)
+	}
+	for _, r := range c.byName {
+		if viewChanged {
+			r.handle(cell.ViewChanged{View: c.d.state.View()})
+		}
+		r.syncPermits()
+	}
+}
+
+func (r *cellRun) sync(l fold.Lease) {
+	mine := l.Incarnation == r.d.incarnation && !l.Released && r.d.stopping.stage < handingOver
+	earlier := make(map[string]int64, len(l.Unsettled))
+	for _, h := range l.Unsettled {
+		earlier[h.Incarnation] = h.Offset
+	}
+	switch {
+	case mine && (!r.held || r.fence != l.Offset):
+		r.gain(l)
+	case !mine && r.held:
+		r.lose()
+	case mine:
+		for incarnation := range r.earlier {
+			if _, ok := earlier[incarnation]; !ok {
+				r.handle(cell.PriorReleased{Holder: incarnation})
+			}
+		}
+	}
+	r.earlier = earlier
+}
+
+func (r *cellRun) gain(l fold.Lease) {
+	r.held, r.fence = true, l.Offset
+	gained := cell.LeaseGained{Fence: l.Offset}
+	for i, h := range l.Unsettled {
+		if i == len(l.Unsettled)-1 {
+			gained.PriorHolder = h.Incarnation
+		} else {
+			gained.Earlier = append(gained.Earlier, cell.Hold{Holder: h.Incarnation, Fence: h.Offset})
+		}
+	}
+	r.d.log("cell").Info("lease gained", "cell", r.name, "fence", l.Offset, "unsettled", len(l.Unsettled))
+	clear(r.permits)
+	r.syncPermits()
+	r.handle(gained)
+}
+
+func (r *cellRun) lose() {
+	r.d.log("cell").Info("lease lost", "cell", r.name, "fence", r.fence)
+	r.held = false
+	r.handle(cell.LeaseLost{})
+}
+
+// syncPermits tells the controller about changed permits, and to yield those above the model's limit.
+func (r *cellRun) syncPermits() {
+	for _, model := range r.d.state.View().Models() {
+		sum, limit := r.d.state.PermitSum(model)
+		now := permitState{r.d.state.Permit(model, r.name), sum > limit}
+		if r.permits[model] == now {
+			continue
+		}
+		r.permits[model] = now
+		r.handle(cell.PermitChanged{Model: model, Count: now.count, Frozen: now.frozen})
+		if share := r.share(model, limit); now.frozen && share < now.count {
+			r.handle(cell.PermitAsked{Model: model, Count: share, Force: true})
+		}
+	}
+}
+
+// share returns how many permits the cell may keep when the limit is below the sum: cells keep theirs in order of name.
+func (r *cellRun) share(model string, limit int) int {
+	for _, p := range r.d.state.Permits(model) {
+		kept := min(p.Count, limit)
+		if p.Cell == r.name {
+			return kept
+		}
+		limit -= kept
+	}
+	return 0
+}
+
+func (r *cellRun) handle(e cell.Event) {
+	for _, a := range r.control.Handle(time.Now(), e) {
+		r.act(a)
+	}
+}
+
+func (r *cellRun) act(a cell.Action) {
+	switch a := a.(type) {
+	case cell.Order:
+		r.order(a)
+	case cell.Query:
+		r.query(a)
+	case cell.Claim:
+		r.claim(a)
+	case cell.Publish:
+		r.publish(a)
+	case cell.Forecast:
+		r.forecast(a)
+	case cell.Released:
+		r.released = max(r.released, a.Fence)
+		r.d.leaseReleased(r.name, a.Fence)
+	case cell.Wake:
+		r.alarm.set(a.At)
+	}
+}
+
+func (r *cellRun) order(a cell.Order) {
+	address := r.d.upstreams.address(a.Upstream)
+	o := wire.Order{
+		ID: a.OrderID, Fence: a.Fence, Op: wire.Op(a.Op), Model: a.Model, Version: a.Version, Adapter: a.Adapter, Bytes: a.Bytes,
+	}
+	r.d.log("cell").Debug("order", "cell", r.name, "op", a.Op, "model", a.Model, "upstream", a.Upstream, "id", a.OrderID)
+	r.d.background(func(ctx context.Context) {
+		ctx, span := r.d.traces.Start(ctx, "engine order")
+		defer span.End()
+		state, err := r.d.engines.Order(ctx, address, o)
+		r.result(a.OrderID, a.Attempt, state, err)
+	})
+}
+
+func (r *cellRun) query(a cell.Query) {
+	address := r.d.upstreams.address(a.Upstream)
+	r.d.background(func(ctx context.Context) {
+		state, err := r.d.engines.Query(ctx, address, a.OrderID)
+		if err == nil && state == wire.OrderUnknown {
+			r.post(cell.OrderResult{OrderID: a.OrderID, Attempt: a.Attempt, State: cell.OrderNeverSeen})
+			return
+		}
+		r.result(a.OrderID, a.Attempt, state, err)
+	})
+}
+
+func (r *cellRun) result(id string, attempt int, state wire.OrderState, err error) {
+	x := cell.OrderResult{OrderID: id, Attempt: attempt, State: cell.OrderUnknown}
+	if err == nil {
+		switch state {
+		case wire.OrderPending:
+			x.State = cell.OrderPending
+		case wire.OrderDone:
+			x.State = cell.OrderDone
+		case wire.OrderFailed:
+			x.State = cell.OrderFailed
+		case wire.OrderStale:
+			x.State = cell.OrderRefusedStale
+		}
+	}
+	r.post(x)
+}
+
+func (r *cellRun) post(e cell.Event) { r.d.control.post(func() { r.handle(e) }) }
+
+// claim asks the log for permits. When all are taken, another cell is asked to give one up.
+func (r *cellRun) claim(a cell.Claim) {
+	before := r.d.state.Permit(a.Model, r.name)
+	change := fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: a.Model, Count: a.Count}
+	r.d.appends.add(fold.Record{Kind: fold.PermitKind, Permit: []fold.PermitChange{change}}, func(_ int64, err error) {
+		if err == nil || a.Count <= before || codes.Is(err, codes.AppendInDoubt) {
+			return
+		}
+		r.askOthers(a.Model)
+	})
+}
+
+func (r *cellRun) askOthers(model string) {
+	most := fold.Permits{}
+	for _, p := range r.d.state.Permits(model) {
+		if p.Cell != r.name && p.Count > most.Count {
+			most = p
+		}
+	}
+	if most.Count > 0 {
+		r.d.cells.toController(most.Cell, cell.PermitAsked{Model: model, Count: most.Count - 1})
+	}
+}
+
+func (r *cellRun) publish(a cell.Publish) {
+	r.directory.Fence, r.directory.Seq, r.directory.Replicas = a.Fence, a.Seq, a.Replicas
+	r.d.applyDirectory(r.directory)
+	r.d.tellAll("Directory", r.directory)
+}
+
+func (r *cellRun) forecast(a cell.Forecast) {
+	if a.Host == r.d.settings.Host.Name {
+		r.d.models.handle(forecastEvent(a))
+		return
+	}
+	for _, m := range r.d.state.Members() {
+		if m.Host == a.Host {
+			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Forecast: a})
+		}
+	}
+}
+
+func forecastEvent(a cell.Forecast) entry.Forecast {
+	return entry.Forecast{Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, RetryAfter: a.RetryAfter}
+}
+
+// status passes an engine's status to the controller and its load to all entries.
+func (r *cellRun) status(h wire.Host, asked time.Time, s wire.EngineStatus) {
+	var loads []peers.Load
+	x := cell.Status{
+		Incarnation: s.Incarnation, CapacityBytes: s.CapacityBytes, UsedBytes: s.UsedBytes, OrdersPending: s.OrdersPending,
+		HighestFence: s.HighestFence, Leaving: s.Leaving,
+	}
+	for _, p := range s.Replicas {
+		x.Replicas = append(x.Replicas, cell.StatusReplica{
+			Model: p.Model, Version: p.Version, Bytes: p.Bytes, Slots: p.Slots, Ready: p.Ready, Running: p.Running,
+			Waiting: p.Waiting, Adapters: p.Adapters,
+		})
+		loads = append(loads, peers.Load{
+			Upstream: h.Name, Model: p.Model, Running: p.Running, Waiting: p.Waiting, Slots: p.Slots, At: s.ReportedAt,
+		})
+	}
+	for _, c := range s.Cached {
+		x.Cached = append(x.Cached, cell.CachedCopy{Model: c.Model, Version: c.Version, Tier: tierOf(c.Tier)})
+	}
+	r.handle(cell.UpstreamStatus{Upstream: h.Name, AskedAt: asked, Status: x})
+	if r.held {
+		r.directory.SetLoads(h.Name, loads)
+	}
+	for _, l := range loads {
+		r.d.models.handle(reportEvent(l))
+	}
+}
+
+func tierOf(t wire.Tier) cell.Tier {
+	switch t {
+	case wire.TierMemory:
+		return cell.TierMemory
+	case wire.TierDisk:
+		return cell.TierDisk
+	}
+	return cell.TierRemote
+}
+
+func reportEvent(l peers.Load) entry.Report {
+	return entry.Report{Upstream: l.Upstream, Model: l.Model, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, At: l.At}
+}
+
+// applyDirectory passes a directory and its loads to the entry machine.
+func (d *Daemon) applyDirectory(x peers.Directory) {
+	e := entry.Directory{Cell: x.Cell, Fence: x.Fence, Seq: int64(x.Seq)}
+	for _, r := range x.Replicas {
+		e.Replicas = append(e.Replicas, route.Replica{
+			Upstream: r.Upstream, DataCentre: x.Cell, Model: r.Model, Version: r.Version, Adapters: r.Adapters, Slots: r.Slots,
+			Ready: r.Ready, ReadyAt: r.ReadyAt,
+		})
+	}
+	d.models.handle(e)
+	for _, l := range x.Loads {
+		d.models.handle(reportEvent(l))
+	}
+}
+
+// beat repeats the directory, so that a host that missed it or has just started learns it, and passes loads on.
+func (r *cellRun) beat() {
+	if r.held && r.directory.Seq > 0 {
+		r.d.tellAll("Directory", r.directory)
+	}
+}
+
+// homeOf returns the cell that decides on loads of a model: one that holds permits, the own one first, else the home cell.
+func (c *cells) homeOf(model string) string {
+	own := c.d.settings.Host.DataCentre
+	permits := c.d.state.Permits(model)
+	if c.d.state.Permit(model, own) > 0 {
+		return own
+	}
+	for _, p := range permits {
+		if p.Count > 0 {
+			return p.Cell
+		}
+	}
+	return home(model, c.d.upstreams.cells)
+}
--- /dev/null
+++ b/internal/daemon/operator.go
@@ -0,0 +1,153 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/internal/front"
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fold"
+)
+
+func (d *Daemon) operatorsDoor() *front.Operators {
+	l := d.settings.Limits
+	return &front.Operators{
+		Limits: front.Limits{RequestBytes: l.RequestBytes.Bytes(), BodyTimeout: l.BodyTimeout.Value(), InFlight: l.InFlight},
+		Traces: d.traces, Metrics: d.metrics, Token: d.settings.Operator.Token,
+		SetTemplate: func(ctx context.Context, name string, c wire.TemplateChange) (wire.Change, error) {
+			return d.change(ctx, fold.Record{
+				Kind: fold.TemplateKind, ID: c.ChangeID, Template: &fold.TemplateChange{Name: name, Base: c.Base, Set: &c.Template},
+			})
+		},
+		DeleteTemplate: func(ctx context.Context, name, changeID string, base int64) (wire.Change, error) {
+			return d.change(ctx, fold.Record{
+				Kind: fold.TemplateKind, ID: changeID, Template: &fold.TemplateChange{Name: name, Base: base, Delete: true},
+			})
+		},
+		SetTeam: func(ctx context.Context, name string, c wire.TeamChange) (wire.Change, error) {
+			return d.change(ctx, fold.Record{
+				Kind: fold.TeamKind, ID: c.ChangeID, Team: &fold.TeamChange{Name: name, Base: c.Base, Set: &c.Team},
+			})
+		},
+		DeleteTeam: func(ctx context.Context, name, changeID string, base int64) (wire.Change, error) {
+			return d.change(ctx, fold.Record{
+				Kind: fold.TeamKind, ID: changeID, Team: &fold.TeamChange{Name: name, Base: base, Delete: true},
+			})
+		},
+		Templates:   d.templateStates,
+		Teams:       d.teamStates,
+		Hosts:       d.hostReports,
+		Status:      d.status,
+		Decisions:   d.decisions.of,
+		Stop:        func() { d.control.post(d.stopping.begin) },
+		SetLogLevel: d.logger.SetLevel,
+	}
+}
+
+// change appends a change of configuration and waits for the fold's verdict.
+func (d *Daemon) change(ctx context.Context, r fold.Record) (wire.Change, error) {
+	type verdict struct {
+		offset int64
+		err    error
+	}
+	result := make(chan verdict, 1)
+	d.control.post(func() {
+		if err := d.members.mayPublish(time.Now()); err != nil {
+			result <- verdict{0, err}
+			return
+		}
+		d.appends.add(r, func(offset int64, err error) { result <- verdict{offset, err} })
+	})
+	select {
+	case v := <-result:
+		return wire.Change{Offset: v.offset}, v.err
+	case <-ctx.Done():
+		return wire.Change{}, codes.New(codes.AppendInDoubt, ctx.Err().Error())
+	case <-d.control.stopped:
+		return wire.Change{}, codes.New(codes.AppendInDoubt, "host stopped")
+	}
+}
+
+func (d *Daemon) templateStates() []wire.TemplateState {
+	list := []wire.TemplateState{}
+	d.control.ask(func() {
+		v := d.state.View()
+		for _, n := range v.Templates() {
+			t, _ := v.Template(n)
+			list = append(list, wire.TemplateState{Offset: d.state.TemplateOffset(n), Template: t})
+		}
+	})
+	return list
+}
+
+func (d *Daemon) teamStates() []wire.TeamState {
+	list := []wire.TeamState{}
+	d.control.ask(func() {
+		v := d.state.View()
+		for _, n := range v.Teams() {
+			t, _ := v.Team(n)
+			list = append(list, wire.TeamState{Offset: d.state.TeamOffset(n), Team: t})
+		}
+	})
+	return list
+}
+
+func (d *Daemon) hostReports() []wire.HostReport {
+	var list []wire.HostReport
+	d.control.ask(func() { list = d.members.reports(time.Now()) })
+	return list
+}
+
+func (d *Daemon) status() wire.Status {
+	s := wire.Status{Host: d.settings.Host.Name, Incarnation: d.incarnation}
+	if err := d.snapshot.Load().ready; err != nil {
+		s.Reason = err.Error()
+	} else {
+		s.Ready = true
+	}
+	d.control.ask(func() {
+		s.Stage = d.stopping.stage.String()
+		s.Offset = d.state.Offset()
+		s.InFlight = len(d.models.calls) + len(d.bookings.waiting)
+		s.Cells = d.cellReports()
+		s.Upstreams = d.upstreams.reports()
+		s.Permits = []wire.PermitReport{}
+		for _, m := range d.state.View().Models() {
+			for _, p := range d.state.Permits(m) {
+				s.Permits = append(s.Permits, wire.PermitReport{Model: m, Cell: p.Cell, Count: p.Count})
+			}
+		}
+		s.KeyRanges = d.rangeReports()
+	})
+	return s
+}
+
+func (d *Daemon) cellReports() []wire.CellReport {
+	list := []wire.CellReport{}
+	for _, l := range d.state.Leases() {
+		r := wire.CellReport{Cell: l.Cell, Holder: l.Incarnation, Fence: l.Offset, Released: l.Released}
+		for _, x := range d.cells.get(l.Cell).directory.Replicas {
+			r.Replicas = append(r.Replicas, wire.ReplicaReport{
+				Upstream: x.Upstream, Model: x.Model, Version: x.Version, Ready: x.Ready, ReadyAt: x.ReadyAt,
+			})
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+func (d *Daemon) rangeReports() []wire.RangeReport {
+	list := []wire.RangeReport{}
+	for i := range fold.KeyRanges {
+		k := d.state.KeyRange(i)
+		at := slices.IndexFunc(list, func(r wire.RangeReport) bool { return r.Holder == k.Holder && r.Backup == k.Backup })
+		if at < 0 {
+			list = append(list, wire.RangeReport{Holder: k.Holder, Backup: k.Backup, Ranges: 1})
+			continue
+		}
+		list[at].Ranges++
+	}
+	return list
+}
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -84,11 +84,7 @@
 	app.Post("/v1/chat/completions", c.door("chat", c.chat))
 	app.Post("/v1/completions", c.door("completions", c.completions))
 	app.Any("/v1/services/{service}/{path:path}", c.door("services", c.services))
-	app.OnAnyErrorCode(func(x iris.Context) {
-		if x.ResponseWriter().Written() <= 0 {
-			writeProblem(x.ResponseWriter(), codes.New(codes.NotFound, x.Path()))
-		}
-	})
+	app.OnAnyErrorCode(unknownPath)
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -32,7 +32,12 @@
 // Call calls the method of the daemon at the address. A PeerUnavailable error has the outcome NotRun when the connection
 // was refused or could not be opened, else Unknown.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	return c.CallWithin(ctx, CallTimeout, address, method, args, reply)
+}
+
+// CallWithin is Call with another time limit.
+func (c *Client) CallWithin(ctx context.Context, limit time.Duration, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	conn, err := c.connect(ctx, address)
 	if err != nil {
@@ -49,7 +54,7 @@
 
 // Refused reports whether the error proves that no process listens at the address.
 func Refused(err error) bool {
-	return codes.From(err).Field() == refusedField
+	return codes.Is(err, codes.PeerUnavailable) && codes.From(err).Field() == refusedField
 }
 
 // Close closes all connections.
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -218,6 +218,9 @@
 	return New(Internal, err.Error())
 }
 
+// Is reports whether err carries the code; it is false for nil.
+func Is(err error, c Code) bool { return err != nil && From(err).code == c }
+
 func index(entries []entry) map[Code]entry {
 	m := make(map[Code]entry, len(entries))
 	for _, e := range entries {
--- a/pkg/fold/fold_test.go
+++ b/pkg/fold/fold_test.go
@@ -131,7 +131,7 @@
 	}
 	l, _ := p.s.Lease("c1")
 	c.Assert(l, qt.DeepEquals, Lease{Cell: "c1", Holder: Holder{"b", "b", 12}, Released: true, Unsettled: []Holder{}})
-	c.Assert(p.s.KeyRange(3), qt.Equals, KeyRange{3, "a", "c", 25, epoch.Add(25 * time.Second)})
+	c.Assert(p.s.KeyRange(3), qt.Equals, KeyRange{3, "a", "c", 25, epoch.Add(25 * time.Second), 25})
 	c.Assert(p.s.Permit("m", "c1"), qt.Equals, 2)
 	c.Assert(p.s.TemplateOffset("m"), qt.Equals, int64(31))
 	c.Assert(p.s.View().Models(), qt.HasLen, 0)
