feat(bench): virtual-time driver with fakes, baseline and the burst trace

The decision packages had no measurement under load. The driver feeds entry machines and cell controllers from an event queue; fakes stand in for engines, store and network.

--- /dev/null
+++ b/internal/bench/host.go
@@ -0,0 +1,226 @@
+package bench
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/entry"
+	"github.com/fireflycleat/fireflycleat/pkg/retry"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
+)
+
+const beatInterval = time.Second // As in the daemon.
+
+type (
+	// fleet runs the event machines of all daemons over the fakes.
+	fleet struct {
+		*world
+		hosts    []*host
+		controls []*control
+		permits  map[string]map[string]int
+		offset   int64
+	}
+
+	// host is a daemon's entry machine.
+	host struct {
+		fleet   *fleet
+		name    string
+		centre  string
+		machine *entry.Entry
+		alarm   alarm
+		calls   map[uint64]*Call
+		jobs    map[attempt]*flight
+		open    map[uint64]int // open counts the attempts in flight by request.
+		use     map[modelUse]int
+	}
+
+	attempt struct {
+		id     uint64
+		number int
+	}
+
+	flight struct {
+		job    *job
+		engine *engine
+	}
+
+	modelUse struct{ centre, model string }
+)
+
+// newFleet returns the world with the system as its policy.
+func newFleet(d Deployment, seed uint64) *world {
+	w := newWorld(d, seed)
+	f := &fleet{world: w, permits: make(map[string]map[string]int)}
+	for i := range hostCount {
+		centre := centreName(i % dataCentres)
+		h := &host{
+			fleet: f, name: "h" + string(rune('1'+i)), centre: centre, calls: make(map[uint64]*Call),
+			jobs: make(map[attempt]*flight), open: make(map[uint64]int), use: make(map[modelUse]int),
+		}
+		s := entry.Defaults(centre, centre)
+		s.Home = func(model string) string { return f.cellOf(model, centre) }
+		s.OneWay = func(other string) time.Duration { return d.between(centre, other) }
+		h.machine = entry.New(s, w.view, rand.New(rand.NewPCG(seed, uint64(100+i))))
+		h.alarm = alarm{clock: w.clock, run: func() { h.handle(entry.Tick{}) }}
+		f.hosts = append(f.hosts, h)
+	}
+	for i := range dataCentres {
+		f.controls = append(f.controls, newControl(f, i))
+	}
+	w.arrive = func(c *Call) { f.hosts[c.Host].arrive(c) }
+	w.begin = func(*world) { f.begin() }
+	return w
+}
+
+func (f *fleet) begin() {
+	for i, h := range f.hosts {
+		h.handle(entry.Hosts{Live: hostCount})
+		f.every(time.Duration(i)*beatInterval/hostCount, beatInterval, h.beat)
+	}
+	for _, c := range f.controls {
+		c.begin()
+	}
+}
+
+// cellOf returns the cell that decides on loads of a model, by the rule of the daemon.
+func (f *fleet) cellOf(model, own string) string {
+	if f.permits[model][own] > 0 {
+		return own
+	}
+	for i := range dataCentres {
+		if f.permits[model][centreName(i)] > 0 {
+			return centreName(i)
+		}
+	}
+	return home(model)
+}
+
+func (f *fleet) control(centre string) *control {
+	return f.controls[slices.IndexFunc(f.controls, func(c *control) bool { return c.centre == centre })]
+}
+
+func (h *host) arrive(c *Call) {
+	h.calls[c.ID] = c
+	h.handle(entry.Arrive{ID: c.ID, Request: entry.Request{
+		Team: "depot", Model: c.Model, Adapter: c.Adapter, Urgency: c.Urgency, Deadline: c.Arrived.Add(c.Deadline),
+		PromptTokens: c.Prompt, MaxTokens: c.Answer, Repeatable: true, Fingerprint: xxhash.Sum64String(c.Key),
+	}})
+}
+
+func (h *host) handle(e entry.Event) {
+	for _, a := range h.machine.Handle(h.fleet.now, e) {
+		h.act(a)
+	}
+}
+
+func (h *host) act(a entry.Action) {
+	w := h.fleet.world
+	switch a := a.(type) {
+	case entry.Send:
+		h.send(a)
+	case entry.Cancel:
+		if f := h.jobs[attempt{a.ID, a.Attempt}]; f != nil {
+			w.after(w.deploy.between(h.centre, f.engine.centre), func() { f.engine.cancel(f.job) })
+		}
+	case entry.Deliver:
+		if c := h.calls[a.ID]; c != nil {
+			w.first(c)
+		}
+	case entry.Complete:
+		h.finish(a.ID, true, "", 0)
+	case entry.Refuse:
+		h.finish(a.ID, false, a.Code.Title(), a.RetryAfter)
+	case entry.Demand:
+		e := cell.Demand{
+			Host: h.name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
+			EarliestDeadline: a.EarliestDeadline,
+		}
+		c := h.fleet.control(a.Cell)
+		w.after(w.deploy.between(h.centre, c.centre), func() { c.handle(e) })
+	case entry.Wake:
+		h.alarm.reset(a.At)
+	}
+}
+
+func (h *host) finish(id uint64, done bool, code string, retryAfter time.Duration) {
+	c := h.calls[id]
+	if c == nil {
+		h.fleet.out.Safety.Ends++ // A second end.
+		return
+	}
+	delete(h.calls, id)
+	h.fleet.finish(c, done, code, retryAfter)
+}
+
+// send starts an attempt at an engine and passes its events back.
+func (h *host) send(a entry.Send) {
+	w := h.fleet.world
+	e, c := w.engine(a.Upstream), h.calls[a.ID]
+	w.out.Sends++
+	if h.open[a.ID] > 0 { // Every other attempt follows the end of the one before.
+		w.out.Hedges++
+	}
+	h.open[a.ID]++
+	k := attempt{a.ID, a.Attempt}
+	delay := w.deploy.between(h.centre, e.centre)
+	back := func(run func()) { w.after(delay, run) }
+	j := &job{priority: a.Priority, adapter: c.Adapter, prompt: c.Prompt, total: c.Answer, from: a.ResumeFrom}
+	j.first = func() { back(func() { h.handle(entry.FirstToken{ID: a.ID, Attempt: a.Attempt}) }) }
+	j.progress = func(n int) {
+		back(func() { h.handle(entry.Progress{ID: a.ID, Attempt: a.Attempt, Tokens: n}) })
+	}
+	j.ended = func(r retry.Result, n int) {
+		back(func() {
+			delete(h.jobs, k)
+			if h.open[a.ID]--; h.open[a.ID] == 0 {
+				delete(h.open, a.ID)
+			}
+			h.use[modelUse{e.centre, c.Model}]--
+			h.handle(entry.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Result: r, Tokens: n})
+		})
+	}
+	h.jobs[k] = &flight{job: j, engine: e}
+	h.use[modelUse{e.centre, c.Model}]++
+	w.after(delay, func() { e.submit(c.Model, j, false) })
+}
+
+// beat tells the controllers how many attempts are in progress, as the daemon's heartbeat does.
+func (h *host) beat() {
+	w := h.fleet.world
+	keys := slices.SortedFunc(maps.Keys(h.use), func(a, b modelUse) int {
+		if a.centre != b.centre {
+			return compare(a.centre, b.centre)
+		}
+		return compare(a.model, b.model)
+	})
+	for _, k := range keys {
+		n := h.use[k]
+		c := h.fleet.control(k.centre)
+		w.after(w.deploy.between(h.centre, c.centre), func() {
+			c.handle(cell.Use{Host: h.name, Model: k.model, InFlight: n})
+		})
+		if n == 0 {
+			delete(h.use, k)
+		}
+	}
+}
+
+// directory passes a directory to the entry machine, and the load figures that came with it.
+func (h *host) directory(p cell.Publish, centre string, loads []entry.Report) {
+	e := entry.Directory{Cell: centre, Fence: p.Fence, Seq: int64(p.Seq)}
+	for _, r := range p.Replicas {
+		e.Replicas = append(e.Replicas, route.Replica{
+			Upstream: r.Upstream, DataCentre: centre, Model: r.Model, Version: r.Version, Adapters: r.Adapters,
+			Slots: r.Slots, Ready: r.Ready, ReadyAt: r.ReadyAt,
+		})
+	}
+	h.handle(e)
+	for _, l := range loads {
+		h.handle(l)
+	}
+}
--- /dev/null
+++ b/internal/bench/table.go
@@ -0,0 +1,38 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable writes the measures with target, result, baseline and bound, and the safety counters of each trace.
+func WriteTable(out io.Writer, all []*Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "deployment\ttrace\tmeasure\ttarget\tresult\tbaseline\tbound\t")
+	for _, r := range Rows(all) {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t%s\n", r.Deployment, r.Trace, r.Measure, r.target(), r.Result,
+			r.Baseline, r.Bound, r.verdict())
+	}
+	fmt.Fprintln(w, "\t\t\t\t\t\t\t")
+	fmt.Fprintln(w, "deployment\ttrace\tcalls\tloads\tviolations: permits\tmemory\tends\t")
+	for _, r := range all {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t\n", r.Deployment.Name, r.Trace.Name, len(r.System.Calls), r.System.Loads,
+			r.Safety.Permits, r.Safety.Memory, r.Safety.Ends)
+	}
+	return w.Flush()
+}
+
+func (r Row) target() string {
+	if r.AtMost {
+		return fmt.Sprintf("<= %.2f", r.Target)
+	}
+	return fmt.Sprintf(">= %.2f", r.Target)
+}
+
+func (r Row) verdict() string {
+	if r.Met() {
+		return "met"
+	}
+	return "missed"
+}
--- /dev/null
+++ b/internal/cmds/bench.go
@@ -0,0 +1,41 @@
+package cmds
+
+import (
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/bench"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+func newBench() *cobra.Command {
+	var deployment, trace string
+	var seed uint64
+	c := &cobra.Command{
+		Use:   "bench",
+		Short: "Measures the decision packages in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			deployments := slices.DeleteFunc(bench.Deployments(), func(d bench.Deployment) bool {
+				return deployment != "" && d.Name != deployment
+			})
+			if len(deployments) == 0 {
+				return codes.New(codes.BadArgument, "deployment is unknown: "+deployment)
+			}
+			traces, err := bench.Traces()
+			if err != nil {
+				return err
+			}
+			traces = slices.DeleteFunc(traces, func(t *bench.Trace) bool { return trace != "" && t.Name != trace })
+			if len(traces) == 0 {
+				return codes.New(codes.BadArgument, "trace is unknown: "+trace)
+			}
+			return bench.WriteTable(c.OutOrStdout(), bench.Run(deployments, traces, seed))
+		},
+	}
+	c.Flags().StringVar(&deployment, "deployment", "", "name of one deployment; default is both")
+	c.Flags().StringVar(&trace, "trace", "", "name of one trace; default is all")
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of arrivals, delays and choices")
+	return c
+}
