--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	hedgeSamples   = 20 // The learned quantiles are used from this many samples on.
-	coldFactor     = 3  // Before that, a first token is late after this multiple of the expected time.
-	medianFactor   = 4  // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	coldFactor     = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
+	medianFactor   = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
 	leastHedgeWait = 5 * time.Millisecond
 )
 
@@ -45,10 +44,10 @@
 
 // lateAfter returns the delay after which a first token is late.
 func (q *queue) lateAfter(expected time.Duration) time.Duration {
-	if q.median.Count() < hedgeSamples {
+	if q.first.Late() == 0 {
 		return max(coldFactor*expected, leastHedgeWait)
 	}
-	return max(min(q.late.Value(), medianFactor*q.median.Value()), leastHedgeWait)
+	return max(min(q.first.Late(), medianFactor*q.first.Median()), leastHedgeWait)
 }
 
 // callDue handles the timer of a call whose first token is missing.
@@ -73,6 +72,7 @@
 	}
 	first := c.attempts[0]
 	e.table.Overdue(now, &first.flight)
+	e.mark(c.queue)
 	if !e.hedges.Available() && !e.mutant.freeHedges {
 		return
 	}
@@ -100,15 +100,14 @@
 		return
 	}
 	took := e.table.First(now, &a.flight)
+	e.mark(c.queue)
 	if c.state != running || a.cancelled || c.delivers != 0 {
 		return
 	}
 	if took > 0 && c.tokens == 0 && !a.hedge {
-		c.queue.median.Add(took)
-		c.queue.late.Add(took)
+		c.queue.first.Add(took)
 	}
 	e.deliver(now, c, a)
-	e.mark(c.queue)
 }
 
 // deliver makes the attempt the only one whose tokens reach the caller.
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/retry"
 	"github.com/fireflycleat/fireflycleat/pkg/route"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
@@ -52,12 +53,13 @@
 		At       time.Time
 	}
 
-	// Forecast is the answer of a controller to a Demand.
+	// Forecast is the answer of a controller to a Demand. It tells nothing if it neither refuses nor names a time.
 	Forecast struct {
 		Model      string
 		Adapter    string
 		ReadyAt    time.Time
 		Refused    bool
+		Code       codes.Code // Code tells the reason of a refusal; zero means OverCapacity.
 		RetryAfter time.Duration
 		// Others is the number of requests of other hosts that wait for the same replica, if the controller tells it.
 		Others int
--- a/pkg/entry/predict.go
+++ b/pkg/entry/predict.go
@@ -27,6 +27,7 @@
 	forecast struct {
 		readyAt    time.Time
 		refused    bool
+		code       codes.Code
 		retryAfter time.Duration
 		others     int
 		until      time.Time // until is the end of validity.
@@ -46,6 +47,7 @@
 		at      time.Time
 		known   bool
 		refused bool
+		code    codes.Code
 		others  int
 	}
 )
@@ -55,12 +57,20 @@
 	if q == nil || len(q.demands) == 0 && len(q.calls) == 0 {
 		return // Nothing waits, so the answer would only take memory.
 	}
+	if !f.Refused && f.ReadyAt.IsZero() {
+		delete(q.forecasts, f.Adapter)
+		return
+	}
+	if f.Code == codes.OK {
+		f.Code = codes.OverCapacity
+	}
 	until := f.ReadyAt.Add(forecastGrace)
 	if f.Refused {
 		until = now.Add(min(max(f.RetryAfter, e.settings.DemandInterval), refusalTime))
 	}
 	q.forecasts[f.Adapter] = &forecast{
 		readyAt: f.ReadyAt, refused: f.Refused, retryAfter: f.RetryAfter, others: f.Others, until: until,
+		code: f.Code,
 	}
 	e.mark(q)
 }
@@ -96,7 +106,7 @@
 	}
 	var a arrival
 	if f := q.forecasts[adapter]; f != nil {
-		a = arrival{at: f.readyAt, known: true, refused: f.refused, others: f.others}
+		a = arrival{at: f.readyAt, known: true, refused: f.refused, code: f.code, others: f.others}
 	} else if at := e.table.Loading(q.model); adapter == "" && !at.IsZero() {
 		a = arrival{at: at, known: true}
 	}
@@ -121,7 +131,7 @@
 	case !plan.known:
 		return earlier(latest, c.since.Add(e.settings.ForecastWait)), codes.NoTimeToLoad
 	case plan.refused:
-		return now, codes.OverCapacity
+		return now, plan.code
 	}
 	at := latest.Add(-o.drain(c.Urgency, ahead+plan.others+1-o.slots, margin))
 	if plan.at.After(at) {
--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -16,7 +16,6 @@
 	rateSpan = 2 * time.Second  // Time constant of the send rates by class.
 	ageAfter = 10 * time.Second // A preempted stream that waits this long goes first and may take reserved slots.
 	agedPart = 10               // Aged streams may take one slot in this many, and at least one.
-	lateRank = 0.95
 )
 
 type (
@@ -27,11 +26,10 @@
 		streams   []*call // streams lists the bulk streams that may be preempted.
 		timer     timer
 		dirty     bool
-		open      int       // open is the number of calls that refer to the queue.
-		failAt    time.Time // failAt is when the next waiting call can no longer be in time.
-		hint      string    // hint is an upstream at which a slot may have become free.
-		median    retry.Quantile
-		late      retry.Quantile
+		open      int           // open is the number of calls that refer to the queue.
+		failAt    time.Time     // failAt is when the next waiting call can no longer be in time.
+		hint      string        // hint is an upstream at which a slot may have become free.
+		first     retry.Latency // first is the time to the first token.
 		rates     [classes]rate
 		books     [classes]book
 		forecasts map[string]*forecast // forecasts is by adapter.
@@ -49,7 +47,7 @@
 	q := e.queues[model]
 	if q == nil {
 		q = &queue{
-			model: model, median: retry.NewQuantile(0.5), late: retry.NewQuantile(lateRank),
+			model:     model,
 			forecasts: make(map[string]*forecast), demands: make(map[string]*demand),
 		}
 		q.timer = timer{index: -1, queue: q}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -163,9 +163,8 @@
 	}
 	for _, n := range old {
 		if !n.listed {
-			if t.deactivate(n) {
-				changed = append(changed, n.Model)
-			}
+			t.deactivate(n)
+			changed = append(changed, n.Model)
 			t.forget(n)
 		}
 	}
@@ -189,9 +188,8 @@
 	var changed []string
 	for _, n := range u.nodes {
 		n.others, n.othersWaiting = 0, 0
-		if t.activate(n) {
-			changed = append(changed, n.Model)
-		}
+		t.activate(n)
+		changed = append(changed, n.Model)
 	}
 	t.prune(u)
 	return changed
@@ -258,12 +256,10 @@
 	u.state = max(u.state, s)
 	var changed []string
 	for _, n := range slices.Clone(u.nodes) {
-		if t.mutant.keepLeaving {
-			continue
-		}
-		if t.deactivate(n) {
-			changed = append(changed, n.Model)
+		if !t.mutant.keepLeaving {
+			t.deactivate(n)
 		}
+		changed = append(changed, n.Model)
 	}
 	return changed
 }
@@ -290,8 +286,9 @@
 	r.Slots = max(r.Slots, 1)
 	same := n.Ready == r.Ready && n.Slots == r.Slots && n.DataCentre == r.DataCentre && slices.Equal(n.Adapters, r.Adapters)
 	if same && n.active == (r.Ready && n.up.state == live) {
+		moved := !n.ReadyAt.Equal(r.ReadyAt)
 		n.Replica = r
-		return false
+		return moved && !n.Ready
 	}
 	was := t.deactivate(n)
 	n.Replica, n.distance = r, t.oneWay(r.DataCentre)
@@ -299,7 +296,7 @@
 	if r.Slots > 1 {
 		n.reserve = min(int(float64(r.Slots)*t.settings.UrgentReserve+0.999), r.Slots-1)
 	}
-	return t.activate(n) || was
+	return t.activate(n) || was || !n.Ready
 }
 
 func (t *Table) activate(n *node) bool {
