feat(entry): room for urgent work beside long streams

Change: estimates of other hosts' load regress to their mean, bulk work leaves room for the usual short load, and unsure urgent work preempts.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -73,6 +73,9 @@
 	first := c.attempts[0]
 	e.table.Overdue(now, &first.flight)
 	e.mark(c.queue)
+	if c.Urgency == spec.Urgent && e.makeRoom(now, c.queue, first.upstream) {
+		return
+	}
 	if !e.hedges.Available() && !e.mutant.freeHedges {
 		return
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -94,6 +94,7 @@
 	case Hosts:
 		e.hosts = max(ev.Live, 1)
 		e.quota.Hosts(ev.Live)
+		e.table.SetHosts(ev.Live)
 		e.touchAll()
 	case Drain:
 		e.draining = true
--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -171,6 +171,9 @@
 	}
 	inTime := !c.bound() || !now.Add(choice.Wait+choice.First).After(c.Deadline)
 	switch {
+	case c.Urgency == spec.Urgent && !choice.Sure && e.preempt(now, q, c):
+		// Without this, short work waits behind long streams whenever the estimate of the load is too low.
+		return true
 	case choice.Free && (inTime || !now.Add(choice.First/2).After(c.Deadline)):
 		// The first-token time is a mean, and half of it is common with a cached prompt prefix.
 	case c.Urgency == spec.Urgent && inTime:
@@ -219,13 +222,12 @@
 	c.queue.streams, c.place = s[:last], -1
 }
 
-// preempt cancels a bulk stream in favour of an urgent call that would miss its deadline. The engine gives the slot to the
-// urgent call, because that call is sent at once and goes first there.
+// preempt cancels a bulk stream in favour of an urgent call that would wait. The engine gives the slot to the urgent call,
+// because that call is sent at once and goes first there.
 func (e *Entry) preempt(now time.Time, q *queue, c *call) bool {
 	var victim *call
 	for _, v := range q.streams {
-		if e.mayPreempt(now, v) && (victim == nil || v.preempted < victim.preempted ||
-			v.preempted == victim.preempted && v.streamAt.After(victim.streamAt)) {
+		if e.mayPreempt(now, v) && v.better(victim) {
 			if choice, ok := e.table.At(now, c.query(""), v.attempt(v.delivers).upstream); ok &&
 				!now.Add(choice.First).After(c.Deadline) {
 				victim = v
@@ -235,16 +237,40 @@
 	if victim == nil {
 		return false
 	}
-	a := victim.attempt(victim.delivers)
-	choice, _ := e.table.At(now, c.query(""), a.upstream)
+	choice, _ := e.table.At(now, c.query(""), victim.attempt(victim.delivers).upstream)
+	choice.Wait = 0
 	choice.Free = false // The time to the first token includes the cancellation and is no sample of the upstream's speed.
-	e.unlist(victim)
-	victim.state = suspended
-	e.cancel(victim, a)
+	e.suspend(victim)
 	e.send(now, c, choice, false)
 	return true
 }
 
+// makeRoom preempts a bulk stream at an upstream where an urgent call waits longer than predicted.
+func (e *Entry) makeRoom(now time.Time, q *queue, upstream string) bool {
+	var victim *call
+	for _, v := range q.streams {
+		if e.mayPreempt(now, v) && v.attempt(v.delivers).upstream == upstream && v.better(victim) {
+			victim = v
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	e.suspend(victim)
+	return true
+}
+
+func (e *Entry) suspend(v *call) {
+	e.unlist(v)
+	v.state = suspended
+	e.cancel(v, v.attempt(v.delivers))
+}
+
+// better prefers the victim that was preempted less often, and then the one that started last.
+func (c *call) better(than *call) bool {
+	return than == nil || c.preempted < than.preempted || c.preempted == than.preempted && c.streamAt.After(than.streamAt)
+}
+
 // mayPreempt protects progress: a stream runs for a quantum that doubles with each preemption, and their number is limited.
 func (e *Entry) mayPreempt(now time.Time, v *call) bool {
 	a := v.attempt(v.delivers)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -47,7 +47,7 @@
 		HedgeShare:     0.04, // The target is under 5%; the rest covers rounding over short runs.
 		RetryShare:     0.1,
 		MaxAttempts:    4,
-		MaxPreemptions: 3,
+		MaxPreemptions: 8, // The last quantum is 64 s, so nearly every stream finishes before.
 		Quantum:        500 * time.Millisecond,
 		Route:          route.Defaults(),
 	}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	few          = 4     // Up to this many candidates are all compared.
-	moreDraws    = 4     // Further draws if two random candidates have no free slot.
-	ejectPenalty = 1.0   // In seconds: an ejected upstream is chosen only if the others are this much worse.
-	fullPenalty  = 0.003 // In seconds: two one-way delays, so a nearly full replica loses to an empty one in another centre.
-	lightLoad    = 0.7   // Below this share of slots a replica in the own data centre is taken without further draws.
+	few            = 4     // Up to this many candidates are all compared.
+	moreDraws      = 16    // Further draws if two random candidates have no free slot.
+	ejectPenalty   = 1.0   // In seconds: an ejected upstream is chosen only if the others are this much worse.
+	fullPenalty    = 0.003 // In seconds: two one-way delays, so a nearly full replica loses to an empty one in another centre.
+	sureDeviations = 1.5
+	lightLoad      = 0.7 // Below this share of slots a replica in the own data centre is taken without further draws.
 )
 
 type (
@@ -35,6 +36,7 @@
 		Wait     time.Duration // Wait is the predicted wait for a slot.
 		First    time.Duration // First is the predicted time from the start to the first token.
 		Free     bool          // Free tells that a slot is predicted free for the class.
+		Sure     bool          // Sure tells that a slot is free even if the load of other hosts is underestimated.
 
 		node  *node
 		probe bool
@@ -71,9 +73,16 @@
 		}
 	}
 	t.draw(now, &q, g.nodes, 2, &best)
-	for i := 0; i < moreDraws && (best.node == nil || !best.free || best.node.up.ejected && !best.probe); i++ {
-		t.draw(now, &q, g.nodes, 1, &best)
+	if best.node != nil && best.free && (!best.node.up.ejected || best.probe) {
+		return best.choice()
+	}
+	if len(g.nodes) <= moreDraws {
+		for _, n := range g.nodes {
+			t.try(now, &q, n, &best)
+		}
+		return best.choice()
 	}
+	t.draw(now, &q, g.nodes, moreDraws, &best)
 	return best.choice()
 }
 
@@ -105,7 +114,7 @@
 		return
 	}
 	s := scored{node: n}
-	s.wait, s.free = n.wait(q.Urgency, q.Aged)
+	s.wait, s.free = n.wait(q.Urgency, q.Aged, t.hosts)
 	base := n.model.first.or(defaultFirst.Seconds())
 	s.first = base * n.up.slowness(n.model)
 	fill := float64(n.load()) / float64(n.Slots)
@@ -122,11 +131,17 @@
 	}
 }
 
+// sure allows for the deviation of the other hosts' load from its estimate, which is about that of a Poisson variable.
+func (n *node) sure() bool {
+	return float64(n.load())+sureDeviations*math.Sqrt(float64(n.others)) < float64(n.Slots)
+}
+
 func (s *scored) choice() (Choice, bool) {
 	if s.node == nil {
 		return Choice{}, false
 	}
 	return Choice{
-		Upstream: s.node.Upstream, Wait: seconds(s.wait), First: seconds(s.first), Free: s.free, node: s.node, probe: s.probe,
+		Upstream: s.node.Upstream, Wait: seconds(s.wait), First: seconds(s.first), Free: s.free, Sure: s.free && s.node.sure(),
+		node: s.node, probe: s.probe,
 	}, true
 }
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -15,6 +15,8 @@
 	firstMargin  = 1.5  // First-token times vary more than token times, so they need a larger ratio to count as slow.
 	clearRatio   = 0.75 // An ejected upstream must be this far below the ratio, so that it does not flap.
 	clampRatio   = 3    // Samples of first-token times beyond this multiple of the mean do not raise the mean further.
+	longDiscount = 4
+	usualWeight  = 0.25 // With two reports a second, the mean covers about two seconds.
 	maxStrikes   = 3    // The eject time doubles at most three times.
 	medianSample = 15   // The median of more candidates is estimated from this many.
 	noticeable   = 1.5  // Slowness below this factor is ignored by the choice.
@@ -26,10 +28,13 @@
 	m := n.model
 	base := m.first.or(took)
 	n.up.first.add(took/base, f.weight())
-	if m.first.count >= minSamples {
-		took = min(took, clampRatio*base)
+	// Under load a slot that was predicted free may be taken, and the sample contains a wait. Longer samples therefore weigh
+	// less, which makes the mean a low quantile.
+	if took <= base {
+		m.first.add(took, slowWeight)
+	} else {
+		m.first.add(min(took, clampRatio*base), slowWeight/longDiscount)
 	}
-	m.first.add(took, slowWeight)
 	t.judge(now, n)
 }
 
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -37,6 +37,7 @@
 		oneWay     func(string) time.Duration
 		random     *rand.Rand
 		view       *spec.View
+		hosts      int
 		upstreams  map[string]*upstream
 		nodes      map[place]*node
 		groups     map[key]*group
@@ -77,6 +78,7 @@
 		pending       int // pending counts the own urgent requests without a first token.
 		others        int
 		othersWaiting int
+		usual         meter // usual is the mean load of other hosts.
 		reported      time.Time
 		past          history
 		cell          string
@@ -94,9 +96,11 @@
 	model struct {
 		tokenTime float64 // tokenTime is the configured time between tokens, in seconds.
 		slots     int
-		nodes     []*node        // nodes are all known replicas, also those that are loading.
-		pace      meter          // pace is the observed time between tokens as a ratio to the configured one.
-		first     meter          // first is the time to the first token at a free replica, in seconds.
+		nodes     []*node // nodes are all known replicas, also those that are loading.
+		pace      meter   // pace is the observed time between tokens as a ratio to the configured one.
+		first     meter   // first is the time to the first token at a free replica, in seconds.
+		front     float64 // front is the mean number of own requests in flight that are not bulk.
+		frontAt   time.Time
 		tokens    [classes]meter // tokens is the length of answers by urgency.
 		own       [classes]int
 		ownAll    int
@@ -116,7 +120,7 @@
 		}
 	}
 	return &Table{
-		settings: s, dataCentre: dataCentre, oneWay: oneWay, random: r, view: v,
+		settings: s, dataCentre: dataCentre, oneWay: oneWay, random: r, view: v, hosts: 1,
 		upstreams: make(map[string]*upstream), nodes: make(map[place]*node),
 		groups: make(map[key]*group), models: make(map[string]*model), cells: make(map[string]*cell),
 	}
@@ -134,6 +138,9 @@
 	}
 }
 
+// SetHosts sets the number of live entry hosts, which are taken to send about as much as this one.
+func (t *Table) SetHosts(live int) { t.hosts = max(live, 1) }
+
 // Replace sets the replicas of a cell and returns the models whose candidates changed; ok is false for an old list.
 func (t *Table) Replace(name string, fence, seq int64, replicas []Replica) (changed []string, ok bool) {
 	c := t.cells[name]
