--- /dev/null
+++ b/internal/cmds/status.go
@@ -0,0 +1,58 @@
+package cmds
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+)
+
+func newStatus() *cobra.Command {
+	o := new(operator)
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Shows leases, replicas, upstreams, permits and key ranges as one host knows them",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var s wire.Status
+			if err := o.call(c.Context(), http.MethodGet, "/v1/status", nil, &s); err != nil {
+				return err
+			}
+			return o.print(c.OutOrStdout(), s, statusRows(s))
+		},
+	}
+	o.flags(c)
+	return c
+}
+
+func statusRows(s wire.Status) [][]any {
+	rows := [][]any{
+		{"HOST", "INCARNATION", "STAGE", "READY", "OFFSET", "IN FLIGHT"},
+		{s.Host, s.Incarnation, s.Stage, s.Ready, s.Offset, s.InFlight},
+		{},
+		{"CELL", "CONTROLLER", "FENCE", "RELEASED", "REPLICAS"},
+	}
+	for _, c := range s.Cells {
+		rows = append(rows, []any{c.Cell, c.Holder, c.Fence, c.Released, len(c.Replicas)})
+	}
+	rows = append(rows, []any{}, []any{"REPLICA OF", "VERSION", "UPSTREAM", "CELL", "READY"})
+	for _, c := range s.Cells {
+		for _, r := range c.Replicas {
+			rows = append(rows, []any{r.Model, r.Version, r.Upstream, c.Cell, r.Ready})
+		}
+	}
+	rows = append(rows, []any{}, []any{"UPSTREAM", "KIND", "DATA CENTRE", "STATE", "LEAVING", "FENCED", "USED BYTES", "CAPACITY BYTES"})
+	for _, u := range s.Upstreams {
+		rows = append(rows, []any{u.Upstream, u.Kind, u.DataCentre, u.State, u.Leaving, u.ChecksFence, u.UsedBytes, u.CapacityBytes})
+	}
+	rows = append(rows, []any{}, []any{"PERMITS OF", "CELL", "COUNT"})
+	for _, p := range s.Permits {
+		rows = append(rows, []any{p.Model, p.Cell, p.Count})
+	}
+	rows = append(rows, []any{}, []any{"KEY RANGES", "HOLDER", "BACKUP"})
+	for _, k := range s.KeyRanges {
+		rows = append(rows, []any{k.Ranges, k.Holder, k.Backup})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/cmds/stop.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+const stopPollInterval = 200 * time.Millisecond
+
+func newStop() *cobra.Command {
+	o := new(operator)
+	watch := false
+	c := &cobra.Command{
+		Use:   "stop",
+		Short: "Starts the planned stop of a host",
+		Long:  "Starts the planned stop of the host whose operators' API is asked. With --watch it shows the stages until the host has stopped.",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var none struct{}
+			if err := o.call(c.Context(), http.MethodPost, "/v1/stop", nil, &none); err != nil {
+				return err
+			}
+			if !watch {
+				return o.print(c.OutOrStdout(), none, [][]any{{"stopping"}})
+			}
+			return watchStop(c, o)
+		},
+	}
+	o.flags(c)
+	c.Flags().BoolVar(&watch, "watch", false, "show the stages until the host has stopped")
+	return c
+}
+
+func watchStop(c *cobra.Command, o *operator) error {
+	last := ""
+	for ; ; time.Sleep(stopPollInterval) {
+		var s wire.Status
+		err := o.call(c.Context(), http.MethodGet, "/v1/status", nil, &s)
+		if codes.Is(err, codes.PeerUnavailable) {
+			fmt.Fprintln(c.OutOrStdout(), "stopped")
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if line := fmt.Sprintf("%s, %d requests in flight", s.Stage, s.InFlight); line != last {
+			last = line
+			fmt.Fprintln(c.OutOrStdout(), line)
+		}
+	}
+}
