feat: dev command, batched claims, servers that outlive a graceful shutdown

Cause: a newcomer needs one command; the run group ended as soon as a server was shut down, so leases and key ranges were not handed over; a new controller appended one claim for each of 100 models.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -33,7 +33,7 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return codes.New(codes.BadArgument, err.Error())
 	})
-	c.AddCommand(newServe(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
+	c.AddCommand(newDev(), newServe(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
 		newAsk(), newStandin())
 	return c
 }
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +37,7 @@
 		released  int64
 		directory peers.Directory
 		permits   map[string]permitState
+		claims    map[string]cell.Claim
 	}
 
 	permitState struct {
@@ -58,6 +61,7 @@
 	s.AdaptersInFlight = max(1, c.d.settings.Store.AdaptersInFlight/max(1, len(c.d.upstreams.cells)))
 	r := &cellRun{
 		d: c.d, name: name, control: cell.New(s), earlier: make(map[string]int64), permits: make(map[string]permitState),
+		claims: make(map[string]cell.Claim),
 	}
 	r.directory.Cell = name
 	r.alarm = newAlarm(c.d.control, func() { r.handle(cell.Tick{}) })
@@ -264,15 +268,37 @@
 
 func (r *cellRun) post(e cell.Event) { r.d.control.post(func() { r.handle(e) }) }
 
-// claim asks the log for permits. When all are taken, another cell is asked to give one up.
+// claim asks the log for permits. Claims wait for proposeDelay, since a new controller claims for each model at home.
 func (r *cellRun) claim(a cell.Claim) {
-	before := r.d.state.Permit(a.Model, r.name)
-	change := fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: a.Model, Count: a.Count}
-	r.d.appends.add(fold.Record{Kind: fold.PermitKind, Permit: []fold.PermitChange{change}}, func(_ int64, err error) {
-		if err == nil || a.Count <= before || codes.Is(err, codes.AppendInDoubt) {
-			return
+	r.claims[a.Model] = a
+	if len(r.claims) == 1 {
+		time.AfterFunc(proposeDelay, func() { r.d.control.post(r.appendClaims) })
+	}
+}
+
+func (r *cellRun) appendClaims() {
+	var changes []fold.PermitChange
+	for _, model := range slices.Sorted(maps.Keys(r.claims)) {
+		a := r.claims[model]
+		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Count: a.Count})
+	}
+	clear(r.claims)
+	r.appendPermits(changes)
+}
+
+// appendPermits appends one record. The fold takes or refuses it as a whole, so a refused batch is tried one by one; when
+// all permits of a model are taken, another cell is asked to give one up.
+func (r *cellRun) appendPermits(changes []fold.PermitChange) {
+	r.d.appends.add(fold.Record{Kind: fold.PermitKind, Permit: changes}, func(_ int64, err error) {
+		switch {
+		case err == nil || codes.Is(err, codes.AppendInDoubt) || codes.Is(err, codes.LogUnavailable):
+		case len(changes) > 1:
+			for _, c := range changes {
+				r.appendPermits([]fold.PermitChange{c})
+			}
+		case changes[0].Count > r.d.state.Permit(changes[0].Model, r.name):
+			r.askOthers(changes[0].Model)
 		}
-		r.askOthers(a.Model)
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,14 +156,23 @@
 	return err
 }
 
+// addServer adds a server that stays in the group after a graceful shutdown, because the hand-over follows it.
 func (d *Daemon) addServer(g *run.Group, s *http.Server, address string) {
+	ended := make(chan struct{})
 	g.Add(func() error {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "listener")
 		}
-		return s.Serve(l)
-	}, func(error) { _ = s.Close() })
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close()
+	})
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
