test: scenario language and the whole path as separate processes

Cause: rules have to be proved on real processes with the stand-ins' counts as judge. Change: internal/scene, testscript with words to start, kill, pause and fault processes and to judge by the stand-ins.

--- /dev/null
+++ b/internal/scene/world_test.go
@@ -0,0 +1,271 @@
+package scene
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+)
+
+const (
+	apiKey       = "scene-key"
+	readyTimeout = 20 * time.Second
+	stopTimeout  = 30 * time.Second
+)
+
+type (
+	worldKey struct{}
+
+	// world is the processes of one scenario.
+	world struct {
+		env     *testscript.Env
+		binary  string
+		mu      sync.Mutex
+		procs   map[string]*proc
+		hosts   []wire.Host
+		centres []string
+		oneWay  string
+		calls   map[string]*call
+		rules   [][2]string
+		broken  []string
+		watch   *watch
+		load    *load
+	}
+
+	proc struct {
+		cmd      *exec.Cmd
+		address  string // Address of a stand-in, or of a daemon's callers' API.
+		operator string
+		settings string
+		done     chan struct{}
+		code     int
+	}
+)
+
+func newWorld(e *testscript.Env) *world {
+	path := ""
+	for _, v := range e.Vars {
+		if rest, ok := strings.CutPrefix(v, "PATH="); ok {
+			path = rest
+		}
+	}
+	return &world{
+		env: e, binary: filepath.Join(strings.Split(path, string(os.PathListSeparator))[0], "fireflycleat"),
+		procs: make(map[string]*proc), calls: make(map[string]*call),
+	}
+}
+
+// close ends all processes by their own ids and records the results.
+func (w *world) close() {
+	for _, p := range w.procs {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+	failed := w.env.T().(interface{ Failed() bool }).Failed()
+	for _, r := range w.rules {
+		table.add(r[0], r[1], failed || len(w.broken) > 0)
+	}
+}
+
+// start runs the program and returns when a stand-in has printed its address; daemons print none.
+func (w *world) start(name string, standin bool, args ...string) (*proc, error) {
+	c := exec.Command(w.binary, args...)
+	c.Dir = w.env.WorkDir
+	c.Env = w.env.Vars
+	log, err := os.Create(filepath.Join(w.env.WorkDir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	c.Stderr = log
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	p := &proc{cmd: c, done: make(chan struct{})}
+	r := bufio.NewReader(out)
+	if standin {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return nil, fmt.Errorf("%s did not start: %w", name, err)
+		}
+		p.address = strings.TrimSpace(strings.TrimPrefix(line, "listening on "))
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, r)
+		_ = c.Wait()
+		p.code = c.ProcessState.ExitCode()
+		_ = log.Close()
+		close(p.done)
+	}()
+	w.mu.Lock()
+	w.procs[name] = p
+	w.mu.Unlock()
+	return p, nil
+}
+
+// platform starts the stand-ins: log, store, host list, engines and services spread over the data centres.
+func (w *world) platform(engines, services int, centres []string, extra []string) error {
+	w.centres = centres
+	if _, err := w.start("log", true, append([]string{"standin", "log"}, w.latency()...)...); err != nil {
+		return err
+	}
+	store, err := w.start("store", true, "standin", "store")
+	if err != nil {
+		return err
+	}
+	for i := range engines {
+		name := fmt.Sprintf("engine%d", i+1)
+		checks := i%2 == 0
+		args := append([]string{
+			"standin", "engine", "--name", name, "--store", store.address, fmt.Sprintf("--checks-fence=%t", checks),
+		}, append(w.latency(), extra...)...)
+		p, err := w.start(name, true, args...)
+		if err != nil {
+			return err
+		}
+		w.hosts = append(w.hosts, wire.Host{
+			Name: name, Address: p.address, DataCentre: centres[i%len(centres)], Kind: wire.KindEngine, State: wire.HostLive, ChecksFence: checks,
+		})
+	}
+	for i := range services {
+		name := fmt.Sprintf("service%d", i+1)
+		p, err := w.start(name, true, append([]string{"standin", "service"}, w.latency()...)...)
+		if err != nil {
+			return err
+		}
+		w.hosts = append(w.hosts, wire.Host{
+			Name: name, Address: p.address, DataCentre: centres[i%len(centres)], Kind: wire.KindService, Service: "booking", State: wire.HostLive,
+		})
+	}
+	if _, err := w.start("hosts", true, "standin", "hosts", "--lag", "2s"); err != nil {
+		return err
+	}
+	return w.request(http.MethodPut, "hosts", "/v1/hosts", wire.HostList{AsOf: time.Now(), Hosts: w.hosts}, nil)
+}
+
+func (w *world) latency() []string {
+	if w.oneWay == "" {
+		return nil
+	}
+	return []string{"--one-way", w.oneWay}
+}
+
+// daemon starts a daemon on free ports; one that was started before gets its old ports and settings again.
+func (w *world) daemon(name string, index int) error {
+	old := w.proc(name)
+	if old != nil {
+		p, err := w.start(name, false, "serve", "--config", old.settings)
+		if err == nil {
+			p.address, p.operator, p.settings = old.address, old.operator, old.settings
+		}
+		return err
+	}
+	var free [3]string
+	for i := range free {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		free[i] = l.Addr().String()
+		defer func() { _ = l.Close() }()
+	}
+	centre := w.centres[index%len(w.centres)]
+	text := fmt.Sprintf("[host]\nname = %q\ndataCentre = %q\n[listen]\ntraffic = %q\npeers = %q\noperator = %q\n"+
+		"[platform]\nlog = %q\nhostList = %q\n[caller]\naddressLifetime = \"2s\"\n[telemetry]\nlogLevel = \"debug\"\n",
+		name, centre, free[0], free[1], free[2], w.procs["log"].address, w.procs["hosts"].address)
+	file := filepath.Join(w.env.WorkDir, name+".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	p, err := w.start(name, false, "serve", "--config", file)
+	if err != nil {
+		return err
+	}
+	p.address, p.operator, p.settings = free[0], free[2], file
+	return nil
+}
+
+// request sends a JSON request to a stand-in, or to a daemon's operators' API, and decodes the answer into into.
+func (w *world) request(method, name, path string, body, into any) error {
+	p := w.proc(name)
+	if p == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	address := p.address
+	if p.operator != "" {
+		address = p.operator
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	c := http.Client{Timeout: 15 * time.Second}
+	answer, err := c.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	b, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s%s: %s: %s", method, name, path, answer.Status, b)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(b, into)
+}
+
+// await polls until the check holds.
+func await(limit time.Duration, check func() error) error {
+	for deadline := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("after %s: %w", limit, err)
+		}
+	}
+}
+
+func (w *world) proc(name string) *proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.procs[name]
+}
+
+func (w *world) names(prefix string) []string {
+	var found []string
+	for i := 1; ; i++ {
+		n := fmt.Sprintf("%s%d", prefix, i)
+		if w.proc(n) == nil {
+			return found
+		}
+		found = append(found, n)
+	}
+}
