--- a/internal/bench/bound.go
+++ b/internal/bench/bound.go
@@ -124,7 +124,7 @@
 
 // bestIdle returns the accelerator time without work under hindsight-optimal unloading: a gap costs its length or, if that
 // is less, one load; the first load of a model counts too. Replicas are weighted by their share of memory.
-func bestIdle(d Deployment, v *spec.View, calls []Plan) time.Duration {
+func bestIdle(v *spec.View, calls []Plan) time.Duration {
 	free := make(map[string]time.Duration)
 	sum := 0.0
 	for _, p := range calls {
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,173 @@
+package bench
+
+import (
+	"bytes"
+	"embed"
+	"html/template"
+	"image/color"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	canvas "gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	plotPoints = 200 // Points of a cumulative plot.
+	sparse     = 1.0 // Width of a step of the rate plot in seconds.
+	reportFile = "index.html"
+)
+
+//go:embed report.html
+var reportPage embed.FS
+
+type (
+	page struct {
+		Seed     uint64
+		Rows     []Row
+		Sections []section
+	}
+
+	section struct {
+		Deployment string
+		Trace      string
+		About      string
+		Safety     Safety
+		Plots      []template.HTML
+	}
+)
+
+// Verdict returns "met" or "missed".
+func (r Row) Verdict() string { return r.verdict() }
+
+// Goal returns the target as text.
+func (r Row) Goal() string { return r.target() }
+
+// WriteReport writes the table and plots of each trace as one HTML page to the directory.
+func WriteReport(dir string, seed uint64, all []*Result) error {
+	p := page{Seed: seed, Rows: Rows(all)}
+	for _, r := range all {
+		s := section{Deployment: r.Deployment.Name, Trace: r.Trace.Name, About: r.Trace.About, Safety: r.Safety}
+		for _, draw := range []func(*Result) (*plot.Plot, error){firstTokenPlot, ratePlot} {
+			svg, err := render(draw, r)
+			if err != nil {
+				return err
+			}
+			s.Plots = append(s.Plots, svg)
+		}
+		p.Sections = append(p.Sections, s)
+	}
+	t, err := template.New("report.html").Funcs(template.FuncMap{"figure": figureText}).ParseFS(reportPage, "report.html")
+	if err != nil {
+		return codes.New(codes.Internal, err.Error())
+	}
+	var out bytes.Buffer
+	if err := t.Execute(&out, p); err != nil {
+		return codes.New(codes.Internal, err.Error())
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return codes.New(codes.BadArgument, err.Error())
+	}
+	if err := os.WriteFile(filepath.Join(dir, reportFile), out.Bytes(), 0o644); err != nil {
+		return codes.New(codes.BadArgument, err.Error())
+	}
+	return nil
+}
+
+func render(draw func(*Result) (*plot.Plot, error), r *Result) (template.HTML, error) {
+	p, err := draw(r)
+	if err != nil {
+		return "", codes.New(codes.Internal, err.Error())
+	}
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(canvas.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", codes.New(codes.Internal, err.Error())
+	}
+	text := b.Bytes()
+	if i := bytes.Index(text, []byte("<svg")); i > 0 {
+		text = text[i:] // The XML prolog does not belong inside a page.
+	}
+	return template.HTML(text), nil // The plot is drawn from numbers and fixed labels.
+}
+
+// firstTokenPlot shows the share of measured calls with a first token within a time, for system and baseline.
+func firstTokenPlot(r *Result) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "first token", "seconds", "share of calls"
+	p.Y.Min, p.Y.Max = 0, 1
+	for _, l := range r.lines() {
+		s := &sample{trace: r.Trace}
+		times := s.firstTimes(l.outcome, everyCall)
+		slices.Sort(times)
+		var points plotter.XYs
+		for i := range plotPoints + 1 {
+			if k := i * (len(times) - 1) / plotPoints; len(times) > 0 {
+				points = append(points, plotter.XY{X: times[k].Seconds(), Y: float64(i) / plotPoints})
+			}
+		}
+		if err := l.add(p, points); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// ratePlot shows the calls that were served in time, by second of arrival.
+func ratePlot(r *Result) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "calls served in time", "seconds", "calls a second"
+	step := max(sparse, r.Trace.Seconds/plotPoints)
+	for _, l := range r.lines() {
+		points := make(plotter.XYs, int(r.Trace.Seconds/step)+1)
+		for i := range points {
+			points[i].X = float64(i) * step
+		}
+		for _, c := range l.outcome.Calls {
+			i := int(c.Arrived.Sub(epoch.Add(settleTime)).Seconds() / step)
+			if c.inTime() && i < len(points) {
+				points[i].Y += 1 / step
+			}
+		}
+		if err := l.add(p, points); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+type plotLine struct {
+	name    string
+	color   color.Color
+	outcome *Outcome
+}
+
+func (r *Result) lines() []plotLine {
+	return []plotLine{
+		{"system", color.RGBA{B: 180, A: 255}, r.System},
+		{"baseline", color.RGBA{R: 200, A: 255}, r.Baseline},
+	}
+}
+
+func (l plotLine) add(p *plot.Plot, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = l.color
+	p.Add(line)
+	p.Legend.Add(l.name, line)
+	return nil
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 )
@@ -34,8 +35,11 @@
 	}
 )
 
-// Met reports whether the result meets the target.
+// Met reports whether the result meets the target, which a figure without any case does.
 func (r Row) Met() bool {
+	if math.IsNaN(r.Result) {
+		return true
+	}
 	if r.AtMost {
 		return r.Result <= r.Target
 	}
