--- /dev/null
+++ b/pkg/cell/bench_test.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+// newBusyCell returns a holder whose upstreams are settled, with a tenth of the models loaded and as many again queued.
+func newBusyCell(upstreams, models int) (*Controller, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	c := New(DefaultSettings())
+	list := make([]spec.Template, models)
+	for i := range list {
+		list[i] = spec.Template{Name: fmt.Sprintf("m%03d", i), Kind: spec.ModelTemplate, Model: &spec.Model{
+			Version: "v1", MaxReplicas: 4, WeightBytes: 40 << 30, KVBytes: 8 << 30, Slots: 8, LoadMillis: 20_000, TokenMicros: 30_000,
+		}}
+	}
+	c.Handle(now, ViewChanged{View: spec.NewView(1, list, nil)})
+	for i := range upstreams {
+		c.Handle(now, UpstreamAdded{Upstream: upstreamName(i), CapacityBytes: 640 << 30, ChecksFence: true})
+	}
+	for _, t := range list {
+		c.Handle(now, PermitChanged{Model: t.Name, Count: 2})
+	}
+	c.Handle(now, LeaseGained{Fence: 7})
+	c.Handle(now, LeaseConfirmed{At: now})
+	for i := range upstreams {
+		c.Handle(now, benchStatus(now, i, upstreams, models, 1))
+	}
+	for i := models / 10; i < models/5; i++ {
+		c.Handle(now, Demand{Host: "h", Model: list[i].Name, Urgent: 1, Normal: 2, EarliestDeadline: now.Add(time.Hour)})
+	}
+	return c, now
+}
+
+func upstreamName(i int) string { return fmt.Sprintf("u%02d", i) }
+
+func benchStatus(at time.Time, i, upstreams, models, running int) UpstreamStatus {
+	s := Status{Incarnation: "1", CapacityBytes: 640 << 30, HighestFence: 7}
+	for k := i; k < models/10; k += upstreams {
+		s.Replicas = append(s.Replicas, StatusReplica{
+			Model: fmt.Sprintf("m%03d", k), Version: "v1", Bytes: 48 << 30, Slots: 8, Ready: true, Running: running,
+		})
+		s.UsedBytes += 48 << 30
+	}
+	for k := range 20 {
+		s.Cached = append(s.Cached, CachedCopy{Model: fmt.Sprintf("m%03d", (i*7+k*13)%models), Version: "v1", Tier: TierDisk})
+	}
+	return UpstreamStatus{Upstream: upstreamName(i), AskedAt: at, Status: s}
+}
+
+func benchSizes(b *testing.B, f func(b *testing.B, c *Controller, now time.Time, models int)) {
+	for _, models := range []int{100, 470} {
+		b.Run(fmt.Sprintf("64x%d", models), func(b *testing.B) {
+			c, now := newBusyCell(64, models)
+			b.ReportAllocs()
+			f(b, c, now, models)
+		})
+	}
+}
+
+// BenchmarkDemand measures one Demand event: a new number of waiters for one of the queued or loaded models.
+func BenchmarkDemand(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Controller, now time.Time, models int) {
+		names := c.view.Models()
+		for i := 0; b.Loop(); i++ {
+			now = now.Add(100 * time.Microsecond)
+			e := Demand{Host: "g", Model: names[i%(models/5)], Urgent: i & 1, Normal: 1, EarliestDeadline: now.Add(time.Hour)}
+			c.Handle(now, e)
+			if i%10_000 == 0 {
+				c.Handle(now, LeaseConfirmed{At: now})
+			}
+		}
+	})
+}
+
+// BenchmarkStatus measures one status event that reports other loads than the one before.
+func BenchmarkStatus(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Controller, now time.Time, models int) {
+		var list [2][64]UpstreamStatus
+		for i := range 64 {
+			list[0][i], list[1][i] = benchStatus(now, i, 64, models, 1), benchStatus(now, i, 64, models, 2)
+		}
+		for i := 0; b.Loop(); i++ {
+			now = now.Add(100 * time.Microsecond)
+			e := list[i/64&1][i%64]
+			e.AskedAt = now
+			c.Handle(now, e)
+			if i%10_000 == 0 {
+				c.Handle(now, LeaseConfirmed{At: now})
+			}
+		}
+	})
+}
--- a/pkg/cell/ledger.go
+++ b/pkg/cell/ledger.go
@@ -37,7 +37,7 @@
 		gone         bool
 		settled      bool
 		incarnation  string
-		past         []string // past holds earlier incarnations, whose late statuses are void.
+		past         []replaced // past holds earlier incarnations, whose late statuses are void.
 		statusAt     time.Time
 		reportedAt   time.Time
 		fencedAt     time.Time
@@ -53,6 +53,12 @@
 		evictable    int64
 	}
 
+	// replaced is an incarnation that another one was seen to replace.
+	replaced struct {
+		incarnation string
+		at          time.Time
+	}
+
 	// cooldown bars a model from an upstream where its load failed.
 	cooldown struct {
 		model *model
@@ -73,6 +79,7 @@
 		retiredAt time.Time
 		load      *order
 		unload    *order
+		retryAt   time.Time // retryAt bars another unload for a while after one that had no effect.
 		closedAt  time.Time // closedAt is the end of the last order, from which a status without the replica counts.
 		startedAt time.Time
 		endAt     time.Time // endAt is the predicted end of the load.
@@ -136,16 +143,16 @@
 }
 
 // readStatus brings the ledger of an upstream up to date. A status is ignored when a later one was read already or when it
-// is of an incarnation that has been replaced.
+// is void.
 func (c *Controller) readStatus(e UpstreamStatus) {
 	u := c.upstream(e.Upstream)
-	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) || slices.Contains(u.past, e.Status.Incarnation) {
+	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) || u.void(e) {
 		return
 	}
 	s := &e.Status
 	restarted := u.incarnation != "" && s.Incarnation != u.incarnation
 	if restarted {
-		u.past = append(u.past[max(0, len(u.past)-maxPast):], u.incarnation)
+		u.past = append(u.past[max(0, len(u.past)-maxPast):], replaced{incarnation: u.incarnation, at: c.now})
 		u.settled, u.fencedAt = false, time.Time{}
 	}
 	u.incarnation, u.statusAt, u.highestFence = s.Incarnation, e.AskedAt, s.HighestFence
@@ -167,6 +174,18 @@
 	}
 }
 
+// void reports whether the status is of an incarnation that has been replaced. Statuses can arrive in another order than
+// that in which the engine made them; but one that was asked for after the replacement had been seen shows that its
+// incarnation is the newer one, because an incarnation never comes back.
+func (u *upstream) void(e UpstreamStatus) bool {
+	i := slices.IndexFunc(u.past, func(p replaced) bool { return p.incarnation == e.Status.Incarnation })
+	if i < 0 || e.AskedAt.Before(u.past[i].at) {
+		return i >= 0
+	}
+	u.past = slices.Delete(u.past, i, i+1)
+	return false
+}
+
 func (c *Controller) syncReplicas(u *upstream, e UpstreamStatus, restarted bool) {
 	listed := int64(0)
 	for i := range e.Status.Replicas {
--- a/pkg/cell/orders.go
+++ b/pkg/cell/orders.go
@@ -200,7 +200,8 @@
 			r.phase = checking
 			r.up.changedAt = c.now
 		case r.phase == unloading:
-			r.phase = loaded
+			r.phase, r.retryAt = loaded, c.now.Add(c.set.FailureDelay)
+			c.emit(ReadStatus{Upstream: r.up.name})
 		}
 		if r.load == nil && s == OrderDone {
 			c.dropReplica(r)
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -70,6 +70,10 @@
 	if m.yield == noYield && m.yielding == noYield {
 		return
 	}
+	if m.yield != noYield && !m.force && c.busy(m) {
+		m.yield = noYield // The cell that asked asks again while it has demand.
+		return
+	}
 	limit := c.permitCap(m)
 	if c.inUse(m) <= limit {
 		c.claim(m, limit)
@@ -85,13 +89,13 @@
 		if kept <= limit || r.retire != keep || r.phase > loaded {
 			continue
 		}
-		if m.force || (!c.busy(m) && kept > c.floorWithout(m)) {
+		if m.force || kept > c.floorWithout(m) {
 			c.startRetire(r, excess)
 			kept--
 		}
 	}
 	if !m.force && kept > limit {
-		m.yield = noYield // The model is busy here; the cell that asked asks again while it has demand.
+		m.yield = noYield // The floor needs them.
 	}
 }
 
--- a/pkg/cell/retire.go
+++ b/pkg/cell/retire.go
@@ -34,7 +34,7 @@
 }
 
 // retireOutdated retires replicas of another version: at once when a current one serves, when the model is idle or when
-// the permits leave no room to load the current version beside them.
+// permits or memory leave no room to load the current version beside them.
 func (c *Controller) retireOutdated(m *model) {
 	if m.known && !c.outdated(m) {
 		return
@@ -42,7 +42,7 @@
 	ready := slices.ContainsFunc(m.replicas, func(r *replica) bool { return m.serving(r) && r.ready })
 	for _, r := range m.replicas {
 		if r.retire == keep && r.phase == loaded && (!m.known || r.version != m.spec.Version) &&
-			(ready || !m.known || !c.busy(m) || !c.mayLoad(m)) {
+			(ready || !m.known || !c.busy(m) || !c.mayLoad(m) || m.missing > 0 && m.blocked) {
 			c.startRetire(r, outdated)
 		}
 	}
@@ -56,7 +56,7 @@
 
 // unloadable reports whether the replica has no open order and its upstream may get orders.
 func (c *Controller) unloadable(r *replica) bool {
-	return r.phase == loaded && r.load == nil && r.unload == nil && c.mayOrder(r.up) &&
+	return r.phase == loaded && !r.lost && !c.now.Before(r.retryAt) && r.load == nil && r.unload == nil && c.mayOrder(r.up) &&
 		!slices.ContainsFunc(r.adapters, func(a *adapter) bool { return a.order != nil })
 }
 
