--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -45,6 +45,7 @@
 		stale       bool // stale tells that the directory differs from the one published.
 		urgent      bool // urgent tells that the directory must be published without delay.
 		publishedAt time.Time
+		wakeAt      time.Time // wakeAt is the time of the latest Wake.
 	}
 
 	// guards switches single safety rules off; tests use it to show that the judge notices.
@@ -168,6 +169,9 @@
 	for _, m := range c.models {
 		m.yield, m.yielding, m.claimedAt = noYield, noYield, time.Time{}
 		m.lowSince, m.idleAt, m.seen = c.now, c.now, false
+		for i := range m.demands {
+			m.demands[i].answered, m.demands[i].refused = false, false
+		}
 	}
 	c.seq, c.stale, c.urgent, c.nextScan, c.replan = 0, true, true, c.now, true
 }
@@ -274,7 +278,8 @@
 			sooner(c.nextStart)
 		}
 	}
-	if !at.IsZero() {
+	if !at.IsZero() && (!at.Equal(c.wakeAt) || !c.now.Before(at)) {
 		c.emit(Wake{At: at})
 	}
+	c.wakeAt = at
 }
--- a/pkg/cell/forecast.go
+++ b/pkg/cell/forecast.go
@@ -99,8 +99,7 @@
 }
 
 // refuseNotHolder answers a demand that reached a daemon without the lease.
-func (c *Controller) refuseNotHolder(d *demand, e Demand) {
-	d.answered = true
+func (c *Controller) refuseNotHolder(e Demand) {
 	c.emit(Forecast{
 		Host: e.Host, Model: e.Model, Adapter: e.Adapter, Refused: true, Code: codes.NotReady, RetryAfter: notHolderRetry,
 	})
--- a/pkg/cell/ledger.go
+++ b/pkg/cell/ledger.go
@@ -80,6 +80,7 @@
 		load      *order
 		unload    *order
 		retryAt   time.Time // retryAt bars another unload for a while after one that had no effect.
+		readyAt   time.Time // readyAt is when the end of the load was learnt.
 		closedAt  time.Time // closedAt is the end of the last order, from which a status without the replica counts.
 		startedAt time.Time
 		endAt     time.Time // endAt is the predicted end of the load.
@@ -100,6 +101,14 @@
 	return nil
 }
 
+// limit returns the slots of a replica within those of the upstream.
+func (u *upstream) limit(slots int) int {
+	if u.slots > 0 {
+		return min(slots, u.slots)
+	}
+	return slots
+}
+
 func (u *upstream) tier(m *model) Tier {
 	if m.index < len(u.tiers) && u.tiers[m.index] > 0 {
 		return u.tiers[m.index] - 1
@@ -202,7 +211,7 @@
 		}
 		switch {
 		case r.load != nil || r.unload != nil:
-			if restarted && !r.lost {
+			if !r.lost && (restarted || r.phase == loaded && !e.AskedAt.Before(r.readyAt)) {
 				r.lost = true
 				c.ledgerChanged(r)
 			}
@@ -228,14 +237,14 @@
 			return
 		}
 		r = &replica{
-			up: u, model: m, version: s.Version, bytes: s.Bytes, phase: loaded, startedAt: c.now,
-			endAt: c.now.Add(m.spec.LoadTime()), tier: TierRemote,
+			up: u, model: m, version: s.Version, bytes: s.Bytes, slots: u.limit(m.spec.Slots), phase: loaded,
+			startedAt: c.now, endAt: c.now.Add(m.spec.LoadTime()), tier: TierRemote,
 		}
 		c.addReplica(r)
 	}
 	r.bytes = max(r.bytes, s.Bytes)
 	if s.Slots > 0 {
-		r.slots = s.Slots
+		r.slots = u.limit(s.Slots)
 	}
 	if r.running+r.waiting != s.Running+s.Waiting {
 		c.touch(m)
@@ -251,7 +260,7 @@
 	case r.phase == checking && !asked.Before(r.closedAt):
 		r.phase = loaded
 		fallthrough
-	case r.phase == loaded && r.ready != s.Ready && (s.Ready || !asked.Before(r.closedAt)):
+	case r.phase == loaded && r.ready != s.Ready && (s.Ready || !asked.Before(later(r.readyAt, r.closedAt))):
 		r.ready = s.Ready
 		c.ledgerChanged(r)
 	}
--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -18,6 +18,11 @@
 	// agePeriod is the waiting time that doubles the score of a queued load, up to maxAge times the score.
 	agePeriod = 10 * time.Second
 	maxAge    = 3.0
+	// preemptFactor is how much more the waiting work must weigh than the work of a replica that is drained for it; a
+	// smaller factor lets two models of equal demand displace each other in turn.
+	preemptFactor = 2.0
+	// residence is the number of its load times for which a replica serves before it may be drained for other work.
+	residence = 2
 )
 
 // The ways in which a load can get its memory.
@@ -94,8 +99,7 @@
 
 // score is the weight of the waiting requests that one second of load time helps.
 func (c *Controller) score(m *model) float64 {
-	u, n, b := m.waiting()
-	w := float64(u)*c.set.UrgentWeight + float64(n)*c.set.NormalWeight + float64(b)*c.set.BulkWeight
+	w := c.weight(m.waiting())
 	age := min(c.now.Sub(m.wantedSince).Seconds()/agePeriod.Seconds(), maxAge)
 	return (w + promiseWeight) * (1 + age) / max(c.loadTime(m, c.nearest(m)).Seconds(), 0.001)
 }
@@ -199,8 +203,8 @@
 
 func (c *Controller) startLoad(m *model, x candidate) {
 	r := &replica{
-		up: x.up, model: m, version: m.spec.Version, bytes: m.spec.ReplicaBytes(), slots: m.spec.Slots,
-		tier: x.tier, startedAt: c.now, endAt: x.ready,
+		up: x.up, model: m, version: m.spec.Version, bytes: m.spec.ReplicaBytes(),
+		slots: x.up.limit(m.spec.Slots), tier: x.tier, startedAt: c.now, endAt: x.ready,
 	}
 	r.load = c.order(OpLoad, r, nil)
 	m.missing--
@@ -247,12 +251,9 @@
 	}
 }
 
-// makeRoom drains one replica without urgent work for a model with urgent waiters that fits nowhere.
+// makeRoom drains one replica for a model that fits nowhere and whose waiting work is worth more.
 func (c *Controller) makeRoom(m *model) {
 	m.blocked = true
-	if urgent, _, _ := m.waiting(); urgent == 0 {
-		return
-	}
 	if r := m.preempting; r == nil || r.retire != preempt || !slices.Contains(r.up.replicas, r) {
 		m.preempting = c.preemptible(m)
 		if m.preempting == nil {
@@ -264,23 +265,49 @@
 	m.readyAt = c.now.Add(c.set.RetryDefault + c.loadTime(m, c.nearest(m)))
 }
 
+// preemptible returns the replica with the least valuable work whose memory would let the model in.
 func (c *Controller) preemptible(m *model) *replica {
+	worth := c.weight(m.waiting())
+	urgent, _, _ := m.waiting()
 	var best *replica
+	least := 0.0
 	for _, u := range c.upstreams {
 		if !c.eligible(u, m) {
 			continue
 		}
 		for _, r := range u.replicas {
-			x := r.model
-			waiting, _, _ := x.waiting()
-			if r.retire != keep || r.phase != loaded || x.urgent+waiting > 0 || x.score > m.score && x.queued ||
+			if r.retire != keep || r.phase != loaded || !c.resident(r) ||
 				u.avail+u.soon+u.evictable+r.bytes < m.spec.ReplicaBytes() {
 				continue
 			}
-			if best == nil || r.running+r.waiting < best.running+best.waiting {
-				best = r
+			x := r.model
+			first, _, _ := x.waiting()
+			value := c.value(x)
+			if (urgent == 0 || x.urgent+first > 0) && worth < value*preemptFactor {
+				continue
+			}
+			if best == nil || value < least {
+				best, least = r, value
 			}
 		}
 	}
 	return best
 }
+
+// value is the weight of a model's work for each of its replicas.
+func (c *Controller) value(m *model) float64 {
+	w := c.weight(m.waiting()) + c.weight(m.urgent, max(m.running()-m.urgent, 0), 0)
+	if c.now.Before(m.promised) {
+		w += promiseWeight
+	}
+	return w / float64(max(len(m.replicas), 1))
+}
+
+// resident reports whether a replica has served for long enough to have been worth its load.
+func (c *Controller) resident(r *replica) bool {
+	return r.ready && c.now.Sub(later(r.closedAt, r.readyAt)) >= residence*c.loadTime(r.model, r.tier)
+}
+
+func (c *Controller) weight(urgent, normal, bulk int) float64 {
+	return float64(urgent)*c.set.UrgentWeight + float64(normal)*c.set.NormalWeight + float64(bulk)*c.set.BulkWeight
+}
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -82,7 +82,7 @@
 		}
 	}
 	if !c.holds && e.Urgent+e.Normal+e.Bulk > 0 {
-		c.refuseNotHolder(&m.demands[len(m.demands)-1], e)
+		c.refuseNotHolder(e)
 		return
 	}
 	c.touch(m)
--- a/pkg/cell/orders.go
+++ b/pkg/cell/orders.go
@@ -178,7 +178,7 @@
 	if r.phase != loading {
 		return
 	}
-	r.phase, r.ready, r.lost = loaded, true, false
+	r.phase, r.ready, r.lost, r.readyAt = loaded, true, false, c.now
 	c.finishLoad(r)
 	c.urgent = true
 	c.ledgerChanged(r)
--- a/pkg/cell/types.go
+++ b/pkg/cell/types.go
@@ -251,7 +251,7 @@
 	// ReadStatus asks for a status of the upstream without waiting for the next regular one.
 	ReadStatus struct{ Upstream string }
 
-	// Wake asks for a Tick at the time At.
+	// Wake asks for a Tick at the time At, in place of the time that an earlier Wake named.
 	Wake struct{ At time.Time }
 )
 
