--- a/pkg/cell/idle.go
+++ b/pkg/cell/idle.go
@@ -84,7 +84,7 @@
 		return
 	}
 	serving, slots := 0, 0
-	since := m.idleAt
+	var changed time.Time // changed is when the replicas last became more.
 	var least *replica
 	for _, r := range m.replicas {
 		if !m.serving(r) || r.phase != loaded {
@@ -92,7 +92,7 @@
 		}
 		serving++
 		slots += r.slots
-		since = later(since, r.closedAt)
+		changed = later(changed, r.closedAt)
 		if least == nil || r.running+r.waiting < least.running+least.waiting {
 			least = r
 		}
@@ -102,9 +102,8 @@
 		return
 	}
 	if !m.active {
-		if c.now.Sub(since) >= c.idleTimeout(m) {
+		if c.now.Sub(later(m.idleAt, changed)) >= c.idleTimeout(m) {
 			c.startRetire(least, idle)
-			c.touch(m)
 		}
 		return
 	}
@@ -113,7 +112,7 @@
 		m.lowSince = c.now
 		return
 	}
-	if c.now.Sub(later(m.lowSince, since)) >= c.idleTimeout(m) {
+	if c.now.Sub(later(m.lowSince, changed)) >= c.idleTimeout(m) {
 		c.startRetire(least, idle)
 		m.lowSince = c.now
 	}
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -70,15 +70,15 @@
 	if m.yield == noYield && m.yielding == noYield {
 		return
 	}
-	if m.yield != noYield && !m.force && c.busy(m) {
-		m.yield = noYield // The cell that asked asks again while it has demand.
-		return
-	}
 	limit := c.permitCap(m)
-	if c.inUse(m) <= limit {
+	if c.inUse(m) <= limit && (m.force || m.yield == noYield || m.missing == 0) {
 		c.claim(m, limit)
 		return
 	}
+	if m.yield != noYield && !m.force && c.busy(m) {
+		m.yield = noYield // The cell that asked asks again while it has demand.
+		return
+	}
 	kept := 0
 	for _, r := range m.replicas {
 		if r.retire == keep && r.phase <= loaded {
--- a/pkg/cell/retire.go
+++ b/pkg/cell/retire.go
@@ -2,8 +2,12 @@
 
 import "slices"
 
-// startRetire takes a replica out of the directory; it is unloaded when no request is left on it.
+// startRetire takes a replica out of the directory; it is unloaded when no request is left on it. A replica that cannot be
+// unloaded for now stays in service, unless its upstream is leaving.
 func (c *Controller) startRetire(r *replica, why reason) {
+	if why != departed && !c.mayOrder(r.up) {
+		return
+	}
 	r.retire, r.retiredAt = why, c.now
 	c.ledgerChanged(r)
 }
