--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -58,7 +58,7 @@
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
 		ColdCost:            1,
-		IdleMin:             5 * time.Second,
+		IdleMin:             2 * time.Second,
 		IdleMax:             10 * time.Minute,
 	}
 }
