--- a/pkg/cell/ledger.go
+++ b/pkg/cell/ledger.go
@@ -37,7 +37,7 @@
 		gone         bool
 		settled      bool
 		incarnation  string
-		past         []string // past holds earlier incarnations, whose late statuses are void.
+		past         []replaced // past holds earlier incarnations, whose late statuses are void.
 		statusAt     time.Time
 		reportedAt   time.Time
 		fencedAt     time.Time
@@ -53,6 +53,12 @@
 		evictable    int64
 	}
 
+	// replaced is an incarnation that another one was seen to replace.
+	replaced struct {
+		incarnation string
+		at          time.Time
+	}
+
 	// cooldown bars a model from an upstream where its load failed.
 	cooldown struct {
 		model *model
@@ -73,6 +79,8 @@
 		retiredAt time.Time
 		load      *order
 		unload    *order
+		retryAt   time.Time // retryAt bars another unload for a while after one that had no effect.
+		readyAt   time.Time // readyAt is when the end of the load was learnt.
 		closedAt  time.Time // closedAt is the end of the last order, from which a status without the replica counts.
 		startedAt time.Time
 		endAt     time.Time // endAt is the predicted end of the load.
@@ -93,6 +101,14 @@
 	return nil
 }
 
+// limit returns the slots of a replica within those of the upstream.
+func (u *upstream) limit(slots int) int {
+	if u.slots > 0 {
+		return min(slots, u.slots)
+	}
+	return slots
+}
+
 func (u *upstream) tier(m *model) Tier {
 	if m.index < len(u.tiers) && u.tiers[m.index] > 0 {
 		return u.tiers[m.index] - 1
@@ -136,16 +152,16 @@
 }
 
 // readStatus brings the ledger of an upstream up to date. A status is ignored when a later one was read already or when it
-// is of an incarnation that has been replaced.
+// is void.
 func (c *Controller) readStatus(e UpstreamStatus) {
 	u := c.upstream(e.Upstream)
-	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) || slices.Contains(u.past, e.Status.Incarnation) {
+	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) || u.void(e) {
 		return
 	}
 	s := &e.Status
 	restarted := u.incarnation != "" && s.Incarnation != u.incarnation
 	if restarted {
-		u.past = append(u.past[max(0, len(u.past)-maxPast):], u.incarnation)
+		u.past = append(u.past[max(0, len(u.past)-maxPast):], replaced{incarnation: u.incarnation, at: c.now})
 		u.settled, u.fencedAt = false, time.Time{}
 	}
 	u.incarnation, u.statusAt, u.highestFence = s.Incarnation, e.AskedAt, s.HighestFence
@@ -167,6 +183,18 @@
 	}
 }
 
+// void reports whether the status is of an incarnation that has been replaced. Statuses can arrive in another order than
+// that in which the engine made them; but one that was asked for after the replacement had been seen shows that its
+// incarnation is the newer one, because an incarnation never comes back.
+func (u *upstream) void(e UpstreamStatus) bool {
+	i := slices.IndexFunc(u.past, func(p replaced) bool { return p.incarnation == e.Status.Incarnation })
+	if i < 0 || e.AskedAt.Before(u.past[i].at) {
+		return i >= 0
+	}
+	u.past = slices.Delete(u.past, i, i+1)
+	return false
+}
+
 func (c *Controller) syncReplicas(u *upstream, e UpstreamStatus, restarted bool) {
 	listed := int64(0)
 	for i := range e.Status.Replicas {
@@ -183,7 +211,7 @@
 		}
 		switch {
 		case r.load != nil || r.unload != nil:
-			if restarted && !r.lost {
+			if !r.lost && (restarted || r.phase == loaded && !e.AskedAt.Before(r.readyAt)) {
 				r.lost = true
 				c.ledgerChanged(r)
 			}
@@ -209,14 +237,14 @@
 			return
 		}
 		r = &replica{
-			up: u, model: m, version: s.Version, bytes: s.Bytes, phase: loaded, startedAt: c.now,
-			endAt: c.now.Add(m.spec.LoadTime()), tier: TierRemote,
+			up: u, model: m, version: s.Version, bytes: s.Bytes, slots: u.limit(m.spec.Slots), phase: loaded,
+			startedAt: c.now, endAt: c.now.Add(m.spec.LoadTime()), tier: TierRemote,
 		}
 		c.addReplica(r)
 	}
 	r.bytes = max(r.bytes, s.Bytes)
 	if s.Slots > 0 {
-		r.slots = s.Slots
+		r.slots = u.limit(s.Slots)
 	}
 	if r.running+r.waiting != s.Running+s.Waiting {
 		c.touch(m)
@@ -232,7 +260,7 @@
 	case r.phase == checking && !asked.Before(r.closedAt):
 		r.phase = loaded
 		fallthrough
-	case r.phase == loaded && r.ready != s.Ready && (s.Ready || !asked.Before(r.closedAt)):
+	case r.phase == loaded && r.ready != s.Ready && (s.Ready || !asked.Before(later(r.readyAt, r.closedAt))):
 		r.ready = s.Ready
 		c.ledgerChanged(r)
 	}
