--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,251 @@
+package bench
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/retry"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+// testSeconds bounds the long traces in tests.
+const testSeconds = 900
+
+// shortened returns the traces of the repository with the long ones cut.
+func shortened(t *testing.T) []*Trace {
+	all, err := Traces()
+	qt.Assert(t, err, qt.IsNil)
+	for _, x := range all {
+		if x.Seconds > testSeconds {
+			x.Seconds, x.From, x.To = testSeconds, 60, testSeconds
+			for i := range x.Flows {
+				x.Flows[i].To = min(x.Flows[i].To, testSeconds)
+			}
+		}
+	}
+	return all
+}
+
+// Guards against loads beyond permits or memory, and against requests that are lost or answered twice, on every trace.
+func TestSafetyOnEveryTrace(t *testing.T) {
+	for _, r := range Run(Deployments(), shortened(t), 3) {
+		t.Run(r.Deployment.Name+"/"+r.Trace.Name, func(t *testing.T) {
+			qt.Check(t, r.Safety, qt.Equals, Safety{})
+			qt.Check(t, len(r.System.Calls) > 100, qt.IsTrue)
+			qt.Check(t, len(r.Rows), qt.Equals, len(r.Trace.Expects))
+			for _, x := range r.Rows {
+				if x.Measure == "coldStart" {
+					// Below the bound, the bound or a fake would be wrong.
+					qt.Check(t, x.Result >= 1, qt.IsTrue, qt.Commentf("%v", x.Result))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a driver or machine whose result depends on map order or on other runs, and against a seed without effect.
+func TestSameSeedSameRun(t *testing.T) {
+	d := Deployments()[0]
+	for _, x := range shortened(t) {
+		if x.Name != "clock" && x.Name != "storm" {
+			continue
+		}
+		run := func(policy func(Deployment, uint64) *world, seed uint64) []Call {
+			var calls []Call
+			for _, c := range policy(d, seed).run(x, x.Plans(d, seed, "")).Calls {
+				flat := *c
+				flat.Again = nil
+				calls = append(calls, flat)
+			}
+			return calls
+		}
+		for _, policy := range []func(Deployment, uint64) *world{newFleet, newBaseline} {
+			first := run(policy, 5)
+			qt.Check(t, slices.Equal(first, run(policy, 5)), qt.IsTrue, qt.Commentf(x.Name))
+			qt.Check(t, slices.Equal(first, run(policy, 6)), qt.IsFalse, qt.Commentf(x.Name))
+		}
+	}
+}
+
+// Guards against fakes that hide a violation: each counter must see a fault that is made on purpose.
+func TestFakesSeeViolations(t *testing.T) {
+	w := newWorld(Deployments()[0], 1)
+	for range 2 { // One replica is decided.
+		w.engines[0].load(modelName(hotModels), func() {})
+	}
+	qt.Check(t, w.out.Safety.Permits, qt.Equals, 1)
+	for i := range 4 {
+		w.engines[1].load(modelName(i), func() {})
+	}
+	qt.Check(t, w.out.Safety.Memory > 0, qt.IsTrue)
+	w.arrive = func(*Call) {}
+	w.call(Plan{Model: modelName(0)}, 0, w.now, nil)
+	w.close()
+	qt.Check(t, w.out.Safety.Ends, qt.Equals, 1)
+}
+
+// Guards against an engine whose times do not follow batch, speed and priority.
+func TestEngineTimes(t *testing.T) {
+	const answer = 40
+	solo := seconds(answer * soloToken())
+	for _, x := range []struct {
+		name  string
+		jobs  int
+		slow  float64
+		whole time.Duration // whole is the time of the last answer.
+	}{
+		{"alone", 1, 1, solo},
+		{"full batch", slots, 1, answer * tokenTime},
+		{"slowed", 1, 5, 5 * solo},
+		{"two batches", 2 * slots, 1, 2 * answer * tokenTime},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w := newWorld(Deployments()[0], 1)
+			e := w.engines[0]
+			e.load(modelName(0), func() {})
+			w.runUntil(w.now.Add(time.Minute))
+			e.setSlow(x.slow)
+			begin := w.now
+			var last time.Time
+			ended, firsts, urgentEnd := 0, 0, 0
+			for i := range x.jobs {
+				u := spec.Bulk
+				if i == x.jobs-1 {
+					u = spec.Urgent
+				}
+				e.submit(modelName(0), &job{
+					priority: u, total: answer, first: func() { firsts++ }, progress: func(int) {},
+					ended: func(r retry.Result, n int) {
+						qt.Check(t, r, qt.Equals, retry.Done)
+						qt.Check(t, n, qt.Equals, answer)
+						last, ended = w.now, ended+1
+						if u == spec.Urgent {
+							urgentEnd = ended
+						}
+					},
+				}, false)
+			}
+			w.runUntil(w.now.Add(time.Minute))
+			qt.Check(t, ended, qt.Equals, x.jobs)
+			qt.Check(t, firsts, qt.Equals, x.jobs)
+			off := last.Sub(begin) - x.whole
+			qt.Check(t, off.Abs() < 10*time.Millisecond, qt.IsTrue, qt.Commentf("%v", off))
+			// The urgent job came last and overtakes the bulk work that waits.
+			qt.Check(t, urgentEnd <= x.jobs && (x.jobs <= slots || urgentEnd <= slots+1), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a store that loads faster than its slots and rate allow, or that stays idle with work.
+func TestStoreKeepsSlotsAndRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		places, rate := rapid.IntRange(1, 4).Draw(t, "slots"), rapid.Float64Range(1, 8).Draw(t, "rate")
+		jobs, work := rapid.IntRange(1, 20).Draw(t, "jobs"), rapid.IntRange(100, 2000).Draw(t, "millis")
+		c := newClock()
+		s := newStore(c, rate, places)
+		var last time.Time
+		n := 0
+		for range jobs {
+			s.load(time.Duration(work)*time.Millisecond, func() { n, last = n+1, c.now })
+		}
+		c.runUntil(epoch.Add(time.Hour))
+		bySlots := float64(jobs*work) / 1000 / float64(places)
+		byRate := float64(jobs)/rate - 1
+		took := last.Sub(epoch).Seconds()
+		if n != jobs || took < max(bySlots, byRate)-0.01 || took > bySlots+max(byRate, 0)+float64(work)/1000+0.01 {
+			t.Fatalf("%d of %d loads took %.3f s; slots %.3f, rate %.3f", n, jobs, took, bySlots, byRate)
+		}
+	})
+}
+
+// Guards against a decoder that accepts what the generator cannot use.
+func TestDecodeRejects(t *testing.T) {
+	const head = `{"kind":"trace","name":"x","seconds":10,"from":0,"to":10}` + "\n"
+	const flow = `{"kind":"flow","from":0,"to":5,"perSecond":1,"models":1,"urgency":"urgent","promptTokens":1,"answerTokens":1,"deadlineMillis":1}`
+	_, err := Decode(bytes.NewReader([]byte(head + flow)))
+	qt.Assert(t, err, qt.IsNil)
+	for name, text := range map[string]string{
+		"empty":          "",
+		"no header":      flow,
+		"two headers":    head + head,
+		"unknown kind":   head + `{"kind":"tide"}`,
+		"unknown field":  head + `{"kind":"store","from":0,"to":5,"factor":2,"colour":1}`,
+		"not JSON":       head + `{`,
+		"end too late":   head + `{"kind":"store","from":0,"to":50,"factor":2}`,
+		"faster":         head + `{"kind":"speed","from":0,"to":5,"share":0.2,"factor":0.5}`,
+		"two rates":      head + flow[:len(flow)-1] + `,"load":0.5}`,
+		"no rate":        head + `{"kind":"flow","from":0,"to":5,"models":1,"urgency":"urgent","answerTokens":1,"deadlineMillis":1}`,
+		"bad urgency":    head + `{"kind":"call","urgency":"soon","answerTokens":1,"deadlineMillis":1}`,
+		"host":           head + `{"kind":"call","urgency":"bulk","host":6,"answerTokens":1,"deadlineMillis":1}`,
+		"unknown target": head + `{"kind":"expect","measure":"joy"}`,
+	} {
+		_, err := Decode(bytes.NewReader([]byte(text)))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf(name))
+	}
+}
+
+// Guards against panics of the decoder and of the generator on any input that the decoder accepts.
+func FuzzDecode(f *testing.F) {
+	names, err := filepath.Glob("traces/*.jsonl")
+	qt.Assert(f, err, qt.IsNil)
+	for _, n := range names {
+		data, err := os.ReadFile(n)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		x, err := Decode(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		busy := 0.0
+		for _, w := range x.Flows {
+			busy += (w.To-w.From)*(w.PerSecond+1000*w.Load/float64(w.Answer)) + float64(w.Count*w.Models)
+		}
+		if busy > 10_000 {
+			return // The generator would only take long.
+		}
+		for _, p := range x.Plans(Deployments()[0], 1, "") {
+			if p.At < 0 || p.At > x.length()+time.Second || p.Answer < 1 || p.Host < 0 || p.Host >= hostCount {
+				t.Fatalf("call is out of range: %+v", p)
+			}
+		}
+	})
+}
+
+// Guards against a bound that ignores caches, slots or rate of the store, checked by hand for a small case.
+func TestBestCold(t *testing.T) {
+	d := Deployment{StoreRate: 2, StoreSlots: 1}
+	calls := func(n int) []Plan { return make([]Plan, n) }
+	needs := []*need{
+		{load: time.Second, store: true, calls: calls(1)},
+		{load: time.Second, store: true, calls: calls(1)},
+		{load: tierTime(time.Second, cell.TierDisk), calls: calls(1)},
+	}
+	base := d.idealFirst(Plan{})
+	qt.Check(t, schedule(d, needs), qt.DeepEquals, []time.Duration{
+		time.Second + base, 2*time.Second + base, 400*time.Millisecond + base,
+	})
+}
+
+// Guards against a report that cannot be written or misses a row.
+func TestReport(t *testing.T) {
+	dir := t.TempDir()
+	all := Run(Deployments()[1:], shortened(t)[:1], 1)
+	qt.Assert(t, WriteReport(dir, 1, all), qt.IsNil)
+	data, err := os.ReadFile(filepath.Join(dir, reportFile))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, bytes.Count(data, []byte("<svg")), qt.Equals, 2)
+	qt.Check(t, bytes.Count(data, []byte(`<td class=`)), qt.Equals, len(all[0].Rows))
+	var table bytes.Buffer
+	qt.Assert(t, WriteTable(&table, all), qt.IsNil)
+	qt.Check(t, table.String(), qt.Contains, "coldStart")
+}
