--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -34,6 +34,8 @@
 	maxCalls   = 1_000_000
 	maxTokens  = 1_000_000
 	maxFactor  = 1000
+	maxModels  = 1000 // More than any deployment has; a flow over more would only repeat them.
+	maxSession = 1000
 )
 
 type (
@@ -248,9 +250,9 @@
 			rates++
 		}
 	}
-	return known && rates == 1 && span(f.From, f.To, end) && f.Models > 0 && f.FirstModel >= 0 && f.Models <= maxCalls &&
-		f.FirstModel <= maxCalls && work(f.Prompt, f.Answer, f.DeadlineMS) && share01(f.Obeys) && share01(f.AdapterShare) &&
-		f.Session >= 0 && f.Session <= maxTokens && f.ThinkSeconds >= 0 && f.ThinkSeconds <= maxSeconds
+	return known && rates == 1 && span(f.From, f.To, end) && f.Models > 0 && f.FirstModel >= 0 && f.Models <= maxModels &&
+		f.FirstModel <= maxModels && work(f.Prompt, f.Answer, f.DeadlineMS) && share01(f.Obeys) && share01(f.AdapterShare) &&
+		f.Session >= 0 && f.Session <= maxSession && f.ThinkSeconds >= 0 && f.ThinkSeconds <= maxSeconds
 }
 
 func (l Line) check(end float64) bool {
