--- a/pkg/cell/chaos_test.go
+++ b/pkg/cell/chaos_test.go
@@ -36,6 +36,11 @@
 				w.end(s, rapid.IntRange(0, 3).Draw(t, "lost") > 0)
 			}
 		},
+		"hold": func(w *world, t *rapid.T) {
+			if s, ok := pick(t, w.sends); ok {
+				s.held = true
+			}
+		},
 		"giveUp": func(w *world, t *rapid.T) {
 			if s, ok := pick(t, w.sends); ok {
 				w.end(s, false)
@@ -121,7 +126,7 @@
 	}
 	stepNames = []string{
 		"advance", "advance", "advance", "demand", "demand", "demand", "demand", "demand", "deliver", "deliver", "answer",
-		"answer", "answer", "answer", "giveUp", "ask", "ask", "reply", "reply", "reply", "reply", "finish", "finish",
+		"answer", "answer", "answer", "giveUp", "hold", "hold", "ask", "ask", "reply", "reply", "reply", "reply", "finish", "finish",
 		"finish", "readLog", "readLog", "readLog", "claim", "claim", "calm", "calm", "calm", "calm", "fault", "fault",
 		"fault",
 	}
@@ -132,6 +137,9 @@
 	steps["fault"] = func(w *world, t *rapid.T) { steps[rapid.SampledFrom(faultNames).Draw(t, "fault")](w, t) }
 }
 
+// maxTravel is the longest time that a status or the answer to a query is on its way.
+const maxTravel = 30 * time.Second
+
 func pick[T any](t *rapid.T, list []T) (x T, ok bool) {
 	if len(list) == 0 {
 		return x, false
@@ -175,7 +183,8 @@
 	w.addDaemon()
 }
 
-// calm lets everything among the daemons that are not paused arrive in time for a while.
+// calm lets everything that begins during it arrive in time, among the daemons that are not paused. What was on its way
+// before stays so.
 func (w *world) calm(rounds int) {
 	for range rounds {
 		w.advance(100 * time.Millisecond)
@@ -187,7 +196,7 @@
 		}
 		w.askReleases()
 		for _, s := range slices.Clone(w.sends) {
-			if !s.from.paused {
+			if !s.from.paused && !s.held {
 				w.deliver(s)
 				w.end(s, true)
 			}
@@ -198,10 +207,15 @@
 			}
 		}
 		for _, r := range slices.Clone(w.replies) {
-			if w.read(r); !r.to.paused && r.event != nil {
-				w.handle(r.to, r.event)
+			switch age := w.now.Sub(r.asked); {
+			case age < 100*time.Millisecond && r.event == nil && !r.to.paused:
+				if w.read(r); r.event != nil {
+					w.handle(r.to, r.event)
+				}
+				w.dropReply(r)
+			case age > maxTravel:
+				w.dropReply(r)
 			}
-			w.dropReply(r)
 		}
 		for _, a := range w.claims {
 			w.appendClaim(a, 2)
@@ -220,6 +234,9 @@
 		w.takeOver(w.daemons[0])
 		h = w.daemons[0]
 	}
+	for _, s := range w.sends {
+		s.held = false
+	}
 	for range 60 {
 		w.handle(h, Demand{Host: "h", Model: "a", Normal: 1})
 		w.calm(5)
--- a/pkg/cell/fleet_test.go
+++ b/pkg/cell/fleet_test.go
@@ -37,6 +37,7 @@
 		from   *daemon
 		order  Order
 		answer OrderState
+		held   bool // held tells that the sender hangs: it neither ends nor gives its answer, even while all else is calm.
 	}
 
 	// reply is a status or a query answer on its way back.
