feat(cell): other hosts' waiters in forecasts, and upstreams that return to service

The entry can use the number of requests that wait elsewhere; a host that was leaving and is listed as live again could not take work.

--- a/pkg/cell/bench_test.go
+++ b/pkg/cell/bench_test.go
@@ -95,3 +95,13 @@
 		}
 	})
 }
+
+// BenchmarkScan measures the periodic review of every model.
+func BenchmarkScan(b *testing.B) {
+	benchSizes(b, func(b *testing.B, c *Controller, now time.Time, _ int) {
+		for b.Loop() {
+			now = now.Add(scanInterval)
+			c.Handle(now, LeaseConfirmed{At: now})
+		}
+	})
+}
--- a/pkg/cell/doc.go
+++ b/pkg/cell/doc.go
@@ -6,6 +6,8 @@
 //   - Each Order is answered by an OrderResult with the same Attempt once the sender will not deliver the order again;
 //     OrderUnknown then means that no answer came. An order that is still held by a sender has no result yet.
 //   - Each Query is answered by an OrderResult with the Attempt of the query, or not at all.
+//   - At most one Claim of a model is being appended; later ones are dropped meanwhile, and so is a Claim whose Base is not
+//     the offset of the latest permit record. Otherwise a late repetition could lower permits that are in use again.
 //   - UpstreamStatus carries the time at which the status was requested, not the time at which it arrived.
 //   - A new holder knows every upstream that the previous holder could order on before it receives LeaseGained.
 //
--- a/pkg/cell/forecast.go
+++ b/pkg/cell/forecast.go
@@ -56,14 +56,14 @@
 		if len(m.demands) == 0 {
 			continue
 		}
-		at := c.predict(m)
+		at, waiters := c.predict(m), m.waiters()
 		for i := range m.demands {
-			c.answer(m, &m.demands[i], at)
+			c.answer(m, &m.demands[i], at, waiters)
 		}
 	}
 }
 
-func (c *Controller) answer(m *model, d *demand, at time.Time) {
+func (c *Controller) answer(m *model, d *demand, at time.Time, waiters int) {
 	if d.refused {
 		return
 	}
@@ -85,6 +85,12 @@
 		return
 	}
 	d.answered, d.refused, d.sent = true, f.Refused, at
+	for _, x := range m.demands {
+		if x.Host == d.Host {
+			waiters -= x.Urgent + x.Normal + x.Bulk
+		}
+	}
+	f.Others = waiters
 	c.emit(f)
 }
 
--- a/pkg/cell/rules_test.go
+++ b/pkg/cell/rules_test.go
@@ -200,6 +200,7 @@
 	c.Assert(p.orders[len(p.orders)-1].Upstream, qt.Equals, "u01")
 	for _, f := range p.answers {
 		c.Assert(f.Refused, qt.IsFalse)
+		c.Assert(f.Others <= 5, qt.IsTrue)
 		c.Assert(f.ReadyAt.Sub(asked), qt.Equals, 8*time.Second)
 	}
 	c.Assert(p.ready["a"].Sub(asked), qt.Equals, 8*time.Second)
@@ -328,6 +329,13 @@
 	p.run(10 * time.Second)
 	c.Assert(p.listed, qt.HasLen, 1)
 	c.Assert(p.listed[0].Upstream, qt.Not(qt.Equals), first)
+	p.do(UpstreamLeaving{Upstream: p.listed[0].Upstream})
+	c.Assert(p.lists("a"), qt.IsFalse)
+	for n := range p.statuses {
+		p.do(UpstreamAdded{Upstream: n, CapacityBytes: 100 * gib, ChecksFence: true})
+	}
+	p.run(time.Second)
+	c.Assert(p.lists("a"), qt.IsTrue, qt.Commentf("the upstream is live again"))
 }
 
 // Guards against more adapter loads in flight than all servers can take at full speed, and against lost adapters.
--- a/pkg/cell/settle.go
+++ b/pkg/cell/settle.go
@@ -22,6 +22,9 @@
 		// The name is used again: whatever runs there now has not been fenced yet.
 		u.gone, u.leaving, u.settled, u.fencedAt = false, false, false, time.Time{}
 	}
+	if u.leaving {
+		c.stay(u)
+	}
 	if u.checksFence != e.ChecksFence {
 		u.settled = false
 	}
@@ -86,6 +89,17 @@
 	}
 }
 
+// stay takes an upstream that was leaving back into service.
+func (c *Controller) stay(u *upstream) {
+	u.leaving = false
+	for _, r := range u.replicas {
+		if r.retire == departed {
+			r.retire = keep
+			c.ledgerChanged(r)
+		}
+	}
+}
+
 // removeUpstream frees what a gone upstream had loaded. An order that a sender still holds keeps its reservation until
 // the sender has ended, because the name could be in use again by then.
 func (c *Controller) removeUpstream(u *upstream) {
--- a/pkg/cell/types.go
+++ b/pkg/cell/types.go
@@ -102,7 +102,7 @@
 		Urgent   int // Urgent is the part of InFlight that is urgent.
 	}
 
-	// UpstreamAdded tells that an engine joined the cell, or that its host list entry changed.
+	// UpstreamAdded tells that an engine joined the cell, that it is live again, or that its host list entry changed.
 	UpstreamAdded struct {
 		Upstream      string
 		CapacityBytes int64
@@ -208,7 +208,8 @@
 		Upstream string
 	}
 
-	// Claim asks the log for a number of permits of a model; a Count below the held number yields permits.
+	// Claim asks the log for a number of permits of a model; a Count below the held number yields permits. It is repeated
+	// until a PermitChanged settles it.
 	Claim struct {
 		Fence int64 // Fence is the lease under which the claim is made; the record is void under any other.
 		Base  int64 // Base is the offset of the permit record on which the claim builds; zero means none.
@@ -243,6 +244,7 @@
 		Refused    bool
 		Code       codes.Code    // Code tells the reason of a refusal.
 		RetryAfter time.Duration // RetryAfter is the time after which a refused caller succeeds by prediction.
+		Others     int           // Others is the number of requests for the model that wait at other hosts.
 	}
 
 	// Released tells that the lease with this fence was lost and none of its orders is in flight or in doubt any more.
