test(cell): scenes that random histories rarely reach

A hanging sender across an engine restart, a status older than the end of a load, a status older than the release of the earlier holder, and a restart that loses the fence each get a test. A demand whose model is ready is no longer refused when its deadline has just passed.

--- a/pkg/cell/chaos_test.go
+++ b/pkg/cell/chaos_test.go
@@ -70,8 +70,7 @@
 		},
 		"restart": func(w *world, t *rapid.T) {
 			e, _ := pick(t, w.engines)
-			e.incarnation++
-			e.fence, e.replicas, e.orders = 0, nil, make(map[string]OrderState)
+			e.restart()
 		},
 		"host": func(w *world, t *rapid.T) {
 			e, _ := pick(t, w.engines)
--- a/pkg/cell/forecast.go
+++ b/pkg/cell/forecast.go
@@ -76,7 +76,7 @@
 		f.Refused, f.Code, f.RetryAfter = true, codes.UnknownModel, c.set.RetryDefault
 	case at.IsZero():
 		f.Refused, f.Code, f.RetryAfter = true, codes.OverCapacity, c.set.RetryDefault
-	case !d.EarliestDeadline.IsZero() && at.After(d.EarliestDeadline):
+	case at.After(c.now) && !d.EarliestDeadline.IsZero() && at.After(d.EarliestDeadline):
 		wait := at.Sub(c.now)
 		f.Refused, f.Code = true, codes.NoTimeToLoad
 		f.RetryAfter = wait + time.Duration(float64(wait)*retryMargin)
--- /dev/null
+++ b/pkg/cell/scene_test.go
@@ -0,0 +1,138 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// want keeps the demand for the model alive through calm rounds.
+func (w *world) want(model string, rounds int) {
+	for range rounds {
+		h, _ := w.holder()
+		w.handle(h, Demand{Host: "h", Model: model, Normal: 1})
+		w.calm(1)
+	}
+}
+
+// heldLoad returns the only sent load of the model, whose sender hangs, and the engine that it was sent to.
+func (w *world) heldLoad(c *qt.C, model string) (*send, *engine) {
+	w.calm(20)
+	h, _ := w.holder()
+	w.handle(h, Demand{Host: "h", Model: model, Normal: 1})
+	for _, s := range w.sends {
+		if s.order.Op == OpLoad && s.order.Model == model {
+			s.held = true
+			return s, w.engine(s.order.Upstream)
+		}
+	}
+	c.Fatalf("no load of %s was ordered", model)
+	return nil, nil
+}
+
+// remove makes the engines that check fences, or those that do not, go.
+func (w *world) remove(checks bool) {
+	for _, e := range w.engines {
+		if e.checks == checks {
+			e.gone, e.replicas = true, nil
+			w.tell(UpstreamGone{Upstream: e.name})
+		}
+	}
+}
+
+func (e *engine) restart() {
+	e.incarnation++
+	e.fence, e.replicas, e.orders = 0, nil, make(map[string]OrderState)
+}
+
+// Guards against a permit that is free again while a sender that hangs can still deliver the load to a restarted engine.
+func TestHeldSenderKeepsPermit(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(guards{})
+	s, e := w.heldLoad(c, "a")
+	w.deliver(s)
+	e.finish(e.find("a", "v1"), true)
+	w.want("a", 60)
+	e.restart()
+	w.want("a", 60)
+	w.deliver(s)
+	c.Assert(w.violation, qt.Equals, "")
+	w.end(s, false)
+	w.want("a", 60)
+	c.Assert(w.violation, qt.Equals, "")
+	c.Assert(e.find("a", "v1").ready, qt.IsTrue)
+}
+
+// Guards against a replica that a status without it frees, although the status is older than the end of its load.
+func TestOldStatusDoesNotFreeReplica(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(guards{})
+	s, e := w.heldLoad(c, "a")
+	h, _ := w.holder()
+	old := &reply{to: h, up: e.name, asked: w.now}
+	w.read(old)
+	w.deliver(s)
+	e.finish(e.find("a", "v1"), false)
+	s.answer = OrderDone
+	w.end(s, true)
+	w.handle(h, old.event)
+	c.Assert(h.c.inUse(h.c.model("a")), qt.Equals, 1)
+}
+
+// Guards against an engine that ignores fences being used on the word of a status from before the release of the earlier
+// holder, and against a load that the earlier holder ordered last.
+func TestStatusBeforeReleaseDoesNotSettle(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(guards{})
+	w.remove(true)
+	s, e := w.heldLoad(c, "a")
+	next := w.daemons[1]
+	w.takeOver(next)
+	w.readLog(next)
+	old := &reply{to: next, up: e.name, asked: w.now}
+	w.read(old)
+	w.handle(next, old.event)
+	w.now = w.now.Add(time.Second)
+	late := &reply{to: next, up: e.name, asked: w.now}
+	w.read(late)
+	w.deliver(s)
+	w.readLog(w.daemons[0])
+	w.end(s, true)
+	w.askReleases()
+	w.handle(next, late.event)
+	w.readLog(next)
+	w.handle(next, Demand{Host: "h", Model: "a", Normal: 1})
+	c.Assert(next.c.upstream(e.name).settled, qt.IsFalse)
+	w.want("a", 20)
+	c.Assert(w.violation, qt.Equals, "")
+	c.Assert(next.c.upstream(e.name).settled, qt.IsTrue)
+	c.Assert(e.find("a", "v1").ready, qt.IsTrue)
+}
+
+// Guards against orders on a restarted engine that an earlier holder can still reach, because the engine lost its fence.
+func TestRestartUnsettles(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(guards{})
+	w.remove(false)
+	s, e := w.heldLoad(c, "a")
+	next := w.daemons[1]
+	w.takeOver(next)
+	w.daemons[0].paused = true
+	w.calm(20)
+	c.Assert(next.c.upstream(e.name).settled, qt.IsTrue)
+	e.restart()
+	seen := &reply{to: next, up: e.name, asked: w.now}
+	w.read(seen)
+	w.handle(next, seen.event)
+	w.handle(next, Demand{Host: "h", Model: "a", Normal: 1})
+	for _, x := range w.sends {
+		if x.from == next && x.order.Op == OpLoad {
+			w.deliver(x)
+		}
+	}
+	w.deliver(s)
+	c.Assert(w.violation, qt.Equals, "")
+	w.want("a", 40)
+	c.Assert(w.violation, qt.Equals, "")
+}
