--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -162,6 +162,7 @@
 	w := h.fleet.world
 	e, c := w.engine(a.Upstream), h.calls[a.ID]
 	w.out.Sends++
+	c.Via = e.name
 	if h.open[a.ID] > 0 { // Every other attempt follows the end of the one before.
 		w.out.Hedges++
 	}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -57,9 +57,10 @@
 		Done       bool
 		Refused    bool
 		RetryAfter time.Duration
-		Cold       bool  // Cold tells that no replica of the model was ready.
-		Retry      bool  // Retry tells that the caller obeyed a refusal.
-		Again      *Call // Again is the request of the caller who returned.
+		Cold       bool   // Cold tells that no replica of the model was ready.
+		Retry      bool   // Retry tells that the caller obeyed a refusal.
+		Via        string // Via is the upstream of the last attempt.
+		Again      *Call  // Again is the request of the caller who returned.
 		ends       int
 		asked      time.Time // asked is when the caller learnt the address of the host.
 	}
