--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -65,7 +65,7 @@
 		}
 		p.Sections = append(p.Sections, s)
 	}
-	t, err := template.New("report.html").Funcs(template.FuncMap{"figure": figureText}).ParseFS(reportPage, "report.html")
+	t, err := template.New("report.html").Funcs(template.FuncMap{"figure": figureText, "short": short}).ParseFS(reportPage, "report.html")
 	if err != nil {
 		return codes.New(codes.Internal, err.Error())
 	}
