--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -28,7 +28,7 @@
 	"chat":      do(chat),
 	"book":      do(book),
 	"expect":    do(expect),
-	"kill":      do(kill),
+	"crash":     do(crash),
 	"signal":    do(signalProc),
 	"restart":   do(restart),
 	"planned":   do(planned),
@@ -154,9 +154,9 @@
 	for _, c := range s.Cells {
 		held[c.Cell] = !c.Released && w.aliveIncarnation(c.Holder)
 	}
-	for _, c := range w.centres {
-		if !held[c] {
-			return fmt.Errorf("cell %s has no controller", c)
+	for _, h := range w.hosts {
+		if h.Kind == wire.KindEngine && !held[h.DataCentre] {
+			return fmt.Errorf("cell %s has no controller", h.DataCentre)
 		}
 	}
 	for _, k := range s.KeyRanges {
@@ -268,7 +268,8 @@
 	return fmt.Errorf("call %s: whole %t, code %d, outcome %s, %s, after %s; want %v", a.words[0], c.whole, c.code, c.out, c.detail, c.took, a.words[1:])
 }
 
-func kill(w *world, a args) error {
+// crash NAME ends a process without warning.
+func crash(w *world, a args) error {
 	p := w.proc(a.words[0])
 	if err := p.cmd.Process.Kill(); err != nil {
 		return err
--- a/internal/scene/traffic_test.go
+++ b/internal/scene/traffic_test.go
@@ -20,13 +20,14 @@
 	whole   int
 	faults  []string
 	refused int
+	reasons map[string]int
 }
 
 // traffic start|stop runs callers=N against the model; stop reports calls that were cut off. A refusal that says "not run"
 // with a retry time is not a cut, and at most refused=N of them are allowed.
 func (w *world) traffic(a args) error {
 	if a.words[0] == "start" {
-		l := &load{stop: make(chan struct{})}
+		l := &load{stop: make(chan struct{}), reasons: make(map[string]int)}
 		for i := range a.number("callers", 4) {
 			l.done.Go(func() { w.caller(l, i, a) })
 		}
@@ -40,7 +41,7 @@
 		return fmt.Errorf("%d calls whole, %d refused, %d faults: %s", l.whole, l.refused, len(l.faults), strings.Join(l.faults, "; "))
 	}
 	if l.whole < a.number("atLeast", 1) || l.refused > a.number("refused", 0) {
-		return fmt.Errorf("%d calls whole, %d refused", l.whole, l.refused)
+		return fmt.Errorf("%d calls whole, %d refused: %v", l.whole, l.refused, l.reasons)
 	}
 	return nil
 }
@@ -76,6 +77,7 @@
 			l.whole++
 		case c.out == "notRun":
 			l.refused++
+			l.reasons[fmt.Sprintf("%d %s at %s", c.code, c.detail, host)]++
 		default:
 			l.faults = append(l.faults, fmt.Sprintf("%s: code %d %s %s after %s", host, c.code, c.out, c.detail, c.took))
 		}
