--- a/pkg/idemp/machine_test.go
+++ b/pkg/idemp/machine_test.go
@@ -14,7 +14,7 @@
 const (
 	stepsPerRun = 220
 	bulkRuns    = 3000
-	mutantRuns  = 4000
+	mutantRuns  = 1000
 )
 
 // step draws one event of a system in which anything may be late, doubled, lost, paused or killed.
@@ -23,8 +23,10 @@
 	up := n.alive && !n.paused
 	switch k := w.draw(40); {
 	case k < 14:
-		if len(w.packets) > 0 {
-			w.packet(w.draw(len(w.packets)), w.draw(10))
+		for range 1 + w.draw(4) {
+			if len(w.packets) > 0 {
+				w.packet(w.draw(len(w.packets)), w.draw(16))
+			}
 		}
 	case k < 18:
 		if up {
@@ -36,8 +38,10 @@
 			w.begin(n, w.anyKey(n))
 		}
 	case k < 27:
-		if up && !w.down {
+		if up && !w.down && w.draw(8) > 0 {
 			w.fold(n, 1+w.draw(2))
+		} else if up && !w.down {
+			w.jump(n)
 		}
 	case k < 30:
 		if len(w.appends) > 0 && !w.down {
@@ -77,19 +81,33 @@
 
 func (w *world) disturb(n *node, k int) {
 	switch {
-	case k < 7:
+	case k < 5:
 		n.paused = n.alive && !n.paused
+	case k < 8:
+		for _, o := range w.nodes {
+			o.paused = false
+		}
 	case k < 10 && n.alive:
 		w.kill(n)
-	case k < 16 && !n.alive && !n.gone:
+	case k < 14 && !n.alive && !n.gone:
 		w.restart(n)
-	case k < 19:
-		w.down = !w.down
-	case k < 21 && n.alive && !n.paused:
+	case k < 16:
+		w.down = w.draw(4) == 0
+	case k < 17 && n.alive && !n.paused:
 		n.draining = true
 		w.handle(n, Drain{})
-	case k < 23:
-		w.settle(6)
+	case k < 20:
+		w.settle(4 + w.draw(12))
+	case k < 22 && n.alive:
+		w.stall(n)
+	case k == 22: // A rack fails: a range may lose its holder and its backup.
+		for _, o := range w.nodes {
+			if o.alive && w.draw(3) > 0 {
+				w.kill(o)
+				w.restart(o)
+			}
+		}
+		w.settle(20)
 	case k == 23: // A day passes: old keys are not used again, and no process or message is that old.
 		w.heal()
 		w.now = w.now.Add(25 * time.Hour)
@@ -97,6 +115,19 @@
 	}
 }
 
+// stall pauses a host while others take its ranges over; then callers reach it before it has read the log.
+func (w *world) stall(n *node) {
+	n.paused = true
+	w.settle(w.draw(16))
+	key := w.keys[w.draw(len(w.keys))]
+	if o := w.nodes[w.draw(len(w.nodes))]; o.alive && !o.paused {
+		w.begin(o, key)
+		w.settle(w.draw(2))
+	}
+	n.paused = false
+	w.begin(n, key)
+}
+
 func simulate(f faults, draw func(n int) int) (*world, error) {
 	w := newWorld(3+draw(2), f, draw)
 	w.settle(20)
--- a/pkg/idemp/world_test.go
+++ b/pkg/idemp/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,7 @@
 
 func (w *world) newKeys() {
 	w.keys = nil
-	for i := range 5 {
+	for i := range 8 {
 		w.keys = append(w.keys, fmt.Sprintf("key-%d-%d", w.begins, i))
 	}
 }
@@ -213,7 +214,7 @@
 			continue
 		}
 		lost := !o.alive || o.paused
-		if noisy && w.draw(6) == 0 {
+		if noisy && w.draw(12) == 0 {
 			lost = !lost
 		}
 		m = append(m, Member{Incarnation: o.name, Lost: lost && o != n, Draining: o.draining})
@@ -238,17 +239,31 @@
 	}
 }
 
+// restart replaces a stopped process, or sometimes removes its host while others are up.
 func (w *world) restart(n *node) {
 	n.gone = true
-	w.nodes = append(w.nodes, w.boot())
+	others := slices.ContainsFunc(w.nodes, func(o *node) bool { return o.alive })
+	if !others || w.draw(5) > 0 {
+		w.nodes = append(w.nodes, w.boot())
+	}
+}
+
+// jump lets a host that fell behind continue from a snapshot, without the records in between.
+func (w *world) jump(n *node) {
+	n.folded = len(w.log)
+	for keyRange := range 2 {
+		if a, ok := w.current[keyRange]; ok {
+			w.handle(n, a)
+		}
+	}
 }
 
-// settle runs the system without faults until nothing moves.
+// settle lets the hosts that are up work without new faults, half a second a round.
 func (w *world) settle(rounds int) {
 	for range rounds {
 		w.now = w.now.Add(500 * time.Millisecond)
 		for _, n := range w.nodes {
-			if !n.alive {
+			if !n.alive || n.paused {
 				continue
 			}
 			if !w.down {
@@ -260,8 +275,10 @@
 		for len(w.packets) > 0 {
 			w.deliver(0, false)
 		}
-		for len(w.calls) > 0 {
-			w.call(0, 9)
+		for i := len(w.calls) - 1; i >= 0; i-- {
+			if !w.calls[i].at.paused {
+				w.call(i, 9)
+			}
 		}
 		for len(w.appends) > 0 && !w.down {
 			w.append(0, false)
