feat(member): peers, leaving upstreams, lease take-over, address answers and planned stop

Cause: every daemon needs the same rules for who is lost, who is gone and which upstreams get no new work.

--- /dev/null
+++ b/pkg/member/list_test.go
@@ -0,0 +1,228 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// pick returns the actions of one type.
+func pick[A Action](actions []Action) []A {
+	var found []A
+	for _, a := range actions {
+		if m, ok := a.(A); ok {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// group returns daemons 0 to n-1 that have all heard each other at the start.
+func group(n int) []*List {
+	var lists []*List
+	for i := range n {
+		l := New(identity(i), 10*time.Second)
+		l.Handle(start, Self{Current: true, LogContact: start})
+		for k := range n {
+			l.Handle(start, Up{Identity: identity(k), Offset: int64(k + 1), At: start})
+			l.Handle(start, Heartbeat{Identity: identity(k), Current: true})
+		}
+		lists = append(lists, l)
+	}
+	return lists
+}
+
+// Guards against proof of gone from weak evidence, and against missing strong evidence.
+func TestProofOfGone(t *testing.T) {
+	id, next := identity(1), identity(1)
+	next.Incarnation = "h1.2"
+	moved := next
+	moved.Host, moved.Address = "h9", "h9"
+	listed := func(after time.Duration, s HostState) Event {
+		return HostList{AsOf: start.Add(after), Hosts: []ListedHost{{Name: id.Host, State: s}}}
+	}
+	late := start.Add(time.Minute)
+	for _, test := range []struct {
+		name  string
+		e     Event
+		proof string
+	}{
+		{"silence", Tick{}, ""},
+		{"refused", Refused{id.Incarnation}, proofRefused},
+		{"newer at host", Up{Identity: next, Offset: 50, At: late}, proofNewer},
+		{"older at host", Up{Identity: next, Offset: 1, At: late}, ""},
+		{"newer elsewhere", Up{Identity: moved, Offset: 50, At: late}, ""},
+		{"listed", listed(time.Second, Gone), proofListed},
+		{"listed before its start", listed(0, Gone), ""},
+		{"leaving", listed(time.Second, Leaving), ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := group(3)[0]
+			actions := l.Handle(late, test.e)
+			c.Assert(l.Lost(late, id.Incarnation), qt.IsTrue)
+			c.Assert(l.Gone(id.Incarnation), qt.Equals, test.proof != "")
+			// The others are silent too, so this daemon has the first turn to record.
+			recorded := pick[RecordGone](actions)
+			c.Assert(len(recorded), qt.Equals, min(1, len(test.proof)))
+			if test.proof == "" {
+				return
+			}
+			c.Assert(recorded[0], qt.Equals, RecordGone{id.Incarnation, test.proof})
+			l.Handle(late, Heartbeat{Identity: id, Current: true})
+			c.Assert(l.Lost(late, id.Incarnation), qt.IsTrue)
+			c.Assert(pick[RecordGone](l.Handle(late.Add(time.Second), Tick{})), qt.HasLen, 0)
+			c.Assert(pick[RecordGone](l.Handle(late.Add(recordInterval), Tick{})), qt.HasLen, 1)
+			l.Handle(late, Down{id.Incarnation})
+			c.Assert(pick[RecordGone](l.Handle(late.Add(time.Minute), Tick{})), qt.HasLen, 0)
+			l.Handle(late.Add(25*time.Hour), Tick{})
+			c.Assert(l.peers[id.Incarnation], qt.IsNil)
+		})
+	}
+}
+
+// Guards against a wrong picture of a peer for the freshness rule and the key ranges.
+func TestPeers(t *testing.T) {
+	c := qt.New(t)
+	l := group(3)[0]
+	at := start.Add(SuspectAfter)
+	h := Heartbeat{Identity: identity(2), Offset: 9, LogContactAge: time.Second, Draining: true}
+	l.Handle(at, h)
+	h.Offset, h.LogContactAge = 8, time.Minute // An older message arrives later.
+	l.Handle(at, h)
+	c.Assert(l.Peers(at.Add(1)), qt.DeepEquals, []Peer{
+		{Identity: identity(1), LogContact: start, LastHeard: start, Current: true, Recorded: true, Lost: true},
+		{Identity: identity(2), Offset: 9, LogContact: at.Add(-time.Second), LastHeard: at, Draining: true, Recorded: true},
+	})
+	l.Handle(at, Down{identity(1).Incarnation})
+	c.Assert(l.Peers(at), qt.HasLen, 1)
+}
+
+// Guards against a daemon that goes on after the log recorded it as gone.
+func TestEvicted(t *testing.T) {
+	c := qt.New(t)
+	l := group(2)[0]
+	c.Assert(pick[Evicted](l.Handle(start, Down{identity(0).Incarnation})), qt.HasLen, 1)
+	c.Assert(l.Addresses(start, "dc0", 9).URLs, qt.DeepEquals, []string{"http://h1"})
+}
+
+// Guards against suspicion at the wrong time and against a herd of proposals for one lease.
+func TestTakeOver(t *testing.T) {
+	c := qt.New(t)
+	const n = 7
+	for holder := range n {
+		lists := group(n)
+		held := Lease{Cell: "dc0", DataCentre: "dc0", Offset: 20, Holder: identity(holder).Incarnation}
+		var proposed []time.Duration
+		for age := time.Duration(0); age <= 6*time.Second; age += simStep {
+			now := start.Add(age)
+			for i, l := range lists {
+				if i == holder {
+					continue
+				}
+				actions := l.Handle(now, held)
+				for k := range n {
+					if k != holder {
+						actions = append(actions, l.Handle(now, Heartbeat{Identity: identity(k), Current: true})...)
+					}
+				}
+				for _, p := range pick[TakeOver](actions) {
+					c.Assert(p, qt.Equals, TakeOver{Cell: "dc0", Base: 20})
+					c.Assert(i%3, qt.Equals, 0)
+					proposed = append(proposed, age)
+				}
+			}
+		}
+		c.Assert(proposed[0], qt.Equals, SuspectAfter+simStep)
+		c.Assert(proposed[1]-proposed[0], qt.Equals, leaseRankDelay)
+	}
+}
+
+// Guards against answers that name daemons which cannot serve, that herd callers, or that are empty.
+func TestAddresses(t *testing.T) {
+	c := qt.New(t)
+	l := group(6)[0]
+	firsts := map[string]int{}
+	for range 40 {
+		got := l.Addresses(start, "dc1", 9)
+		c.Assert(got.URLs, qt.HasLen, 6)
+		c.Assert(got.Lifetime, qt.Equals, 10*time.Second)
+		firsts[got.URLs[0]]++
+	}
+	c.Assert(firsts, qt.DeepEquals, map[string]int{"http://h1": 20, "http://h4": 20})
+	c.Assert(l.Addresses(start, "dc1", 2).URLs, qt.HasLen, 2)
+	l.Handle(start, Heartbeat{Identity: identity(1), Current: true, Draining: true})
+	l.Handle(start, Heartbeat{Identity: identity(4)})
+	l.Handle(start, Refused{identity(2).Incarnation})
+	l.Handle(start, Refused{identity(5).Incarnation})
+	c.Assert(l.Addresses(start, "dc3", 9).URLs, qt.ContentEquals, []string{"http://h0", "http://h3"})
+	silent := start.Add(SuspectAfter + 1)
+	c.Assert(l.Addresses(silent, "dc1", 9).URLs, qt.DeepEquals, []string{"http://h0"})
+	beats := pick[Beat](l.Handle(start, Self{Current: true, Draining: true}))
+	c.Assert(beats, qt.HasLen, 1)
+	c.Assert(beats[0].Heartbeat.Draining, qt.IsTrue)
+	c.Assert(l.Addresses(silent, "dc1", 9).URLs, qt.HasLen, 0)
+}
+
+// Guards against evidence that a late answer of an old incarnation ends, and against evidence that outlives a restart.
+func TestNewerIncarnation(t *testing.T) {
+	c := qt.New(t)
+	l := group(2)[0]
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	seen := func(now, asked int, inc string) { l.Handle(at(now), UpstreamSeen{simTarget, inc, at(asked)}) }
+	seen(1, 0, "a")
+	seen(4, 3, "b")
+	seen(5, 0, "a") // A late answer of the first incarnation.
+	l.Handle(at(6), UpstreamRefused{simTarget, "b"})
+	c.Assert(l.Leaving(simTarget), qt.IsTrue)
+	seen(7, 5, "b")
+	seen(7, 5, "c") // Asked before the evidence: it may be of any incarnation.
+	seen(8, 7, "b")
+	c.Assert(l.Leaving(simTarget), qt.IsTrue)
+	seen(10, 9, "c")
+	c.Assert(l.Leaving(simTarget), qt.IsFalse)
+	old := Evidence{Upstream: simTarget, Incarnation: "b", First: at(6), Last: at(11)}
+	l.Handle(at(11), Heartbeat{Identity: identity(1), Leaving: []Evidence{old}})
+	c.Assert(l.Leaving(simTarget), qt.IsFalse)
+	old.Incarnation, old.Last = "c", at(1000)
+	changed := pick[LeavingChanged](l.Handle(at(12), Heartbeat{Identity: identity(1), Leaving: []Evidence{old}}))
+	c.Assert(changed, qt.DeepEquals, []LeavingChanged{{Upstream: simTarget, Leaving: true, First: at(6)}})
+	l.Handle(at(20), HostList{AsOf: at(13), Hosts: []ListedHost{{Name: simTarget, Upstream: true}}})
+	c.Assert(l.Leaving(simTarget), qt.IsFalse)
+}
+
+// Guards against a planned stop that refuses callers who may still have the address, or that miscounts interruptions.
+func TestStop(t *testing.T) {
+	c := qt.New(t)
+	s := NewStop(StopConfig{AddressLifetime: 10 * time.Second, FinishLimit: time.Minute, HandOverLimit: 5 * time.Second})
+	s.Advance(start, Load{})
+	c.Assert(s.Stage(), qt.Equals, Running)
+	s.Begin(start)
+	s.Begin(start.Add(time.Hour))
+	for _, step := range []struct {
+		at       time.Duration
+		load     Load
+		stage    Stage
+		accepts  bool
+		finished bool
+	}{
+		{0, Load{}, Announcing, true, false},
+		{11*time.Second - 1, Load{}, Announcing, true, false},
+		{11 * time.Second, Load{2, 1, 3}, Finishing, false, false},
+		{71*time.Second - 1, Load{2, 1, 3}, Finishing, false, false},
+		{71 * time.Second, Load{1, 1, 3}, HandingOver, false, false},
+		{75 * time.Second, Load{0, 0, 1}, HandingOver, false, false},
+		{76 * time.Second, Load{0, 0, 1}, Stopped, false, true},
+	} {
+		stage, _ := s.Advance(start.Add(step.at), step.load)
+		c.Assert(stage, qt.Equals, step.stage, qt.Commentf("%v", step.at))
+		c.Assert(s.Accepts(), qt.Equals, step.accepts)
+		_, finished := s.Done()
+		c.Assert(finished, qt.Equals, step.finished)
+	}
+	done, _ := s.Done()
+	c.Assert(done, qt.Equals, Done{Interrupted: 1, Kept: 1})
+}
