--- a/pkg/cell/orders.go
+++ b/pkg/cell/orders.go
@@ -178,7 +178,7 @@
 	if r.phase != loading {
 		return
 	}
-	r.phase, r.ready, r.lost = loaded, true, false
+	r.phase, r.ready, r.lost, r.readyAt = loaded, true, false, c.now
 	c.finishLoad(r)
 	c.urgent = true
 	c.ledgerChanged(r)
@@ -200,7 +200,8 @@
 			r.phase = checking
 			r.up.changedAt = c.now
 		case r.phase == unloading:
-			r.phase = loaded
+			r.phase, r.retryAt = loaded, c.now.Add(c.set.FailureDelay)
+			c.emit(ReadStatus{Upstream: r.up.name})
 		}
 		if r.load == nil && s == OrderDone {
 			c.dropReplica(r)
