feat: membership, freshness and append planner in the daemon

Cause: a log outage stopped all hosts; leaving upstreams and gone hosts were judged by provisional rules; an append's outcome was forgotten after its deadline. Change: pkg/member, pkg/fresh and fold.Planner decide; bookings wait up to 3 s while their range moves.

--- a/internal/daemon/appends.go
+++ b/internal/daemon/appends.go
@@ -10,31 +10,28 @@
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
 )
 
-const (
-	appendDeadline = 10 * time.Second
-	appendBackoff  = 100 * time.Millisecond
-	maxBackoff     = 2 * time.Second
-)
+const appendDeadline = 10 * time.Second
 
 type (
-	// appends sends records to the log until the fold shows what became of them. It belongs to the control thread.
+	// appends carries out the planner's appends to the log. It belongs to the control thread.
 	appends struct {
 		d       *Daemon
+		planner *fold.Planner
+		alarm   *alarm
 		pending map[string]*pendingAppend
 	}
 
 	pendingAppend struct {
-		record   fold.Record
-		data     []byte
-		deadline time.Time
-		backoff  time.Duration
-		doubt    bool
-		done     func(offset int64, err error)
+		kind fold.Kind
+		done func(offset int64, err error)
 	}
 )
 
 func newAppends(d *Daemon) *appends {
-	return &appends{d: d, pending: make(map[string]*pendingAppend)}
+	a := &appends{d: d, planner: fold.NewPlanner(0, d.random), pending: make(map[string]*pendingAppend)}
+	a.planner.MayPublish = func(now time.Time) error { return d.members.fresh.MayPublish(now) }
+	a.alarm = newAlarm(d.control, func() { a.handle(fold.Tick{}) })
+	return a
 }
 
 // add appends the record and calls done once with the offset of the accepted record, or with the reason why it was not
@@ -54,72 +51,75 @@
 		done(v.First, verdictError(v))
 		return
 	}
-	r.By, r.Seen = a.d.incarnation, a.d.state.Offset()
-	data, err := fold.Encode(r)
-	if err != nil {
-		done(0, err)
-		return
-	}
 	if _, ok := a.pending[r.ID]; ok {
 		done(0, codes.New(codes.AppendInDoubt, "the same change is being appended"))
 		return
 	}
-	p := &pendingAppend{record: r, data: data, deadline: time.Now().Add(appendDeadline), backoff: appendBackoff, done: done}
-	a.pending[r.ID] = p
-	a.send(p)
+	r.By = a.d.incarnation
+	a.pending[r.ID] = &pendingAppend{r.Kind, done}
+	a.handle(fold.Submit{Record: r, Deadline: time.Now().Add(appendDeadline)})
 }
 
-func (a *appends) send(p *pendingAppend) {
-	a.d.background(func(ctx context.Context) {
-		ctx, span := a.d.traces.Start(ctx, "log append")
-		defer span.End()
-		_, err := a.d.logs.Append(ctx, p.data)
-		a.d.control.post(func() { a.answered(p, err) })
-	})
+// appending reports whether a record of the kind is under way.
+func (a *appends) appending(k fold.Kind) bool {
+	for _, p := range a.pending {
+		if p.kind == k {
+			return true
+		}
+	}
+	return false
 }
 
-// answered looks at the log's answer. Success is decided by the fold; without an answer the same record is sent again,
-// which the fold recognises by its change id.
-func (a *appends) answered(p *pendingAppend, err error) {
-	if a.pending[p.record.ID] != p {
-		return
-	}
-	result := "ok"
-	if err != nil {
-		result = codes.From(err).Code().Title()
-		p.doubt = p.doubt || codes.Is(err, codes.AppendInDoubt)
+func (a *appends) handle(e fold.Event) {
+	actions := a.planner.Handle(time.Now(), e)
+	a.d.members.setIntent(a.planner.Publishing())
+	for _, x := range actions {
+		switch x := x.(type) {
+		case fold.Append:
+			a.send(x)
+		case fold.Done:
+			a.finish(x.ID, x.Verdict.First, verdictError(x.Verdict))
+		case fold.GiveUp:
+			a.finish(x.ID, 0, x.Err)
+		case fold.Wake:
+			a.alarm.set(x.At)
+		}
 	}
-	a.d.metrics.Append(string(p.record.Kind), result)
-	if codes.Is(err, codes.BadRecord) {
-		a.finish(p, 0, err)
-		return
+}
+
+func (a *appends) send(x fold.Append) {
+	kind := "withdraw"
+	if p, ok := a.pending[x.ID]; ok {
+		kind = string(p.kind)
 	}
-	// A record that was appended shows in the fold soon; if it does not, its answer was wrong and it is sent again.
-	p.backoff = min(2*p.backoff, maxBackoff)
-	time.AfterFunc(p.backoff, func() { a.d.control.post(func() { a.again(p) }) })
+	a.d.background(func(ctx context.Context) {
+		ctx, span := a.d.traces.Start(ctx, "log append")
+		defer span.End()
+		_, err := a.d.logs.Append(ctx, x.Data)
+		a.d.control.post(func() { a.answered(kind, x.ID, err) })
+	})
 }
 
-func (a *appends) again(p *pendingAppend) {
+func (a *appends) answered(kind, id string, err error) {
 	switch {
-	case a.pending[p.record.ID] != p:
-	case time.Now().After(p.deadline) && p.doubt:
-		a.finish(p, 0, codes.New(codes.AppendInDoubt, "no answer from the log"))
-	case time.Now().After(p.deadline):
-		a.finish(p, 0, codes.New(codes.LogUnavailable, "the log refused the record").WithRetryAfter(maxBackoff))
+	case err == nil:
+		a.d.metrics.Append(kind, "ok")
+		a.handle(fold.AppendAnswered{ID: id})
+	case codes.Is(err, codes.AppendInDoubt):
+		a.d.metrics.Append(kind, "lost")
+		a.handle(fold.AppendLost{ID: id})
 	default:
-		a.send(p)
+		a.d.metrics.Append(kind, "refused")
+		a.handle(fold.AppendRefused{ID: id})
 	}
 }
 
-// folded tells that the fold has decided on the change id.
-func (a *appends) folded(id string, v fold.Verdict) {
-	if p, ok := a.pending[id]; ok {
-		a.finish(p, v.First, verdictError(v))
+func (a *appends) finish(id string, offset int64, err error) {
+	p, ok := a.pending[id]
+	if !ok {
+		return // It was given up before, and its end has come now.
 	}
-}
-
-func (a *appends) finish(p *pendingAppend, offset int64, err error) {
-	delete(a.pending, p.record.ID)
+	delete(a.pending, id)
 	p.done(offset, err)
 }
 
--- a/internal/daemon/bookings.go
+++ b/internal/daemon/bookings.go
@@ -21,8 +21,11 @@
 
 const (
 	maxServiceTries = 3
-	proposeDelay    = 50 * time.Millisecond
-	forwardSlack    = 3 * time.Second // forwardSlack is added to a service's timeout for a call through the key's holder.
+	// A range moves to another pair of hosts within this time when a host stops as planned; a call waits for it.
+	movingLimit  = 3 * time.Second
+	movingRetry  = 50 * time.Millisecond
+	proposeDelay = 50 * time.Millisecond
+	forwardSlack = 3 * time.Second // forwardSlack is added to a service's timeout for a call through the key's holder.
 )
 
 type (
@@ -62,11 +65,15 @@
 		s, _ := b.d.view().Service(call.Service)
 		return b.send(ctx, call, slices.Contains(s.Repeatable, call.Method))
 	}
-	end := b.begin(call, false)
-	if end.forward == "" {
-		return end.answer, end.err
+	for limit := time.Now().Add(movingLimit); ; pause(ctx, movingRetry) {
+		end := b.begin(call, false)
+		if end.forward != "" {
+			end.answer, end.err = b.d.forward(ctx, end.forward, call)
+		}
+		if !codes.Is(end.err, codes.KeyRangeMoving) || time.Now().After(limit) || ctx.Err() != nil {
+			return end.answer, end.err
+		}
 	}
-	return b.d.forward(ctx, end.forward, call)
 }
 
 // begin asks the key's owner state to run the call and waits for its end. It does not end when the caller leaves: the
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -14,6 +14,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/member"
 	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
 
@@ -55,7 +56,7 @@
 	}
 	s := cell.DefaultSettings()
 	s.Cell = name
-	s.Home = func(model string) bool { return home(model, c.d.upstreams.cells) == name }
+	s.Home = func(model string) bool { return home(model, c.d.upstreams.usable) == name }
 	s.StoreLoadsPerSecond = c.d.settings.Store.LoadsPerSecond / float64(max(1, len(c.d.upstreams.cells)))
 	s.StoreSlots = max(1, c.d.settings.Store.Slots/max(1, len(c.d.upstreams.cells)))
 	s.AdaptersInFlight = max(1, c.d.settings.Store.AdaptersInFlight/max(1, len(c.d.upstreams.cells)))
@@ -127,7 +128,7 @@
 }
 
 func (r *cellRun) sync(l fold.Lease) {
-	mine := l.Incarnation == r.d.incarnation && !l.Released && r.d.stopping.stage < handingOver
+	mine := l.Incarnation == r.d.incarnation && !l.Released && r.d.stopping.stage < member.HandingOver
 	earlier := make(map[string]int64, len(l.Unsettled))
 	for _, h := range l.Unsettled {
 		earlier[h.Incarnation] = h.Offset
@@ -393,24 +394,48 @@
 	}
 }
 
-// beat repeats the directory, so that a host that missed it or has just started learns it, and passes loads on.
+// beat repeats the directory, so that a host that missed it or has just started learns it, and asks earlier holders
+// whether they have released the lease.
 func (r *cellRun) beat() {
-	if r.held && r.directory.Seq > 0 {
+	if !r.held {
+		return
+	}
+	if r.directory.Seq > 0 {
 		r.d.tellAll("Directory", r.directory)
 	}
+	for holder, fence := range r.earlier {
+		r.askRelease(holder, fence)
+	}
+}
+
+func (r *cellRun) askRelease(holder string, fence int64) {
+	m, ok := r.d.state.Member(holder)
+	if !ok {
+		return
+	}
+	r.d.background(func(ctx context.Context) {
+		var reply peers.ReleaseReply
+		args := peers.ReleaseArgs{Header: r.d.header(ctx), Cell: r.name, Fence: fence}
+		err := r.d.peerClient.Call(ctx, m.Addresses.Peers, "Peer.Release", args, &reply)
+		r.d.countPeerCall("Release", err)
+		if err == nil && reply.Released {
+			r.post(cell.PriorReleased{Holder: holder, Fence: fence})
+		}
+	})
 }
 
-// homeOf returns the cell that decides on loads of a model: one that holds permits, the own one first, else the home cell.
+// homeOf returns the cell that decides on loads of a model: the own one if it holds permits, else another that does, else
+// the home cell. Cells without an engine that takes loads are left out.
 func (c *cells) homeOf(model string) string {
+	usable := c.d.upstreams.usable
 	own := c.d.settings.Host.DataCentre
-	permits := c.d.state.Permits(model)
-	if c.d.state.Permit(model, own) > 0 {
+	if c.d.state.Permit(model, own) > 0 && slices.Contains(usable, own) {
 		return own
 	}
-	for _, p := range permits {
-		if p.Count > 0 {
+	for _, p := range c.d.state.Permits(model) {
+		if p.Count > 0 && slices.Contains(usable, p.Cell) {
 			return p.Cell
 		}
 	}
-	return home(model, c.d.upstreams.cells)
+	return home(model, usable)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 		engines     *engine.Client
 		peerClient  *peers.Client
 		peerServer  *peers.Server
+		door        *front.Callers
 		callers     *http.Server
 		operators   *http.Server
 		decisions   decisions
@@ -56,6 +57,7 @@
 		snapshotAsked int64
 		encoded       []byte
 		encodedAt     int64
+		fetching      bool
 		appends       *appends
 		upstreams     *upstreams
 		cells         *cells
@@ -86,6 +88,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(),
 	}
 	d.control = newControl(d.metrics)
+	d.members = newMembers(d)
 	d.appends = newAppends(d)
 	d.upstreams = newUpstreams(d)
 	d.cells = newCells(d)
@@ -93,7 +96,6 @@
 	d.bookings = newBookings(d, idemp.New(idemp.Config{
 		Incarnation: d.incarnation, Ranges: fold.KeyRanges, KeyLifetime: s.Caller.KeyLifetime.Value(),
 	}, d.random))
-	d.members = newMembers(d)
 	d.stopping = newStopping(d)
 	d.publish()
 	return d, d.listen()
@@ -109,7 +111,8 @@
 }
 
 func (d *Daemon) listen() error {
-	callers, err := d.callersDoor().Handler()
+	d.door = d.callersDoor()
+	callers, err := d.door.Handler()
 	if err != nil {
 		return errors.Wrap(err, "callers' API")
 	}
@@ -213,7 +216,7 @@
 
 // ready returns why the daemon must not take new work, or nil.
 func (d *Daemon) ready() error {
-	if d.members == nil || !d.members.everCurrent {
+	if !d.members.everCurrent && d.state.Offset() == 0 {
 		return codes.New(codes.NotReady, "no configuration has been read yet").WithRetryAfter(time.Second)
 	}
 	if ok, why := d.members.current(time.Now()); !ok {
--- a/internal/daemon/logtail.go
+++ b/internal/daemon/logtail.go
@@ -77,12 +77,8 @@
 	for i := range fold.KeyRanges {
 		d.assign(s.KeyRange(i), unknownBase)
 	}
-	for id := range d.appends.pending {
-		if v, ok := s.Seen(id); ok {
-			d.appends.folded(id, v)
-		}
-	}
 	d.sync()
+	d.appends.handle(fold.Restored{State: s})
 }
 
 // readDone applies records. End tells whether the state is now as new as the log was when the read began.
@@ -115,7 +111,7 @@
 				d.assign(d.state.KeyRange(c.Range), c.Base)
 			}
 		}
-		d.appends.folded(v.Record.ID, v)
+		d.appends.handle(fold.Folded{Verdict: v})
 	}
 	return changed
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -54,10 +54,6 @@
 	}
 	result := make(chan verdict, 1)
 	d.control.post(func() {
-		if err := d.members.mayPublish(time.Now()); err != nil {
-			result <- verdict{0, err}
-			return
-		}
 		d.appends.add(r, func(offset int64, err error) { result <- verdict{offset, err} })
 	})
 	select {
@@ -108,7 +104,7 @@
 		s.Ready = true
 	}
 	d.control.ask(func() {
-		s.Stage = d.stopping.stage.String()
+		s.Stage = stageName(d.stopping.stage)
 		s.Offset = d.state.Offset()
 		s.InFlight = len(d.models.calls) + len(d.bookings.waiting)
 		s.Cells = d.cellReports()
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -20,9 +20,19 @@
 // service holds the methods that peers call.
 type service struct{ d *Daemon }
 
-// Heartbeat takes a heartbeat in.
-func (s *service) Heartbeat(a peers.Heartbeat, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.heartbeatFrom(a) })
+// Heartbeat takes a heartbeat in and answers with this daemon's own.
+func (s *service) Heartbeat(a peers.Heartbeat, reply *peers.Heartbeat) error {
+	if a.Beat.Incarnation == "" {
+		return codes.New(codes.BadPeerMessage, "incarnation is missing")
+	}
+	s.d.control.ask(func() {
+		now := time.Now()
+		s.d.members.fresh.Note(a.Fresh)
+		s.d.heartbeatFrom(a.Beat)
+		*reply = peers.Heartbeat{
+			Header: s.d.header(s.d.life), Beat: s.d.members.heartbeat(now), Fresh: s.d.members.fresh.Beat(now, a.Beat.Incarnation),
+		}
+	})
 	return nil
 }
 
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,43 +8,31 @@
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
 	"github.com/fireflycleat/fireflycleat/pkg/idemp"
+	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
 const (
-	// handOverLimit bounds the hand-over of leases and key ranges; during a log outage they cannot be handed over and the
-	// others take them later.
+	// handOverLimit bounds the hand-over of leases and key ranges. During a log outage they cannot be handed over, and the
+	// others take them over later.
 	handOverLimit = 5 * time.Second
-	// drainLimit bounds the time for streams to finish. Reports run for minutes.
-	drainLimit   = 15 * time.Minute
+	// finishLimit bounds the time for streams to finish; reports run for minutes.
+	finishLimit  = 15 * time.Minute
 	stopInterval = 50 * time.Millisecond
 )
 
-// The stages of a planned stop.
-const (
-	serving stopStage = iota
-	draining
-	finishing
-	handingOver
-)
-
-type (
-	stopStage int
-
-	// stopping is a planned stop. Its fields belong to the control thread.
-	stopping struct {
-		d         *Daemon
-		requested chan struct{}
-		asked     bool
-		stage     stopStage
-		idle      bool
-	}
-)
-
-func newStopping(d *Daemon) *stopping { return &stopping{d: d, requested: make(chan struct{})} }
+// stopping is a planned stop. Its fields belong to the control thread.
+type stopping struct {
+	d         *Daemon
+	requested chan struct{}
+	asked     bool
+	rules     *member.Stop
+	stage     member.Stage
+}
 
-// String returns the name of the stage as operators see it.
-func (s stopStage) String() string {
-	return [...]string{"serving", "draining", "finishing", "handingOver"}[s]
+func newStopping(d *Daemon) *stopping {
+	return &stopping{d: d, requested: make(chan struct{}), rules: member.NewStop(member.StopConfig{
+		AddressLifetime: d.settings.Caller.AddressLifetime.Value(), FinishLimit: finishLimit, HandOverLimit: handOverLimit,
+	})}
 }
 
 // begin marks the daemon as draining. It may be called more than once.
@@ -53,6 +41,10 @@
 		return
 	}
 	s.asked = true
+	s.rules.Begin(time.Now())
+	s.stage = s.rules.Stage()
+	s.d.log("stop").Info("draining")
+	s.d.refresh()
 	close(s.requested)
 }
 
@@ -65,62 +57,74 @@
 	case <-s.d.control.stopped:
 		return nil
 	}
-	s.d.log("stop").Info("draining")
-	s.d.control.ask(func() {
-		s.stage = draining
-		s.d.models.idle = func() { s.idle = true }
-		s.d.beatNow()
-	})
-	// Callers keep an address for its lifetime, and peers hand it out until they learn of the stop by a heartbeat.
-	time.Sleep(s.d.settings.Caller.AddressLifetime.Value() + 2*beatInterval)
-	s.d.control.ask(func() {
-		s.stage = finishing
-		s.d.models.handle(entry.Drain{})
-		s.d.bookings.handle(idemp.Drain{})
-	})
-	// Idle connections are closed and new ones refused; requests in progress go on.
-	ended, cancel := context.WithTimeout(context.Background(), drainLimit)
-	defer cancel()
-	err := s.d.callers.Shutdown(ended)
-	s.handOver()
-	if err != nil {
-		return codes.New(codes.StreamBroken, "requests were cut off: "+err.Error())
+	for {
+		var done member.Done
+		ended := false
+		if !s.d.control.ask(func() { done, ended = s.advance() }) {
+			return nil
+		}
+		if ended {
+			return s.result(done)
+		}
+		time.Sleep(stopInterval)
+	}
+}
+
+func (s *stopping) result(done member.Done) error {
+	if done.Kept > 0 {
+		s.d.log("stop").Warn("leases or key ranges were not handed over in time", "count", done.Kept)
+	}
+	if done.Interrupted > 0 {
+		return codes.Newf(codes.StreamBroken, "%d requests were cut off", done.Interrupted)
 	}
 	return nil
 }
 
-// handOver gives up the cell leases and key ranges.
-func (s *stopping) handOver() {
-	s.d.control.ask(func() {
-		s.stage = handingOver
-		for _, r := range s.d.cells.byName {
-			if r.held {
-				r.lose()
+// advance moves the stop on and carries out what its new stage asks for.
+func (s *stopping) advance() (member.Done, bool) {
+	stage, _ := s.rules.Advance(time.Now(), s.load())
+	if stage != s.stage {
+		s.stage = stage
+		s.d.log("stop").Info("stage", "stage", stageName(stage))
+		switch stage {
+		case member.Finishing:
+			s.d.models.handle(entry.Drain{})
+			// Shutdown closes idle connections and refuses new ones; requests in progress go on.
+			s.d.background(func(ctx context.Context) { _ = s.d.callers.Shutdown(ctx) })
+		case member.HandingOver:
+			s.d.bookings.handle(idemp.Drain{})
+			for _, r := range s.d.cells.byName {
+				if r.held {
+					r.lose()
+				}
 			}
 		}
-	})
-	for deadline := time.Now().Add(handOverLimit); time.Now().Before(deadline); time.Sleep(stopInterval) {
-		done := false
-		s.d.control.ask(func() { done = s.handedOver() })
-		if done {
-			return
-		}
 	}
-	s.d.log("stop").Warn("leases or key ranges were not handed over in time")
+	return s.rules.Done()
 }
 
-func (s *stopping) handedOver() bool {
-	for _, l := range s.d.state.Leases() {
-		if l.Incarnation == s.d.incarnation && !l.Released {
-			return false
+// load returns what the daemon still has. Alone it has nobody to hand key ranges over to.
+func (s *stopping) load() member.Load {
+	d := s.d
+	l := member.Load{Requests: int(d.door.InFlight())}
+	for _, x := range d.state.Leases() {
+		if x.Incarnation == d.incarnation && !x.Released {
+			l.Leases++
 		}
 	}
+	if len(d.state.Members()) == 1 {
+		return l
+	}
 	for i := range fold.KeyRanges {
-		if s.d.state.KeyRange(i).Holder == s.d.incarnation && len(s.d.state.Members()) > 1 {
-			return false
+		if k := d.state.KeyRange(i); k.Holder == d.incarnation || k.Backup == d.incarnation {
+			l.Ranges++
 		}
 	}
-	return len(s.d.appends.pending) == 0
+	return l
+}
+
+func stageName(s member.Stage) string {
+	return [...]string{"serving", "announcing", "finishing", "handingOver", "stopped"}[s]
 }
 
 // leaseReleased records that no order under the lost lease is in flight any more.
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
+	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
 const hostListInterval = 500 * time.Millisecond
@@ -21,7 +22,8 @@
 		leaving map[string]bool
 		polling map[string]bool
 		status  map[string]wire.EngineStatus
-		cells   []string
+		cells   []string // Cells are those with an engine that is not gone.
+		usable  []string // Usable cells have an engine that takes loads.
 	}
 )
 
@@ -63,13 +65,43 @@
 			u.entry(h)
 		}
 	}
-	cells := make(map[string]bool)
-	for _, h := range u.hosts {
-		if h.Kind == wire.KindEngine {
+	u.count()
+	u.d.members.handle(listEvent(l))
+	u.d.members.syncLeases()
+}
+
+// count finds the cells and those that take loads.
+func (u *upstreams) count() {
+	cells, usable := make(map[string]bool), make(map[string]bool)
+	for n, h := range u.hosts {
+		if h.Kind == wire.KindEngine && h.State != wire.HostGone {
 			cells[h.DataCentre] = true
+			if !u.leaving[n] {
+				usable[h.DataCentre] = true
+			}
 		}
 	}
-	u.cells = slices.Sorted(maps.Keys(cells))
+	u.cells, u.usable = slices.Sorted(maps.Keys(cells)), slices.Sorted(maps.Keys(usable))
+}
+
+func listEvent(l wire.HostList) member.HostList {
+	states := map[wire.HostState]member.HostState{wire.HostLive: member.Live, wire.HostLeaving: member.Leaving, wire.HostGone: member.Gone}
+	e := member.HostList{AsOf: l.AsOf}
+	for _, h := range l.Hosts {
+		e.Hosts = append(e.Hosts, member.ListedHost{Name: h.Name, Upstream: h.Kind != wire.KindEntry, State: states[h.State]})
+	}
+	return e
+}
+
+// entryHosts returns the peer addresses of entry hosts that the host list does not call gone.
+func (u *upstreams) entryHosts() []string {
+	var list []string
+	for _, h := range u.hosts {
+		if h.Kind == wire.KindEntry && h.State != wire.HostGone {
+			list = append(list, h.Address)
+		}
+	}
+	return list
 }
 
 func (u *upstreams) entry(h wire.Host) {
@@ -77,17 +109,13 @@
 	u.hosts[h.Name] = h
 	switch {
 	case h.Kind == wire.KindEntry:
-		u.d.hostListed(h)
 	case h.State == wire.HostGone:
 		if known && old.State != wire.HostGone {
 			u.gone(h)
 		}
-	case h.State == wire.HostLeaving:
-		u.left(h.Name)
 	case h.Kind == wire.KindEngine && (!known || old != h):
 		u.d.cells.get(h.DataCentre).handle(cell.UpstreamAdded{Upstream: h.Name, ChecksFence: h.ChecksFence})
-		if known && old.State != wire.HostLive {
-			delete(u.leaving, h.Name)
+		if known && old.State == wire.HostGone {
 			u.d.models.handle(entry.UpstreamLive{Upstream: h.Name})
 		}
 	}
@@ -102,17 +130,22 @@
 	}
 }
 
-// left records evidence that the upstream is leaving; the evidence goes to peers with the next heartbeat.
-func (u *upstreams) left(name string) {
-	if u.leaving[name] {
+// leavingChanged takes the evidence of this daemon and its peers on whether new work may go to the upstream.
+func (u *upstreams) leavingChanged(name string, leaving bool) {
+	h := u.hosts[name]
+	u.leaving[name] = leaving
+	u.count()
+	u.d.log("membership").Info("upstream changed", "upstream", name, "leaving", leaving)
+	if !leaving {
+		u.d.models.handle(entry.UpstreamLive{Upstream: name})
+		if h.Kind == wire.KindEngine {
+			u.d.cells.get(h.DataCentre).handle(cell.UpstreamAdded{Upstream: name, ChecksFence: h.ChecksFence})
+		}
 		return
 	}
-	u.leaving[name] = true
-	u.d.log("membership").Info("upstream is leaving", "upstream", name)
-	u.d.leavingSeen(name)
 	u.d.models.handle(entry.UpstreamLeaving{Upstream: name})
-	if u.hosts[name].Kind == wire.KindEngine {
-		u.d.cells.get(u.cell(name)).handle(cell.UpstreamLeaving{Upstream: name})
+	if h.Kind == wire.KindEngine {
+		u.d.cells.get(h.DataCentre).handle(cell.UpstreamLeaving{Upstream: name})
 	}
 }
 
@@ -148,8 +181,9 @@
 
 func (u *upstreams) reported(h wire.Host, asked time.Time, s wire.EngineStatus) {
 	u.status[h.Name] = s
+	u.d.members.handle(member.UpstreamSeen{Upstream: h.Name, Incarnation: s.Incarnation, AskedAt: asked})
 	if s.Leaving {
-		u.left(h.Name)
+		u.d.members.handle(member.UpstreamRefused{Upstream: h.Name, Incarnation: s.Incarnation})
 	}
 	u.d.cells.get(h.DataCentre).status(h, asked, s)
 }
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -91,6 +91,9 @@
 	return app, nil
 }
 
+// InFlight returns the number of requests in progress.
+func (c *Callers) InFlight() int64 { return c.inFlight.Load() }
+
 func newApp() *iris.Application {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -6,7 +6,9 @@
 
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fresh"
 	"github.com/fireflycleat/fireflycleat/pkg/idemp"
+	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
 type (
@@ -19,22 +21,11 @@
 	// Nothing is the reply of methods that only deliver.
 	Nothing struct{}
 
-	// Heartbeat is sent each second.
+	// Heartbeat is both argument and reply of a heartbeat.
 	Heartbeat struct {
 		Header
-		Host       string
-		DataCentre string
-		Offset     int64
-		LogAge     time.Duration // LogAge is the time since the sender last read the log to its end.
-		Current    bool
-		Draining   bool
-		Leaving    []Leaving
-	}
-
-	// Leaving tells that an upstream is leaving and for how long that has been known.
-	Leaving struct {
-		Upstream string
-		Age      time.Duration
+		Beat  member.Heartbeat
+		Fresh fresh.Beat
 	}
 
 	// RecordsArgs asks for the state of a peer that is ahead of the offset.
--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -124,9 +124,11 @@
 	return w.settled(a)
 }
 
-// settled waits until the living hosts know each other, and each cell and key range has a holder and a backup.
+// settled waits until the living hosts know each other, and each cell and key range has a holder and a backup among them.
 func (w *world) settled(a args) error {
 	return await(a.duration("within", readyTimeout), func() error {
+		var all []wire.Status
+		living := make(map[string]bool)
 		for _, name := range w.names("host") {
 			if !w.alive(name) {
 				continue
@@ -135,24 +137,25 @@
 			if err := w.request(http.MethodGet, name, "/v1/status", nil, &s); err != nil {
 				return err
 			}
-			if err := w.complete(s); err != nil {
-				return fmt.Errorf("%s: %w", name, err)
+			living[s.Incarnation] = true
+			all = append(all, s)
+		}
+		for _, s := range all {
+			if err := w.complete(s, living); err != nil {
+				return fmt.Errorf("%s: %w", s.Host, err)
 			}
 		}
 		return nil
 	})
 }
 
-func (w *world) complete(s wire.Status) error {
-	held := make(map[string]bool)
-	living := 0
-	for _, n := range w.names("host") {
-		if w.alive(n) {
-			living++
-		}
+func (w *world) complete(s wire.Status, living map[string]bool) error {
+	if !s.Ready {
+		return fmt.Errorf("not ready: %s", s.Reason)
 	}
+	held := make(map[string]bool)
 	for _, c := range s.Cells {
-		held[c.Cell] = !c.Released && w.aliveIncarnation(c.Holder)
+		held[c.Cell] = !c.Released && living[c.Holder]
 	}
 	for _, h := range w.hosts {
 		if h.Kind == wire.KindEngine && !held[h.DataCentre] {
@@ -160,13 +163,10 @@
 		}
 	}
 	for _, k := range s.KeyRanges {
-		if !w.aliveIncarnation(k.Holder) || living > 1 && !w.aliveIncarnation(k.Backup) {
+		if !living[k.Holder] || len(living) > 1 && !living[k.Backup] {
 			return fmt.Errorf("%d key ranges have holder %q and backup %q", k.Ranges, k.Holder, k.Backup)
 		}
 	}
-	if !s.Ready {
-		return fmt.Errorf("not ready: %s", s.Reason)
-	}
 	return nil
 }
 
@@ -183,12 +183,6 @@
 	}
 }
 
-// aliveIncarnation tells whether the incarnation belongs to a host that runs; incarnations start with the host's name.
-func (w *world) aliveIncarnation(incarnation string) bool {
-	name, _, _ := strings.Cut(incarnation, ".")
-	return w.alive(name)
-}
-
 func modelTemplate(a args, name string) spec.Template {
 	return spec.Template{Name: name, Kind: spec.ModelTemplate, Model: &spec.Model{
 		Version: a.text("version", "v1"), MaxReplicas: a.number("maxReplicas", 2), WeightBytes: int64(a.number("weight", gib)),
--- a/internal/scene/judges_test.go
+++ b/internal/scene/judges_test.go
@@ -249,19 +249,18 @@
 func (w *world) follow(x *watch, name string) {
 	last, incarnation := int64(0), ""
 	for {
+		var s wire.Status
+		if w.request(http.MethodGet, name, "/v1/status", nil, &s) == nil {
+			x.samples.Add(1)
+			if s.Incarnation == incarnation && s.Offset < last {
+				x.reverts.Add(1)
+			}
+			last, incarnation = s.Offset, s.Incarnation
+		}
 		select {
 		case <-x.stop:
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		var s wire.Status
-		if w.request(http.MethodGet, name, "/v1/status", nil, &s) != nil {
-			continue
-		}
-		x.samples.Add(1)
-		if s.Incarnation == incarnation && s.Offset < last {
-			x.reverts.Add(1)
-		}
-		last, incarnation = s.Offset, s.Incarnation
 	}
 }
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -200,7 +200,9 @@
 		return err
 	}
 	p.address, p.operator, p.settings = free[0], free[2], file
-	return nil
+	return w.request(http.MethodPut, "hosts", "/v1/hosts/"+name, wire.Host{
+		Name: name, Address: free[1], DataCentre: centre, Kind: wire.KindEntry, State: wire.HostLive,
+	}, nil)
 }
 
 // request sends a JSON request to a stand-in, or to a daemon's operators' API, and decodes the answer into into.
