--- a/pkg/cell/forecast.go
+++ b/pkg/cell/forecast.go
@@ -56,14 +56,14 @@
 		if len(m.demands) == 0 {
 			continue
 		}
-		at := c.predict(m)
+		at, waiters := c.predict(m), m.waiters()
 		for i := range m.demands {
-			c.answer(m, &m.demands[i], at)
+			c.answer(m, &m.demands[i], at, waiters)
 		}
 	}
 }
 
-func (c *Controller) answer(m *model, d *demand, at time.Time) {
+func (c *Controller) answer(m *model, d *demand, at time.Time, waiters int) {
 	if d.refused {
 		return
 	}
@@ -76,7 +76,7 @@
 		f.Refused, f.Code, f.RetryAfter = true, codes.UnknownModel, c.set.RetryDefault
 	case at.IsZero():
 		f.Refused, f.Code, f.RetryAfter = true, codes.OverCapacity, c.set.RetryDefault
-	case !d.EarliestDeadline.IsZero() && at.After(d.EarliestDeadline):
+	case at.After(c.now) && !d.EarliestDeadline.IsZero() && at.After(d.EarliestDeadline):
 		wait := at.Sub(c.now)
 		f.Refused, f.Code = true, codes.NoTimeToLoad
 		f.RetryAfter = wait + time.Duration(float64(wait)*retryMargin)
@@ -85,6 +85,12 @@
 		return
 	}
 	d.answered, d.refused, d.sent = true, f.Refused, at
+	for _, x := range m.demands {
+		if x.Host == d.Host {
+			waiters -= x.Urgent + x.Normal + x.Bulk
+		}
+	}
+	f.Others = waiters
 	c.emit(f)
 }
 
