--- a/pkg/cell/chaos_test.go
+++ b/pkg/cell/chaos_test.go
@@ -217,7 +217,7 @@
 			}
 		}
 		for _, a := range w.claims {
-			w.appendClaim(a, 2)
+			w.appendClaim(a, w.limit)
 		}
 		w.claims = nil
 	}
--- a/pkg/cell/fleet_test.go
+++ b/pkg/cell/fleet_test.go
@@ -84,14 +84,14 @@
 		version   int
 		nextName  int
 		violation string
-		ordered   int
+		limit     int // limit is the number of permits that the log grants for a model while all is calm.
 	}
 )
 
 func newWorld(off guards) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), off: off, permits: make(map[string]int), offsets: make(map[string]int64),
-		released: make(map[int]bool), models: []string{"a", "b", "c"}, version: 1,
+		released: make(map[int]bool), models: []string{"a", "b", "c"}, version: 1, limit: 2,
 	}
 	w.log = append(w.log, record{at: w.now})
 	for _, m := range w.models {
@@ -163,7 +163,6 @@
 	for _, a := range d.c.Handle(w.now, e) {
 		switch a := a.(type) {
 		case Order:
-			w.ordered++
 			w.judgeOrder(d, a)
 			w.sends = append(w.sends, &send{from: d, order: a})
 		case Query:
--- a/pkg/cell/rules_test.go
+++ b/pkg/cell/rules_test.go
@@ -258,6 +258,11 @@
 	c.Assert(p.lists("a"), qt.IsTrue)
 	p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(5 * time.Second)})
 	c.Assert(p.answers[len(p.answers)-1].ReadyAt, qt.Equals, p.now)
+	p.statuses["u00"].UsedBytes = 95 * gib
+	p.run(time.Minute)
+	p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(time.Hour)})
+	p.run(time.Second)
+	c.Assert(p.answers[len(p.answers)-1].Code, qt.Equals, codes.OverCapacity)
 	p.do(Demand{Host: "h", Model: "none", Normal: 1})
 	c.Assert(p.answers[len(p.answers)-1].Code, qt.Equals, codes.UnknownModel)
 }
--- a/pkg/cell/scene_test.go
+++ b/pkg/cell/scene_test.go
@@ -18,6 +18,7 @@
 
 // heldLoad returns the only sent load of the model, whose sender hangs, and the engine that it was sent to.
 func (w *world) heldLoad(c *qt.C, model string) (*send, *engine) {
+	w.limit = 1
 	w.calm(20)
 	h, _ := w.holder()
 	w.handle(h, Demand{Host: "h", Model: model, Normal: 1})
@@ -77,7 +78,8 @@
 	s.answer = OrderDone
 	w.end(s, true)
 	w.handle(h, old.event)
-	c.Assert(h.c.inUse(h.c.model("a")), qt.Equals, 1)
+	w.handle(h, Tick{})
+	c.Assert(w.sends, qt.HasLen, 0, qt.Commentf("the model is loaded again"))
 }
 
 // Guards against an engine that ignores fences being used on the word of a status from before the release of the earlier
@@ -98,6 +100,8 @@
 	w.read(late)
 	w.deliver(s)
 	w.readLog(w.daemons[0])
+	w.askReleases()
+	c.Assert(next.c.priors, qt.HasLen, 1, qt.Commentf("the load is still in the hands of a sender"))
 	w.end(s, true)
 	w.askReleases()
 	w.handle(next, late.event)
@@ -121,6 +125,7 @@
 	w.daemons[0].paused = true
 	w.calm(20)
 	c.Assert(next.c.upstream(e.name).settled, qt.IsTrue)
+	w.tell(UpstreamLeaving{Upstream: e.name}) // The successor would load on the other engine.
 	e.restart()
 	seen := &reply{to: next, up: e.name, asked: w.now}
 	w.read(seen)
@@ -136,3 +141,19 @@
 	w.want("a", 40)
 	c.Assert(w.violation, qt.Equals, "")
 }
+
+// Guards against a permit that is free again when an upstream goes, while a sender can still deliver to its successor.
+func TestGoneUpstreamKeepsHeldSends(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(guards{})
+	s, e := w.heldLoad(c, "a")
+	w.tell(UpstreamGone{Upstream: e.name})
+	w.want("a", 20)
+	w.deliver(s)
+	c.Assert(w.violation, qt.Equals, "")
+	e.gone, e.replicas = true, nil
+	w.end(s, false)
+	w.want("a", 20)
+	c.Assert(w.violation, qt.Equals, "")
+	c.Assert(w.engines[0].find("a", "v1") != nil || w.engines[2].find("a", "v1") != nil, qt.IsTrue)
+}
