--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -37,7 +37,8 @@
 		orders    []*order
 		lastOrder int
 		store     store
-		adapting  int // adapting counts the adapter loads in flight or in doubt.
+		near      [TierRemote]float64 // near holds the load times from the nearer tiers relative to the store at full speed.
+		adapting  int                 // adapting counts the adapter loads in flight or in doubt.
 
 		nextScan    time.Time
 		nextStart   time.Time // nextStart is when the store's rate allows the next queued load.
@@ -54,7 +55,10 @@
 
 // New returns a controller that does not hold the lease.
 func New(s Settings) *Controller {
-	return &Controller{set: s, view: spec.NewView(0, nil, nil), byModel: make(map[string]*model), store: newStore(s)}
+	return &Controller{
+		set: s, view: spec.NewView(0, nil, nil), byModel: make(map[string]*model), store: newStore(s),
+		near: [TierRemote]float64{TierMemory: s.MemoryFactor, TierDisk: s.DiskFactor},
+	}
 }
 
 // Handle applies the event and returns the actions to take, in order.
@@ -238,7 +242,7 @@
 func (c *Controller) model(name string) *model {
 	m, ok := c.byModel[name]
 	if !ok {
-		m = &model{name: name, index: len(c.models), yield: noYield, yielding: noYield, lowSince: c.now, idleAt: c.now}
+		m = &model{name: name, index: len(c.models), yield: noYield, yielding: noYield, lowSince: c.now, idleAt: c.now, heatAt: c.now}
 		m.spec, m.known = c.view.Model(name)
 		c.models = append(c.models, m)
 		c.byModel[name] = m
--- a/pkg/cell/idle.go
+++ b/pkg/cell/idle.go
@@ -12,6 +12,8 @@
 	// gapDecay is the factor on older observations; it keeps about the last fifty gaps, so that the distribution follows
 	// changes within a day.
 	gapDecay = 0.98
+	// heatHalfLife is the time in which past work counts half when replicas are compared for eviction.
+	heatHalfLife = 5 * time.Minute
 	// minGaps is the weight of observations from which the distribution is used instead of the break-even time.
 	minGaps = 4
 )
@@ -59,7 +61,11 @@
 
 // trackActivity notes when the work of a model begins and ends.
 func (c *Controller) trackActivity(m *model) {
-	active := m.waiters() > 0 || m.running() > 0
+	work := m.waiters() + m.running()
+	dt := c.now.Sub(m.heatAt).Seconds()
+	m.heat = m.heat*math.Exp2(-dt/heatHalfLife.Seconds()) + float64(m.work)*dt
+	m.heatAt, m.work = c.now, work
+	active := work > 0
 	if active && !m.active {
 		if gap := c.now.Sub(m.idleAt); m.seen && gap >= c.set.DrainDelay {
 			m.gaps.observe(gap)
@@ -72,9 +78,15 @@
 	m.seen = m.seen || active
 }
 
-// idleTimeout returns how long the model's replicas stay loaded without work.
+// idleTimeout returns how long the model's replicas stay loaded without work. While loads queue at the store, a later load
+// costs more than its own time.
 func (c *Controller) idleTimeout(m *model) time.Duration {
-	t := m.gaps.timeout(c.loadTime(m, c.nearest(m)).Seconds() * c.set.ColdCost)
+	tier := c.nearest(m)
+	load := c.loadTime(m, tier)
+	if tier == TierRemote {
+		load += waitCost * c.store.congestion(c.now)
+	}
+	t := m.gaps.timeout(load.Seconds() * c.set.ColdCost)
 	return min(max(time.Duration(t*float64(time.Second)), c.set.IdleMin), c.set.IdleMax)
 }
 
--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -13,6 +13,8 @@
 	evictPenalty = time.Second
 	// evictAhead is how long before the predicted start of a load idle replicas are evicted for it.
 	evictAhead = time.Second
+	// planAhead is how long before its predicted start a load gets memory in the plan.
+	planAhead = 2 * time.Second
 	// promiseWeight is the weight of refused callers who are expected back, in the units of the urgency weights.
 	promiseWeight = 0.5
 	// agePeriod is the waiting time that doubles the score of a queued load, up to maxAge times the score.
@@ -81,6 +83,7 @@
 			}
 		}
 	}
+	c.store.noteWait(c.now, p.next().Sub(c.now))
 	c.queue = slices.DeleteFunc(c.queue, func(m *model) bool {
 		if m.missing <= 0 {
 			m.queued = false
@@ -133,6 +136,15 @@
 		c.predictBlocked(m)
 		return false
 	}
+	if start := p.next(); start.After(c.now.Add(planAhead)) && c.nearest(m) == TierRemote {
+		// Memory is planned only for loads that start soon: until the others start, replicas come and go.
+		ready := start.Add(c.loadTime(m, TierRemote))
+		if m.readyAt.IsZero() {
+			m.readyAt = ready
+		}
+		p.take(start, ready)
+		return false
+	}
 	best, found := c.choose(m, p)
 	if !found {
 		c.makeRoom(m)
@@ -215,30 +227,31 @@
 }
 
 func (c *Controller) finishLoad(r *replica) {
-	if r.tier == TierRemote {
-		c.store.finish(r, c.now, r.phase == loaded, c.loadTime(r.model, TierRemote))
-	}
 	c.replan = true
+	switch done := r.phase == loaded; {
+	case r.tier == TierRemote:
+		c.store.finish(r, c.now, done, c.loadTime(r.model, TierRemote))
+	case done && r.model.known:
+		observed := float64(c.now.Sub(r.startedAt)) / float64(r.model.spec.LoadTime())
+		c.near[r.tier] += (observed - c.near[r.tier]) * observeShare
+	}
 }
 
 // loadTime returns the expected time of a load from the tier.
 func (c *Controller) loadTime(m *model, t Tier) time.Duration {
 	f := c.store.slowdown
-	switch t {
-	case TierMemory:
-		f = c.set.MemoryFactor
-	case TierDisk:
-		f = c.set.DiskFactor
+	if t < TierRemote {
+		f = c.near[t]
 	}
 	return time.Duration(float64(m.spec.LoadTime()) * f)
 }
 
-// evict unloads the replicas that have been idle longest until the upstream has the memory.
+// evict unloads the least useful idle replicas until the upstream has the memory.
 func (c *Controller) evict(u *upstream, need int64) {
 	for u.avail+u.soon < need {
 		var victim *replica
 		for _, r := range u.replicas {
-			if c.evictable(r) && (victim == nil || r.model.idleAt.Before(victim.model.idleAt)) {
+			if c.evictable(r) && (victim == nil || c.lessUseful(r, victim)) {
 				victim = r
 			}
 		}
@@ -251,6 +264,15 @@
 	}
 }
 
+// lessUseful compares idle replicas by the load time that they save for each byte, and then by the time of their last work.
+func (c *Controller) lessUseful(a, b *replica) bool {
+	saves := func(r *replica) float64 {
+		return r.model.heat * r.model.spec.LoadTime().Seconds() / float64(max(r.bytes, 1))
+	}
+	x, y := saves(a), saves(b)
+	return x < y || x == y && a.model.idleAt.Before(b.model.idleAt)
+}
+
 // makeRoom drains one replica for a model that fits nowhere and whose waiting work is worth more.
 func (c *Controller) makeRoom(m *model) {
 	m.blocked = true
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -48,6 +48,9 @@
 		idleAt   time.Time // idleAt is when the model last had work.
 		lowSince time.Time // lowSince is since when one replica fewer would do.
 		gaps     gaps
+		work     int       // work is the number of requests, waiting or running, as of heatAt.
+		heat     float64   // heat is the decaying sum of work over time, in request seconds.
+		heatAt   time.Time // heatAt is the time of heat.
 	}
 
 	// demand is the waiting work of one host and adapter.
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -12,8 +12,11 @@
 	StoreSlots          int     // StoreSlots is the cell's share of the loads at full speed at once.
 	AdaptersInFlight    int     // AdaptersInFlight is the cell's share of the adapter loads in flight.
 
-	MemoryFactor float64 // MemoryFactor is the load time from host memory relative to the store.
-	DiskFactor   float64 // DiskFactor is the load time from disk relative to the store.
+	// MemoryFactor is the load time from host memory relative to the store at full speed; later loads correct it.
+	MemoryFactor float64
+	// DiskFactor is the load time from disk relative to the store at full speed; later loads correct it.
+	DiskFactor float64
+
 	UrgentWeight float64 // UrgentWeight is the weight of an urgent waiter in the load order.
 	NormalWeight float64
 	BulkWeight   float64
--- a/pkg/cell/store.go
+++ b/pkg/cell/store.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,12 @@
 	maxSlowdown  = 50.0
 	// overdueShare is the part of the time a load has taken that an overdue load is expected to need still.
 	overdueShare = 0.2
+	// waitHalfLife is the time in which the remembered wait for the store halves; it spans several loads, so that idle
+	// replicas do not come and go with every gap in the queue.
+	waitHalfLife = time.Minute
+	// waitCost is the cost of the wait for the store relative to a load: a load that an unload makes necessary waits
+	// itself, and the loads behind it wait longer by about as much.
+	waitCost = 2
 )
 
 type (
@@ -21,6 +28,8 @@
 		slowdown float64
 		due      time.Time // due is when the starts so far are paid off at the permitted rate.
 		active   []*replica
+		wait     time.Duration // wait is the remembered time that a load waits for the store, as of waitAt.
+		waitAt   time.Time
 	}
 
 	// plan is a projection of the store for one pass over the load queue.
@@ -56,6 +65,16 @@
 	s.slowdown = min(max(s.slowdown+(observed-s.slowdown)*observeShare, 1), maxSlowdown)
 }
 
+// noteWait remembers the predicted wait of a load that is added behind the queue.
+func (s *store) noteWait(now time.Time, wait time.Duration) {
+	s.wait, s.waitAt = max(s.congestion(now), wait), now
+}
+
+// congestion returns the time that loads waited for the store lately.
+func (s *store) congestion(now time.Time) time.Duration {
+	return time.Duration(float64(s.wait) * math.Exp2(-now.Sub(s.waitAt).Seconds()/waitHalfLife.Seconds()))
+}
+
 // plan projects the slots: the store allows a burst of one second's starts.
 func (s *store) plan(now time.Time) plan {
 	p := plan{now: now, interval: s.interval, due: s.due, slots: make([]time.Time, max(s.slots, len(s.active)))}
