--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -37,10 +37,12 @@
 		orders    []*order
 		lastOrder int
 		store     store
-		adapting  int // adapting counts the adapter loads in flight or in doubt.
+		near      [TierRemote]float64 // near holds the load times from the nearer tiers relative to the store at full speed.
+		adapting  int                 // adapting counts the adapter loads in flight or in doubt.
 
 		nextScan    time.Time
 		nextStart   time.Time // nextStart is when the store's rate allows the next queued load.
+		sums        counters
 		seq         uint64
 		stale       bool // stale tells that the directory differs from the one published.
 		urgent      bool // urgent tells that the directory must be published without delay.
@@ -54,7 +56,10 @@
 
 // New returns a controller that does not hold the lease.
 func New(s Settings) *Controller {
-	return &Controller{set: s, view: spec.NewView(0, nil, nil), byModel: make(map[string]*model), store: newStore(s)}
+	return &Controller{
+		set: s, view: spec.NewView(0, nil, nil), byModel: make(map[string]*model), store: newStore(s),
+		near: [TierRemote]float64{TierMemory: s.MemoryFactor, TierDisk: s.DiskFactor},
+	}
 }
 
 // Handle applies the event and returns the actions to take, in order.
@@ -69,8 +74,11 @@
 	return c.out
 }
 
-// Holds reports whether the controller holds the lease, and the fence of its latest tenure.
-func (c *Controller) Holds() (fence int64, ok bool) { return c.fence, c.holds }
+// Holds reports whether the controller holds the lease.
+func (c *Controller) Holds() bool { return c.holds }
+
+// Fence returns the fencing number of the latest tenure, or zero if there was none.
+func (c *Controller) Fence() int64 { return c.fence }
 
 // Released reports whether no order of the tenure with the fence, or of an older one, can still reach an engine. It is
 // false for a tenure that the controller has not heard of, because its LeaseGained may still be on its way.
@@ -125,6 +133,7 @@
 	c.raiseFences()
 	if !c.now.Before(c.nextScan) {
 		c.nextScan = c.now.Add(scanInterval)
+		c.sumIdle()
 		for _, m := range c.models {
 			c.touch(m)
 		}
@@ -238,7 +247,7 @@
 func (c *Controller) model(name string) *model {
 	m, ok := c.byModel[name]
 	if !ok {
-		m = &model{name: name, index: len(c.models), yield: noYield, yielding: noYield, lowSince: c.now, idleAt: c.now}
+		m = &model{name: name, index: len(c.models), yield: noYield, yielding: noYield, lowSince: c.now, idleAt: c.now, heatAt: c.now}
 		m.spec, m.known = c.view.Model(name)
 		c.models = append(c.models, m)
 		c.byModel[name] = m
