fix: refusals while a cell's controller changes

Cause: after a takeover the controller refused loads as if memory were missing while its upstreams were being settled; a data centre without a serving daemon waited 10 s for a foreign one; a new host was handed out before it had directories. Change: unsettled upstreams give a forecast; foreign daemons take over at once when none at home serves; readiness needs directories; engines that load are asked for their status each 50 ms.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -8,7 +8,10 @@
 	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
-const republishInterval = time.Second
+const (
+	republishInterval = time.Second
+	loadPollInterval  = 50 * time.Millisecond
+)
 
 // beat does what recurs until the daemon stops: it asks engines for their status, and repeats what peers may have missed.
 func (d *Daemon) beat(ctx context.Context) error {
@@ -33,10 +36,29 @@
 	}
 }
 
+// watchLoads asks engines that load a model for their status until the daemon stops.
+func (d *Daemon) watchLoads(ctx context.Context) error {
+	t := time.NewTicker(loadPollInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+		d.control.ask(func() {
+			for _, r := range d.cells.byName {
+				r.pollLoading()
+			}
+		})
+	}
+}
+
 // refresh brings what depends on time up to date.
 func (d *Daemon) refresh() {
 	now := time.Now()
-	ok, _ := d.members.current(now)
+	d.publish()
+	ok := d.snapshot.Load().ready == nil
 	d.members.handle(member.Self{
 		Offset: d.state.Offset(), LogContact: d.members.logContact, Current: ok, Draining: d.stopping.asked,
 	})
@@ -44,7 +66,6 @@
 	d.members.confirm(now)
 	d.metrics.Load(len(d.models.calls), len(d.models.calls)+len(d.bookings.waiting))
 	d.metrics.State(d.state.Offset(), ok)
-	d.publish()
 }
 
 // repeat sends directories again and asks earlier lease holders whether they have released.
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -162,6 +162,7 @@
 	clear(r.permits)
 	r.syncPermits()
 	r.handle(gained)
+	r.d.upstreams.pollHeld()
 }
 
 func (r *cellRun) lose() {
@@ -235,6 +236,7 @@
 		defer span.End()
 		state, err := r.d.engines.Order(ctx, address, o)
 		r.result(a.OrderID, a.Attempt, state, err)
+		r.d.control.post(func() { r.d.upstreams.poll(a.Upstream) })
 	})
 }
 
@@ -381,6 +383,7 @@
 
 // applyDirectory passes a directory and its loads to the entry machine.
 func (d *Daemon) applyDirectory(x peers.Directory) {
+	d.directories[x.Cell] = true
 	e := entry.Directory{Cell: x.Cell, Fence: x.Fence, Seq: int64(x.Seq)}
 	for _, r := range x.Replicas {
 		e.Replicas = append(e.Replicas, route.Replica{
@@ -394,15 +397,24 @@
 	}
 }
 
+// pollLoading asks the engines that load a model for their status, so that waiting calls go on as soon as it is ready.
+func (r *cellRun) pollLoading() {
+	for _, x := range r.directory.Replicas {
+		if r.held && !x.Ready {
+			r.d.upstreams.poll(x.Upstream)
+		}
+	}
+}
+
 // beat repeats the directory, so that a host that missed it or has just started learns it, and asks earlier holders
 // whether they have released the lease.
 func (r *cellRun) beat() {
 	if !r.held {
 		return
 	}
-	if r.directory.Seq > 0 {
-		r.d.tellAll("Directory", r.directory)
-	}
+	r.d.directories[r.name] = true
+	r.directory.Fence = r.fence
+	r.d.tellAll("Directory", r.directory)
 	for holder, fence := range r.earlier {
 		r.askRelease(holder, fence)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,7 +27,10 @@
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
-const closeTimeout = 5 * time.Second
+const (
+	closeTimeout = 5 * time.Second
+	warmUp       = 3 * time.Second
+)
 
 type (
 	// Daemon is one entry host. The fields after control belong to the control thread.
@@ -58,6 +61,9 @@
 		encoded       []byte
 		encodedAt     int64
 		fetching      bool
+		started       time.Time
+		warmed        bool
+		directories   map[string]bool // Directories holds the cells whose directory has arrived.
 		appends       *appends
 		upstreams     *upstreams
 		cells         *cells
@@ -85,7 +91,7 @@
 		settings: s, incarnation: s.Host.Name + "." + uuid.NewString()[:8], logger: logs, metrics: telem.NewMetrics(),
 		traces: traces, logs: logsvc.New(s.Platform.Log.String(), s.Platform.LogStream, s.Host.Name),
 		engines: engine.New(traces.ToHeader), peerClient: peers.NewClient(), life: life, endLife: end,
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(), directories: make(map[string]bool),
 	}
 	d.control = newControl(d.metrics)
 	d.members = newMembers(d)
@@ -150,6 +156,7 @@
 	d.addLoop(&g, d.tail)
 	d.addLoop(&g, d.pollHostList)
 	d.addLoop(&g, d.beat)
+	d.addLoop(&g, d.watchLoads)
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return d.stopping.wait(stop) }, func(error) { cancel() })
 	d.log("daemon").Info("started", "incarnation", d.incarnation, "traffic", d.settings.Listen.Traffic.String())
@@ -222,9 +229,29 @@
 	if ok, why := d.members.current(time.Now()); !ok {
 		return codes.New(codes.NotCurrent, why).WithRetryAfter(time.Second)
 	}
+	if !d.warm() {
+		return codes.New(codes.NotReady, "directories of replicas are missing").WithRetryAfter(time.Second)
+	}
 	return nil
 }
 
+// warm reports whether the directories of all cells have arrived. Until then a new daemon would refuse calls to models that
+// are loaded; it waits for warmUp at most, since a cell may have no controller.
+func (d *Daemon) warm() bool {
+	if d.warmed {
+		return true
+	}
+	if d.started.IsZero() {
+		d.started = time.Now()
+	}
+	missing := false
+	for _, l := range d.state.Leases() {
+		missing = missing || !d.directories[l.Cell]
+	}
+	d.warmed = len(d.upstreams.cells) > 0 && !missing || time.Since(d.started) > warmUp
+	return d.warmed
+}
+
 // sync passes what the fold has changed to the decision packages.
 func (d *Daemon) sync() {
 	v := d.state.View()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -103,7 +103,8 @@
 // heartbeat returns what a heartbeat says outside the list's own schedule.
 func (m *members) heartbeat(now time.Time) member.Heartbeat {
 	s := m.d.settings
-	ok, _ := m.current(now)
+	// Callers see the published readiness, so peers must not be told of a newer one.
+	ok := m.d.snapshot.Load().ready == nil
 	return member.Heartbeat{
 		Identity: member.Identity{
 			Incarnation: m.d.incarnation, Host: s.Host.Name, Address: s.Listen.Peers.String(), CallerURL: s.Listen.Traffic.String(),
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -77,11 +77,26 @@
 		<-p.done
 	}
 	failed := w.env.T().(interface{ Failed() bool }).Failed()
+	if failed {
+		w.showLogs()
+	}
 	for _, r := range w.rules {
 		table.add(r[0], r[1], failed || len(w.broken) > 0)
 	}
 }
 
+// showLogs prints the last lines of the daemons' logs after a failure.
+func (w *world) showLogs() {
+	for _, name := range w.names("host") {
+		b, err := os.ReadFile(filepath.Join(w.env.WorkDir, name+".log"))
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+		w.env.T().Log(name + ":\n" + strings.Join(lines[max(0, len(lines)-25):], "\n"))
+	}
+}
+
 // start runs the program and returns when a stand-in has printed its address; daemons print none.
 func (w *world) start(name string, standin bool, args ...string) (*proc, error) {
 	c := exec.Command(w.binary, args...)
--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -127,6 +127,11 @@
 	}
 }
 
+// settling reports whether an upstream may soon take loads that takes none yet, as after a takeover.
+func (c *Controller) settling() bool {
+	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return !u.settled && !u.leaving && !u.gone })
+}
+
 // placeOne orders or plans one load of the model; ok is false when no further load of it can be planned.
 func (c *Controller) placeOne(m *model, p *plan) (ok bool) {
 	if !c.mayLoad(m) || !c.canOrder() {
@@ -134,6 +139,10 @@
 		return false
 	}
 	best, found := c.choose(m, p)
+	if !found && c.settling() {
+		c.predictBlocked(m)
+		return false
+	}
 	if !found {
 		c.makeRoom(m)
 		return false
--- a/pkg/member/lease.go
+++ b/pkg/member/lease.go
@@ -53,12 +53,22 @@
 
 func (l *List) leaseDelay(now time.Time, c *lease) time.Duration {
 	d := time.Duration(l.rank(now, c.Cell, c.DataCentre)) * leaseRankDelay
-	if l.self.DataCentre != c.DataCentre {
+	if l.self.DataCentre != c.DataCentre && l.servedAtHome(now, c.DataCentre) {
 		d += foreignDelay
 	}
 	return d
 }
 
+// servedAtHome reports whether a daemon of the data centre can take its lease.
+func (l *List) servedAtHome(now time.Time, dataCentre string) bool {
+	for _, p := range l.peers {
+		if p.DataCentre == dataCentre && p.serving(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // rank counts the daemons able to act that come before this one for a subject, by rendezvous hashing; those of the data
 // centre come first if one is given.
 func (l *List) rank(now time.Time, subject, dataCentre string) int {
