--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -20,11 +20,6 @@
 	// agePeriod is the waiting time that doubles the score of a queued load, up to maxAge times the score.
 	agePeriod = 10 * time.Second
 	maxAge    = 3.0
-	// preemptFactor is how much more the waiting work must weigh than the work of a replica that is drained for it; a
-	// smaller factor lets two models of equal demand displace each other in turn.
-	preemptFactor = 2.0
-	// residence is the number of its load times for which a replica serves before it may be drained for other work.
-	residence = 2
 )
 
 // The ways in which a load can get its memory.
@@ -275,64 +270,6 @@
 	return x < y || x == y && a.model.idleAt.Before(b.model.idleAt)
 }
 
-// makeRoom drains one replica for a model that fits nowhere and whose waiting work is worth more.
-func (c *Controller) makeRoom(m *model) {
-	m.blocked = true
-	if r := m.preempting; r == nil || r.retire != preempt || !slices.Contains(r.up.replicas, r) {
-		m.preempting = c.preemptible(m)
-		if m.preempting == nil {
-			return
-		}
-		c.sums.drains++
-		c.startRetire(m.preempting, preempt)
-	}
-	m.blocked = false
-	m.readyAt = c.now.Add(c.set.RetryDefault + c.loadTime(m, c.nearest(m)))
-}
-
-// preemptible returns the replica with the least valuable work whose memory would let the model in.
-func (c *Controller) preemptible(m *model) *replica {
-	worth := c.weight(m.waiting())
-	urgent, _, _ := m.waiting()
-	var best *replica
-	least := 0.0
-	for _, u := range c.upstreams {
-		if !c.eligible(u, m) {
-			continue
-		}
-		for _, r := range u.replicas {
-			if r.retire != keep || r.phase != loaded || !c.resident(r) ||
-				u.avail+u.soon+u.evictable+r.bytes < m.spec.ReplicaBytes() {
-				continue
-			}
-			x := r.model
-			first, _, _ := x.waiting()
-			value := c.value(x)
-			if (urgent == 0 || x.urgent+first > 0) && worth < value*preemptFactor {
-				continue
-			}
-			if best == nil || value < least {
-				best, least = r, value
-			}
-		}
-	}
-	return best
-}
-
-// value is the weight of a model's work for each of its replicas.
-func (c *Controller) value(m *model) float64 {
-	w := c.weight(m.waiting()) + c.weight(m.urgent, max(m.running()-m.urgent, 0), 0)
-	if c.now.Before(m.promised) {
-		w += promiseWeight
-	}
-	return w / float64(max(len(m.replicas), 1))
-}
-
-// resident reports whether a replica has served for long enough to have been worth its load.
-func (c *Controller) resident(r *replica) bool {
-	return r.ready && c.now.Sub(later(r.closedAt, r.readyAt)) >= residence*c.loadTime(r.model, r.tier)
-}
-
 func (c *Controller) weight(urgent, normal, bulk int) float64 {
 	return float64(urgent)*c.set.UrgentWeight + float64(normal)*c.set.NormalWeight + float64(bulk)*c.set.BulkWeight
 }
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -30,6 +30,7 @@
 	DemandLife      time.Duration // DemandLife is the least time for which a demand counts without being repeated.
 	PublishInterval time.Duration // PublishInterval is the least time between two directories.
 	DrainDelay      time.Duration // DrainDelay is the time that a directory needs to reach every entry.
+	DrainTime       time.Duration // DrainTime is the expected time until a drained replica with work is empty.
 	AdapterTime     time.Duration // AdapterTime is the expected time of an adapter load.
 	RetryDefault    time.Duration // RetryDefault is the retry time where no prediction exists.
 
@@ -58,6 +59,7 @@
 		DemandLife:          10 * time.Second,
 		PublishInterval:     50 * time.Millisecond,
 		DrainDelay:          1500 * time.Millisecond,
+		DrainTime:           5 * time.Second,
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
 		ColdCost:            1,
