--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -13,16 +13,13 @@
 	evictPenalty = time.Second
 	// evictAhead is how long before the predicted start of a load idle replicas are evicted for it.
 	evictAhead = time.Second
+	// planAhead is how long before its predicted start a load gets memory in the plan.
+	planAhead = 2 * time.Second
 	// promiseWeight is the weight of refused callers who are expected back, in the units of the urgency weights.
 	promiseWeight = 0.5
 	// agePeriod is the waiting time that doubles the score of a queued load, up to maxAge times the score.
 	agePeriod = 10 * time.Second
 	maxAge    = 3.0
-	// preemptFactor is how much more the waiting work must weigh than the work of a replica that is drained for it; a
-	// smaller factor lets two models of equal demand displace each other in turn.
-	preemptFactor = 2.0
-	// residence is the number of its load times for which a replica serves before it may be drained for other work.
-	residence = 2
 )
 
 // The ways in which a load can get its memory.
@@ -81,6 +78,7 @@
 			}
 		}
 	}
+	c.store.noteWait(c.now, p.next().Sub(c.now))
 	c.queue = slices.DeleteFunc(c.queue, func(m *model) bool {
 		if m.missing <= 0 {
 			m.queued = false
@@ -138,6 +136,15 @@
 		c.predictBlocked(m)
 		return false
 	}
+	if start := p.next(); start.After(c.now.Add(planAhead)) && c.nearest(m) == TierRemote {
+		// Memory is planned only for loads that start soon: until the others start, replicas come and go.
+		ready := start.Add(c.loadTime(m, TierRemote))
+		if m.readyAt.IsZero() {
+			m.readyAt = ready
+		}
+		p.take(start, ready)
+		return false
+	}
 	best, found := c.choose(m, p)
 	if !found && c.settling() {
 		c.predictBlocked(m)
@@ -216,6 +223,7 @@
 		slots: x.up.limit(m.spec.Slots), tier: x.tier, startedAt: c.now, endAt: x.ready,
 	}
 	r.load = c.order(OpLoad, r, nil)
+	c.sums.loads++
 	m.missing--
 	c.addReplica(r)
 	if x.tier == TierRemote {
@@ -224,30 +232,31 @@
 }
 
 func (c *Controller) finishLoad(r *replica) {
-	if r.tier == TierRemote {
-		c.store.finish(r, c.now, r.phase == loaded, c.loadTime(r.model, TierRemote))
-	}
 	c.replan = true
+	switch done := r.phase == loaded; {
+	case r.tier == TierRemote:
+		c.store.finish(r, c.now, done, c.loadTime(r.model, TierRemote))
+	case done && r.model.known:
+		observed := float64(c.now.Sub(r.startedAt)) / float64(r.model.spec.LoadTime())
+		c.near[r.tier] += (observed - c.near[r.tier]) * observeShare
+	}
 }
 
 // loadTime returns the expected time of a load from the tier.
 func (c *Controller) loadTime(m *model, t Tier) time.Duration {
 	f := c.store.slowdown
-	switch t {
-	case TierMemory:
-		f = c.set.MemoryFactor
-	case TierDisk:
-		f = c.set.DiskFactor
+	if t < TierRemote {
+		f = c.near[t]
 	}
 	return time.Duration(float64(m.spec.LoadTime()) * f)
 }
 
-// evict unloads the replicas that have been idle longest until the upstream has the memory.
+// evict unloads the least useful idle replicas until the upstream has the memory.
 func (c *Controller) evict(u *upstream, need int64) {
 	for u.avail+u.soon < need {
 		var victim *replica
 		for _, r := range u.replicas {
-			if c.evictable(r) && (victim == nil || r.model.idleAt.Before(victim.model.idleAt)) {
+			if c.evictable(r) && (victim == nil || c.lessUseful(r, victim)) {
 				victim = r
 			}
 		}
@@ -256,65 +265,18 @@
 		}
 		u.evictable -= victim.bytes
 		u.soon += victim.bytes
+		c.sums.evictions++
 		c.startUnload(victim)
 	}
 }
 
-// makeRoom drains one replica for a model that fits nowhere and whose waiting work is worth more.
-func (c *Controller) makeRoom(m *model) {
-	m.blocked = true
-	if r := m.preempting; r == nil || r.retire != preempt || !slices.Contains(r.up.replicas, r) {
-		m.preempting = c.preemptible(m)
-		if m.preempting == nil {
-			return
-		}
-		c.startRetire(m.preempting, preempt)
-	}
-	m.blocked = false
-	m.readyAt = c.now.Add(c.set.RetryDefault + c.loadTime(m, c.nearest(m)))
-}
-
-// preemptible returns the replica with the least valuable work whose memory would let the model in.
-func (c *Controller) preemptible(m *model) *replica {
-	worth := c.weight(m.waiting())
-	urgent, _, _ := m.waiting()
-	var best *replica
-	least := 0.0
-	for _, u := range c.upstreams {
-		if !c.eligible(u, m) {
-			continue
-		}
-		for _, r := range u.replicas {
-			if r.retire != keep || r.phase != loaded || !c.resident(r) ||
-				u.avail+u.soon+u.evictable+r.bytes < m.spec.ReplicaBytes() {
-				continue
-			}
-			x := r.model
-			first, _, _ := x.waiting()
-			value := c.value(x)
-			if (urgent == 0 || x.urgent+first > 0) && worth < value*preemptFactor {
-				continue
-			}
-			if best == nil || value < least {
-				best, least = r, value
-			}
-		}
-	}
-	return best
-}
-
-// value is the weight of a model's work for each of its replicas.
-func (c *Controller) value(m *model) float64 {
-	w := c.weight(m.waiting()) + c.weight(m.urgent, max(m.running()-m.urgent, 0), 0)
-	if c.now.Before(m.promised) {
-		w += promiseWeight
+// lessUseful compares idle replicas by the load time that they save for each byte, and then by the time of their last work.
+func (c *Controller) lessUseful(a, b *replica) bool {
+	saves := func(r *replica) float64 {
+		return r.model.heat * r.model.spec.LoadTime().Seconds() / float64(max(r.bytes, 1))
 	}
-	return w / float64(max(len(m.replicas), 1))
-}
-
-// resident reports whether a replica has served for long enough to have been worth its load.
-func (c *Controller) resident(r *replica) bool {
-	return r.ready && c.now.Sub(later(r.closedAt, r.readyAt)) >= residence*c.loadTime(r.model, r.tier)
+	x, y := saves(a), saves(b)
+	return x < y || x == y && a.model.idleAt.Before(b.model.idleAt)
 }
 
 func (c *Controller) weight(urgent, normal, bulk int) float64 {
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -12,8 +12,11 @@
 	StoreSlots          int     // StoreSlots is the cell's share of the loads at full speed at once.
 	AdaptersInFlight    int     // AdaptersInFlight is the cell's share of the adapter loads in flight.
 
-	MemoryFactor float64 // MemoryFactor is the load time from host memory relative to the store.
-	DiskFactor   float64 // DiskFactor is the load time from disk relative to the store.
+	// MemoryFactor is the load time from host memory relative to the store at full speed; later loads correct it.
+	MemoryFactor float64
+	// DiskFactor is the load time from disk relative to the store at full speed; later loads correct it.
+	DiskFactor float64
+
 	UrgentWeight float64 // UrgentWeight is the weight of an urgent waiter in the load order.
 	NormalWeight float64
 	BulkWeight   float64
@@ -27,6 +30,7 @@
 	DemandLife      time.Duration // DemandLife is the least time for which a demand counts without being repeated.
 	PublishInterval time.Duration // PublishInterval is the least time between two directories.
 	DrainDelay      time.Duration // DrainDelay is the time that a directory needs to reach every entry.
+	DrainTime       time.Duration // DrainTime is the expected time until a drained replica with work is empty.
 	AdapterTime     time.Duration // AdapterTime is the expected time of an adapter load.
 	RetryDefault    time.Duration // RetryDefault is the retry time where no prediction exists.
 
@@ -55,6 +59,7 @@
 		DemandLife:          10 * time.Second,
 		PublishInterval:     50 * time.Millisecond,
 		DrainDelay:          1500 * time.Millisecond,
+		DrainTime:           5 * time.Second,
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
 		ColdCost:            1,
