feat(fresh): freshness rule and publish permission with model check

A daemon must not accept work on a configuration that is more than 7 s behind an accepted change. A peer's evidence counts with the age of its own log read. Before a change is appended, a majority must have noted the publisher's intent, and a member with an open note does not support a majority without log. A change is also rejected if the members changed after its majority was counted.

--- /dev/null
+++ b/pkg/fresh/fresh.go
@@ -0,0 +1,276 @@
+package fresh
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+const (
+	// Bound is the age of the oldest evidence that proves a configuration current.
+	Bound = 5 * time.Second
+
+	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the
+	// difference between a daemon's clock and the log's.
+	memberHistory = 24*time.Hour + 10*time.Minute
+)
+
+// The reasons that Current returns.
+const (
+	ByLog      Reason = "log read to its end"
+	ByPeer     Reason = "peer read the log to its end"
+	ByMajority Reason = "majority without log"
+
+	Unregistered Reason = "not a recorded member"
+	Behind       Reason = "newer records are known"
+	InDoubt      Reason = "a change may be in the log"
+	NoContact    Reason = "too few members in contact"
+)
+
+type (
+	// Reason tells why a daemon is current or not.
+	Reason string
+
+	// Member is a daemon that is registered and not gone, in the order of Offset.
+	Member struct {
+		Incarnation string
+		Offset      int64     // Offset is the offset of the registration.
+		Up          time.Time // Up is the log's time of the registration.
+	}
+
+	// Intent tells whether a daemon may have an append of a configuration change under way; Serial rises with each.
+	Intent struct {
+		Serial uint64
+		Open   bool
+	}
+
+	// Beat is what a heartbeat says about its sender to one receiver.
+	Beat struct {
+		Incarnation string
+		Offset      int64         // Offset is the offset of the last record that the sender has folded.
+		Known       int64         // Known is the highest offset that the sender knows to be in the log.
+		HasRead     bool          // HasRead says that the sender has read the log to its end at least once.
+		LogAge      time.Duration // LogAge is the age of the sender's last read to the end.
+		Intent      Intent        // Intent is the sender's own.
+		Noted       uint64        // Noted is the serial of the receiver's intent that the sender has noted.
+		// Blocked says that the sender has noted an open intent, or has one, whose outcome it does not know.
+		Blocked bool
+	}
+
+	// note is an intent of a peer and the offset that the peer had folded.
+	note struct {
+		intent Intent
+		offset int64
+	}
+
+	// heard is the last answer of a peer, and when the call was begun.
+	heard struct {
+		beat Beat
+		at   time.Time
+	}
+
+	// guards switches single checks off, so that tests can show that the bound depends on them.
+	guards struct {
+		noMajority, noNotes, noAge, noKnown, noHistory bool
+	}
+
+	// Tracker holds the evidence of one daemon.
+	Tracker struct {
+		self     string
+		offset   int64
+		known    int64
+		hasRead  bool
+		readAt   time.Time
+		members  []Member
+		live     map[string]bool // The incarnations of members.
+		isMember map[string]bool
+		peers    map[string]heard
+		notes    map[string]note
+		intent   Intent
+		off      guards
+	}
+)
+
+// New returns a tracker for the daemon with the incarnation; it is not current.
+func New(incarnation string) *Tracker {
+	return &Tracker{self: incarnation, peers: make(map[string]heard), notes: make(map[string]note)}
+}
+
+// Folded takes the offset of the last record that the daemon has folded and the members as of that offset.
+func (t *Tracker) Folded(offset int64, members []Member) {
+	t.offset, t.known = max(t.offset, offset), max(t.known, offset)
+	t.members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Offset, b.Offset) })
+	t.live = make(map[string]bool, len(members))
+	for _, m := range members {
+		t.live[m.Incarnation] = true
+	}
+	for i := range t.peers {
+		if !t.live[i] {
+			delete(t.peers, i)
+		}
+	}
+	for i, n := range t.notes {
+		// The peer was a member when it sent the note, so it is gone now, and the fold rejects its late appends.
+		if t.offset >= n.offset && !t.live[i] {
+			delete(t.notes, i)
+		}
+	}
+}
+
+// Advance takes the offset of the last folded record when the members are unchanged.
+func (t *Tracker) Advance(offset int64) {
+	t.offset, t.known = max(t.offset, offset), max(t.known, offset)
+}
+
+// Read takes the result of a log read that began at the time: the offset of the last record in the log. It must be called
+// after the records of the answer are folded.
+func (t *Tracker) Read(began time.Time, last int64) {
+	t.known = max(t.known, last)
+	if t.offset >= last && (!t.hasRead || began.After(t.readAt)) {
+		t.hasRead, t.readAt = true, began
+	}
+}
+
+// Note takes a heartbeat whose age is unknown, such as the argument of a peer's call.
+func (t *Tracker) Note(b Beat) {
+	t.known = max(t.known, b.Known)
+	old, ok := t.notes[b.Incarnation]
+	// Calls can arrive out of order; an intent that was closed stays closed.
+	if ok && (b.Intent.Serial < old.intent.Serial || b.Intent.Serial == old.intent.Serial && !old.intent.Open) {
+		return
+	}
+	if b.Intent.Serial > 0 && b.Incarnation != t.self {
+		t.notes[b.Incarnation] = note{b.Intent, b.Offset}
+	}
+}
+
+// Heard takes a peer's answer to a call that began at the time, which is when the answer was made at the earliest.
+func (t *Tracker) Heard(began time.Time, b Beat) {
+	t.Note(b)
+	if old, ok := t.peers[b.Incarnation]; !ok || !began.Before(old.at) {
+		t.peers[b.Incarnation] = heard{b, began}
+	}
+}
+
+// Beat returns what the daemon says to the receiver now.
+func (t *Tracker) Beat(now time.Time, receiver string) Beat {
+	b := Beat{
+		Incarnation: t.self, Offset: t.offset, Known: t.known, HasRead: t.hasRead, Intent: t.intent, Blocked: t.blocked(),
+	}
+	if t.hasRead {
+		b.LogAge = now.Sub(t.readAt)
+	}
+	b.Noted = t.notes[receiver].intent.Serial
+	return b
+}
+
+// Current reports whether the configuration is current, and why.
+func (t *Tracker) Current(now time.Time) (bool, Reason) {
+	if t.hasRead && now.Sub(t.readAt) <= Bound {
+		return true, ByLog
+	}
+	for _, h := range t.peers {
+		if h.beat.HasRead && h.beat.Offset <= t.offset && t.age(now, h) <= Bound {
+			return true, ByPeer
+		}
+	}
+	return t.majority(now)
+}
+
+// age is how long ago the peer's last read to the end began.
+func (t *Tracker) age(now time.Time, h heard) time.Duration {
+	if t.off.noAge {
+		return max(h.beat.LogAge, now.Sub(h.at))
+	}
+	return h.beat.LogAge + now.Sub(h.at)
+}
+
+func (t *Tracker) majority(now time.Time) (bool, Reason) {
+	switch {
+	case !t.live[t.self]:
+		return false, Unregistered
+	case t.known > t.offset && !t.off.noKnown:
+		return false, Behind
+	case t.blocked():
+		return false, InDoubt
+	}
+	count := 0
+	for _, m := range t.members {
+		if h, ok := t.peers[m.Incarnation]; m.Incarnation == t.self || ok && t.supports(now, h) {
+			count++
+		}
+	}
+	if 2*count <= len(t.members) {
+		return false, NoContact
+	}
+	return true, ByMajority
+}
+
+func (t *Tracker) supports(now time.Time, h heard) bool {
+	hasLog := h.beat.HasRead && h.beat.LogAge <= Bound
+	return now.Sub(h.at) <= Bound && !hasLog && (h.beat.Known <= t.offset || t.off.noKnown) && !h.beat.Blocked
+}
+
+// blocked also holds for the daemon's own intent: the record may be in the log although the answer is missing.
+func (t *Tracker) blocked() bool {
+	if t.off.noNotes {
+		return false
+	}
+	for _, n := range t.notes {
+		if n.intent.Open {
+			return true
+		}
+	}
+	return t.intent.Open
+}
+
+// SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When it
+// becomes true, heartbeats should be sent at once, and MayPublish awaited. It has no effect until the daemon is registered.
+func (t *Tracker) SetIntent(publishing bool) {
+	switch {
+	case !publishing:
+		t.intent.Open = false
+	case !t.intent.Open && t.live[t.self]:
+		t.intent = Intent{Serial: t.intent.Serial + 1, Open: true}
+	}
+}
+
+// MayPublish returns nil if a change of configuration may be appended now, or a NotCurrent or NoMajority error. The change
+// must carry the offset that the daemon has folded, and the fold must reject it if the members have changed since.
+func (t *Tracker) MayPublish(now time.Time) error {
+	if !t.hasRead || now.Sub(t.readAt) > Bound {
+		return codes.New(codes.NotCurrent, "the log has not been read to its end")
+	}
+	if !t.live[t.self] {
+		return codes.New(codes.NotCurrent, string(Unregistered))
+	}
+	if t.off.noMajority {
+		return nil
+	}
+	// A daemon without log may know an older member set. Without the members that are gone since, the sets that were in
+	// force are the first members in the order of registration, for each length that was reached within the history.
+	count := 0
+	for i, m := range t.members {
+		if t.contact(now, m.Incarnation) {
+			count++
+		}
+		last := i == len(t.members)-1
+		inForce := last || !t.off.noHistory && now.Sub(t.members[i+1].Up) < memberHistory
+		if inForce && 2*count <= i+1 {
+			return codes.Newf(codes.NoMajority, "%d of the %d oldest members have noted the change", count, i+1)
+		}
+	}
+	return nil
+}
+
+// contact reports whether the member was heard from and has noted the open intent.
+func (t *Tracker) contact(now time.Time, incarnation string) bool {
+	if incarnation == t.self {
+		return t.intent.Open || t.off.noNotes
+	}
+	h, ok := t.peers[incarnation]
+	noted := t.intent.Open && h.beat.Noted == t.intent.Serial
+	return ok && now.Sub(h.at) <= Bound && (noted || t.off.noNotes)
+}
--- /dev/null
+++ b/pkg/fresh/model_test.go
@@ -0,0 +1,393 @@
+package fresh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+const (
+	tick = 250 * time.Millisecond
+	// allowed is the requirement of the design: an accepted change is in force everywhere within 7 s.
+	allowed = 7 * time.Second
+)
+
+type (
+	// node is a simulated daemon; a dead one keeps its place until it restarts.
+	node struct {
+		host, name string
+		dead       bool
+		since      int
+		t          *Tracker
+		s          *fold.State
+		data       []byte // The change that is to be appended or in doubt.
+		id         string
+		sentAt     int
+		sent       bool
+	}
+
+	// message is a delivery in the future; it is lost if the link is down then.
+	message struct {
+		at       int
+		from, to *node
+		name     string // The incarnation that it is for.
+		deliver  func()
+	}
+
+	// world runs daemons against a log. lie lets an author claim that it has folded every record, which takes the fold's
+	// check of the members away.
+	world struct {
+		pick     func(n int) int
+		off      guards
+		lie      bool
+		rate     int // A daemon starts a change in one of so many ticks.
+		tick     int
+		ids      int
+		nodes    []*node
+		messages []message
+		log      [][]byte
+		at       []time.Time
+		truth    *fold.State
+		group    map[*node]int
+		logGroup int // The group that reaches the log; allGroups is every one, and -1 none.
+		accepted []int64
+		reasons  map[Reason]int
+		worst    time.Duration
+	}
+)
+
+const allGroups = 99
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newWorld(pick func(n int) int, off guards, lie bool) *world {
+	w := &world{
+		pick: pick, off: off, lie: lie, truth: fold.New(), group: make(map[*node]int), logGroup: allGroups,
+		reasons: make(map[Reason]int), rate: []int{20, 100, 500}[pick(3)],
+	}
+	for range 3 {
+		w.join()
+	}
+	return w
+}
+
+func (w *world) join() {
+	d := &node{host: fmt.Sprintf("h%d", len(w.nodes))}
+	w.nodes = append(w.nodes, d)
+	w.start(d)
+}
+
+func (w *world) now() time.Time { return epoch.Add(time.Duration(w.tick) * tick) }
+
+func (w *world) id() string {
+	w.ids++
+	return fmt.Sprintf("i%d", w.ids)
+}
+
+func (w *world) linked(a, b *node) bool { return !a.dead && !b.dead && w.group[a] == w.group[b] }
+
+func (w *world) hasLog(d *node) bool {
+	return !d.dead && (w.logGroup == allGroups || w.group[d] == w.logGroup)
+}
+
+// start starts a new incarnation, which knows nothing and needs the log to register.
+func (w *world) start(d *node) {
+	*d = node{host: d.host, name: w.id(), since: w.tick, s: fold.New()}
+	d.t = New(d.name)
+	d.t.off = w.off
+}
+
+func (w *world) send(from, to *node, delay int, deliver func()) {
+	w.messages = append(w.messages, message{w.tick + delay, from, to, to.name, deliver})
+}
+
+// catchUp folds the log up to the offset.
+func (w *world) catchUp(d *node, last int64) {
+	for o := d.s.Offset() + 1; o <= last; o++ {
+		d.s.Apply(o, w.at[o-1], w.log[o-1])
+	}
+	var members []Member
+	for _, m := range d.s.Members() {
+		members = append(members, Member{m.Incarnation, m.Offset, m.Up})
+	}
+	d.t.Folded(d.s.Offset(), members)
+	if _, ok := d.s.Seen(d.id); ok && d.data != nil {
+		d.data = nil
+		d.t.SetIntent(false)
+	}
+}
+
+// beat is one call of a peer: argument, answer, and records if the peer is ahead. Each way takes up to 500 ms.
+func (w *world) beat(d, peer *node) {
+	began, arg := w.now(), d.t.Beat(w.now(), peer.name)
+	w.send(d, peer, w.pick(3), func() {
+		peer.t.Note(arg)
+		answer := peer.t.Beat(w.now(), d.name)
+		w.send(peer, d, w.pick(3), func() {
+			d.t.Heard(began, answer)
+			if answer.Offset > d.s.Offset() {
+				w.send(peer, d, 1, func() { w.catchUp(d, answer.Offset) })
+			}
+		})
+	})
+}
+
+func (w *world) run(ticks int) error {
+	for ; w.tick < ticks; w.tick++ {
+		w.fault()
+		due := w.messages
+		w.messages = nil
+		for _, m := range due {
+			if m.at > w.tick {
+				w.messages = append(w.messages, m)
+			} else if m.from == nil || w.linked(m.from, m.to) && m.to.name == m.name {
+				m.deliver()
+			}
+		}
+		for i, d := range w.nodes {
+			if !d.dead {
+				w.act(i, d)
+			}
+		}
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) act(i int, d *node) {
+	if (w.tick+i)%4 == 0 {
+		for _, p := range w.nodes {
+			if p != d && !p.dead {
+				w.beat(d, p)
+			}
+		}
+	}
+	if w.hasLog(d) && w.pick(3) == 0 {
+		began, last := w.now(), int64(len(w.log))
+		w.send(d, d, w.pick(4), func() {
+			w.catchUp(d, last)
+			d.t.Read(began, last)
+		})
+	}
+	if _, ok := d.s.Member(d.name); !ok {
+		if w.hasLog(d) && w.pick(4) == 0 && d.s.Offset() == w.truth.Offset() {
+			w.register(d)
+		}
+		return
+	}
+	w.publish(d)
+}
+
+func (w *world) register(d *node) {
+	w.append(w.encode(d, fold.Record{Kind: fold.MemberUpKind, MemberUp: &fold.MemberUp{
+		Host: d.host, Base: d.s.HostOffset(d.host), DataCentre: "dc1", Addresses: fold.Addresses{Callers: d.host, Peers: d.host},
+	}}))
+}
+
+// publish appends a change once it is permitted, and the same bytes again while the answer is missing. An append may take
+// effect up to 2 s later, even if the daemon is cut off or dead by then, or never.
+func (w *world) publish(d *node) {
+	switch {
+	case d.data == nil && w.pick(w.rate) == 0:
+		d.t.SetIntent(true)
+		d.sent, d.sentAt, d.data = false, w.tick, []byte{}
+	case d.data != nil && !d.sent && w.tick-d.sentAt > 8:
+		// The deadline has passed before the change could be sent.
+		d.t.SetIntent(false)
+		d.data = nil
+		return
+	case d.data != nil && !d.sent && d.t.MayPublish(w.now()) == nil:
+		d.sent, d.id, d.sentAt = true, w.id(), w.tick
+		d.data = w.change(d)
+	case d.data == nil || !d.sent || (w.tick-d.sentAt)%8 != 0:
+		return
+	}
+	if d.sent && w.hasLog(d) && w.pick(6) > 0 {
+		data := d.data
+		w.messages = append(w.messages, message{at: w.tick + 1 + w.pick(8), deliver: func() { w.append(data) }})
+	}
+}
+
+func (w *world) change(d *node) []byte {
+	model := &spec.Model{Version: "v", MaxReplicas: 1, WeightBytes: 1, Slots: 1, LoadMillis: 1, TokenMicros: 1}
+	return w.encode(d, fold.Record{Kind: fold.TemplateKind, ID: d.id, Template: &fold.TemplateChange{
+		Name: "m", Base: d.s.TemplateOffset("m"), Set: &spec.Template{Name: "m", Kind: spec.ModelTemplate, Model: model},
+	}})
+}
+
+func (w *world) encode(d *node, r fold.Record) []byte {
+	if r.By, r.Seen = d.name, d.s.Offset(); r.ID == "" {
+		r.ID = w.id()
+	}
+	data, err := fold.Encode(r)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (w *world) append(data []byte) {
+	if r, err := fold.Decode(data); err == nil && w.lie {
+		r.Seen = w.truth.Offset()
+		data, _ = fold.Encode(r)
+	}
+	w.log, w.at = append(w.log, data), append(w.at, w.now())
+	v := w.truth.Apply(int64(len(w.log)), w.now(), data)
+	if v.Outcome == fold.Accepted && v.Record.Template != nil {
+		w.accepted = append(w.accepted, v.Offset)
+	}
+}
+
+func (w *world) fault() {
+	d := w.nodes[w.pick(len(w.nodes))]
+	switch n := w.pick(160); {
+	case n < 4:
+		w.logGroup = []int{0, 1, -1, allGroups}[w.pick(4)]
+		for _, d := range w.nodes {
+			w.group[d] = w.pick(2)
+		}
+	case n < 6:
+		w.logGroup = []int{0, -1, allGroups}[w.pick(3)]
+		clear(w.group)
+	case n == 6 && len(w.nodes) < 5:
+		w.join()
+	case n == 7 && !d.dead:
+		d.dead, d.since = true, w.tick
+	case d.dead && w.tick-d.since > 4 && n < 40:
+		w.start(d)
+	case d.dead && w.tick-d.since > 4 && n < 80:
+		// A member that sees the proof and has the log records the loss.
+		for _, p := range w.nodes {
+			if _, ok := p.s.Member(d.name); ok && w.hasLog(p) {
+				w.append(w.encode(p, fold.Record{Kind: fold.MemberGoneKind, MemberGone: []string{d.name}}))
+				return
+			}
+		}
+	}
+}
+
+// check finds a daemon that accepts work although it is too far behind.
+func (w *world) check() error {
+	for _, d := range w.nodes {
+		if d.dead {
+			continue
+		}
+		ok, why := d.t.Current(w.now())
+		w.reasons[why]++
+		for _, o := range w.accepted {
+			if !ok || o <= d.s.Offset() {
+				continue
+			}
+			behind := w.now().Sub(w.at[o-1])
+			if w.worst = max(w.worst, behind); behind > allowed {
+				return errors.Newf("%s is current (%s) at offset %d, %v after offset %d", d.name, why, d.s.Offset(), behind, o)
+			}
+			break
+		}
+	}
+	return nil
+}
+
+// Guards against a daemon that accepts work on a configuration more than 7 s behind an accepted change.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		if err := newWorld(rand.New(rand.NewPCG(seed, 1)).IntN, guards{}, false).run(800); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a model that cannot fail: without any one of the checks some seed must exceed the bound, and with all
+// of them each way to be current must occur.
+func TestBoundFindsMutants(t *testing.T) {
+	for name, m := range map[string]struct {
+		off   guards
+		seeds uint64
+	}{
+		"sound":    {guards{}, 100},
+		"majority": {guards{noMajority: true}, 400},
+		"notes":    {guards{noNotes: true}, 400},
+		"age":      {guards{noAge: true}, 400},
+		"known":    {guards{noKnown: true}, 400},
+		"history":  {guards{noHistory: true}, 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var found error
+			var worst time.Duration
+			accepted := 0
+			reasons := make(map[Reason]int)
+			seed := uint64(0)
+			for ; seed < m.seeds && found == nil; seed++ {
+				w := newWorld(rand.New(rand.NewPCG(seed, 2)).IntN, m.off, false)
+				found = w.run(800)
+				worst = max(worst, w.worst)
+				accepted += len(w.accepted)
+				for r, n := range w.reasons {
+					reasons[r] += n
+				}
+			}
+			t.Logf("%d seeds, %d changes, worst %v, %v: %v", seed, accepted, worst, reasons, found)
+			c.Assert(found != nil, qt.Equals, name != "sound", qt.Commentf("%v", found))
+			for _, r := range []Reason{ByLog, ByPeer, ByMajority} {
+				c.Assert(found != nil || reasons[r] > 1000, qt.IsTrue, qt.Commentf("%s", r))
+			}
+		})
+	}
+}
+
+// Guards against a change whose majority was counted before a daemon restarted: the new incarnation has not noted it, and
+// together with a daemon that has not either it could serve the older version. The fold must reject the change.
+func TestRestartAfterMajority(t *testing.T) {
+	for _, lie := range []bool{false, true} {
+		c := qt.New(t)
+		w := newWorld(func(int) int { return 0 }, guards{}, lie)
+		x, y, z := w.nodes[0], w.nodes[1], w.nodes[2]
+		catchUp := func() {
+			for _, d := range w.nodes {
+				w.catchUp(d, w.truth.Offset())
+				d.t.Read(w.now(), w.truth.Offset())
+			}
+		}
+		for _, d := range w.nodes {
+			w.register(d)
+			catchUp()
+		}
+		call := func(d, peer *node) {
+			peer.t.Note(d.t.Beat(w.now(), peer.name))
+			d.t.Heard(w.now(), peer.t.Beat(w.now(), d.name))
+		}
+		call(x, y)
+		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*0 of the 1 oldest.*")
+		x.t.SetIntent(true)
+		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*1 of the 2 oldest.*")
+		call(x, y)
+		c.Assert(x.t.MayPublish(w.now()), qt.IsNil)
+		x.id = "change"
+		data := w.change(x)
+		w.start(y)
+		w.catchUp(y, 3)
+		w.register(y)
+		catchUp()
+		w.append(data)
+		c.Assert(w.accepted, qt.HasLen, map[bool]int{false: 0, true: 1}[lie])
+		w.tick += 32
+		call(y, z)
+		call(z, y)
+		c.Assert(w.check() != nil, qt.Equals, lie)
+		ok, why := z.t.Current(w.now())
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(why, qt.Equals, ByMajority)
+	}
+}
