--- a/pkg/fold/apply.go
+++ b/pkg/fold/apply.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
@@ -43,10 +45,14 @@
 	}
 	if err := s.admit(r); err != nil {
 		v.Outcome, v.Err = Rejected, codes.From(err)
+		var lost *rejection
+		if errors.As(err, &lost) {
+			v.LostTo = lost.lostTo
+		}
 	}
-	c := change{ID: r.ID, Offset: v.Offset}
+	c := change{ID: r.ID, Offset: v.Offset, LostTo: v.LostTo}
 	if v.Err != nil {
-		c.Code, c.Detail = v.Err.Code(), v.Err.Detail()
+		c.Code, c.Field, c.Detail = v.Err.Code(), v.Err.Field(), v.Err.Detail()
 	}
 	s.remember(c)
 	return v
@@ -83,7 +89,9 @@
 	case WithdrawKind:
 		return s.withdraw(r.Withdraw.ID)
 	default:
-		s.snapshotAt = max(s.snapshotAt, min(r.Snapshot.AsOf, s.offset-1))
+		if p := r.Snapshot; p.Part == p.Parts-1 {
+			s.snapshotAt = max(s.snapshotAt, min(p.AsOf, s.offset-1))
+		}
 		return nil
 	}
 }
@@ -96,7 +104,7 @@
 	if !c.Delete {
 		next.Value = *c.Set
 	}
-	s.templates[c.Name], s.view = next, nil
+	s.templates[c.Name], s.view, s.configured = next, nil, s.offset
 	return nil
 }
 
@@ -108,7 +116,7 @@
 	if !c.Delete {
 		next.Value = *c.Set
 	}
-	s.teams[c.Name], s.view = next, nil
+	s.teams[c.Name], s.view, s.configured = next, nil, s.offset
 	return nil
 }
 
@@ -128,7 +136,8 @@
 	if base == current || s.off.noBase {
 		return nil
 	}
-	return codes.Newf(codes.StaleBase, "the change was based on offset %d and lost to offset %d", base, current).WithField("base")
+	err := codes.Newf(codes.StaleBase, "the change was based on offset %d and lost to offset %d", base, current)
+	return &rejection{err.WithField("base"), current}
 }
 
 func (s *State) memberUp(r Record) error {
@@ -253,7 +262,8 @@
 	for _, c := range r.Permit {
 		l := s.leases[c.Cell]
 		if (l.Offset != c.Lease || l.Incarnation != r.By || l.Released) && !s.off.noLease {
-			return codes.Newf(codes.StaleLease, "the lease of %s is at offset %d", c.Cell, l.Offset).WithField("permit.lease")
+			err := codes.Newf(codes.StaleLease, "the lease of %s is at offset %d", c.Cell, l.Offset)
+			return &rejection{err.WithField("permit.lease"), l.Offset}
 		}
 		held := s.permits[c.Model][c.Cell]
 		sums[c.Model] += c.Count - held
--- a/pkg/fold/snap.go
+++ b/pkg/fold/snap.go
@@ -27,6 +27,7 @@
 	Bad        int64                             `json:"bad"`
 	SnapshotAt int64                             `json:"snapshotAt"`
 	Membership int64                             `json:"membership"`
+	Configured int64                             `json:"configured"`
 	Templates  map[string]Version[spec.Template] `json:"templates"`
 	Teams      map[string]Version[spec.Team]     `json:"teams"`
 	Members    []Member                          `json:"members"`
@@ -41,7 +42,7 @@
 func (s *State) Snapshot() []byte {
 	im := image{
 		Format: snapshotFormat, Offset: s.offset, Clock: s.clock, Bad: s.bad, SnapshotAt: s.snapshotAt,
-		Membership: s.membership, Templates: s.templates, Teams: s.teams, Members: s.Members(), Hosts: inOrder(s.hosts),
+		Membership: s.membership, Configured: s.configured, Templates: s.templates, Teams: s.teams, Members: s.Members(), Hosts: inOrder(s.hosts),
 		Leases: s.Leases(), Permits: []Permits{}, Ranges: s.ranges[:], Changes: s.order,
 	}
 	for _, model := range slices.Sorted(maps.Keys(s.permits)) {
@@ -87,6 +88,7 @@
 	}
 	s := New()
 	s.offset, s.clock, s.bad, s.snapshotAt, s.membership = im.Offset, im.Clock, im.Bad, im.SnapshotAt, im.Membership
+	s.configured = im.Configured
 	maps.Copy(s.templates, im.Templates)
 	maps.Copy(s.teams, im.Teams)
 	for _, m := range im.Members {
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -33,6 +33,14 @@
 		First int64
 		// Err tells why the record was not accepted; a duplicate repeats the error of the first.
 		Err *codes.Error
+		// LostTo is the offset of the version or lease that a StaleBase or StaleLease change lost to, zero for none.
+		LostTo int64
+	}
+
+	// rejection is a coded error with the offset that the record lost to.
+	rejection struct {
+		err    *codes.Error
+		lostTo int64
 	}
 
 	// Version is the value of a template or team, and the offset of the record that set or deleted it.
@@ -90,7 +98,9 @@
 		ID     string     `json:"id"`
 		Offset int64      `json:"offset"`
 		Code   codes.Code `json:"code,omitempty"`
+		Field  string     `json:"field,omitempty"`
 		Detail string     `json:"detail,omitempty"`
+		LostTo int64      `json:"lostTo,omitempty"`
 	}
 
 	// hostVersion is the last member record of a host; it outlives the member for ChangeWindow offsets.
@@ -113,6 +123,7 @@
 		bad        int64
 		snapshotAt int64
 		membership int64
+		configured int64 // The offset of the last change of a template or team.
 		templates  map[string]Version[spec.Template]
 		teams      map[string]Version[spec.Team]
 		members    map[string]Member
@@ -153,16 +164,16 @@
 // BadRecords returns the number of records that could not be decoded.
 func (s *State) BadRecords() int64 { return s.bad }
 
-// SnapshotAsOf returns the highest offset for which all parts of a snapshot may be in the log.
+// SnapshotAsOf returns the highest offset of a snapshot whose last part is in the log, or zero.
 func (s *State) SnapshotAsOf() int64 { return s.snapshotAt }
 
 // MembershipOffset returns the offset of the last accepted member record.
 func (s *State) MembershipOffset() int64 { return s.membership }
 
-// View returns the configuration; the same pointer is returned until a template or team changes.
+// View returns the configuration as of its last change; the same pointer is returned until a template or team changes.
 func (s *State) View() *spec.View {
 	if s.view == nil {
-		s.view = spec.NewView(s.offset, values(s.templates), values(s.teams))
+		s.view = spec.NewView(s.configured, values(s.templates), values(s.teams))
 	}
 	return s.view
 }
@@ -208,6 +219,18 @@
 	return list
 }
 
+// CellPermits returns the permits that the cell holds in the order of models.
+func (s *State) CellPermits(cell string) []Permits {
+	var list []Permits
+	for model, cells := range s.permits {
+		if n := cells[cell]; n > 0 {
+			list = append(list, Permits{Cell: cell, Model: model, Count: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b Permits) int { return cmp.Compare(a.Model, b.Model) })
+	return list
+}
+
 // PermitSum returns the sum of the model's permits over all cells and the model's maxReplicas, zero if it is deleted.
 func (s *State) PermitSum(model string) (sum, limit int) {
 	for _, n := range s.permits[model] {
@@ -234,11 +257,17 @@
 func (c change) verdict(offset int64) Verdict {
 	v := Verdict{Outcome: Duplicate, Offset: offset, First: c.Offset}
 	if c.Code != codes.OK {
-		v.Err = codes.New(c.Code, c.Detail)
+		v.Err, v.LostTo = codes.New(c.Code, c.Detail).WithField(c.Field), c.LostTo
 	}
 	return v
 }
 
+// Error returns the text of the coded error.
+func (r *rejection) Error() string { return r.err.Error() }
+
+// Unwrap returns the coded error.
+func (r *rejection) Unwrap() error { return r.err }
+
 func values[T any](m map[string]Version[T]) []T {
 	list := make([]T, 0, len(m))
 	for _, v := range m {
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -166,6 +166,18 @@
 	return b
 }
 
+// Ahead returns the peer that has folded the highest offset above the daemon's own; its records bring the daemon up to
+// date without the log.
+func (t *Tracker) Ahead() (incarnation string, offset int64, ok bool) {
+	offset = t.offset
+	for i, h := range t.peers {
+		if o := h.beat.Offset; o > offset || ok && o == offset && i < incarnation {
+			incarnation, offset, ok = i, o, true
+		}
+	}
+	return incarnation, offset, ok
+}
+
 // Current reports whether the configuration is current, and why.
 func (t *Tracker) Current(now time.Time) (bool, Reason) {
 	if t.hasRead && now.Sub(t.readAt) <= Bound {
