--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -43,6 +43,7 @@
 
 	permitState struct {
 		count  int
+		offset int64
 		frozen bool
 	}
 )
@@ -175,12 +176,13 @@
 func (r *cellRun) syncPermits() {
 	for _, model := range r.d.state.View().Models() {
 		sum, limit := r.d.state.PermitSum(model)
-		now := permitState{r.d.state.Permit(model, r.name), sum > limit}
+		p := r.d.state.Permit(model, r.name)
+		now := permitState{p.Count, p.Offset, sum > limit}
 		if r.permits[model] == now {
 			continue
 		}
 		r.permits[model] = now
-		r.handle(cell.PermitChanged{Model: model, Count: now.count, Frozen: now.frozen})
+		r.handle(cell.PermitChanged{Model: model, Count: now.count, Offset: now.offset, Frozen: now.frozen})
 		if share := r.share(model, limit); now.frozen && share < now.count {
 			r.handle(cell.PermitAsked{Model: model, Count: share, Force: true})
 		}
@@ -283,7 +285,7 @@
 	var changes []fold.PermitChange
 	for _, model := range slices.Sorted(maps.Keys(r.claims)) {
 		a := r.claims[model]
-		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Count: a.Count})
+		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Base: a.Base, Count: a.Count})
 	}
 	clear(r.claims)
 	r.appendPermits(changes)
@@ -299,7 +301,7 @@
 			for _, c := range changes {
 				r.appendPermits([]fold.PermitChange{c})
 			}
-		case changes[0].Count > r.d.state.Permit(changes[0].Model, r.name):
+		case changes[0].Count > r.d.state.Permit(changes[0].Model, r.name).Count:
 			r.askOthers(changes[0].Model)
 		}
 	})
@@ -441,7 +443,7 @@
 func (c *cells) homeOf(model string) string {
 	usable := c.d.upstreams.usable
 	own := c.d.settings.Host.DataCentre
-	if c.d.state.Permit(model, own) > 0 && slices.Contains(usable, own) {
+	if c.d.state.Permit(model, own).Count > 0 && slices.Contains(usable, own) {
 		return own
 	}
 	for _, p := range c.d.state.Permits(model) {
--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -125,6 +125,12 @@
 	}
 }
 
+// takesLoads reports whether the cell has an upstream that is neither leaving nor gone. Without one, waiting work is served
+// sooner by another cell.
+func (c *Controller) takesLoads() bool {
+	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return !u.leaving && !u.gone })
+}
+
 // settling reports whether an upstream may soon take loads that takes none yet, as after a takeover.
 func (c *Controller) settling() bool {
 	return slices.ContainsFunc(c.upstreams, func(u *upstream) bool { return !u.settled && !u.leaving && !u.gone })
--- a/pkg/fold/record.go
+++ b/pkg/fold/record.go
@@ -102,11 +102,13 @@
 		Release bool `json:"release"`
 	}
 
-	// PermitChange sets the number of replica permits that a cell holds; Lease is the lease offset of its controller.
+	// PermitChange sets the number of replica permits that a cell holds; Lease is the lease offset of its controller, and
+	// Base the offset of the record that it replaces, zero for none.
 	PermitChange struct {
 		Cell  string `json:"cell"`
 		Lease int64  `json:"lease"`
 		Model string `json:"model"`
+		Base  int64  `json:"base"`
 		Count int    `json:"count"`
 	}
 
@@ -271,6 +273,8 @@
 			return bad("permit.cell", "is not a valid name")
 		case !spec.ValidName(p.Model):
 			return bad("permit.model", "is not a valid name")
+		case p.Base < 0:
+			return bad("permit.base", "must not be negative")
 		case p.Lease < 1:
 			return bad("permit.lease", "must be positive")
 		case p.Count < 0 || p.Count > maxPermits:
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -33,6 +33,14 @@
 		First int64
 		// Err tells why the record was not accepted; a duplicate repeats the error of the first.
 		Err *codes.Error
+		// LostTo is the offset of the version or lease that a StaleBase or StaleLease change lost to, zero for none.
+		LostTo int64
+	}
+
+	// rejection is a coded error with the offset that the record lost to.
+	rejection struct {
+		err    *codes.Error
+		lostTo int64
 	}
 
 	// Version is the value of a template or team, and the offset of the record that set or deleted it.
@@ -70,9 +78,10 @@
 
 	// Permits is the number of replica permits of a model that a cell holds.
 	Permits struct {
-		Cell  string `json:"cell"`
-		Model string `json:"model"`
-		Count int    `json:"count"`
+		Cell   string `json:"cell"`
+		Model  string `json:"model"`
+		Count  int    `json:"count"`
+		Offset int64  `json:"offset"` // Offset is that of the record that set the count.
 	}
 
 	// KeyRange is the assignment of a key range.
@@ -92,7 +101,9 @@
 		ID     string     `json:"id"`
 		Offset int64      `json:"offset"`
 		Code   codes.Code `json:"code,omitempty"`
+		Field  string     `json:"field,omitempty"`
 		Detail string     `json:"detail,omitempty"`
+		LostTo int64      `json:"lostTo,omitempty"`
 	}
 
 	// hostVersion is the last member record of a host; it outlives the member for ChangeWindow offsets.
@@ -114,13 +125,15 @@
 		clock      time.Time
 		bad        int64
 		snapshotAt int64
+		snapshotOn time.Time // The log's time of the last part of that snapshot.
 		membership int64
+		configured int64 // The offset of the last change of a template or team.
 		templates  map[string]Version[spec.Template]
 		teams      map[string]Version[spec.Team]
 		members    map[string]Member
 		hosts      map[string]hostVersion
 		leases     map[string]Lease
-		permits    map[string]map[string]int // By model, then cell.
+		permits    map[string]map[string]Permits // By model, then cell.
 		ranges     [KeyRanges]KeyRange
 		changes    map[string]change
 		order      []change // In ascending order of offset, the oldest first.
@@ -129,6 +142,11 @@
 	}
 )
 
+// String returns the name of the outcome as it appears in logs.
+func (o Outcome) String() string {
+	return [...]string{"accepted", "duplicate", "rejected", "skipped", "old", "gap"}[o]
+}
+
 // New returns the state before the first record, whose offset is 1; a record at offset 0 is not folded.
 func New() *State {
 	s := &State{
@@ -137,7 +155,7 @@
 		members:   make(map[string]Member),
 		hosts:     make(map[string]hostVersion),
 		leases:    make(map[string]Lease),
-		permits:   make(map[string]map[string]int),
+		permits:   make(map[string]map[string]Permits),
 		changes:   make(map[string]change),
 	}
 	for i := range s.ranges {
@@ -155,16 +173,16 @@
 // BadRecords returns the number of records that could not be decoded.
 func (s *State) BadRecords() int64 { return s.bad }
 
-// SnapshotAsOf returns the highest offset for which all parts of a snapshot may be in the log.
+// SnapshotAsOf returns the highest offset of a snapshot whose last part is in the log, or zero.
 func (s *State) SnapshotAsOf() int64 { return s.snapshotAt }
 
 // MembershipOffset returns the offset of the last accepted member record.
 func (s *State) MembershipOffset() int64 { return s.membership }
 
-// View returns the configuration; the same pointer is returned until a template or team changes.
+// View returns the configuration as of its last change; the same pointer is returned until a template or team changes.
 func (s *State) View() *spec.View {
 	if s.view == nil {
-		s.view = spec.NewView(s.offset, values(s.templates), values(s.teams))
+		s.view = spec.NewView(s.configured, values(s.templates), values(s.teams))
 	}
 	return s.view
 }
@@ -198,22 +216,34 @@
 // Leases returns all leases in the order of their cells.
 func (s *State) Leases() []Lease { return inOrder(s.leases) }
 
-// Permit returns the number of permits of the model that the cell holds.
-func (s *State) Permit(model, cell string) int { return s.permits[model][cell] }
+// Permit returns the permits of the model that the cell holds.
+func (s *State) Permit(model, cell string) Permits { return s.permits[model][cell] }
 
 // Permits returns the permits of the model in the order of cells.
 func (s *State) Permits(model string) []Permits {
 	list := make([]Permits, 0, len(s.permits[model]))
 	for _, c := range slices.Sorted(maps.Keys(s.permits[model])) {
-		list = append(list, Permits{Cell: c, Model: model, Count: s.permits[model][c]})
+		list = append(list, s.permits[model][c])
 	}
 	return list
 }
 
+// CellPermits returns the permits that the cell holds in the order of models.
+func (s *State) CellPermits(cell string) []Permits {
+	var list []Permits
+	for _, cells := range s.permits {
+		if p := cells[cell]; p.Count > 0 {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b Permits) int { return cmp.Compare(a.Model, b.Model) })
+	return list
+}
+
 // PermitSum returns the sum of the model's permits over all cells and the model's maxReplicas, zero if it is deleted.
 func (s *State) PermitSum(model string) (sum, limit int) {
-	for _, n := range s.permits[model] {
-		sum += n
+	for _, p := range s.permits[model] {
+		sum += p.Count
 	}
 	if t := s.templates[model]; !t.Deleted && t.Value.Model != nil {
 		limit = t.Value.Model.MaxReplicas
@@ -236,11 +266,17 @@
 func (c change) verdict(offset int64) Verdict {
 	v := Verdict{Outcome: Duplicate, Offset: offset, First: c.Offset}
 	if c.Code != codes.OK {
-		v.Err = codes.New(c.Code, c.Detail)
+		v.Err, v.LostTo = codes.New(c.Code, c.Detail).WithField(c.Field), c.LostTo
 	}
 	return v
 }
 
+// Error returns the text of the coded error.
+func (r *rejection) Error() string { return r.err.Error() }
+
+// Unwrap returns the coded error.
+func (r *rejection) Unwrap() error { return r.err }
+
 func values[T any](m map[string]Version[T]) []T {
 	list := make([]T, 0, len(m))
 	for _, v := range m {
--- a/pkg/member/lease.go
+++ b/pkg/member/lease.go
@@ -12,7 +12,9 @@
 	// Candidates propose in order of rank, so that usually one of them does; an append takes well under a second.
 	leaseRankDelay = time.Second
 	// Daemons of other data centres serve a cell only when its own data centre has none.
-	foreignDelay  = 10 * time.Second
+	foreignDelay = 10 * time.Second
+	// Daemons that start together become ready within this time of each other.
+	startDelay    = time.Second
 	leaseInterval = 2 * time.Second
 )
 
@@ -53,8 +55,12 @@
 
 func (l *List) leaseDelay(now time.Time, c *lease) time.Duration {
 	d := time.Duration(l.rank(now, c.Cell, c.DataCentre)) * leaseRankDelay
-	if l.self.DataCentre != c.DataCentre && l.servedAtHome(now, c.DataCentre) {
+	switch {
+	case l.self.DataCentre == c.DataCentre:
+	case l.servedAtHome(now, c.DataCentre):
 		d += foreignDelay
+	default:
+		d += startDelay
 	}
 	return d
 }
