--- a/pkg/idemp/assign.go
+++ b/pkg/idemp/assign.go
@@ -17,10 +17,8 @@
 	r.ready, r.deposed, r.complete = false, false, false
 	r.unsent, r.pending, r.acked, r.applied, r.chunks = nil, nil, 0, 0, make(map[int]bool)
 	r.cause, r.proposeAt = noCause, time.Time{}
-	// A table is whole only if no epoch was missed in between: another daemon may have run keys in a missed one.
-	follows := a.Base == old.Epoch && (held || backed)
-	fresh := a.Base == 0 || a.BlindEpoch == a.Epoch
-	r.valid = a.Holder == self && (follows || fresh)
+	fresh := a.BlindEpoch == a.Epoch || a.first(old)
+	r.valid = a.Holder == self && (fresh || (held || backed) && a.follows(old))
 	if !r.valid || fresh {
 		r.reset()
 	}
@@ -34,6 +32,19 @@
 	h.govern(now)
 }
 
+// follows reports whether no epoch lies between two assignments; another daemon may have run keys in a missed one. Where
+// the base is not known, a holder that had the table still has it unless a blind reset lies between: apart from resets,
+// a daemon becomes or stays holder only by its own proposal or after it confirmed the table in the epoch before.
+func (a Assignment) follows(old Assignment) bool {
+	return a.Base == old.Epoch || a.Base < 0 && a.BlindEpoch <= old.Epoch
+}
+
+// first reports whether a range had no keys before the assignment. For a daemon that knew of none the reason given at
+// follows holds too: it is holder by its own proposal of a first holder, or by a blind reset.
+func (a Assignment) first(old Assignment) bool {
+	return a.Base == 0 || a.Base < 0 && old.Epoch == 0 && a.BlindEpoch == 0
+}
+
 // open starts an epoch as holder: alone at once, otherwise after the backup has the table.
 func (h *Host) open(r *keyRange) {
 	if r.assign.Backup == "" {
--- a/pkg/idemp/begin.go
+++ b/pkg/idemp/begin.go
@@ -105,6 +105,12 @@
 	}
 	switch e.State {
 	case Ran:
+		if e.Stored.BodyOmitted {
+			// An empty body under the stored status would look like a short success.
+			h.refuse(b.ID, codes.Newf(codes.KeyOutcomeLost, "call ran with status %d; its answer was too long to be kept",
+				e.Stored.Status).WithOutcome(codes.Ran))
+			return
+		}
 		h.emit(Answer{ID: b.ID, Stored: e.Stored, Repeated: true})
 	case Lost:
 		h.refuse(b.ID, codes.New(codes.KeyOutcomeLost, ""))
--- a/pkg/idemp/types.go
+++ b/pkg/idemp/types.go
@@ -65,7 +65,8 @@
 		Draining    bool
 	}
 
-	// Assignment is an accepted keyRange record. Base is the epoch that it replaced, zero for the first of a range.
+	// Assignment is an accepted keyRange record. Base is the epoch that it replaced, zero for the first of a range and
+	// negative if it is not known, as in a state that came from a snapshot.
 	Assignment struct {
 		Range      int
 		Epoch      int64
--- a/pkg/stream/check.go
+++ b/pkg/stream/check.go
@@ -63,9 +63,10 @@
 	return c.broken
 }
 
-// Resume makes the attempt the present one and returns the index of the first token that it must deliver.
-func (c *Check) Resume(attempt int) int64 {
-	c.attempt, c.broken = attempt, nil
+// Resume makes the attempt the present one and returns the index of the first token that it must deliver. The attempt
+// carries a request ID of its own.
+func (c *Check) Resume(attempt int, requestID string) int64 {
+	c.attempt, c.requestID, c.broken = attempt, requestID, nil
 	return c.next
 }
 
