--- a/pkg/idemp/backup.go
+++ b/pkg/idemp/backup.go
@@ -4,7 +4,7 @@
 // was replaced gets no acknowledgement and can run no new key.
 func (h *Host) replicate(m Replicate) {
 	r := h.at(m.Range)
-	if r == nil {
+	if r == nil || !acceptable(m.Entries, m.Range, h.cfg.Ranges) {
 		return
 	}
 	if m.Epoch < r.assign.Epoch {
@@ -48,6 +48,9 @@
 	if r == nil || !h.fromHolder(r, m.From, m.Epoch) || m.Chunk < 0 || m.Chunk >= m.Chunks {
 		return
 	}
+	if !acceptable(m.Entries, m.Range, h.cfg.Ranges) {
+		return
+	}
 	if !r.complete && !r.chunks[m.Chunk] {
 		for _, e := range m.Entries {
 			r.put(e)
--- a/pkg/idemp/govern.go
+++ b/pkg/idemp/govern.go
@@ -25,6 +25,13 @@
 
 type cause int
 
+// String returns the reason that a proposal gives.
+func (c cause) String() string {
+	return [...]string{
+		"none", "first holder", "new backup", "hand-over", "take-over", "table is lost", "table is out of contact",
+	}[c]
+}
+
 // govern proposes the assignments that are due.
 func (h *Host) govern(now time.Time) {
 	if !h.known {
@@ -96,7 +103,9 @@
 // proposal returns the record for a cause. An empty backup lets the holder run alone, so it is proposed only where the
 // log knows no other member that could be the backup.
 func (h *Host) proposal(r *keyRange, c cause) (Propose, bool) {
-	p := Propose{Range: r.index, Base: r.assign.Epoch, Holder: h.cfg.Incarnation, Backup: h.candidate(r)}
+	p := Propose{
+		Range: r.index, Base: r.assign.Epoch, Holder: h.cfg.Incarnation, Backup: h.candidate(r), Reason: c.String(),
+	}
 	switch c {
 	case handOver:
 		p.Holder = r.assign.Backup
--- a/pkg/idemp/holder.go
+++ b/pkg/idemp/holder.go
@@ -190,7 +190,7 @@
 
 func (h *Host) lateArrived(m Late) {
 	r := h.at(m.Range)
-	if r == nil || r.assign.Holder != h.cfg.Incarnation || !r.valid || h.RangeOf(m.Entry.Key) != r.index {
+	if r == nil || r.assign.Holder != h.cfg.Incarnation || !r.valid || !acceptable([]Entry{m.Entry}, m.Range, h.cfg.Ranges) {
 		return
 	}
 	h.settle(r, m.Entry)
--- a/pkg/idemp/host_test.go
+++ b/pkg/idemp/host_test.go
@@ -193,6 +193,17 @@
 		h.Handle(start, Peers{Members: []Member{{Incarnation: "a"}}})
 		p, proposed := first[Propose](h.Handle(start.Add(goneDelay), Tick{}))
 		c.Assert(proposed, qt.Equals, refused)
-		c.Assert(!proposed || p == Propose{Base: 9, Holder: "a", Blind: true}, qt.IsTrue)
+		c.Assert(!proposed || p == Propose{Base: 9, Holder: "a", Blind: true, Reason: "table is lost"}, qt.IsTrue)
+	}
+}
+
+// Guards against a faulty peer that fills a table with keys of other ranges or without bound.
+func TestForeignEntries(t *testing.T) {
+	h := New(Config{Incarnation: "b", Ranges: 2}, rand.New(rand.NewPCG(1, 2)))
+	h.Handle(start, Assignment{Range: 0, Epoch: 7, Holder: "a", Backup: "b"})
+	for _, key := range []string{"", strings.Repeat("x", MaxKeyLength+1), mintKey(1, 7, h.rng), mintKey(0, 7, h.rng)} {
+		_, acked := first[Send](h.Handle(start, Transfer{From: "a", Epoch: 7, Chunks: 1, Entries: []Entry{{Key: key}}}))
+		qt.Check(t, acked, qt.Equals, len(key) > 0 && h.RangeOf(key) == 0 && len(key) <= MaxKeyLength)
+		qt.Check(t, h.Keys() == 1, qt.Equals, acked)
 	}
 }
--- a/pkg/idemp/keys.go
+++ b/pkg/idemp/keys.go
@@ -67,6 +67,20 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64String(body))
 }
 
+// acceptable reports whether a peer's entries belong to the range. A faulty peer must not put keys into a table in which
+// no Begin would look for them, or states that no rule expects.
+func acceptable(entries []Entry, keyRange, ranges int) bool {
+	for _, e := range entries {
+		if e.Key == "" || len(e.Key) > MaxKeyLength || e.State < Started || e.State > Lost {
+			return false
+		}
+		if RangeOf(e.Key, ranges) != keyRange {
+			return false
+		}
+	}
+	return true
+}
+
 // score orders candidates for a range by rendezvous hashing; the highest comes first.
 func score(keyRange int, incarnation string) uint64 {
 	return xxhash.Sum64String(strconv.Itoa(keyRange) + "/" + incarnation)
--- a/pkg/idemp/machine_test.go
+++ b/pkg/idemp/machine_test.go
@@ -153,12 +153,7 @@
 	for seed := range uint64(bulkRuns) {
 		w, err := simulate(faults{}, seeded(seed))
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
-		total += w.total
-		for _, a := range w.log {
-			if a.BlindEpoch == a.Epoch {
-				blind++
-			}
-		}
+		total, blind = total+w.total, blind+w.blind
 	}
 	t.Logf("%d runs, %d calls ran, %d blind resets", bulkRuns, total, blind)
 	qt.Assert(t, total > 10*bulkRuns, qt.IsTrue)
--- a/pkg/idemp/types.go
+++ b/pkg/idemp/types.go
@@ -193,13 +193,22 @@
 		Base   int64
 		Holder string
 		Backup string
-		Blind  bool // Blind tells that the keys before this record are not known to the new holder.
+		Blind  bool   // Blind tells that the keys before this record are not known to the new holder.
+		Reason string // Reason is for logs.
 	}
 
 	// Wake asks for a Tick at the time At.
 	Wake struct{ At time.Time }
 )
 
+// String returns the name of the state for logs.
+func (s State) String() string {
+	if s < Started || s > Lost {
+		return "invalid"
+	}
+	return [...]string{"started", "ran", "released", "lost"}[s]
+}
+
 func (Assignment) event()       {}
 func (Peers) event()            {}
 func (Drain) event()            {}
--- a/pkg/idemp/world_test.go
+++ b/pkg/idemp/world_test.go
@@ -28,6 +28,7 @@
 		down    bool
 		gen     int
 		total   int
+		blind   int
 		keys    []string
 		runs    map[string]int    // runs counts by key what the service ran.
 		answers map[string]string // answers holds by key what the service answered.
@@ -193,6 +194,7 @@
 	}
 	if p.Blind {
 		a.BlindEpoch, a.BlindSince = a.Epoch, w.now
+		w.blind++
 	}
 	w.current[p.Range] = a
 	w.log = append(w.log, a)
@@ -318,20 +320,18 @@
 
 // runsNew reports whether a new minted key of each range runs through every live node.
 func (w *world) runsNew() bool {
-	for _, n := range w.nodes {
-		for keyRange := range 2 {
-			if !n.alive {
-				continue
-			}
-			key, err := n.h.Mint(keyRange)
-			if err != nil {
-				return false
-			}
-			w.begin(n, key)
-			w.settle(2)
-			if w.runs[key] != 1 {
-				return false
-			}
+	for i := range 2 * len(w.nodes) {
+		n := w.nodes[i/2]
+		if !n.alive {
+			continue
+		}
+		key, err := n.h.Mint(i % 2)
+		if err != nil {
+			return false
+		}
+		w.begin(n, key)
+		if w.settle(2); w.runs[key] != 1 {
+			return false
 		}
 	}
 	return true
--- a/pkg/member/list.go
+++ b/pkg/member/list.go
@@ -24,6 +24,10 @@
 	recordRankDelay = time.Second
 	recordInterval  = 5 * time.Second
 
+	// Bounds on what a peer may send: a message is at most 1 MiB, and no name of the platform is longer than 255 bytes.
+	maxLeaving = 4096
+	maxText    = 255
+
 	// A process that is recorded as gone may still send for a while when it was only paused.
 	forgetPeer = 24 * time.Hour
 
@@ -241,7 +245,7 @@
 }
 
 func (l *List) heartbeat(now time.Time, m Heartbeat) {
-	if m.Incarnation == l.self.Incarnation || m.Incarnation == "" {
+	if m.Incarnation == l.self.Incarnation || !m.acceptable() {
 		return
 	}
 	p := l.known(now, m.Identity)
@@ -260,6 +264,24 @@
 // hurry sends a heartbeat at once and repeats it soon.
 func (l *List) hurry() { l.beatNow, l.urgent = true, urgentRepeats }
 
+// acceptable reports whether a heartbeat is within the bounds of what a daemon sends.
+func (m Heartbeat) acceptable() bool {
+	if m.Incarnation == "" || m.Offset < 0 || m.LogContactAge < 0 || len(m.Leaving) > maxLeaving {
+		return false
+	}
+	for _, s := range []string{m.Incarnation, m.Host, m.Address, m.CallerURL, m.DataCentre} {
+		if len(s) > maxText {
+			return false
+		}
+	}
+	for _, e := range m.Leaving {
+		if e.Upstream == "" || len(e.Upstream) > maxText || len(e.Incarnation) > maxText || e.Last.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *List) beat(now time.Time) {
 	if now.Before(l.nextBeat) && !l.beatNow {
 		return
--- a/pkg/member/list_test.go
+++ b/pkg/member/list_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -203,26 +204,41 @@
 	s.Begin(start)
 	s.Begin(start.Add(time.Hour))
 	for _, step := range []struct {
-		at       time.Duration
-		load     Load
-		stage    Stage
-		accepts  bool
-		finished bool
+		at      time.Duration
+		load    Load
+		stage   Stage
+		accepts bool
 	}{
-		{0, Load{}, Announcing, true, false},
-		{11*time.Second - 1, Load{}, Announcing, true, false},
-		{11 * time.Second, Load{2, 1, 3}, Finishing, false, false},
-		{71*time.Second - 1, Load{2, 1, 3}, Finishing, false, false},
-		{71 * time.Second, Load{1, 1, 3}, HandingOver, false, false},
-		{75 * time.Second, Load{0, 0, 1}, HandingOver, false, false},
-		{76 * time.Second, Load{0, 0, 1}, Stopped, false, true},
+		{0, Load{}, Announcing, true},
+		{11*time.Second - 1, Load{}, Announcing, true},
+		{11 * time.Second, Load{2, 1, 3}, Finishing, false},
+		{71*time.Second - 1, Load{2, 1, 3}, Finishing, false},
+		{71 * time.Second, Load{1, 1, 3}, HandingOver, false},
+		{75 * time.Second, Load{0, 0, 1}, HandingOver, false},
+		{76 * time.Second, Load{0, 0, 1}, Stopped, false},
 	} {
 		stage, _ := s.Advance(start.Add(step.at), step.load)
 		c.Assert(stage, qt.Equals, step.stage, qt.Commentf("%v", step.at))
 		c.Assert(s.Accepts(), qt.Equals, step.accepts)
 		_, finished := s.Done()
-		c.Assert(finished, qt.Equals, step.finished)
+		c.Assert(finished, qt.Equals, step.stage == Stopped)
 	}
 	done, _ := s.Done()
 	c.Assert(done, qt.Equals, Done{Interrupted: 1, Kept: 1})
 }
+
+// Guards against peers that fill the memory or the heartbeats of others.
+func TestHeartbeatBounds(t *testing.T) {
+	l := New(identity(0), time.Second)
+	long := strings.Repeat("x", maxText+1)
+	for _, h := range []Heartbeat{
+		{},
+		{Identity: Identity{Incarnation: long}},
+		{Identity: identity(1), LogContactAge: -1},
+		{Identity: identity(1), Leaving: []Evidence{{Upstream: long, Last: start}}},
+		{Identity: identity(1), Leaving: make([]Evidence, maxLeaving+1)},
+	} {
+		l.Handle(start, h)
+		qt.Check(t, l.Peers(start), qt.HasLen, 0)
+	}
+}
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -44,6 +44,14 @@
 	}
 )
 
+// String returns the name of the stage as operators see it.
+func (s Stage) String() string {
+	if s < Running || s > Stopped {
+		return "invalid"
+	}
+	return [...]string{"running", "announcing", "finishing", "handingOver", "stopped"}[s]
+}
+
 // NewStop returns a planned stop that has not begun.
 func NewStop(cfg StopConfig) *Stop { return &Stop{cfg: cfg} }
 
--- a/pkg/member/upstream.go
+++ b/pkg/member/upstream.go
@@ -169,7 +169,7 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Evidence) int { return strings.Compare(a.Upstream, b.Upstream) })
-	return all
+	return all[:min(len(all), maxLeaving)]
 }
 
 func earlier(a, b time.Time) time.Time {
