fix(fold): a verdict after a gap does not move the planner's offset

The planner took the offset of a record that the state had refused, and would have sent records whose Seen the fold rejects. Describe in the package comment how records are appended. The switch of the planner's mutant moves to the other ones.

--- a/pkg/fold/apply.go
+++ b/pkg/fold/apply.go
@@ -126,7 +126,7 @@
 	if err := s.stale(base, current); err != nil {
 		return err
 	}
-	if r.Seen < s.membership && !s.off.noMemberCheck {
+	if r.Seen < s.membership {
 		return codes.Newf(codes.NoMajority, "the members changed at offset %d, after the majority was counted", s.membership)
 	}
 	return nil
--- a/pkg/fold/doc.go
+++ b/pkg/fold/doc.go
@@ -28,4 +28,16 @@
 //
 // A reader that begins at the first retained record first scans the log with a Finder, and then applies the records after
 // the snapshot that it found. Apply refuses to go over a gap. State.SnapshotDue tells which member writes a snapshot when.
+//
+// # How a record is appended
+//
+// Planner takes a record (Submit) and asks for appends until the result is certain (Done). The caller reports each append
+// as AppendAnswered, AppendRefused (no effect, for example no connection) or AppendLost (anything else), and posts Folded
+// for every verdict and Restored after a jump to a snapshot.
+//
+//   - Until the first append, nothing can have taken effect: at the deadline the result is a refusal that is not run.
+//   - While an answer is missing, the same bytes are appended again after a backoff of 0.1 to 2 s.
+//   - At the deadline, GiveUp reports AppendInDoubt. The planner then appends withdraw records until the fold has seen one of
+//     them or the change itself, so that the result is known as soon as the log can be read.
+//   - A template or team that is rejected with NoMajority lost to a member record and may be submitted again with a new id.
 package fold
--- a/pkg/fold/fold_test.go
+++ b/pkg/fold/fold_test.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"crypto/sha512"
-	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -39,10 +39,7 @@
 	if r.Seen == 0 {
 		r.Seen = t.s.offset
 	}
-	data, err := Encode(r)
-	if err != nil {
-		panic(err)
-	}
+	data, _ := Encode(r) // An invalid record gives an empty one, which is skipped.
 	return t.raw(data)
 }
 
@@ -219,16 +216,14 @@
 	}
 	old := p.s.Snapshot()
 	parts, err := p.s.Parts("b", "snap")
-	c.Assert(err, qt.IsNil)
-	c.Assert(len(parts) > 1, qt.IsTrue)
+	c.Assert(err == nil && len(parts) > 1, qt.IsTrue)
 	f := NewFinder()
 	p.put(set("a", "x", 0, 2))
 	for _, r := range parts {
 		c.Assert(f.State(), qt.IsNil)
 		c.Assert(p.put(r).Outcome, qt.Equals, Accepted)
 		c.Assert(f.Add([]byte(`{}`)), qt.IsFalse)
-		data, _ := json.Marshal(r)
-		f.Add(data)
+		f.Add(p.data[len(p.data)-1])
 	}
 	s := f.State()
 	for o := s.Offset() + 1; o <= p.s.Offset(); o++ {
@@ -236,11 +231,9 @@
 	}
 	c.Assert(bytes.Equal(s.Snapshot(), p.s.Snapshot()), qt.IsTrue)
 	c.Assert(p.s.SnapshotAsOf(), qt.Equals, int64(3002))
-	for i, member := range []string{"a", "b"} {
-		due, next := p.s.SnapshotDue(p.s.Clock().Add(time.Hour), member, time.Hour)
-		c.Assert(due, qt.Equals, member == "a")
-		c.Assert(next, qt.Equals, p.s.Clock().Add(time.Hour+time.Duration(i)*snapshotStagger))
-	}
+	first, _ := p.s.SnapshotDue(p.s.Clock().Add(time.Hour), "a", time.Hour)
+	second, next := p.s.SnapshotDue(p.s.Clock().Add(time.Hour), "b", time.Hour)
+	c.Assert(first && !second && next.Equal(p.s.Clock().Add(time.Hour+snapshotStagger)), qt.IsTrue)
 	m, err := s.Merge(old)
 	c.Assert(err, qt.IsNil)
 	c.Assert(m, qt.Equals, s)
@@ -250,3 +243,23 @@
 	m, _ = e.Merge(s.Snapshot())
 	c.Assert(m.Offset(), qt.Equals, s.Offset())
 }
+
+// Guards against a template that is sent without permission, a refusal that does not say that nothing was sent, and a Seen
+// that the daemon has not folded.
+func TestPlannerAsksFirst(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner(5, rand.New(rand.NewPCG(1, 1)))
+	p.MayPublish = func(time.Time) error { return codes.New(codes.NoMajority, "") }
+	r := set("a", "m", 0, 1)
+	r.ID = "i"
+	out := p.Handle(epoch, Submit{r, epoch.Add(time.Second)})
+	c.Assert(out, qt.DeepEquals, []Action{Wake{epoch.Add(permissionInterval)}})
+	p.Handle(epoch, Folded{Verdict{Outcome: Gap, Offset: 9}})
+	done := p.Handle(epoch.Add(time.Second), Tick{})[0].(Done)
+	c.Assert(done.Verdict.Err.Code(), qt.Equals, codes.NoMajority)
+	c.Assert(done.Verdict.Err.Outcome(), qt.Equals, codes.NotRun)
+	p.MayPublish = nil
+	sent, err := Decode(p.Handle(epoch, Submit{r, epoch.Add(time.Second)})[0].(Append).Data)
+	c.Assert(err, qt.IsNil)
+	c.Assert(sent.Seen, qt.Equals, int64(5))
+}
--- a/pkg/fold/model_test.go
+++ b/pkg/fold/model_test.go
@@ -10,8 +10,6 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
-
-	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
 type (
@@ -37,7 +35,6 @@
 	world struct {
 		pick              func(n int) int
 		off               guards
-		lostIsRefused     bool // The mutant of the planner.
 		now               time.Time
 		log               [][]byte
 		at                []time.Time
@@ -55,9 +52,9 @@
 	}
 )
 
-func newWorld(pick func(n int) int, off guards, lostIsRefused bool) *world {
+func newWorld(pick func(n int) int, off guards) *world {
 	w := &world{
-		pick: pick, off: off, lostIsRefused: lostIsRefused, now: epoch, first: 1, nodes: make([]*node, 3), truth: New(), results: map[string]Verdict{},
+		pick: pick, off: off, now: epoch, first: 1, nodes: make([]*node, 3), truth: New(), results: map[string]Verdict{},
 		accepted: map[string]int{}, permits: map[string]int{}, fences: map[string]int64{}, released: map[int64]bool{},
 	}
 	w.truth.off = off
@@ -86,8 +83,8 @@
 	w.nodes[i] = d
 	d.s.off = w.off
 	d.p = NewPlanner(0, rand.New(rand.NewPCG(uint64(w.ids), 0)))
-	d.p.lostIsRefused = w.lostIsRefused
-	d.p.MayPublish = func(time.Time) error { return []error{nil, codes.New(codes.NoMajority, "")}[w.pick(2)] }
+	d.p.off = w.off
+	d.p.MayPublish = func(time.Time) error { return []error{nil, errors.New("no majority")}[w.pick(2)] }
 	w.read(d)
 	r := d.s.Register(w.id(), d.name, d.host, "dc1", Addresses{Callers: d.host, Peers: d.host})
 	w.handle(d, Submit{r, w.now.Add(time.Hour)})
@@ -283,7 +280,7 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "pick") }
-		if err := newWorld(pick, guards{}, false).run(150); err != nil {
+		if err := newWorld(pick, guards{}).run(150); err != nil {
 			rt.Fatal(err)
 		}
 	})
@@ -291,15 +288,12 @@
 
 // Guards against a model that cannot fail: without any one of the checks, some seed must find a violation.
 func TestModelFindsMutants(t *testing.T) {
-	for name, m := range map[string]struct {
-		off           guards
-		lostIsRefused bool
-	}{
+	for name, off := range map[string]guards{
 		"sound":         {},
-		"base":          {off: guards{noBase: true}},
-		"lease":         {off: guards{noLease: true}},
-		"changeID":      {off: guards{noChangeID: true}},
-		"permitSum":     {off: guards{noPermitSum: true}},
+		"base":          {noBase: true},
+		"lease":         {noLease: true},
+		"changeID":      {noChangeID: true},
+		"permitSum":     {noPermitSum: true},
 		"lostIsRefused": {lostIsRefused: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -307,7 +301,7 @@
 			var found error
 			seed := uint64(0)
 			for ; seed < 40 && found == nil; seed++ {
-				found = newWorld(rand.New(rand.NewPCG(seed, 7)).IntN, m.off, m.lostIsRefused).run(300)
+				found = newWorld(rand.New(rand.NewPCG(seed, 7)).IntN, off).run(300)
 			}
 			t.Logf("%d seeds: %v", seed, found)
 			c.Assert(found != nil, qt.Equals, name != "sound", qt.Commentf("%v", found))
--- a/pkg/fold/plan.go
+++ b/pkg/fold/plan.go
@@ -91,8 +91,7 @@
 		rng    *rand.Rand
 		offset int64
 		plans  map[string]*plan
-		// lostIsRefused is set by a test to show that a missing answer must not count as a failure.
-		lostIsRefused bool
+		off    guards
 	}
 
 	plan struct {
@@ -138,7 +137,7 @@
 	case AppendRefused:
 		p.refused(now, e.ID)
 	case AppendLost:
-		if q := p.plans[e.ID]; p.lostIsRefused {
+		if q := p.plans[e.ID]; p.off.lostIsRefused {
 			p.refused(now, e.ID)
 		} else if q != nil && (q.state == sent || q.state == watching) {
 			q.next = now.Add(p.wait(q))
@@ -183,6 +182,9 @@
 }
 
 func (p *Planner) folded(v Verdict) []Action {
+	if v.Outcome == Old || v.Outcome == Gap {
+		return nil // The state did not move.
+	}
 	p.offset = max(p.offset, v.Offset)
 	id := v.Record.ID
 	// An accepted withdrawal ends the change. So does one that was rejected because its author is recorded as gone, since
--- a/pkg/fold/snap.go
+++ b/pkg/fold/snap.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -161,7 +162,7 @@
 	list := make([]Record, 0, len(chunks))
 	for i, c := range chunks {
 		list = append(list, Record{
-			Kind: SnapshotKind, ID: prefix + "." + string(rune('A'+i)), By: by, Seen: s.offset,
+			Kind: SnapshotKind, ID: prefix + "." + strconv.Itoa(i), By: by, Seen: s.offset,
 			Snapshot: &SnapshotPart{AsOf: s.offset, Part: i, Parts: len(chunks), Data: c},
 		})
 	}
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -113,7 +113,8 @@
 
 	// guards switches single checks off, so that tests can show that the properties depend on them.
 	guards struct {
-		noBase, noLease, noChangeID, noPermitSum, noWindow, noMemberCheck bool
+		noBase, noLease, noChangeID, noPermitSum, noWindow bool
+		lostIsRefused                                      bool // The planner takes a missing answer for a failure.
 	}
 
 	// State is the control state as of an offset.
--- a/pkg/fresh/model_test.go
+++ b/pkg/fresh/model_test.go
@@ -304,9 +304,7 @@
 			}
 			t.Logf("seeds %d to %d, %d changes, worst %v, %v: %v", m.first, seed-1, accepted, worst, reasons, found)
 			c.Assert(found != nil, qt.Equals, name != "sound", qt.Commentf("%v", found))
-			for _, r := range []Reason{ByLog, ByPeer, ByMajority} {
-				c.Assert(found != nil || reasons[r] > 1000, qt.IsTrue, qt.Commentf("%s", r))
-			}
+			c.Assert(found != nil || min(reasons[ByLog], reasons[ByPeer], reasons[ByMajority]) > 1000, qt.IsTrue)
 		})
 	}
 }
