test: loopback addresses of their own for each scenario

Cause: refuse_in_time failed once because another process had taken a free port before the daemon listened on it. Change: daemons of scenario N listen on 127.x.N.host.

--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +21,8 @@
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 )
 
+var worlds atomic.Int64
+
 const (
 	apiKey       = "scene-key"
 	readyTimeout = 20 * time.Second
@@ -33,6 +35,7 @@
 	// world is the processes of one scenario.
 	world struct {
 		env     *testscript.Env
+		number  int64
 		binary  string
 		mu      sync.Mutex
 		procs   map[string]*proc
@@ -64,7 +67,7 @@
 		}
 	}
 	return &world{
-		env: e, binary: filepath.Join(strings.Split(path, string(os.PathListSeparator))[0], "fireflycleat"),
+		env: e, number: worlds.Add(1) % 250, binary: filepath.Join(strings.Split(path, string(os.PathListSeparator))[0], "fireflycleat"),
 		procs: make(map[string]*proc), calls: make(map[string]*call),
 	}
 }
@@ -193,14 +196,10 @@
 		}
 		return err
 	}
+	// Each scenario has loopback addresses of its own, since a free port of a shared address may be taken before it is used.
 	var free [3]string
 	for i := range free {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		free[i] = l.Addr().String()
-		defer func() { _ = l.Close() }()
+		free[i] = fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()%128, w.number, index+1, 7001+i)
 	}
 	centre := w.centres[index%len(w.centres)]
 	text := fmt.Sprintf("[host]\nname = %q\ndataCentre = %q\n[listen]\ntraffic = %q\npeers = %q\noperator = %q\n"+
