refactor: one checker and decoder for streamed answers

Cause: the daemon checked chunks and decoded events by itself although pkg/stream does both. Change: engine and daemon use pkg/stream; the chunk encoding that nothing used is gone, with its part of the fuzz target.

--- a/internal/daemon/model.go
+++ b/internal/daemon/model.go
@@ -1,9 +1,9 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +17,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/retry"
+	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
 
 const (
@@ -32,6 +33,7 @@
 		call     front.ModelCall
 		ctx      context.Context
 		sink     func([]byte) error
+		check    *stream.Check
 		began    time.Time
 		attempts map[int]*attempt
 		running  sync.WaitGroup
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &modelCall{
-		call: call, ctx: ctx, sink: sink, began: time.Now(), attempts: make(map[int]*attempt), end: make(chan struct{}),
+		call: call, ctx: ctx, sink: sink, check: stream.New(call.ID), began: time.Now(), attempts: make(map[int]*attempt), end: make(chan struct{}),
 	}
 	m.d.control.post(func() { m.arrive(c) })
 	select {
@@ -228,49 +230,53 @@
 
 // transfer passes the tokens of one attempt on and returns the index of the next token that the caller needs.
 func (m *models) transfer(ctx context.Context, c *modelCall, a *attempt) (int, error) {
-	next := a.request.ResumeFrom
 	s, err := m.d.engines.Open(ctx, a.request)
 	if err != nil {
-		return next, err
+		return a.request.ResumeFrom, err
 	}
 	defer s.Close()
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
-	for begun := false; ; {
-		chunk, err := s.Next()
-		if err != nil {
-			return next, err
-		}
-		if chunk.Done {
-			return next, nil
-		}
-		if chunk.RequestID != a.request.ID {
-			return next, codes.New(codes.StreamBroken, "chunk of another request")
-		}
-		if chunk.Index < next {
-			continue // The engine repeats tokens that were delivered before a resume.
-		}
-		if chunk.Index > next {
-			return next, codes.New(codes.StreamBroken, "token is missing")
-		}
-		if !begun {
-			begun = true
-			m.d.control.post(func() { m.handle(entry.FirstToken{ID: c.id, Attempt: a.number}) })
-			select {
-			case <-a.deliver:
-			case <-ctx.Done():
-				return next, ctx.Err()
-			}
+	chunk, err := s.Next()
+	if err != nil {
+		return a.request.ResumeFrom, err
+	}
+	m.d.control.post(func() { m.handle(entry.FirstToken{ID: c.id, Attempt: a.number}) })
+	select {
+	case <-a.deliver:
+	case <-ctx.Done():
+		return a.request.ResumeFrom, ctx.Err()
+	}
+	c.check.Resume(a.number, a.request.ID)
+	for {
+		if err := m.pass(c, a, chunk); err != nil || c.check.Ended() {
+			return int(c.check.Next()), err
 		}
-		if err := c.sink(bytes.Replace(chunk.Data, []byte(a.request.ID), []byte(c.call.ID), 1)); err != nil {
-			return next, err
+		if chunk, err = s.Next(); err != nil {
+			return int(c.check.Next()), err
 		}
-		next++
-		if next%progressEvery == 0 {
-			tokens := next
-			m.d.control.post(func() { m.handle(entry.Progress{ID: c.id, Attempt: a.number, Tokens: tokens}) })
+	}
+}
+
+// pass checks a chunk and gives the tokens that the caller does not have yet to it.
+func (m *models) pass(c *modelCall, a *attempt, chunk engine.Chunk) error {
+	k := stream.Chunk{RequestID: chunk.RequestID, Seq: chunk.Index, Tokens: []string{chunk.Data}}
+	if chunk.Done {
+		k = stream.Chunk{RequestID: a.request.ID, Seq: c.check.Next(), End: true}
+	}
+	tokens, err := c.check.Accept(a.number, k)
+	if err != nil {
+		return err
+	}
+	for _, data := range tokens {
+		if err := c.sink([]byte(strings.Replace(data, a.request.ID, c.call.ID, 1))); err != nil {
+			return err
 		}
 	}
+	if next := int(c.check.Next()); len(tokens) > 0 && next%progressEvery == 0 {
+		m.d.control.post(func() { m.handle(entry.Progress{ID: c.id, Attempt: a.number, Tokens: next}) })
+	}
+	return nil
 }
 
 // resultOf classifies the end of an attempt. A cancelled attempt may have run.
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/stream"
+)
+
+func noTrace(context.Context, http.Header) {}
+
+// Guards against net/http sending a call with an idempotency key again by itself when the connection breaks.
+func TestPlainIsSentOnce(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if runs.Add(1) == 1 {
+			return
+		}
+		conn, _, _ := w.(http.Hijacker).Hijack()
+		_ = conn.Close()
+	}))
+	defer s.Close()
+	e := New(noTrace)
+	q := PlainRequest{
+		Address: strings.TrimPrefix(s.URL, "http://"), Method: http.MethodPost, Path: "/x", Key: "k", Body: []byte("b"),
+		Timeout: time.Second, MaxReply: 10,
+	}
+	_, err := e.Plain(t.Context(), q)
+	c.Assert(err, qt.IsNil)
+	_, err = e.Plain(t.Context(), q)
+	c.Assert(codes.From(err).Outcome(), qt.Equals, codes.Unknown)
+	c.Assert(runs.Load(), qt.Equals, int64(2))
+}
+
+// Guards against "not run" being said of a call whose bytes left, and "unknown" of one that never left.
+func TestOutcomeOfTransportErrors(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	q := Request{ID: "r", Address: l.Addr().String(), Path: "/", Body: []byte("{}")}
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			_ = conn.Close()
+		}
+	}()
+	e := New(noTrace)
+	_, err = e.Open(t.Context(), q)
+	c.Assert(codes.From(err).Outcome(), qt.Equals, codes.Unknown)
+	c.Assert(l.Close(), qt.IsNil)
+	_, err = e.Open(t.Context(), q)
+	c.Assert(codes.From(err).Outcome(), qt.Equals, codes.NotRun)
+}
+
+// Guards against a stream without its end marker passing for whole.
+func TestStreamNeedsItsEnd(t *testing.T) {
+	for name, tc := range map[string]struct {
+		body string
+		ok   bool
+	}{
+		"whole":     {"id: 0\ndata: {\"id\":\"r\"}\n\ndata: [DONE]\n\n", true},
+		"no end":    {"id: 0\ndata: {\"id\":\"r\"}\n\n", false},
+		"no index":  {"data: {\"id\":\"r\"}\n\ndata: [DONE]\n\n", false},
+		"not JSON":  {"id: 0\ndata: x\n\ndata: [DONE]\n\n", false},
+		"half line": {"id: 0\ndata: {\"id\":\"r\"}\n\ndata: [DO", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := Stream{body: io.NopCloser(strings.NewReader(tc.body)), buffer: make([]byte, 7)}
+			var last Chunk
+			var err error
+			for err == nil && !last.Done {
+				last, err = s.Next()
+			}
+			qt.Assert(t, last.Done, qt.Equals, tc.ok)
+			qt.Assert(t, codes.Is(err, codes.StreamBroken), qt.Equals, !tc.ok)
+		})
+	}
+}
+
+// Guards against a panic on a hostile chunk.
+func FuzzParseChunk(f *testing.F) {
+	f.Add("0", `{"id":"r"}`)
+	f.Add("x", "[DONE]")
+	f.Fuzz(func(_ *testing.T, id, data string) { _, _ = parseChunk(stream.Event{ID: id, Data: data}) })
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,10 +13,11 @@
 
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
 
 const (
-	maxChunkBytes  = 256 << 10
+	readBytes      = 4 << 10
 	maxRefusalSize = 16 << 10
 	doneMarker     = "[DONE]"
 )
@@ -36,15 +36,17 @@
 	// Chunk is one event of a streamed answer. Done marks the end of a whole answer and carries no data.
 	Chunk struct {
 		RequestID string
-		Index     int
-		Data      []byte
+		Index     int64
+		Data      string
 		Done      bool
 	}
 
 	// Stream reads the chunks of one attempt.
 	Stream struct {
 		body    io.ReadCloser
-		scanner *bufio.Scanner
+		buffer  []byte
+		decoder stream.Decoder
+		events  []stream.Event
 	}
 
 	chunkID struct {
@@ -74,48 +76,43 @@
 		defer func() { _ = answer.Body.Close() }()
 		return nil, refusal(answer)
 	}
-	s := bufio.NewScanner(answer.Body)
-	s.Buffer(make([]byte, 0, 4096), maxChunkBytes)
-	return &Stream{body: answer.Body, scanner: s}, nil
+	return &Stream{body: answer.Body, buffer: make([]byte, readBytes)}, nil
 }
 
 // Next returns the next chunk; a stream that ends without its end marker returns StreamBroken.
 func (s *Stream) Next() (Chunk, error) {
-	index := -1
-	for s.scanner.Scan() {
-		line := s.scanner.Bytes()
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			n, err := strconv.Atoi(string(bytes.TrimSpace(id)))
-			if err != nil {
-				return Chunk{}, codes.New(codes.StreamBroken, "chunk index is not a number")
-			}
-			index = n
-			continue
+	for len(s.events) == 0 {
+		n, err := s.body.Read(s.buffer)
+		events, fault := s.decoder.Feed(s.buffer[:n])
+		s.events = events
+		switch {
+		case fault != nil:
+			return Chunk{}, fault
+		case err != nil && len(events) == 0:
+			return Chunk{}, codes.New(codes.StreamBroken, err.Error())
 		}
-		data, ok := bytes.CutPrefix(line, []byte("data:"))
-		if !ok {
-			continue
-		}
-		return parseChunk(index, bytes.TrimSpace(data))
-	}
-	if err := s.scanner.Err(); err != nil {
-		return Chunk{}, codes.New(codes.StreamBroken, err.Error())
 	}
-	return Chunk{}, codes.New(codes.StreamBroken, "engine closed the connection")
+	e := s.events[0]
+	s.events = s.events[1:]
+	return parseChunk(e)
 }
 
 // Close ends the attempt; an engine cancels a request whose connection is closed.
 func (s *Stream) Close() { _ = s.body.Close() }
 
-func parseChunk(index int, data []byte) (Chunk, error) {
-	if string(data) == doneMarker {
+func parseChunk(e stream.Event) (Chunk, error) {
+	if e.Data == doneMarker {
 		return Chunk{Done: true}, nil
 	}
+	index, err := strconv.ParseInt(e.ID, 10, 64)
+	if err != nil {
+		return Chunk{}, codes.New(codes.StreamBroken, "token index is not a number")
+	}
 	var id chunkID
-	if err := json.Unmarshal(data, &id); err != nil {
+	if err := json.Unmarshal([]byte(e.Data), &id); err != nil {
 		return Chunk{}, codes.New(codes.StreamBroken, "chunk is not JSON")
 	}
-	return Chunk{RequestID: id.ID, Index: index, Data: bytes.Clone(data)}, nil
+	return Chunk{RequestID: id.ID, Index: index, Data: e.Data}, nil
 }
 
 func refusal(answer *http.Response) error {
--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -9,6 +9,7 @@
 	openai "github.com/sashabaranov/go-openai"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
 
 type (
@@ -72,9 +73,7 @@
 }
 
 func writeEvent(w http.ResponseWriter, controller *http.ResponseController, data []byte) error {
-	event := make([]byte, 0, len(data)+len("data: \n\n"))
-	event = append(append(append(event, "data: "...), data...), "\n\n"...)
-	if _, err := w.Write(event); err != nil {
+	if _, err := w.Write(stream.AppendEvent(nil, stream.Event{Data: string(data)})); err != nil {
 		return codes.New(codes.CallerLeft, err.Error())
 	}
 	if err := controller.Flush(); err != nil {
--- a/pkg/stream/check.go
+++ b/pkg/stream/check.go
@@ -7,10 +7,10 @@
 type (
 	// Chunk is a part of a streamed answer.
 	Chunk struct {
-		RequestID string   `json:"requestId"`
-		Seq       int64    `json:"seq"` // Seq is the index of the first token, or the number of tokens at the end marker.
-		Tokens    []string `json:"tokens,omitempty"`
-		End       bool     `json:"end,omitempty"` // End marks the end of the answer.
+		RequestID string
+		Seq       int64 // Seq is the index of the first token, or the number of tokens at the end marker.
+		Tokens    []string
+		End       bool // End marks the end of the answer.
 	}
 
 	// Check is the state of one streamed answer.
--- a/pkg/stream/event.go
+++ b/pkg/stream/event.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -130,26 +129,3 @@
 	}
 	return s
 }
-
-// DecodeChunk decodes the data of an event; it fails with StreamBroken on anything but one chunk.
-func DecodeChunk(data string) (Chunk, error) {
-	var k Chunk
-	d := json.NewDecoder(strings.NewReader(data))
-	if err := d.Decode(&k); err != nil {
-		return Chunk{}, codes.Newf(codes.StreamBroken, "chunk is not valid JSON: %v", err)
-	}
-	if d.More() {
-		return Chunk{}, codes.New(codes.StreamBroken, "data follows the chunk")
-	}
-	return k, nil
-}
-
-// EncodeChunk returns the data of an event that carries a chunk.
-func EncodeChunk(k Chunk) string {
-	data, err := json.Marshal(k)
-	if err != nil {
-		// A chunk holds only strings, numbers and truth values, which always encode.
-		panic(err)
-	}
-	return string(data)
-}
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -166,11 +166,6 @@
 		var out []byte
 		for _, e := range whole {
 			out = AppendEvent(out, e)
-			if k, err := DecodeChunk(e.Data); err == nil {
-				again, err := DecodeChunk(EncodeChunk(k))
-				qt.Assert(t, err, qt.IsNil)
-				qt.Assert(t, again.Seq == k.Seq && len(again.Tokens) == len(k.Tokens) && again.End == k.End, qt.IsTrue)
-			}
 		}
 		again, _, err := decode(string(out))
 		qt.Assert(t, err, qt.IsNil)
