test: bad input at the callers' door

Cause: each fault must be answered with code, outcome class and field; a negative max_tokens was read as missing. Change: table of 20 faults, slow body, broken answer, fuzz target; idemp answers 'moving' while a release is replicated.

--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,179 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/engine"
+	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/internal/wire"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+const testKey = "test-key"
+
+func testView() *spec.View {
+	digest := sha256.Sum256([]byte(testKey))
+	return spec.NewView(1, []spec.Template{
+		{Name: "m", Kind: spec.ModelTemplate, Model: &spec.Model{Adapters: []spec.Adapter{{Name: "a"}}}},
+		{Name: "other", Kind: spec.ModelTemplate, Model: &spec.Model{}},
+		{Name: "booking", Kind: spec.ServiceTemplate, Service: &spec.Service{Repeatable: []string{"GET"}}},
+	}, []spec.Team{{
+		Name: "t", KeyDigests: []string{hex.EncodeToString(digest[:])}, Models: []string{"m"}, Adapters: []string{"*"},
+		Services: []string{"*"}, Urgency: spec.Normal, MaxUrgency: spec.Normal,
+	}})
+}
+
+func testCallers(t testing.TB) (*Callers, http.Handler) {
+	traces, err := telem.NewTraces(context.Background(), "h", "")
+	qt.Assert(t, err, qt.IsNil)
+	c := &Callers{
+		Limits: Limits{RequestBytes: 1000, BodyTimeout: 200 * time.Millisecond, InFlight: 10}, Traces: traces,
+		Metrics: telem.NewMetrics(), Ready: func() error { return nil }, View: testView,
+		Address: func(string) wire.AddressAnswer { return wire.AddressAnswer{} },
+		Model:   func(context.Context, ModelCall, func([]byte) error) error { return codes.New(codes.OverCapacity, "") },
+		Plain: func(context.Context, PlainCall) (engine.PlainAnswer, error) {
+			return engine.PlainAnswer{Status: http.StatusTeapot, Body: []byte("x")}, nil
+		},
+		MintKey: func(context.Context) (string, error) { return "k", nil },
+	}
+	h, err := c.Handler()
+	qt.Assert(t, err, qt.IsNil)
+	return c, h
+}
+
+// Guards against bad input that is passed on, or answered without its code, outcome class and field.
+func TestBadInput(t *testing.T) {
+	_, h := testCallers(t)
+	chat := `{"model":"m","messages":[{"role":"user","content":"x"}]`
+	for _, tc := range []struct {
+		name, method, path, body, header, value string
+		code                                    codes.Code
+		field                                   string
+	}{
+		{"no key", "POST", "/v1/chat/completions", chat + "}", "Authorization", "", codes.Unauthorized, "Authorization"},
+		{"unknown key", "POST", "/v1/chat/completions", chat + "}", "Authorization", "Bearer x", codes.Unauthorized, "Authorization"},
+		{"not JSON", "POST", "/v1/chat/completions", "{", "", "", codes.BadRequest, ""},
+		{"wrong type", "POST", "/v1/chat/completions", `{"model":7}`, "", "", codes.BadRequest, "model"},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"m"}`, "", "", codes.BadRequest, "messages"},
+		{"no model", "POST", "/v1/chat/completions", `{"messages":[{"role":"user","content":"x"}]}`, "", "", codes.BadRequest, "model"},
+		{"unknown model", "POST", "/v1/chat/completions", strings.Replace(chat, `"m"`, `"z"`, 1) + "}", "", "", codes.UnknownModel, "model"},
+		{"unknown adapter", "POST", "/v1/chat/completions", strings.Replace(chat, `"m"`, `"m:z"`, 1) + "}", "", "", codes.UnknownModel, "model"},
+		{"forbidden model", "POST", "/v1/chat/completions", strings.Replace(chat, `"m"`, `"other"`, 1) + "}", "", "", codes.Forbidden, "model"},
+		{"tokens", "POST", "/v1/chat/completions", chat + `,"max_tokens":-1}`, "", "", codes.BadRequest, "max_tokens"},
+		{"urgency", "POST", "/v1/chat/completions", chat + "}", "X-Urgency", "asap", codes.BadRequest, "X-Urgency"},
+		{"timeout", "POST", "/v1/chat/completions", chat + "}", "X-Request-Timeout", "-3", codes.BadRequest, "X-Request-Timeout"},
+		{"timeout NaN", "POST", "/v1/chat/completions", chat + "}", "X-Request-Timeout", "NaN", codes.BadRequest, "X-Request-Timeout"},
+		{"no prompt", "POST", "/v1/completions", `{"model":"m"}`, "", "", codes.BadRequest, "prompt"},
+		{"too large", "POST", "/v1/chat/completions", strings.Repeat(" ", 2000), "", "", codes.TooLarge, ""},
+		{"refused", "POST", "/v1/chat/completions", chat + "}", "", "", codes.OverCapacity, ""},
+		{"unknown service", "POST", "/v1/services/z/x", "", "", "", codes.NotFound, ""},
+		{"no idempotency key", "POST", "/v1/services/booking/x", "", "", "", codes.KeyMissing, "Idempotency-Key"},
+		{"long idempotency key", "POST", "/v1/services/booking/x", "", "Idempotency-Key", strings.Repeat("k", 256), codes.BadRequest, "Idempotency-Key"},
+		{"unknown path", "GET", "/v2/x", "", "", "", codes.NotFound, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := httptest.NewRequest(tc.method, tc.path, strings.NewReader(tc.body))
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			if tc.header != "" {
+				r.Header.Set(tc.header, tc.value)
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			var p wire.Problem
+			qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &p), qt.IsNil, qt.Commentf("%s", w.Body))
+			qt.Assert(t, codes.Code(p.Code), qt.Equals, tc.code)
+			qt.Assert(t, p.Field, qt.Equals, tc.field)
+			qt.Assert(t, p.Outcome, qt.Equals, "notRun")
+			qt.Assert(t, w.Code, qt.Equals, tc.code.HTTPStatus())
+			qt.Assert(t, w.Header().Get("Content-Type"), qt.Equals, "application/problem+json")
+		})
+	}
+}
+
+// Guards against a service's answer being changed on its way.
+func TestServiceAnswer(t *testing.T) {
+	_, h := testCallers(t)
+	r := httptest.NewRequest("GET", "/v1/services/booking/a/b?c=d", nil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	qt.Assert(t, w.Code, qt.Equals, http.StatusTeapot)
+	qt.Assert(t, w.Body.String(), qt.Equals, "x")
+}
+
+// Guards against a caller that sends its body slowly holding a connection for ever, and against a broken answer that ends
+// like a whole one.
+func TestSlowBodyAndBrokenAnswer(t *testing.T) {
+	c, h := testCallers(t)
+	c.Model = func(_ context.Context, _ ModelCall, sink func([]byte) error) error {
+		_ = sink([]byte(`{"id":"x"}`))
+		return codes.New(codes.StreamBroken, "")
+	}
+	s := httptest.NewServer(h)
+	defer s.Close()
+	send := func(body *slowBody) (*http.Response, error) {
+		r, err := http.NewRequest("POST", s.URL+"/v1/chat/completions", body)
+		qt.Assert(t, err, qt.IsNil)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		return http.DefaultClient.Do(r)
+	}
+	answer, err := send(&slowBody{text: "{", wait: time.Second})
+	if err == nil { // The server may also close the connection before the client has read the answer.
+		qt.Assert(t, answer.StatusCode, qt.Equals, codes.TooSlow.HTTPStatus())
+	}
+	answer, err = send(&slowBody{text: `{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`})
+	qt.Assert(t, err, qt.IsNil)
+	text, err := io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.ErrorMatches, "unexpected EOF")
+	qt.Assert(t, string(text), qt.Contains, `"code":4003`)
+	qt.Assert(t, strings.Contains(string(text), "[DONE]"), qt.IsFalse)
+}
+
+// slowBody ends only after the wait.
+type slowBody struct {
+	text string
+	wait time.Duration
+}
+
+// Read returns the text, and waits before the end.
+func (s *slowBody) Read(p []byte) (int, error) {
+	if s.text == "" {
+		time.Sleep(s.wait)
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(p, s.text)
+	s.text = s.text[n:]
+	if s.text == "" && s.wait == 0 {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Guards against a panic on a hostile body at any door.
+func FuzzBodies(f *testing.F) {
+	_, h := testCallers(f)
+	f.Add("/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"x"}]}`)
+	f.Add("/v1/completions", `{"model":"m","prompt":["a"]}`)
+	f.Fuzz(func(t *testing.T, path, body string) {
+		if path != "/v1/chat/completions" && path != "/v1/completions" {
+			return
+		}
+		r := httptest.NewRequest("POST", path, strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		qt.Assert(t, w.Code >= 400 && w.Code != 500, qt.IsTrue, qt.Commentf("%d %s", w.Code, w.Body))
+	})
+}
--- a/internal/front/models.go
+++ b/internal/front/models.go
@@ -60,7 +60,11 @@
 	if len(q.Messages) == 0 {
 		return codes.New(codes.BadRequest, "must not be empty").WithField("messages")
 	}
-	call, err := c.modelCall(r, t, q.Model, max(q.MaxTokens, q.MaxCompletionTokens), body)
+	tokens := q.MaxTokens
+	if tokens == 0 {
+		tokens = q.MaxCompletionTokens
+	}
+	call, err := c.modelCall(r, t, q.Model, tokens, body)
 	if err != nil {
 		return err
 	}
--- a/pkg/idemp/begin.go
+++ b/pkg/idemp/begin.go
@@ -114,7 +114,10 @@
 		h.emit(Answer{ID: b.ID, Stored: e.Stored, Repeated: true})
 	case Lost:
 		h.refuse(b.ID, codes.New(codes.KeyOutcomeLost, ""))
-	case Started, Released:
+	case Released:
+		// The key is free again as soon as the backup knows; this call was not run.
+		h.refuse(b.ID, moving("release of the key is on its way to the backup"))
+	case Started:
 		h.refuse(b.ID, codes.New(codes.KeyInProgress, "").WithRetryAfter(retryInProgress))
 	}
 }
