--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -43,6 +43,7 @@
 
 	permitState struct {
 		count  int
+		offset int64
 		frozen bool
 	}
 )
@@ -162,6 +163,7 @@
 	clear(r.permits)
 	r.syncPermits()
 	r.handle(gained)
+	r.d.upstreams.pollHeld()
 }
 
 func (r *cellRun) lose() {
@@ -174,12 +176,13 @@
 func (r *cellRun) syncPermits() {
 	for _, model := range r.d.state.View().Models() {
 		sum, limit := r.d.state.PermitSum(model)
-		now := permitState{r.d.state.Permit(model, r.name), sum > limit}
+		p := r.d.state.Permit(model, r.name)
+		now := permitState{p.Count, p.Offset, sum > limit}
 		if r.permits[model] == now {
 			continue
 		}
 		r.permits[model] = now
-		r.handle(cell.PermitChanged{Model: model, Count: now.count, Frozen: now.frozen})
+		r.handle(cell.PermitChanged{Model: model, Count: now.count, Offset: now.offset, Frozen: now.frozen})
 		if share := r.share(model, limit); now.frozen && share < now.count {
 			r.handle(cell.PermitAsked{Model: model, Count: share, Force: true})
 		}
@@ -235,6 +238,7 @@
 		defer span.End()
 		state, err := r.d.engines.Order(ctx, address, o)
 		r.result(a.OrderID, a.Attempt, state, err)
+		r.d.control.post(func() { r.d.upstreams.poll(a.Upstream) })
 	})
 }
 
@@ -281,7 +285,7 @@
 	var changes []fold.PermitChange
 	for _, model := range slices.Sorted(maps.Keys(r.claims)) {
 		a := r.claims[model]
-		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Count: a.Count})
+		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Base: a.Base, Count: a.Count})
 	}
 	clear(r.claims)
 	r.appendPermits(changes)
@@ -297,7 +301,7 @@
 			for _, c := range changes {
 				r.appendPermits([]fold.PermitChange{c})
 			}
-		case changes[0].Count > r.d.state.Permit(changes[0].Model, r.name):
+		case changes[0].Count > r.d.state.Permit(changes[0].Model, r.name).Count:
 			r.askOthers(changes[0].Model)
 		}
 	})
@@ -381,6 +385,7 @@
 
 // applyDirectory passes a directory and its loads to the entry machine.
 func (d *Daemon) applyDirectory(x peers.Directory) {
+	d.directories[x.Cell] = true
 	e := entry.Directory{Cell: x.Cell, Fence: x.Fence, Seq: int64(x.Seq)}
 	for _, r := range x.Replicas {
 		e.Replicas = append(e.Replicas, route.Replica{
@@ -394,15 +399,24 @@
 	}
 }
 
+// pollLoading asks the engines that load a model for their status, so that waiting calls go on as soon as it is ready.
+func (r *cellRun) pollLoading() {
+	for _, x := range r.directory.Replicas {
+		if r.held && !x.Ready {
+			r.d.upstreams.poll(x.Upstream)
+		}
+	}
+}
+
 // beat repeats the directory, so that a host that missed it or has just started learns it, and asks earlier holders
 // whether they have released the lease.
 func (r *cellRun) beat() {
 	if !r.held {
 		return
 	}
-	if r.directory.Seq > 0 {
-		r.d.tellAll("Directory", r.directory)
-	}
+	r.d.directories[r.name] = true
+	r.directory.Fence = r.fence
+	r.d.tellAll("Directory", r.directory)
 	for holder, fence := range r.earlier {
 		r.askRelease(holder, fence)
 	}
@@ -429,7 +443,7 @@
 func (c *cells) homeOf(model string) string {
 	usable := c.d.upstreams.usable
 	own := c.d.settings.Host.DataCentre
-	if c.d.state.Permit(model, own) > 0 && slices.Contains(usable, own) {
+	if c.d.state.Permit(model, own).Count > 0 && slices.Contains(usable, own) {
 		return own
 	}
 	for _, p := range c.d.state.Permits(model) {
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -71,7 +71,7 @@
 		return
 	}
 	limit := c.permitCap(m)
-	if c.inUse(m) <= limit && (m.force || m.yield == noYield || m.missing == 0) {
+	if c.inUse(m) <= limit && (m.force || m.yield == noYield || m.missing == 0 || !c.takesLoads()) {
 		c.claim(m, limit)
 		return
 	}
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -8,6 +8,12 @@
 	// Home tells whether this cell is the home cell of a model; nil means that it is the home of every model.
 	Home func(model string) bool
 
+	// PinnedOrders tells that no order reaches another incarnation of an engine than the one it names: senders use a
+	// connection only after they read the incarnation over it, or engines keep their fence over a restart. Otherwise a
+	// restarted engine accepts the late order of an earlier holder, so that engines that check fences are treated like
+	// engines that ignore them.
+	PinnedOrders bool
+
 	StoreLoadsPerSecond float64 // StoreLoadsPerSecond is the cell's share of the weight store's rate.
 	StoreSlots          int     // StoreSlots is the cell's share of the loads at full speed at once.
 	AdaptersInFlight    int     // AdaptersInFlight is the cell's share of the adapter loads in flight.
@@ -30,6 +36,7 @@
 	DemandLife      time.Duration // DemandLife is the least time for which a demand counts without being repeated.
 	PublishInterval time.Duration // PublishInterval is the least time between two directories.
 	DrainDelay      time.Duration // DrainDelay is the time that a directory needs to reach every entry.
+	DrainTime       time.Duration // DrainTime is the expected time until a drained replica with work is empty.
 	AdapterTime     time.Duration // AdapterTime is the expected time of an adapter load.
 	RetryDefault    time.Duration // RetryDefault is the retry time where no prediction exists.
 
@@ -58,6 +65,7 @@
 		DemandLife:          10 * time.Second,
 		PublishInterval:     50 * time.Millisecond,
 		DrainDelay:          1500 * time.Millisecond,
+		DrainTime:           5 * time.Second,
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
 		ColdCost:            1,
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -149,7 +149,7 @@
 // Heard takes a peer's answer to a call that began at the time, which is when the answer was made at the earliest.
 func (t *Tracker) Heard(began time.Time, b Beat) {
 	t.Note(b)
-	if old, ok := t.peers[b.Incarnation]; !ok || began.After(old.at) {
+	if old, ok := t.peers[b.Incarnation]; !ok || !began.Before(old.at) {
 		t.peers[b.Incarnation] = heard{b, began}
 	}
 }
@@ -166,6 +166,18 @@
 	return b
 }
 
+// Ahead returns the peer that has folded the highest offset above the daemon's own; its records bring the daemon up to
+// date without the log.
+func (t *Tracker) Ahead() (incarnation string, offset int64, ok bool) {
+	offset = t.offset
+	for i, h := range t.peers {
+		if o := h.beat.Offset; o > offset || ok && o == offset && i < incarnation {
+			incarnation, offset, ok = i, o, true
+		}
+	}
+	return incarnation, offset, ok
+}
+
 // Current reports whether the configuration is current, and why.
 func (t *Tracker) Current(now time.Time) (bool, Reason) {
 	if t.hasRead && now.Sub(t.readAt) <= Bound {
--- a/pkg/stream/check.go
+++ b/pkg/stream/check.go
@@ -7,10 +7,10 @@
 type (
 	// Chunk is a part of a streamed answer.
 	Chunk struct {
-		RequestID string   `json:"requestId"`
-		Seq       int64    `json:"seq"` // Seq is the index of the first token, or the number of tokens at the end marker.
-		Tokens    []string `json:"tokens,omitempty"`
-		End       bool     `json:"end,omitempty"` // End marks the end of the answer.
+		RequestID string
+		Seq       int64 // Seq is the index of the first token, or the number of tokens at the end marker.
+		Tokens    []string
+		End       bool // End marks the end of the answer.
 	}
 
 	// Check is the state of one streamed answer.
@@ -63,9 +63,10 @@
 	return c.broken
 }
 
-// Resume makes the attempt the present one and returns the index of the first token that it must deliver.
-func (c *Check) Resume(attempt int) int64 {
-	c.attempt, c.broken = attempt, nil
+// Resume makes the attempt the present one and returns the index of the first token that it must deliver. The attempt
+// carries a request ID of its own.
+func (c *Check) Resume(attempt int, requestID string) int64 {
+	c.attempt, c.requestID, c.broken = attempt, requestID, nil
 	return c.next
 }
 
