--- a/internal/bench/measure.go
+++ b/internal/bench/measure.go
@@ -199,9 +199,26 @@
 	return s.fraction(func(c *Call) bool { return c.Again != nil }, func(c *Call) bool { return c.Again.inTime() })
 }
 
-func headOfLine(s, _ *sample) figures {
-	return quotient(quantile(s.firstTimes(s.with, urgent), rank).Seconds(),
-		quantile(s.firstTimes(s.without, urgent), rank).Seconds())
+func headOfLine(s, _ *sample) figures { return s.compareFirst(urgent) }
+
+// compareFirst divides p99 of the first-token time by that of the run without the disturbance. It is infinite if more than
+// one call in a hundred is not served even there, because both figures are then the deadline.
+func (s *sample) compareFirst(pick func(*Call) bool) figures {
+	f := quotient(quantile(s.firstTimes(s.with, pick), rank).Seconds(),
+		quantile(s.firstTimes(s.without, pick), rank).Seconds())
+	all, lost := 0, 0
+	for _, c := range s.without.Calls {
+		if !c.Retry && s.measured(c) && pick(c) {
+			all++
+			if !c.inTime() {
+				lost++
+			}
+		}
+	}
+	if float64(lost) > (1-rank)*float64(all) {
+		f.value = math.Inf(1)
+	}
+	return f
 }
 
 func reportsFinished(s, _ *sample) figures {
@@ -226,10 +243,7 @@
 	return ratio(quantile(times, rank).Seconds(), quantile(base.firstTimes(base.with, everyCall), rank).Seconds(), 0)
 }
 
-func slowedFirst(s, _ *sample) figures {
-	return quotient(quantile(s.firstTimes(s.with, interactive), rank).Seconds(),
-		quantile(s.firstTimes(s.without, interactive), rank).Seconds())
-}
+func slowedFirst(s, _ *sample) figures { return s.compareFirst(interactive) }
 
 func slowedWhole(s, _ *sample) figures {
 	return quotient(quantile(s.wholeTimes(s.with, interactive), rank).Seconds(),
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -24,8 +24,11 @@
 	return w.Flush()
 }
 
-// figureText returns the figure with three digits, or "none" where there was no case.
+// figureText returns the figure with three digits, "none" where there was no case, and "unserved" for an infinite one.
 func figureText(x float64) string {
+	if math.IsInf(x, 1) {
+		return "unserved"
+	}
 	if math.IsNaN(x) {
 		return "none"
 	}
