feat(route): replicas that refused a request are avoided for a second

Cause: the news of an unload or of a leaving upstream may be under way, and each new call would be refused there first. Change: such replicas are a last resort for 1 s; the first retry of a request that was not run takes no retry budget.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -163,6 +163,9 @@
 	if e.mutant.doubleEnd && c.state == over && ev.Result == retry.Done {
 		e.emit(Complete{ID: c.id})
 	}
+	if c.delivers != a.number && !a.cancelled && ev.Result != retry.Done {
+		e.table.Shun(now, &a.flight)
+	}
 	e.table.Ended(now, &a.flight, max(ev.Tokens, c.tokens), ev.Result == retry.Done)
 	c.drop(a)
 	c.queue.hint = a.upstream
@@ -208,10 +211,12 @@
 	verdict := retry.Decide(r, c.Repeatable || e.mutant.resendAll, delivered)
 	c.failures++
 	code := failureCode(r, delivered)
+	// A request that was not run costs little, and a leaving upstream refuses many at once.
+	free := r == retry.NotRun && c.failures == 1
 	switch {
 	case verdict == retry.Stop:
 		e.refuse(c, code, 0)
-	case c.failures >= e.settings.MaxAttempts || !e.retries.Take():
+	case c.failures >= e.settings.MaxAttempts || !free && !e.retries.Take():
 		e.refuse(c, code, e.promise(now, c))
 	default:
 		c.notBefore = now.Add(retry.Backoff(c.failures, e.random))
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -9,6 +9,7 @@
 
 const (
 	frontSpan  = 10 * time.Second // Several times the length of short requests.
+	shunTime   = time.Second      // News of unloads and of leaving upstreams arrive within about this time.
 	reportLife = 10 * time.Second // Five times the longest usual lag of reports.
 )
 
@@ -170,6 +171,14 @@
 	f.mark, f.tokens = now, tokens
 }
 
+// Shun avoids the replica of an attempt for a short time, because the upstream refused it or could not be reached. The
+// replica may be unloaded or its upstream leaving, and the news still be under way.
+func (t *Table) Shun(now time.Time, f *Flight) {
+	if f.node != nil {
+		f.node.shunned = now.Add(shunTime)
+	}
+}
+
 // Ended records the end of an attempt; done tells that the whole answer of the given length arrived.
 func (t *Table) Ended(now time.Time, f *Flight, tokens int, done bool) {
 	n := f.node
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -56,6 +56,7 @@
 		first float64
 		free  bool
 		probe bool
+		avoid bool // avoid tells that the replica is only a last resort.
 		hosts int
 	}
 )
@@ -139,9 +140,10 @@
 	}
 	if !s.probe {
 		s.score += s.first - base
-		if n.up.ejected {
-			s.score += ejectPenalty
-		}
+	}
+	s.avoid = n.up.ejected && !s.probe || now.Before(n.shunned)
+	if s.avoid {
+		s.score += ejectPenalty
 	}
 	if s.score < best.score {
 		*best = s
@@ -149,7 +151,7 @@
 }
 
 // good reports whether further candidates need not be compared.
-func (s *scored) good() bool { return s.node != nil && s.free && (!s.node.up.ejected || s.probe) }
+func (s *scored) good() bool { return s.node != nil && s.free && !s.avoid }
 
 // sure allows for the deviation of the short requests of other hosts from their mean, which is about that of a Poisson
 // variable. Long requests do not vary within the lag of reports.
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -83,6 +83,7 @@
 		reported      time.Time
 		past          history
 		cell          string
+		shunned       time.Time // shunned is the end of the time in which the replica is avoided after a refusal.
 		listed        bool
 		active        bool
 	}
