--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	coldFactor     = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
-	medianFactor   = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	coldFactor   = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
+	medianFactor = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	// Where first-token times vary little, 5% of all calls pass the 95th percentile by noise and would use up the budget.
+	noiseTenths = 15
+	// An urgent call without a first token after this multiple of the expected time takes the place of a bulk stream.
+	roomFactor     = 2
 	leastHedgeWait = 5 * time.Millisecond
 )
 
@@ -34,7 +38,12 @@
 		return
 	}
 	c.hedgeAt = time.Time{}
+	c.roomAt = time.Time{}
 	next := c.Deadline
+	if c.Urgency == spec.Urgent {
+		c.roomAt = now.Add(roomFactor * choice.First)
+		next = earlier(next, c.roomAt)
+	}
 	if c.Repeatable && c.Urgency != spec.Bulk {
 		c.hedgeAt = now.Add(choice.Wait + c.queue.lateAfter(choice.First))
 		next = earlier(next, c.hedgeAt)
@@ -47,7 +56,7 @@
 	if q.first.Late() == 0 {
 		return max(coldFactor*expected, leastHedgeWait)
 	}
-	return max(min(q.first.Late(), medianFactor*q.first.Median()), leastHedgeWait)
+	return max(min(q.first.Late(), medianFactor*q.first.Median()), q.first.Median()*noiseTenths/10)
 }
 
 // callDue handles the timer of a call whose first token is missing.
@@ -59,11 +68,15 @@
 		e.refuse(c, codes.DeadlineMissed, e.promise(now, c))
 		return
 	}
+	if !c.roomAt.IsZero() && !now.Before(c.roomAt) {
+		c.roomAt = time.Time{}
+		e.makeRoom(now, c.queue, c.attempts[0].upstream)
+	}
 	if !c.hedgeAt.IsZero() && !now.Before(c.hedgeAt) {
 		c.hedgeAt = time.Time{}
 		e.hedge(now, c)
 	}
-	e.timers.set(&c.timer, earlier(c.Deadline, c.hedgeAt))
+	e.timers.set(&c.timer, earlier(earlier(c.Deadline, c.hedgeAt), c.roomAt))
 }
 
 func (e *Entry) hedge(now time.Time, c *call) {
@@ -71,11 +84,8 @@
 		return
 	}
 	first := c.attempts[0]
-	e.table.Overdue(now, &first.flight)
+	e.table.Overdue(now, &first.flight, false)
 	e.mark(c.queue)
-	if c.Urgency == spec.Urgent && e.makeRoom(now, c.queue, first.upstream) {
-		return
-	}
 	if !e.hedges.Available() && !e.mutant.freeHedges {
 		return
 	}
@@ -119,7 +129,8 @@
 	e.timers.set(&c.timer, time.Time{})
 	e.emit(Deliver{ID: c.id, Attempt: a.number})
 	for _, o := range c.attempts {
-		if o != a {
+		if o != a && !o.cancelled {
+			e.table.Overdue(now, &o.flight, true)
 			e.cancel(c, o)
 		}
 	}
@@ -152,6 +163,9 @@
 	if e.mutant.doubleEnd && c.state == over && ev.Result == retry.Done {
 		e.emit(Complete{ID: c.id})
 	}
+	if c.delivers != a.number && !a.cancelled && ev.Result != retry.Done {
+		e.table.Shun(now, &a.flight)
+	}
 	e.table.Ended(now, &a.flight, max(ev.Tokens, c.tokens), ev.Result == retry.Done)
 	c.drop(a)
 	c.queue.hint = a.upstream
@@ -197,10 +211,12 @@
 	verdict := retry.Decide(r, c.Repeatable || e.mutant.resendAll, delivered)
 	c.failures++
 	code := failureCode(r, delivered)
+	// A request that was not run costs little, and a leaving upstream refuses many at once.
+	free := r == retry.NotRun && c.failures == 1
 	switch {
 	case verdict == retry.Stop:
 		e.refuse(c, code, 0)
-	case c.failures >= e.settings.MaxAttempts || !e.retries.Take():
+	case c.failures >= e.settings.MaxAttempts || !free && !e.retries.Take():
 		e.refuse(c, code, e.promise(now, c))
 	default:
 		c.notBefore = now.Add(retry.Backoff(c.failures, e.random))
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -103,7 +103,13 @@
 	ViewChanged struct{ View *spec.View }
 
 	// Hosts reports the number of live entry hosts, which divide the limits of teams.
-	Hosts struct{ Live int }
+	//
+	// Near and Index let the hosts of a data centre prefer different replicas; without them all prefer the same.
+	Hosts struct {
+		Live  int // Live is the number of live entry hosts in all data centres.
+		Near  int // Near is the number of those in the own data centre, with this one; zero means unknown.
+		Index int // Index is the position of this host among those, in order of their names.
+	}
 
 	// Drain marks the host as stopping. Requests are still accepted; Drained follows when none is left.
 	Drain struct{}
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -7,7 +7,11 @@
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
-const frontSpan = 10 * time.Second // Several times the length of short requests.
+const (
+	frontSpan  = 10 * time.Second // Several times the length of short requests.
+	shunTime   = time.Second      // News of unloads and of leaving upstreams arrive within about this time.
+	reportLife = 10 * time.Second // Five times the longest usual lag of reports.
+)
 
 type (
 	// Load is the state of a model over all its ready replicas, as this host sees it.
@@ -30,8 +34,8 @@
 		mark    time.Time // mark is the time up to which the token rate was sampled.
 		tokens  int       // tokens is the answer index at mark.
 		free    bool
+		sure    bool
 		probe   bool
-		overdue bool
 	}
 )
 
@@ -69,7 +73,9 @@
 	if t.mutant.noCorrection {
 		others = max(total-n.ownAll, 0)
 	}
-	others = n.smooth(others, now.Sub(at))
+	if !t.mutant.exactOthers {
+		others = n.smooth(others, now.Sub(at))
+	}
 	if n.active {
 		n.model.load += others - n.others
 	}
@@ -89,6 +95,20 @@
 	return modelName
 }
 
+// Refresh drops the load of other hosts that reports older than reportLife told. Without reports, calls would otherwise
+// wait for slots that may have been free for long.
+func (t *Table) Refresh(now time.Time, modelName string) {
+	for _, n := range t.model(modelName).nodes {
+		if n.others == 0 || now.Sub(n.reported) < reportLife {
+			continue
+		}
+		if n.active {
+			n.model.load -= n.others
+		}
+		n.others, n.othersWaiting, n.usual = 0, 0, meter{}
+	}
+}
+
 // smooth estimates the present load of other hosts from a report with the given lag. Short requests that the report counts
 // have ended since, and others have come, so its deviation from the usual level says less the older it is. All hosts would
 // otherwise follow the same past deviations at once.
@@ -108,7 +128,7 @@
 	if u == spec.Urgent {
 		n.pending++
 	}
-	return Flight{node: n, urgency: u, sent: now, tokens: resumeFrom, free: c.Free, probe: c.probe}
+	return Flight{node: n, urgency: u, sent: now, tokens: resumeFrom, free: c.Free, sure: c.Sure, probe: c.probe}
 }
 
 // First records the first token of an attempt and returns the time that it took.
@@ -121,19 +141,25 @@
 		f.node.pending--
 	}
 	took := now.Sub(f.sent)
-	if f.free && !f.overdue {
-		t.learnFirst(now, f, took.Seconds())
+	if f.free {
+		t.learnFirst(now, f, took.Seconds(), false)
 	}
 	return took
 }
 
-// Overdue records that the first token of an attempt is late; the delay so far counts as a sample.
-func (t *Table) Overdue(now time.Time, f *Flight) {
-	if f.node == nil || !f.first.IsZero() || f.overdue || !f.free {
+// Overdue records that the first token of an attempt is late, or, if beaten, that a later attempt was faster. The delay so
+// far counts as a sample if it is longer than usual; that of a beaten attempt is known to be far too low and counts double.
+func (t *Table) Overdue(now time.Time, f *Flight, beaten bool) {
+	if f.node == nil || !f.first.IsZero() || !f.free {
 		return
 	}
-	f.overdue = true
-	t.learnFirst(now, f, now.Sub(f.sent).Seconds())
+	took := now.Sub(f.sent).Seconds()
+	if took > noticeable*f.node.model.first.or(defaultFirst.Seconds()) {
+		if beaten {
+			took *= 2
+		}
+		t.learnFirst(now, f, took, true)
+	}
 }
 
 // Progress records that the attempt has reached the token index.
@@ -145,6 +171,14 @@
 	f.mark, f.tokens = now, tokens
 }
 
+// Shun avoids the replica of an attempt for a short time, because the upstream refused it or could not be reached. The
+// replica may be unloaded or its upstream leaving, and the news still be under way.
+func (t *Table) Shun(now time.Time, f *Flight) {
+	if f.node != nil {
+		f.node.shunned = now.Add(shunTime)
+	}
+}
+
 // Ended records the end of an attempt; done tells that the whole answer of the given length arrived.
 func (t *Table) Ended(now time.Time, f *Flight, tokens int, done bool) {
 	n := f.node
@@ -227,8 +261,7 @@
 // bulkRoom reports whether one more bulk request leaves room for the usual number of other requests. The momentary load is
 // no measure: long requests would fill each dip of it and stay.
 func (n *node) bulkRoom(hosts int) bool {
-	share := float64(n.Slots) / float64(max(n.model.slotSum, 1))
-	front := n.model.front * share
+	front := n.model.front * n.share()
 	others := max(n.usual.value-front*float64(hosts-1), 0)
 	return float64(n.own[spec.Bulk])+others+1 <= float64(n.Slots-n.reserve)-front*float64(hosts)
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -37,7 +37,7 @@
 		oneWay     func(string) time.Duration
 		random     *rand.Rand
 		view       *spec.View
-		hosts      int
+		hosts      Hosts
 		upstreams  map[string]*upstream
 		nodes      map[place]*node
 		groups     map[key]*group
@@ -47,7 +47,7 @@
 	}
 
 	// mutant switches off single rules; only tests set it.
-	mutant struct{ keepLeaving, noCorrection, noFloor bool }
+	mutant struct{ keepLeaving, noCorrection, noFloor, exactOthers bool }
 
 	cell struct {
 		fence, seq int64
@@ -63,6 +63,7 @@
 		ejected bool
 		probing bool
 		until   time.Time
+		sampled time.Time // sampled is the time of the last sample.
 		strikes int
 	}
 
@@ -82,6 +83,7 @@
 		reported      time.Time
 		past          history
 		cell          string
+		shunned       time.Time // shunned is the end of the time in which the replica is avoided after a refusal.
 		listed        bool
 		active        bool
 	}
@@ -91,6 +93,8 @@
 		nodes   []*node
 		near    int
 		ejected int
+		homes   []*node // homes are the replicas in the own data centre that this host prefers.
+		stale   bool    // stale tells that homes has to be computed again.
 	}
 
 	model struct {
@@ -120,7 +124,7 @@
 		}
 	}
 	return &Table{
-		settings: s, dataCentre: dataCentre, oneWay: oneWay, random: r, view: v, hosts: 1,
+		settings: s, dataCentre: dataCentre, oneWay: oneWay, random: r, view: v, hosts: Hosts{Live: 1},
 		upstreams: make(map[string]*upstream), nodes: make(map[place]*node),
 		groups: make(map[key]*group), models: make(map[string]*model), cells: make(map[string]*cell),
 	}
@@ -139,7 +143,13 @@
 }
 
 // SetHosts sets the number of live entry hosts, which are taken to send about as much as this one.
-func (t *Table) SetHosts(live int) { t.hosts = max(live, 1) }
+func (t *Table) SetHosts(h Hosts) {
+	h.Live = max(h.Live, 1)
+	t.hosts = h
+	for _, g := range t.groups {
+		g.stale = true
+	}
+}
 
 // Replace sets the replicas of a cell and returns the models whose candidates changed; ok is false for an old list.
 func (t *Table) Replace(name string, fence, seq int64, replicas []Replica) (changed []string, ok bool) {
@@ -351,6 +361,7 @@
 		return
 	}
 	n.groups = append(n.groups, g)
+	g.stale = true
 	g.nodes = append(g.nodes, n)
 	if n.DataCentre == t.dataCentre {
 		last := len(g.nodes) - 1
@@ -412,6 +423,7 @@
 		g.nodes[i] = g.nodes[g.near]
 		i = g.near
 	}
+	g.stale = true
 	last := len(g.nodes) - 1
 	g.nodes[i] = g.nodes[last]
 	g.nodes[last] = nil
