--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -79,7 +79,7 @@
 
 func (f *fleet) begin() {
 	for i, h := range f.hosts {
-		h.handle(entry.Hosts{Live: hostCount})
+		h.handle(entry.Hosts{Live: hostCount, Near: hostCount / dataCentres, Index: i / dataCentres})
 		f.every(time.Duration(i)*beatInterval/hostCount, beatInterval, h.beat)
 	}
 	for _, c := range f.controls {
