feat(idemp): a proven not run may be retried at once

Change: a released key starts again at once. The new start has a later number than the release, so the backup has applied both before the retry can run. Result: go test ./pkg/idemp passes.

--- a/pkg/idemp/begin.go
+++ b/pkg/idemp/begin.go
@@ -26,7 +26,9 @@
 		return
 	}
 	r.expire(now, h.cfg.KeyLifetime)
-	if e, ok := r.table[b.Key]; ok {
+	// A released key starts again at once: the new start follows the release in the numbered changes, so the backup has
+	// applied both when it acknowledges the start.
+	if e, ok := r.table[b.Key]; ok && e.State != Released {
 		h.repeat(now, r, e, b)
 		return
 	}
@@ -114,7 +116,7 @@
 		h.emit(Answer{ID: b.ID, Stored: e.Stored, Repeated: true})
 	case Lost:
 		h.refuse(b.ID, codes.New(codes.KeyOutcomeLost, ""))
-	case Started, Released:
+	default:
 		h.refuse(b.ID, codes.New(codes.KeyInProgress, "").WithRetryAfter(retryInProgress))
 	}
 }
--- a/pkg/idemp/holder.go
+++ b/pkg/idemp/holder.go
@@ -6,8 +6,8 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
-// update changes the holder's table and tells the backup. A released key stays until the backup knows, so that no retry
-// starts before both agree.
+// update changes the holder's table and tells the backup. A released key stays in the table until the backup knows of
+// the release or of a new start after it.
 func (h *Host) update(r *keyRange, e Entry) {
 	if r.assign.Backup == "" {
 		r.apply(e)
--- a/pkg/idemp/host_test.go
+++ b/pkg/idemp/host_test.go
@@ -168,6 +168,29 @@
 	c.Assert(w.err, qt.IsNil)
 }
 
+// Guards against a caller who obeys a "not run" and finds the key in progress, and against a run of the retry before the
+// backup knows of the release.
+func TestRetryAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3, faults{}, seeded(1))
+	w.settle(20)
+	holder := w.find(w.current[0].Holder)
+	key, err := holder.h.Mint(0)
+	c.Assert(err, qt.IsNil)
+	w.begin(holder, key)
+	for len(w.packets) > 0 {
+		w.deliver(fine)
+	}
+	w.call(0, 1)
+	retry := w.begin(holder, key)
+	c.Assert(w.calls, qt.HasLen, 0)
+	for len(w.packets) > 0 {
+		w.deliver(fine)
+	}
+	c.Assert(w.calls, qt.HasLen, 1)
+	c.Assert(w.calls[0].run.ID, qt.Equals, retry)
+}
+
 // Guards against a holder that trusts its table although another daemon may have run keys in an epoch that it missed,
 // and against a needless blind reset after a state from a snapshot.
 func TestMissedEpoch(t *testing.T) {
