--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,24 +53,23 @@
 		endLife     context.CancelFunc
 		tasks       sync.WaitGroup
 
-		control       *control
-		random        *rand.Rand
-		state         *fold.State
-		lastView      *spec.View
-		snapshotAsked int64
-		encoded       []byte
-		encodedAt     int64
-		fetching      bool
-		started       time.Time
-		warmed        bool
-		directories   map[string]bool // Directories holds the cells whose directory has arrived.
-		appends       *appends
-		upstreams     *upstreams
-		cells         *cells
-		models        *models
-		bookings      *bookings
-		members       *members
-		stopping      *stopping
+		control     *control
+		random      *rand.Rand
+		state       *fold.State
+		lastView    *spec.View
+		encoded     []byte
+		encodedAt   int64
+		fetching    bool
+		started     time.Time
+		warmed      bool
+		directories map[string]bool // Directories holds the cells whose directory has arrived.
+		appends     *appends
+		upstreams   *upstreams
+		cells       *cells
+		models      *models
+		bookings    *bookings
+		members     *members
+		stopping    *stopping
 	}
 
 	// published is what callers' threads may read without asking the control thread.
--- a/internal/daemon/logtail.go
+++ b/internal/daemon/logtail.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
@@ -12,10 +14,9 @@
 const (
 	// readWait is the long-poll time of a read. A read that returns nothing still proves that the state is current, so it
 	// has to be shorter than the time for which such a proof holds.
-	readWait      = time.Second
-	readRetry     = 250 * time.Millisecond
-	unknownBase   = -1   // A state from a snapshot does not say which epoch an assignment replaced.
-	snapshotEvery = 4096 // Records between two snapshots; half of the window in which change ids are remembered.
+	readWait    = time.Second
+	readRetry   = 250 * time.Millisecond
+	unknownBase = -1 // A state from a snapshot does not say which epoch an assignment replaced.
 )
 
 // tail reads the control stream until the daemon stops and applies what it reads.
@@ -89,7 +90,10 @@
 	if d.state.Offset()+1 >= end {
 		d.logRead(asked, end)
 	}
-	if d.state.Offset()-max(d.state.SnapshotAsOf(), d.snapshotAsked) >= snapshotEvery {
+	if d.appends.appending(fold.SnapshotKind) || d.stopping.asked {
+		return
+	}
+	if due, _ := d.state.SnapshotDue(time.Now(), d.incarnation, d.settings.Platform.SnapshotInterval.Value()); due {
 		d.writeSnapshot()
 	}
 }
@@ -116,11 +120,9 @@
 	return changed
 }
 
-// writeSnapshot appends the state, so that a new daemon can start after retention has removed older records. The change
-// ids carry the offset, so that daemons that do it at once write the same parts.
+// writeSnapshot appends the state, so that a new daemon can start after retention has removed older records.
 func (d *Daemon) writeSnapshot() {
-	d.snapshotAsked = d.state.Offset()
-	parts, err := d.state.Parts(d.incarnation, "snapshot-"+d.incarnation+"-"+time.Now().UTC().Format("150405.000"))
+	parts, err := d.state.Parts(d.incarnation, "snapshot-"+uuid.NewString())
 	if err != nil {
 		d.log("state").Warn("no snapshot written", "err", err)
 		return
--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -101,6 +101,12 @@
 
 func platform(w *world, a args) error {
 	w.oneWay = a.named["oneWay"]
+	if keep, ok := a.named["logKeeps"]; ok {
+		w.logArgs = []string{"--keep-records", keep}
+	}
+	if every, ok := a.named["snapshots"]; ok {
+		w.extra = fmt.Sprintf("snapshotInterval = %q\n", every)
+	}
 	var extra []string
 	for k, v := range a.named {
 		if flag, ok := strings.CutPrefix(k, "--"); ok {
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -39,6 +39,8 @@
 		binary  string
 		mu      sync.Mutex
 		procs   map[string]*proc
+		logArgs []string
+		extra   string // Extra is added to the settings of each daemon.
 		hosts   []wire.Host
 		centres []string
 		oneWay  string
@@ -142,7 +144,7 @@
 // platform starts the stand-ins: log, store, host list, engines and services spread over the data centres.
 func (w *world) platform(engines, services int, centres []string, extra []string) error {
 	w.centres = centres
-	if _, err := w.start("log", true, append([]string{"standin", "log"}, w.latency()...)...); err != nil {
+	if _, err := w.start("log", true, append(append([]string{"standin", "log"}, w.logArgs...), w.latency()...)...); err != nil {
 		return err
 	}
 	store, err := w.start("store", true, "standin", "store")
@@ -203,8 +205,8 @@
 	}
 	centre := w.centres[index%len(w.centres)]
 	text := fmt.Sprintf("[host]\nname = %q\ndataCentre = %q\n[listen]\ntraffic = %q\npeers = %q\noperator = %q\n"+
-		"[platform]\nlog = %q\nhostList = %q\n[caller]\naddressLifetime = \"2s\"\n[telemetry]\nlogLevel = \"debug\"\n",
-		name, centre, free[0], free[1], free[2], w.procs["log"].address, w.procs["hosts"].address)
+		"[caller]\naddressLifetime = \"2s\"\n[platform]\nlog = %q\nhostList = %q\n%s[telemetry]\nlogLevel = \"debug\"\n",
+		name, centre, free[0], free[1], free[2], w.procs["log"].address, w.procs["hosts"].address, w.extra)
 	file := filepath.Join(w.env.WorkDir, name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -29,6 +29,7 @@
 		c.address("platform.seeds", a, true)
 	}
 	c.duration("platform.statusInterval", s.Platform.StatusInterval, 10*time.Millisecond, 10*time.Second)
+	c.duration("platform.snapshotInterval", s.Platform.SnapshotInterval, time.Second, 24*time.Hour)
 	c.duration("limits.headerTimeout", s.Limits.HeaderTimeout, 100*time.Millisecond, time.Minute)
 	c.duration("limits.bodyTimeout", s.Limits.BodyTimeout, 100*time.Millisecond, 10*time.Minute)
 	c.duration("caller.addressLifetime", s.Caller.AddressLifetime, 100*time.Millisecond, time.Hour)
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -35,6 +35,8 @@
 		HostList       Address   `toml:"hostList"`
 		Seeds          []Address `toml:"seeds"` // Seeds are peer addresses tried while the log is unavailable.
 		StatusInterval Duration  `toml:"statusInterval"`
+		// SnapshotInterval is the time between two snapshots in the log; it must be well below the log's retention.
+		SnapshotInterval Duration `toml:"snapshotInterval"`
 	}
 
 	// Store describes the limits of the weight store and of adapter loads.
@@ -74,7 +76,7 @@
 // Default returns the settings that apply where a file says nothing.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{LogStream: "control", StatusInterval: duration(500 * time.Millisecond)},
+		Platform: Platform{LogStream: "control", StatusInterval: duration(500 * time.Millisecond), SnapshotInterval: duration(time.Hour)},
 		Store:    Store{LoadsPerSecond: 4, Slots: 4, AdaptersInFlight: 30},
 		Limits: Limits{
 			RequestBytes:  size("1MiB"),
