fix: idle replicas are reported at once; a stop waits for forwarded calls

Cause: a cold load was refused because the controller learned up to 0.5 s late that a replica had become idle; a stopping host did not count calls that peers had forwarded to it. Change: the last attempt of a model reports its use at once; the stop's load counts calls of key ranges.

--- a/internal/daemon/model.go
+++ b/internal/daemon/model.go
@@ -207,6 +207,11 @@
 func (m *models) count(a *attempt, n int) {
 	key := modelUse{m.d.upstreams.cell(a.upstream), a.model}
 	m.use[key] += n
+	if m.use[key] == 0 {
+		// The controller may need the memory of an idle replica at once.
+		m.d.cells.use(map[modelUse]int{key: 0})
+		delete(m.use, key)
+	}
 }
 
 // attempt runs one request at an engine and reports how it ended.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -104,7 +104,7 @@
 		s.Ready = true
 	}
 	d.control.ask(func() {
-		s.Stage = stageName(d.stopping.stage)
+		s.Stage = d.stopping.stage.String()
 		s.Offset = d.state.Offset()
 		s.InFlight = len(d.models.calls) + len(d.bookings.waiting)
 		s.Cells = d.cellReports()
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -85,7 +85,7 @@
 	stage, _ := s.rules.Advance(time.Now(), s.load())
 	if stage != s.stage {
 		s.stage = stage
-		s.d.log("stop").Info("stage", "stage", stageName(stage))
+		s.d.log("stop").Info("stage", "stage", stage.String())
 		switch stage {
 		case member.Finishing:
 			s.d.models.handle(entry.Drain{})
@@ -106,7 +106,7 @@
 // load returns what the daemon still has. Alone it has nobody to hand key ranges over to.
 func (s *stopping) load() member.Load {
 	d := s.d
-	l := member.Load{Requests: int(d.door.InFlight())}
+	l := member.Load{Requests: int(d.door.InFlight()) + d.bookings.host.InProgress()}
 	for _, x := range d.state.Leases() {
 		if x.Incarnation == d.incarnation && !x.Released {
 			l.Leases++
@@ -123,10 +123,6 @@
 	return l
 }
 
-func stageName(s member.Stage) string {
-	return [...]string{"serving", "announcing", "finishing", "handingOver", "stopped"}[s]
-}
-
 // leaseReleased records that no order under the lost lease is in flight any more.
 func (d *Daemon) leaseReleased(name string, fence int64) {
 	l, ok := d.state.Lease(name)
