feat(entry): review of calls that wait at engines, and crowded cold starts

Cause: calls in the queue of an engine were refused only at their deadline, and hosts took a burst at all hosts for their own. Change: each report is compared with the calls that wait there; the forecast's number of other waiting requests scales the places in the queue.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -26,6 +26,9 @@
 	a := &attempt{number: c.sends, upstream: choice.Upstream, hedge: hedge}
 	a.flight = e.table.Sent(now, choice, c.Urgency, c.tokens)
 	c.attempts = append(c.attempts, a)
+	if c.bound() {
+		c.queue.await(a.upstream, c)
+	}
 	e.emit(Send{ID: c.id, Attempt: a.number, Upstream: a.upstream, Priority: c.Urgency, ResumeFrom: c.tokens})
 	if hedge {
 		return
@@ -113,6 +116,7 @@
 		return
 	}
 	took := e.table.First(now, &a.flight)
+	c.queue.settled(a.upstream, c)
 	e.mark(c.queue)
 	if c.state != running || a.cancelled || c.delivers != 0 {
 		return
@@ -168,6 +172,7 @@
 	}
 	e.table.Ended(now, &a.flight, max(ev.Tokens, c.tokens), ev.Result == retry.Done)
 	c.drop(a)
+	c.queue.settled(a.upstream, c)
 	c.queue.hint = a.upstream
 	e.mark(c.queue)
 	if ev.Result != retry.NotRun {
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -133,6 +133,7 @@
 		return
 	}
 	a.cancelled = true
+	c.queue.settled(a.upstream, c)
 	if !a.lost {
 		e.emit(Cancel{ID: c.id, Attempt: a.number, Upstream: a.upstream})
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -178,6 +178,7 @@
 	model := e.table.Report(now, r.Upstream, r.Model, r.Running, r.Waiting, r.Slots, r.At)
 	if q := e.queues[model]; q != nil {
 		q.hint = r.Upstream
+		e.reviewQueue(now, q, r)
 		e.mark(q)
 	}
 }
--- a/pkg/entry/measure_test.go
+++ b/pkg/entry/measure_test.go
@@ -147,3 +147,28 @@
 		}
 	}
 }
+
+// Guards against a burst at all hosts that each of them takes for its own alone, so that refusals come late or nothing is
+// left to serve.
+func TestColdBurst(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(1, 6, 0, 4)
+	for i := range 60 {
+		s.arrive(job{Request: Request{Model: "m0", Repeatable: true}, tokens: 100, slack: 6 * time.Second, host: i % 6})
+	}
+	for h := range s.hosts {
+		s.handle(h, Forecast{Model: "m0", ReadyAt: s.now.Add(3 * time.Second), Others: 50})
+	}
+	refused := s.tally(spec.Urgent, 0, time.Second).refused
+	s.run(3 * time.Second)
+	s.engines = append(s.engines, &engine{s: s, name: "u0", slots: 4, slow: 1})
+	s.after(simReport, s.engines[0].report)
+	for h := range s.hosts {
+		s.handle(h, Directory{Cell: "c0", Seq: 1, Replicas: []route.Replica{{Upstream: "u0", Model: "m0", Slots: 4, Ready: true}}})
+	}
+	s.run(time.Minute)
+	y := s.tally(spec.Urgent, 0, time.Second)
+	t.Logf("refused at once %d; %v", refused, y)
+	// The engine starts at most 12 requests within the 3 s that are left.
+	c.Check(y.inTime >= 10 && y.late == 0 && refused >= 40, qt.IsTrue)
+}
--- a/pkg/entry/predict.go
+++ b/pkg/entry/predict.go
@@ -29,7 +29,7 @@
 		refused    bool
 		code       codes.Code
 		retryAfter time.Duration
-		others     int
+		crowd      float64
 		until      time.Time // until is the end of validity.
 	}
 
@@ -46,7 +46,7 @@
 		known   bool
 		refused bool
 		code    codes.Code
-		others  int
+		crowd   float64 // crowd is the number of waiting calls of all hosts for each one of this host.
 	}
 )
 
@@ -67,8 +67,9 @@
 		until = now.Add(min(max(f.RetryAfter, e.settings.DemandInterval), refusalTime))
 	}
 	q.forecasts[f.Adapter] = &forecast{
-		readyAt: f.ReadyAt, refused: f.Refused, retryAfter: f.RetryAfter, others: f.Others, until: until,
-		code: f.Code,
+		readyAt: f.ReadyAt, refused: f.Refused, retryAfter: f.RetryAfter, until: until, code: f.Code,
+		// The calls of other hosts are taken to be interleaved evenly with those of this one.
+		crowd: 1 + float64(f.Others)/float64(max(len(q.calls), 1)),
 	}
 	e.mark(q)
 }
@@ -97,10 +98,10 @@
 		return true, arrival{}
 	}
 	if f := q.forecasts[adapter]; f != nil {
-		return false, arrival{at: f.readyAt, known: true, refused: f.refused, code: f.code, others: f.others}
+		return false, arrival{at: f.readyAt, known: true, refused: f.refused, code: f.code, crowd: f.crowd}
 	}
 	if at := e.table.Loading(q.model); adapter == "" && !at.IsZero() {
-		return false, arrival{at: at, known: true}
+		return false, arrival{at: at, known: true, crowd: 1}
 	}
 	return false, arrival{}
 }
@@ -124,7 +125,8 @@
 	case plan.refused:
 		return now, plan.code
 	}
-	at := latest.Add(-o.drain(c.Urgency, ahead+plan.others+1-o.slots, margin))
+	place := int(float64(ahead+1) * plan.crowd)
+	at := latest.Add(-o.drain(c.Urgency, place-o.slots, margin))
 	if plan.at.After(at) {
 		return now, codes.NoTimeToLoad
 	}
--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -28,8 +28,9 @@
 	// queue holds the waiting calls of one model, and what was learned and promised about it.
 	queue struct {
 		model     string
-		calls     []*call // calls is sorted by order.
-		streams   []*call // streams lists the bulk streams that may be preempted.
+		calls     []*call            // calls is sorted by order.
+		unstarted map[string][]*call // unstarted lists by upstream the calls that were sent there and have no first token.
+		streams   []*call            // streams lists the bulk streams that may be preempted.
 		timer     timer
 		dirty     bool
 		open      int           // open is the number of calls that refer to the queue.
@@ -57,7 +58,7 @@
 	if q == nil {
 		q = &queue{
 			model:     model,
-			forecasts: make(map[string]*forecast), demands: make(map[string]*demand),
+			unstarted: make(map[string][]*call), forecasts: make(map[string]*forecast), demands: make(map[string]*demand),
 		}
 		q.timer = timer{index: -1, queue: q}
 		e.queues[model] = q
@@ -150,7 +151,7 @@
 }
 
 func (q *queue) empty() bool {
-	return q.open+len(q.forecasts)+len(q.demands) == 0 && q.promises() == 0
+	return q.open+len(q.unstarted)+len(q.forecasts)+len(q.demands) == 0 && q.promises() == 0
 }
 
 func (e *Entry) age(now time.Time, q *queue) {
--- /dev/null
+++ b/pkg/entry/unstarted.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+// await notes that a call waits at an upstream for its first token.
+func (q *queue) await(upstream string, c *call) {
+	q.unstarted[upstream] = append(q.unstarted[upstream], c)
+}
+
+// settled notes that a call no longer waits at an upstream.
+func (q *queue) settled(upstream string, c *call) {
+	list := q.unstarted[upstream]
+	i := slices.Index(list, c)
+	switch {
+	case i < 0:
+	case len(list) == 1:
+		delete(q.unstarted, upstream)
+	default:
+		q.unstarted[upstream] = slices.Delete(list, i, i+1)
+	}
+}
+
+// reviewQueue refuses the calls that wait in the queue of an engine and, by its report, cannot start in time. The places in
+// that queue are not known; the calls of all hosts are taken to be interleaved evenly within a class.
+func (e *Entry) reviewQueue(now time.Time, q *queue, r Report) {
+	list := slices.Clone(q.unstarted[r.Upstream])
+	rate := e.table.EndRate(r.Upstream, q.model)
+	if len(list) == 0 || r.Waiting == 0 || rate <= 0 {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b *call) int { return cmp.Compare(a.Urgency, b.Urgency) })
+	list = list[max(len(list)-r.Waiting, 0):] // The others have started.
+	ended := rate * now.Sub(r.At).Seconds()
+	first := e.table.Load(q.model).First
+	for i, c := range list {
+		ahead := float64((i+1)*r.Waiting)/float64(len(list)) - ended
+		start := now.Add(time.Duration(max(ahead, 0) / rate * keepMargin * float64(time.Second)))
+		if len(c.attempts) == 1 && start.Add(first).After(c.Deadline) {
+			e.refuse(c, codes.OverCapacity, e.promise(now, c))
+		}
+	}
+}
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -212,6 +212,15 @@
 	return l
 }
 
+// EndRate returns the number of slots of a replica that become free each second if all are taken; zero means unknown.
+func (t *Table) EndRate(upstream, modelName string) float64 {
+	n := t.nodes[place{upstream, modelName}]
+	if n == nil {
+		return 0
+	}
+	return float64(n.Slots) * n.rate()
+}
+
 // Service returns the expected time of a request at a replica of usual speed, from its start to its end.
 func (t *Table) Service(modelName string, u spec.Urgency) time.Duration {
 	return seconds(t.model(modelName).service(u))
@@ -252,10 +261,17 @@
 		// full, because hosts do not let less urgent requests wait at engines.
 		ahead = min(ahead, n.pending+n.othersWaiting+1)
 	}
-	// Slots held by other hosts are taken to have the mix of this host's requests for the model.
-	rate := (n.model.endRate(&n.own)*float64(n.ownAll) + n.model.ownRate()*float64(n.others)) / float64(max(load, 1))
-	rate *= n.model.pace.or(1) / n.up.token.or(n.model.pace.or(1))
-	return float64(ahead) / (float64(n.Slots) * rate), false
+	return float64(ahead) / (float64(n.Slots) * n.rate()), false
+}
+
+// rate returns the rate at which one taken slot becomes free. Slots held by other hosts are taken to have the mix of this
+// host's requests for the model.
+func (n *node) rate() float64 {
+	rate := n.model.ownRate()
+	if load := n.load(); load > 0 {
+		rate = (n.model.endRate(&n.own)*float64(n.ownAll) + rate*float64(n.others)) / float64(load)
+	}
+	return rate * n.model.pace.or(1) / n.up.token.or(n.model.pace.or(1))
 }
 
 // bulkRoom reports whether one more bulk request leaves room for the usual number of other requests. The momentary load is
