fix(entry): requests wait for a forecast through the takeover of a cell

Cause: after 2 s without a forecast requests were refused, but a takeover of the cell takes 3 s and an append. Result: go test ./pkg/entry passes.

--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -41,7 +41,7 @@
 		Cell:           cell,
 		DataCentre:     dataCentre,
 		DemandInterval: 100 * time.Millisecond,
-		ForecastWait:   2 * time.Second,
+		ForecastWait:   5 * time.Second, // The takeover of a cell takes 3 s and an append.
 		MaxQueue:       10000,
 		MaxRetryAfter:  10 * time.Minute,
 		HedgeShare:     0.04, // The target is under 5%; the rest covers rounding over short runs.
