fix(cell): the late answer to an unload of an earlier tenure frees nothing

A random history (1 of 90000) showed three replicas under two permits: a daemon that got the lease back learnt that its old unload was done, and freed a replica that the holder between had loaded on the same engine. Such an answer now only asks for a status.

--- a/pkg/cell/orders.go
+++ b/pkg/cell/orders.go
@@ -16,7 +16,8 @@
 	rep       *replica
 	adapter   *adapter
 	fence     int64
-	attempts  int // attempts numbers the sending and the queries.
+	on        string // on is the incarnation of the upstream at the time of the order.
+	attempts  int    // attempts numbers the sending and the queries.
 	ended     bool
 	endedAt   time.Time
 	accepted  bool
@@ -32,7 +33,7 @@
 
 func (c *Controller) order(op Op, r *replica, a *adapter) *order {
 	o := &order{
-		id: c.newOrderID(), op: op, up: r.up, rep: r, adapter: a, fence: c.fence, attempts: 1,
+		id: c.newOrderID(), op: op, up: r.up, rep: r, adapter: a, fence: c.fence, on: r.up.incarnation, attempts: 1,
 		dueAt: c.now.Add(c.set.OrderTimeout),
 	}
 	act := Order{
@@ -200,11 +201,12 @@
 		case s == OrderDone:
 			r.phase = checking
 			r.up.changedAt = c.now
+			c.emit(ReadStatus{Upstream: r.up.name})
 		case r.phase == unloading:
 			r.phase, r.retryAt = loaded, c.now.Add(c.set.FailureDelay)
 			c.emit(ReadStatus{Upstream: r.up.name})
 		}
-		if r.load == nil && s == OrderDone {
+		if r.load == nil && s == OrderDone && c.alone(o) {
 			c.dropReplica(r)
 		}
 	case OpLoadAdapter, OpUnloadAdapter:
@@ -217,6 +219,12 @@
 	c.ledgerChanged(r)
 }
 
+// alone reports whether nobody else can have changed the upstream since the order: otherwise another holder may have
+// loaded the model again after the unload, and only a status shows what is loaded now.
+func (c *Controller) alone(o *order) bool {
+	return c.holds && o.fence == c.fence && o.up.settled && o.up.incarnation == o.on
+}
+
 // closeLoad frees nothing by itself: a load without effect is freed by a status that was read after the end of its order.
 func (c *Controller) closeLoad(r *replica, s OrderState) {
 	if s != OrderDone && r.phase == loading {
--- a/pkg/cell/rules_test.go
+++ b/pkg/cell/rules_test.go
@@ -400,6 +400,30 @@
 	c.Assert(p.lists("a"), qt.IsTrue)
 }
 
+// Guards against an unload of an earlier tenure that, when its answer arrives at last, frees what another holder loaded
+// since.
+func TestLateUnloadAnswerFreesNothing(t *testing.T) {
+	c := qt.New(t)
+	p := newPlant(1, testModel("a", 10*gib, 1))
+	p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(time.Minute)})
+	p.run(2 * time.Second)
+	p.do(Demand{Host: "h", Model: "a"})
+	for p.count(OpUnload, "a") == 0 {
+		p.run(time.Millisecond)
+	}
+	o := p.orders[len(p.orders)-1]
+	p.timers = nil
+	p.do(OrderResult{OrderID: o.OrderID, Attempt: 1, State: OrderPending})
+	p.do(LeaseLost{})
+	p.do(LeaseGained{Fence: 9})
+	p.statuses["u00"].HighestFence = 9
+	p.beat()
+	p.do(OrderResult{OrderID: o.OrderID, Attempt: 2, State: OrderDone})
+	c.Assert(p.c.Stats().Replicas, qt.Equals, 1)
+	p.run(time.Second)
+	c.Assert(p.lists("a"), qt.IsTrue)
+}
+
 // Guards against orders on an engine that ignores fences while an earlier holder may still order, and against a directory
 // that omits what such an engine has loaded.
 func TestUnsettledUpstreamServesButGetsNoOrder(t *testing.T) {
