--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -181,7 +181,7 @@
 			if h.open[a.ID]--; h.open[a.ID] == 0 {
 				delete(h.open, a.ID)
 			}
-			h.use[modelUse{e.centre, c.Model}]--
+			h.ended(modelUse{e.centre, c.Model})
 			h.handle(entry.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Result: r, Tokens: n})
 		})
 	}
@@ -192,7 +192,6 @@
 
 // beat tells the controllers how many attempts are in progress, as the daemon's heartbeat does.
 func (h *host) beat() {
-	w := h.fleet.world
 	keys := slices.SortedFunc(maps.Keys(h.use), func(a, b modelUse) int {
 		if a.centre != b.centre {
 			return compare(a.centre, b.centre)
@@ -200,17 +199,26 @@
 		return compare(a.model, b.model)
 	})
 	for _, k := range keys {
-		n := h.use[k]
-		c := h.fleet.control(k.centre)
-		w.after(w.deploy.between(h.centre, c.centre), func() {
-			c.handle(cell.Use{Host: h.name, Model: k.model, InFlight: n})
-		})
-		if n == 0 {
-			delete(h.use, k)
-		}
+		h.tellUse(k)
+	}
+}
+
+// ended counts the end of an attempt; as in the daemon, the last one of a model is told at once.
+func (h *host) ended(k modelUse) {
+	if h.use[k]--; h.use[k] == 0 {
+		h.tellUse(k)
+		delete(h.use, k)
 	}
 }
 
+func (h *host) tellUse(k modelUse) {
+	w := h.fleet.world
+	n, c := h.use[k], h.fleet.control(k.centre)
+	w.after(w.deploy.between(h.centre, c.centre), func() {
+		c.handle(cell.Use{Host: h.name, Model: k.model, InFlight: n})
+	})
+}
+
 // directory passes a directory to the entry machine, and the load figures that came with it.
 func (h *host) directory(p cell.Publish, centre string, loads []entry.Report) {
 	e := entry.Directory{Cell: centre, Fence: p.Fence, Seq: int64(p.Seq)}
