--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -338,7 +338,10 @@
 }
 
 func forecastEvent(a cell.Forecast) entry.Forecast {
-	return entry.Forecast{Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, RetryAfter: a.RetryAfter}
+	return entry.Forecast{
+		Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, Code: a.Code,
+		RetryAfter: a.RetryAfter, Others: a.Others,
+	}
 }
 
 // status passes an engine's status to the controller and its load to all entries.
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -171,7 +171,6 @@
 		}
 	}
 	m.fresh.Folded(m.d.state.Offset(), list)
-	m.d.models.handle(entry.Hosts{Live: max(1, len(live))})
 }
 
 // tellPeers passes the state of the members on to the key ranges when it has changed.
@@ -191,9 +190,32 @@
 	if !slices.Equal(list, m.peersTold) {
 		m.peersTold = list
 		m.d.bookings.handle(idemp.Peers{Members: list})
+		m.d.models.handle(m.hosts(list))
 	}
 }
 
+// hosts counts the hosts that serve and tells the place of this one among those of its data centre.
+func (m *members) hosts(list []idemp.Member) entry.Hosts {
+	own := m.d.settings.Host.DataCentre
+	var h entry.Hosts
+	for _, x := range list {
+		if x.Lost || x.Draining {
+			continue
+		}
+		h.Live++
+		y, _ := m.d.state.Member(x.Incarnation)
+		if y.DataCentre != own {
+			continue
+		}
+		h.Near++
+		if y.Host < m.d.settings.Host.Name {
+			h.Index++
+		}
+	}
+	h.Live, h.Near = max(1, h.Live), max(1, h.Near)
+	return h
+}
+
 // join registers this daemon once the state is known.
 func (m *members) join() {
 	d := m.d
