feat(entry): answers at straggling upstreams move

Change: after a progress report, a repeatable answer whose last token time is more than 2.5 times that of the model is cancelled and resumed at another upstream with a free slot, at most twice.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	maxMoves     = 2 // Moves of an answer; each computes its prompt again.
 	coldFactor   = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
 	medianFactor = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
 	// Where first-token times vary little, 5% of all calls pass the 95th percentile by noise and would use up the budget.
@@ -152,9 +153,23 @@
 	}
 	e.table.Progress(now, &a.flight, ev.Tokens)
 	c.tokens = max(c.tokens, ev.Tokens)
+	e.move(now, c, a)
 	e.mark(c.queue)
 }
 
+// move cancels an answer at a straggling upstream, so that it is resumed elsewhere.
+func (e *Entry) move(now time.Time, c *call, a *attempt) {
+	if c.state != running || a.cancelled || a.lost || !c.Repeatable || c.moves >= maxMoves ||
+		!a.flight.Straggles() {
+		return
+	}
+	if choice, ok := e.table.Pick(now, c.query(a.upstream)); ok && e.table.Gains(&a.flight, choice) {
+		c.moves++
+		c.moving = true
+		e.suspend(c)
+	}
+}
+
 func (e *Entry) attemptEnded(now time.Time, ev AttemptEnded) {
 	c := e.calls[ev.ID]
 	if c == nil {
@@ -205,8 +220,13 @@
 	}
 	e.unlist(c)
 	if c.state == suspended {
-		c.preempted++
-		e.requeue(now, c, "")
+		avoid := ""
+		if c.moving {
+			c.moving, avoid = false, upstream
+		} else {
+			c.preempted++
+		}
+		e.requeue(now, c, avoid)
 		return
 	}
 	delivered := c.tokens
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -32,6 +32,8 @@
 		tokens    int // tokens is the index of the next token that the caller needs.
 		failures  int
 		preempted int
+		moves     int
+		moving    bool // moving tells that the cancelled attempt is to be resumed at another upstream.
 		started   bool // started tells that the caller got a token, so the deadline no longer applies.
 		waiting   bool // waiting tells that the call is in the queue's list.
 		maybeRan  bool // maybeRan tells that an attempt ended without a proof that it was not run.
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -33,9 +33,12 @@
 		first   time.Time // first is the time of the first token.
 		mark    time.Time // mark is the time up to which the token rate was sampled.
 		tokens  int       // tokens is the answer index at mark.
-		free    bool
-		sure    bool
-		probe   bool
+		pace    float64   // pace is the last token time as a ratio to the configured one.
+		// straggles compares pace with that of the model before the sample, which is itself part of the model's pace later.
+		straggles bool
+		free      bool
+		sure      bool
+		probe     bool
 	}
 )
 
@@ -167,10 +170,22 @@
 	if f.node == nil || f.first.IsZero() || tokens-f.tokens < minTokens {
 		return
 	}
-	t.learnTokens(now, f, now.Sub(f.mark).Seconds()/float64(tokens-f.tokens))
+	took := now.Sub(f.mark).Seconds() / float64(tokens-f.tokens)
+	f.pace = took / f.node.model.tokenTime
+	f.straggles = f.pace > moveRatio*f.node.model.pace.or(1)
+	t.learnTokens(now, f, took)
 	f.mark, f.tokens = now, tokens
 }
 
+// Straggles reports whether the last tokens of an attempt took so much longer than those of the model that the rest of the
+// answer may be worth a move.
+func (f *Flight) Straggles() bool { return f.straggles }
+
+// Gains reports whether a straggling attempt would run clearly faster at the chosen upstream, without a wait.
+func (t *Table) Gains(f *Flight, c Choice) bool {
+	return f.node != nil && c.node != nil && c.Free && f.pace > moveRatio*c.node.up.token.or(1)
+}
+
 // Shun avoids the replica of an attempt for a short time, because the upstream refused it or could not be reached. The
 // replica may be unloaded or its upstream leaving, and the news still be under way.
 func (t *Table) Shun(now time.Time, f *Flight) {
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -22,6 +22,7 @@
 	maxStrikes   = 3    // The eject time doubles at most three times.
 	medianSample = 15   // The median of more candidates is estimated from this many.
 	noticeable   = 1.5  // Slowness below this factor is ignored by the choice.
+	moveRatio    = 2.5  // A move computes the prompt again, so the rest of the answer must gain clearly more than that.
 	ejectShare   = 3    // At most one candidate in three is ejected.
 )
 
