--- a/internal/cmds/dev.go
+++ b/internal/cmds/dev.go
@@ -62,7 +62,7 @@
 }
 
 func runDev(ctx context.Context, w io.Writer, question string) error {
-	p, err := newDevPlatform()
+	p, err := newDevPlatform(devTokenTime)
 	if err != nil {
 		return err
 	}
--- a/internal/cmds/devplat.go
+++ b/internal/cmds/devplat.go
@@ -29,20 +29,22 @@
 	devListLag     = 5 * time.Second
 	devWeightBytes = 2 * gib
 	devRemoteRate  = gib // A checkpoint takes two seconds from the store.
+	devTokenTime   = 10 * time.Millisecond
 )
 
 // devPlatform runs the platform's stand-ins on loopback inside this process.
 type devPlatform struct {
 	log     string
 	list    string
+	engines map[string]string // Engines holds the addresses by name.
 	servers []*http.Server
 	closers []func()
 }
 
 var devCentres = []string{"galle", "matara", "ambalangoda"}
 
-func newDevPlatform() (*devPlatform, error) {
-	p := &devPlatform{}
+func newDevPlatform(tokenTime time.Duration) (*devPlatform, error) {
+	p := &devPlatform{engines: make(map[string]string)}
 	var all []wire.Host
 	var err error
 	serve := func(h http.Handler, stop func()) string {
@@ -58,9 +60,11 @@
 	s := store.New(store.Settings{LoadsPerSecond: devLoadsRate, Slots: devStoreSlots, AdapterSlots: devAdapterLoad})
 	weights := serve(s.Handler(), s.Close)
 	for i := range devEngines {
-		e := model.New(devEngine(i, weights))
+		e := model.New(devEngine(i, weights, tokenTime))
+		name := fmt.Sprintf("engine%02d", i)
+		p.engines[name] = serve(e.Handler(), e.Close)
 		all = append(all, wire.Host{
-			Name: fmt.Sprintf("engine%02d", i), Address: serve(e.Handler(), e.Close), DataCentre: devCentres[i%len(devCentres)],
+			Name: name, Address: p.engines[name], DataCentre: devCentres[i%len(devCentres)],
 			Kind: wire.KindEngine, State: wire.HostLive, ChecksFence: i%2 == 0,
 		})
 	}
@@ -83,9 +87,9 @@
 	return p, nil
 }
 
-func devEngine(i int, weights string) model.Settings {
+func devEngine(i int, weights string, tokenTime time.Duration) model.Settings {
 	return model.Settings{
-		Name: fmt.Sprintf("engine%02d", i), CapacityBytes: 16 * gib, Slots: 8, ChecksFence: i%2 == 0, TokenTime: 10 * time.Millisecond,
+		Name: fmt.Sprintf("engine%02d", i), CapacityBytes: 16 * gib, Slots: 8, ChecksFence: i%2 == 0, TokenTime: tokenTime,
 		BatchSlope: 0.1, PrefillTime: 100 * time.Microsecond, PrefixBlocks: 4096, DefaultTokens: 64, StatusLag: time.Second,
 		EventLag: time.Second, EventLoss: 0.05, MemoryRate: 16 * gib, DiskRate: 4 * gib, RemoteRate: devRemoteRate, MemoryCopies: 4,
 		DiskCopies: 32, AdapterMin: 6 * time.Millisecond, AdapterMax: 20 * time.Millisecond, Remote: store.NewClient(weights).Load,
