--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -94,3 +94,20 @@
 	f.Add("x", "[DONE]")
 	f.Fuzz(func(_ *testing.T, id, data string) { _, _ = parseChunk(stream.Event{ID: id, Data: data}) })
 }
+
+// BenchmarkStatus measures one status call to a stand-in with eight replicas; docs/CAPACITY.md is worked out from it.
+func BenchmarkStatus(b *testing.B) {
+	status := `{"name":"e","incarnation":"e-1","capacityBytes":1,"usedBytes":1,"highestFence":9,"replicas":[` +
+		strings.Repeat(`{"model":"dial-train-01","version":"v1","bytes":1,"slots":8,"ready":true,"running":3,"waiting":1,"adapters":["a"]},`, 7) +
+		`{"model":"m","version":"v1","ready":true}],"cached":[]}`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, status) }))
+	defer s.Close()
+	e := New(noTrace)
+	b.ReportMetric(float64(len(status)), "body-B")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := e.Status(b.Context(), strings.TrimPrefix(s.URL, "http://")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/fold/bench_test.go
+++ b/pkg/fold/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -97,6 +98,19 @@
 		}
 	})
 	data := p.s.Snapshot()
+	b.Run("heap", func(b *testing.B) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s, _ := Restore(data)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(s)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+		b.ReportMetric(float64(len(data)), "snapshot-B")
+	})
 	for name, f := range map[string]func(){
 		"snapshot": func() { p.s.Snapshot() },
 		"restore":  func() { _, _ = Restore(data) },
