feat: demand goes to another cell when the first has no memory; each cell plans with the whole store

Change: pkg/homes chooses the cell; the daemon passes a refusal on only when no usable cell is left.

--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -6,14 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/homes"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
 	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
@@ -23,6 +22,13 @@
 	cells struct {
 		d      *Daemon
 		byName map[string]*cellRun
+		homes  *homes.Table
+		asked  map[demandKey]cell.Demand // Asked holds the last demand for each model and adapter.
+	}
+
+	demandKey struct {
+		model   string
+		adapter string
 	}
 
 	// cellRun carries out the actions of one cell's controller. It belongs to the control thread.
@@ -48,7 +54,9 @@
 	}
 )
 
-func newCells(d *Daemon) *cells { return &cells{d: d, byName: make(map[string]*cellRun)} }
+func newCells(d *Daemon) *cells {
+	return &cells{d: d, byName: make(map[string]*cellRun), homes: homes.New(), asked: make(map[demandKey]cell.Demand)}
+}
 
 // get returns the run of the cell; the first call creates it.
 func (c *cells) get(name string) *cellRun {
@@ -57,9 +65,11 @@
 	}
 	s := cell.DefaultSettings()
 	s.Cell = name
-	s.Home = func(model string) bool { return home(model, c.d.upstreams.usable) == name }
-	s.StoreLoadsPerSecond = c.d.settings.Store.LoadsPerSecond / float64(max(1, len(c.d.upstreams.cells)))
-	s.StoreSlots = max(1, c.d.settings.Store.Slots/max(1, len(c.d.upstreams.cells)))
+	s.Home = func(model string) bool { return homes.Home(model, c.d.upstreams.usable) == name }
+	// Each cell plans with the whole store: the store limits rate and speed itself, and a fixed share left slots unused when
+	// the cold models of a burst had the same home (docs/trials.md, trial 2).
+	s.StoreLoadsPerSecond = c.d.settings.Store.LoadsPerSecond
+	s.StoreSlots = c.d.settings.Store.Slots
 	s.AdaptersInFlight = max(1, c.d.settings.Store.AdaptersInFlight/max(1, len(c.d.upstreams.cells)))
 	r := &cellRun{
 		d: c.d, name: name, control: cell.New(s), earlier: make(map[string]int64), permits: make(map[string]permitState),
@@ -72,26 +82,36 @@
 	return r
 }
 
-// home returns the cell with the highest rendezvous weight for the model.
-func home(model string, cells []string) string {
-	best, found := uint64(0), ""
-	for _, c := range cells {
-		if w := xxhash.Sum64String(model + "\x00" + c); found == "" || w > best {
-			best, found = w, c
-		}
-	}
-	return found
-}
-
-// demand sends the number of waiting requests to the controller of the cell.
+// demand sends the number of waiting requests to the controller of the cell that is asked for the model.
 func (c *cells) demand(a entry.Demand) {
 	e := cell.Demand{
 		Host: c.d.settings.Host.Name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
 		EarliestDeadline: a.EarliestDeadline,
 	}
+	c.asked[demandKey{a.Model, a.Adapter}] = e
+	if e.Urgent+e.Normal+e.Bulk == 0 {
+		delete(c.asked, demandKey{a.Model, a.Adapter})
+	}
 	c.toController(a.Cell, e)
 }
 
+// forecast passes a forecast to the entry machine. A cell without memory is not the last word while another may have some:
+// the demand goes there.
+func (c *cells) forecast(name string, f cell.Forecast) {
+	if f.Refused && f.Code == codes.OverCapacity {
+		c.homes.Refused(time.Now(), f.Model, name)
+		next := c.homeOf(f.Model)
+		if e, ok := c.asked[demandKey{f.Model, f.Adapter}]; ok && next != "" {
+			c.toController(next, e)
+			return
+		}
+	}
+	c.d.models.handle(entry.Forecast{
+		Model: f.Model, Adapter: f.Adapter, ReadyAt: f.ReadyAt, Refused: f.Refused, Code: f.Code, RetryAfter: f.RetryAfter,
+		Others: f.Others,
+	})
+}
+
 // use tells the controllers how many attempts of this host are in progress for each model.
 func (c *cells) use(counts map[modelUse]int) {
 	for key, n := range counts {
@@ -327,23 +347,16 @@
 
 func (r *cellRun) forecast(a cell.Forecast) {
 	if a.Host == r.d.settings.Host.Name {
-		r.d.models.handle(forecastEvent(a))
+		r.d.cells.forecast(r.name, a)
 		return
 	}
 	for _, m := range r.d.state.Members() {
 		if m.Host == a.Host {
-			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Forecast: a})
+			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Cell: r.name, Forecast: a})
 		}
 	}
 }
 
-func forecastEvent(a cell.Forecast) entry.Forecast {
-	return entry.Forecast{
-		Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, Code: a.Code,
-		RetryAfter: a.RetryAfter, Others: a.Others,
-	}
-}
-
 // status passes an engine's status to the controller and its load to all entries.
 func (r *cellRun) status(h wire.Host, asked time.Time, s wire.EngineStatus) {
 	var loads []peers.Load
@@ -441,18 +454,13 @@
 	})
 }
 
-// homeOf returns the cell that decides on loads of a model: the own one if it holds permits, else another that does, else
-// the home cell. Cells without an engine that takes loads are left out.
+// homeOf returns the cell that is asked to load a model, or an empty string if none has memory for it.
 func (c *cells) homeOf(model string) string {
-	usable := c.d.upstreams.usable
-	own := c.d.settings.Host.DataCentre
-	if c.d.state.Permit(model, own).Count > 0 && slices.Contains(usable, own) {
-		return own
-	}
+	x := homes.Cells{Own: c.d.settings.Host.DataCentre, Usable: c.d.upstreams.usable}
 	for _, p := range c.d.state.Permits(model) {
-		if p.Count > 0 && slices.Contains(usable, p.Cell) {
-			return p.Cell
+		if p.Count > 0 {
+			x.Holders = append(x.Holders, p.Cell)
 		}
 	}
-	return home(model, usable)
+	return c.homes.Choose(time.Now(), model, x)
 }
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -51,7 +51,7 @@
 
 // Forecast passes a forecast to the entry machine.
 func (s *service) Forecast(a peers.ForecastArgs, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.models.handle(forecastEvent(a.Forecast)) })
+	s.d.control.post(func() { s.d.cells.forecast(a.Cell, a.Forecast) })
 	return nil
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -53,6 +53,7 @@
 	// ForecastArgs carries a forecast to the host that asked for it.
 	ForecastArgs struct {
 		Header
+		Cell     string
 		Forecast cell.Forecast
 	}
 
--- /dev/null
+++ b/pkg/homes/homes_test.go
@@ -0,0 +1,34 @@
+package homes
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against hosts that ask different cells for one model, and against a refusal that ends the search although another
+// cell has memory.
+func TestChoose(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	usable := []string{"a", "b", "c"}
+	h := New()
+	home := Home("m", usable)
+	for _, own := range usable {
+		c.Assert(h.Choose(now, "m", Cells{Own: own, Usable: usable}), qt.Equals, home)
+	}
+	c.Assert(h.Choose(now, "m", Cells{Own: "a", Usable: usable, Holders: []string{"a", "b"}}), qt.Equals, "a")
+	c.Assert(h.Choose(now, "m", Cells{Own: "x", Usable: []string{"b", "c"}, Holders: []string{"a", "c"}}), qt.Equals, "c")
+	seen := make(map[string]bool)
+	for range usable {
+		cell := h.Choose(now, "m", Cells{Usable: usable})
+		c.Assert(seen[cell], qt.IsFalse)
+		seen[cell] = true
+		h.Refused(now, "m", cell)
+	}
+	c.Assert(h.Choose(now, "m", Cells{Usable: usable}), qt.Equals, "")
+	c.Assert(h.Choose(now, "other", Cells{Usable: usable}), qt.Not(qt.Equals), "")
+	c.Assert(h.Choose(now.Add(refusalLife+1), "m", Cells{Usable: usable}), qt.Equals, home)
+	c.Assert(Home("m", nil), qt.Equals, "")
+}
