--- a/pkg/cell/doc.go
+++ b/pkg/cell/doc.go
@@ -5,6 +5,8 @@
 //   - Lease and permit events arrive in log order.
 //   - Each Order is answered by an OrderResult with the same Attempt once the sender will not deliver the order again;
 //     OrderUnknown then means that no answer came. An order that is still held by a sender has no result yet.
+//   - With Settings.PinnedOrders, a sender delivers an Order only to the incarnation that it names. Without, an engine that
+//     checks fences is settled only when the earlier holders released, because a restart makes it forget its fence.
 //   - Each Query is answered by an OrderResult with the Attempt of the query, or not at all.
 //   - At most one Claim of a model is being appended; later ones are dropped meanwhile, and so is a Claim whose Base is not
 //     the offset of the latest permit record. Otherwise a late repetition could lower permits that are in use again.
--- a/pkg/cell/rules_test.go
+++ b/pkg/cell/rules_test.go
@@ -422,6 +422,11 @@
 	c.Assert(p.c.Stats().Replicas, qt.Equals, 1)
 	p.run(time.Second)
 	c.Assert(p.lists("a"), qt.IsTrue)
+	*p.statuses["u00"] = Status{Incarnation: "2", CapacityBytes: 100 * gib}
+	p.read("u00")
+	c.Assert([]int{p.c.Stats().Unsettled, p.c.Stats().Replicas}, qt.DeepEquals, []int{1, 0}, qt.Commentf("restarted"))
+	p.run(time.Second)
+	c.Assert(p.c.Stats().Unsettled, qt.Equals, 0)
 }
 
 // Guards against orders on an engine that ignores fences while an earlier holder may still order, and against a directory
