--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -42,6 +42,7 @@
 
 		nextScan    time.Time
 		nextStart   time.Time // nextStart is when the store's rate allows the next queued load.
+		gaps        gaps      // gaps is the distribution of the first gaps of each model.
 		sums        counters
 		seq         uint64
 		stale       bool // stale tells that the directory differs from the one published.
--- a/pkg/cell/idle.go
+++ b/pkg/cell/idle.go
@@ -68,6 +68,9 @@
 	active := work > 0
 	if active && !m.active {
 		if gap := c.now.Sub(m.idleAt); m.seen && gap >= c.set.DrainDelay {
+			if m.gaps.total < 2*minGaps {
+				c.gaps.observe(gap)
+			}
 			m.gaps.observe(gap)
 		}
 	}
@@ -79,14 +82,18 @@
 }
 
 // idleTimeout returns how long the model's replicas stay loaded without work. While loads queue at the store, a later load
-// costs more than its own time.
+// costs more than its own time. A model of which little is known is taken to be like others at their first gaps.
 func (c *Controller) idleTimeout(m *model) time.Duration {
 	tier := c.nearest(m)
 	load := c.loadTime(m, tier)
 	if tier == TierRemote {
 		load += waitCost * c.store.congestion(c.now)
 	}
-	t := m.gaps.timeout(load.Seconds() * c.set.ColdCost)
+	g := &m.gaps
+	if g.total < minGaps {
+		g = &c.gaps
+	}
+	t := g.timeout(load.Seconds() * c.set.ColdCost)
 	return min(max(time.Duration(t*float64(time.Second)), c.set.IdleMin), c.set.IdleMax)
 }
 
