--- /dev/null
+++ b/internal/cmds/examples_test.go
@@ -0,0 +1,29 @@
+package cmds
+
+import (
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/setup"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
+
+// Guards against example files that the commands refuse.
+func TestExamples(t *testing.T) {
+	for _, deployment := range []string{"wijesinghe", "cymdeithas"} {
+		t.Run(deployment, func(t *testing.T) {
+			c := qt.New(t)
+			dir := filepath.Join("..", "..", "examples", deployment)
+			_, faults := setup.Read(filepath.Join(dir, "host.toml"))
+			c.Check(faults, qt.HasLen, 0)
+			var template spec.Template
+			c.Check(readTOML(filepath.Join(dir, "template.toml"), &template), qt.IsNil)
+			c.Check(template.Check(), qt.IsNil)
+			var team spec.Team
+			c.Check(readTOML(filepath.Join(dir, "team.toml"), &team), qt.IsNil)
+			c.Check(team.Check(), qt.IsNil)
+		})
+	}
+}
