--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -33,15 +33,13 @@
 
 	// cellRun carries out the actions of one cell's controller. It belongs to the control thread.
 	cellRun struct {
-		d       *Daemon
-		name    string
-		control *cell.Controller
-		alarm   *alarm
-		held    bool
-		fence   int64
-		earlier map[string]int64
-		// released is the highest fence of this incarnation whose orders have all ended after the lease was lost.
-		released  int64
+		d         *Daemon
+		name      string
+		control   *cell.Controller
+		alarm     *alarm
+		held      bool
+		fence     int64
+		earlier   map[string]int64
 		directory peers.Directory
 		permits   map[string]permitState
 		claims    map[string]cell.Claim
@@ -113,10 +111,10 @@
 }
 
 // use tells the controllers how many attempts of this host are in progress for each model.
-func (c *cells) use(counts map[modelUse]int) {
+func (c *cells) use(counts map[modelUse]useCount) {
 	for key, n := range counts {
-		c.toController(key.cell, cell.Use{Host: c.d.settings.Host.Name, Model: key.model, InFlight: n})
-		if n == 0 {
+		c.toController(key.cell, cell.Use{Host: c.d.settings.Host.Name, Model: key.model, InFlight: n.all, Urgent: n.urgent})
+		if n.all == 0 {
 			delete(counts, key)
 		}
 	}
@@ -174,7 +172,7 @@
 	gained := cell.LeaseGained{Fence: l.Offset}
 	for i, h := range l.Unsettled {
 		if i == len(l.Unsettled)-1 {
-			gained.PriorHolder = h.Incarnation
+			gained.PriorHolder, gained.PriorFence = h.Incarnation, h.Offset
 		} else {
 			gained.Earlier = append(gained.Earlier, cell.Hold{Holder: h.Incarnation, Fence: h.Offset})
 		}
@@ -240,8 +238,9 @@
 	case cell.Forecast:
 		r.forecast(a)
 	case cell.Released:
-		r.released = max(r.released, a.Fence)
 		r.d.leaseReleased(r.name, a.Fence)
+	case cell.ReadStatus:
+		r.d.upstreams.poll(a.Upstream)
 	case cell.Wake:
 		r.alarm.set(a.At)
 	}
@@ -362,7 +361,7 @@
 	var loads []peers.Load
 	x := cell.Status{
 		Incarnation: s.Incarnation, CapacityBytes: s.CapacityBytes, UsedBytes: s.UsedBytes, OrdersPending: s.OrdersPending,
-		HighestFence: s.HighestFence, Leaving: s.Leaving,
+		HighestFence: s.HighestFence, Leaving: s.Leaving, ReportedAt: s.ReportedAt,
 	}
 	for _, p := range s.Replicas {
 		x.Replicas = append(x.Replicas, cell.StatusReplica{
--- a/internal/daemon/model.go
+++ b/internal/daemon/model.go
@@ -17,6 +17,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/retry"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
 	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
 
@@ -59,19 +60,25 @@
 		alarm   *alarm
 		calls   map[uint64]*modelCall
 		next    uint64
-		use     map[modelUse]int
+		use     map[modelUse]useCount
 		idle    func()
 	}
 
-	// modelUse counts the attempts in progress of a model in a cell.
+	// modelUse names a model in a cell.
 	modelUse struct {
 		cell  string
 		model string
 	}
+
+	// useCount counts attempts in progress.
+	useCount struct {
+		all    int
+		urgent int
+	}
 )
 
 func newModels(d *Daemon, machine *entry.Entry) *models {
-	m := &models{d: d, machine: machine, calls: make(map[uint64]*modelCall), use: make(map[modelUse]int)}
+	m := &models{d: d, machine: machine, calls: make(map[uint64]*modelCall), use: make(map[modelUse]useCount)}
 	m.alarm = newAlarm(d.control, func() { m.handle(entry.Tick{}) })
 	return m
 }
@@ -206,10 +213,15 @@
 
 func (m *models) count(a *attempt, n int) {
 	key := modelUse{m.d.upstreams.cell(a.upstream), a.model}
-	m.use[key] += n
-	if m.use[key] == 0 {
+	x := m.use[key]
+	x.all += n
+	if spec.Urgency(a.request.Priority) == spec.Urgent {
+		x.urgent += n
+	}
+	m.use[key] = x
+	if x.all == 0 {
 		// The controller may need the memory of an idle replica at once.
-		m.d.cells.use(map[modelUse]int{key: 0})
+		m.d.cells.use(map[modelUse]useCount{key: {}})
 		delete(m.use, key)
 	}
 }
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -91,7 +91,7 @@
 func (s *service) Release(a peers.ReleaseArgs, reply *peers.ReleaseReply) error {
 	s.d.control.ask(func() {
 		if r, ok := s.d.cells.byName[a.Cell]; ok {
-			reply.Released = r.released >= a.Fence
+			reply.Released = r.control.Released(a.Fence)
 		}
 	})
 	return nil
