--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -8,11 +8,13 @@
 
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
+	"github.com/fireflycleat/fireflycleat/pkg/homes"
 )
 
 const (
 	statusInterval  = 500 * time.Millisecond // As in the daemon.
 	confirmInterval = 500 * time.Millisecond
+	loadPoll        = 50 * time.Millisecond // As in the daemon, for engines that load a model.
 	leaseFence      = 1
 )
 
@@ -34,9 +36,8 @@
 	// The shares are those that the daemon sets.
 	s := cell.DefaultSettings()
 	s.Cell = c.centre
-	s.Home = func(model string) bool { return home(model) == c.centre }
-	s.StoreLoadsPerSecond = d.StoreRate / dataCentres
-	s.StoreSlots = max(1, d.StoreSlots/dataCentres)
+	s.Home = func(model string) bool { return homes.Home(model, centreNames()) == c.centre }
+	s.StoreLoadsPerSecond, s.StoreSlots = d.StoreRate, d.StoreSlots
 	s.AdaptersInFlight = max(1, d.AdapterLoad/dataCentres)
 	c.machine = cell.New(s)
 	c.alarm = alarm{clock: f.clock, run: func() { c.handle(cell.Tick{}) }}
@@ -55,7 +56,8 @@
 	}
 	c.handle(cell.LeaseGained{Fence: leaseFence})
 	w.every(0, confirmInterval, func() { c.handle(cell.LeaseConfirmed{At: w.now}) })
-	w.every(beatInterval/2, beatInterval, c.beat)
+	w.every(beatInterval/2, beatInterval, c.spread)
+	w.every(0, loadPoll, c.pollLoading)
 }
 
 func (c *control) handle(e cell.Event) {
@@ -77,13 +79,11 @@
 		w.after(0, func() { c.claim(a) })
 	case cell.Publish:
 		c.latest = a
-		c.spread(nil)
+		c.spread()
 	case cell.Forecast:
 		h := c.fleet.hosts[slices.IndexFunc(c.fleet.hosts, func(h *host) bool { return h.name == a.Host })]
 		w.after(w.deploy.between(c.centre, h.centre), func() {
-			h.handle(entry.Forecast{
-				Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, RetryAfter: a.RetryAfter,
-			})
+			h.forecast(c.centre, a)
 		})
 	case cell.Wake:
 		c.alarm.reset(a.At)
@@ -128,17 +128,22 @@
 	return c.fleet.hosts[slices.IndexFunc(c.fleet.hosts, func(h *host) bool { return h.centre == c.centre })]
 }
 
-// beat repeats the directory with the load figures to all hosts.
-func (c *control) beat() {
-	var all []entry.Report
-	for _, name := range slices.Sorted(maps.Keys(c.loads)) {
-		all = append(all, c.loads[name]...)
+// pollLoading asks the engines that load a model for their status.
+func (c *control) pollLoading() {
+	for _, e := range c.fleet.engines {
+		if e.centre == c.centre && slices.ContainsFunc(e.replicas, func(r *replica) bool { return !r.ready }) {
+			c.readStatus(e)
+		}
 	}
-	c.spread(all)
 }
 
-func (c *control) spread(loads []entry.Report) {
+// spread sends the directory with the load figures to all hosts.
+func (c *control) spread() {
 	w := c.fleet.world
+	var loads []entry.Report
+	for _, name := range slices.Sorted(maps.Keys(c.loads)) {
+		loads = append(loads, c.loads[name]...)
+	}
 	p := c.latest
 	for _, h := range c.fleet.hosts {
 		if h == c.host() {
--- a/internal/bench/deploy.go
+++ b/internal/bench/deploy.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
@@ -100,15 +98,12 @@
 	return list
 }
 
-// home returns the data centre with the highest rendezvous weight, as the daemon does.
-func home(model string) string {
-	best, found := uint64(0), ""
+func centreNames() []string {
+	var names []string
 	for i := range dataCentres {
-		if w := xxhash.Sum64String(model + "\x00" + centreName(i)); found == "" || w > best {
-			best, found = w, centreName(i)
-		}
+		names = append(names, centreName(i))
 	}
-	return found
+	return names
 }
 
 // between returns the one-way delay between two data centres.
--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -9,12 +9,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
+	"github.com/fireflycleat/fireflycleat/pkg/homes"
 	"github.com/fireflycleat/fireflycleat/pkg/retry"
 	"github.com/fireflycleat/fireflycleat/pkg/route"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
-const beatInterval = time.Second // As in the daemon.
+const beatInterval = time.Second // Directories are repeated so often, as in the daemon.
 
 type (
 	// fleet runs the event machines of all daemons over the fakes.
@@ -36,7 +39,9 @@
 		calls   map[uint64]*Call
 		jobs    map[attempt]*flight
 		open    map[uint64]int // open counts the attempts in flight by request.
-		use     map[modelUse]int
+		use     map[modelUse]useCount
+		homes   *homes.Table
+		asked   map[demandKey]cell.Demand // asked is the demand that controllers know.
 	}
 
 	attempt struct {
@@ -50,6 +55,10 @@
 	}
 
 	modelUse struct{ centre, model string }
+
+	useCount struct{ all, urgent int }
+
+	demandKey struct{ model, adapter string }
 )
 
 // newFleet returns the world with the system as its policy.
@@ -60,10 +69,11 @@
 		centre := centreName(i % dataCentres)
 		h := &host{
 			fleet: f, name: "h" + string(rune('1'+i)), centre: centre, calls: make(map[uint64]*Call),
-			jobs: make(map[attempt]*flight), open: make(map[uint64]int), use: make(map[modelUse]int),
+			jobs: make(map[attempt]*flight), open: make(map[uint64]int), use: make(map[modelUse]useCount),
+			homes: homes.New(), asked: make(map[demandKey]cell.Demand),
 		}
 		s := entry.Defaults(centre, centre)
-		s.Home = func(model string) string { return f.cellOf(model, centre) }
+		s.Home = func(model string) string { return h.cellOf(model) }
 		s.OneWay = func(other string) time.Duration { return d.between(centre, other) }
 		h.machine = entry.New(s, w.view, rand.New(rand.NewPCG(seed, uint64(100+i))))
 		h.alarm = alarm{clock: w.clock, run: func() { h.handle(entry.Tick{}) }}
@@ -80,24 +90,44 @@
 func (f *fleet) begin() {
 	for i, h := range f.hosts {
 		h.handle(entry.Hosts{Live: hostCount, Near: hostCount / dataCentres, Index: i / dataCentres})
-		f.every(time.Duration(i)*beatInterval/hostCount, beatInterval, h.beat)
+		f.every(time.Duration(i)*statusInterval/hostCount, statusInterval, h.beat)
 	}
 	for _, c := range f.controls {
 		c.begin()
 	}
 }
 
-// cellOf returns the cell that decides on loads of a model, by the rule of the daemon.
-func (f *fleet) cellOf(model, own string) string {
-	if f.permits[model][own] > 0 {
-		return own
+// cellOf returns the cell that is asked to load a model, by the rule of the daemon.
+func (h *host) cellOf(model string) string {
+	x := homes.Cells{Own: h.centre, Usable: centreNames()}
+	for _, n := range x.Usable {
+		if h.fleet.permits[model][n] > 0 {
+			x.Holders = append(x.Holders, n)
+		}
 	}
-	for i := range dataCentres {
-		if f.permits[model][centreName(i)] > 0 {
-			return centreName(i)
+	return h.homes.Choose(h.fleet.now, model, x)
+}
+
+// forecast passes a forecast to the entry machine; as in the daemon, the demand that a cell without memory refuses goes to
+// another cell first.
+func (h *host) forecast(centre string, a cell.Forecast) {
+	if a.Refused && a.Code == codes.OverCapacity {
+		h.homes.Refused(h.fleet.now, a.Model, centre)
+		next := h.cellOf(a.Model)
+		if e, ok := h.asked[demandKey{a.Model, a.Adapter}]; ok && next != "" {
+			h.toController(next, e)
+			return
 		}
 	}
-	return home(model)
+	h.handle(entry.Forecast{
+		Model: a.Model, Adapter: a.Adapter, ReadyAt: a.ReadyAt, Refused: a.Refused, Code: a.Code, RetryAfter: a.RetryAfter,
+		Others: a.Others,
+	})
+}
+
+func (h *host) toController(centre string, e cell.Event) {
+	c := h.fleet.control(centre)
+	h.fleet.after(h.fleet.deploy.between(h.centre, centre), func() { c.handle(e) })
 }
 
 func (f *fleet) control(centre string) *control {
@@ -140,8 +170,12 @@
 			Host: h.name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
 			EarliestDeadline: a.EarliestDeadline,
 		}
-		c := h.fleet.control(a.Cell)
-		w.after(w.deploy.between(h.centre, c.centre), func() { c.handle(e) })
+		k := demandKey{a.Model, a.Adapter}
+		h.asked[k] = e
+		if e.Urgent+e.Normal+e.Bulk == 0 {
+			delete(h.asked, k)
+		}
+		h.toController(a.Cell, e)
 	case entry.Wake:
 		h.alarm.reset(a.At)
 	}
@@ -181,12 +215,12 @@
 			if h.open[a.ID]--; h.open[a.ID] == 0 {
 				delete(h.open, a.ID)
 			}
-			h.ended(modelUse{e.centre, c.Model})
+			h.count(modelUse{e.centre, c.Model}, a.Priority, -1)
 			h.handle(entry.AttemptEnded{ID: a.ID, Attempt: a.Attempt, Result: r, Tokens: n})
 		})
 	}
 	h.jobs[k] = &flight{job: j, engine: e}
-	h.use[modelUse{e.centre, c.Model}]++
+	h.count(modelUse{e.centre, c.Model}, a.Priority, 1)
 	w.after(delay, func() { e.submit(c.Model, j, false) })
 }
 
@@ -203,20 +237,23 @@
 	}
 }
 
-// ended counts the end of an attempt; as in the daemon, the last one of a model is told at once.
-func (h *host) ended(k modelUse) {
-	if h.use[k]--; h.use[k] == 0 {
+// count counts attempts in progress; as in the daemon, the last end of a model is told at once.
+func (h *host) count(k modelUse, u spec.Urgency, by int) {
+	x := h.use[k]
+	x.all += by
+	if u == spec.Urgent {
+		x.urgent += by
+	}
+	h.use[k] = x
+	if x.all == 0 {
 		h.tellUse(k)
 		delete(h.use, k)
 	}
 }
 
 func (h *host) tellUse(k modelUse) {
-	w := h.fleet.world
-	n, c := h.use[k], h.fleet.control(k.centre)
-	w.after(w.deploy.between(h.centre, c.centre), func() {
-		c.handle(cell.Use{Host: h.name, Model: k.model, InFlight: n})
-	})
+	n := h.use[k]
+	h.toController(k.centre, cell.Use{Host: h.name, Model: k.model, InFlight: n.all, Urgent: n.urgent})
 }
 
 // directory passes a directory to the entry machine, and the load figures that came with it.
