feat(cell): a replica more for a queue at entries or engines

Cause: replicas were added only when more requests waited at entries than all replicas have slots. Urgent requests wait at engines, and refused ones do not wait, so hot models stayed at one or two of four replicas. Change: requests that wait at engines count, and a queue of more than an eighth of the slots adds one replica, if memory for two is free, the store is idle, no other model waits for its load and the last replica has been ready for 0.5 s.

--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -17,6 +17,12 @@
 	planAhead = 2 * time.Second
 	// promiseWeight is the weight of refused callers who are expected back, in the units of the urgency weights.
 	promiseWeight = 0.5
+	// helpShare is the part of the slots, one in so many, from which waiting requests make another replica worth its load.
+	helpShare = 8
+	// helpDelay is the time after a load in which the requests that waited for it are still counted as waiting.
+	helpDelay = 500 * time.Millisecond
+	// spareRoom is the free memory, in replicas of the model, from which such a replica is loaded.
+	spareRoom = 2
 	// agePeriod is the waiting time that doubles the score of a queued load, up to maxAge times the score.
 	agePeriod = 10 * time.Second
 	maxAge    = 3.0
@@ -63,6 +69,10 @@
 	p := c.store.plan(c.now)
 	again := false
 	for _, m := range c.queue {
+		if m.optional {
+			again = again || m.missing > 0
+			continue
+		}
 		if m.missing > 0 && c.placeOne(m, &p) {
 			again = again || m.missing > 0
 		}
@@ -73,7 +83,7 @@
 		}
 		again = false
 		for _, m := range c.queue {
-			if m.missing > 0 && !m.readyAt.IsZero() && c.placeOne(m, &p) {
+			if m.missing > 0 && (m.optional || !m.readyAt.IsZero()) && c.placeOne(m, &p) {
 				again = again || m.missing > 0
 			}
 		}
@@ -142,6 +152,13 @@
 		c.predictBlocked(m)
 		return false
 	}
+	if m.optional {
+		// It takes free memory and an idle store, and leaves room for the next cold model.
+		best, found := c.choose(m, p)
+		if !found || best.how != direct || best.start.After(c.now) || best.up.avail < spareRoom*m.spec.ReplicaBytes() {
+			return false
+		}
+	}
 	if start := p.next(); start.After(c.now.Add(planAhead)) && c.nearest(m) == TierRemote {
 		// Memory is planned only for loads that start soon: until the others start, replicas come and go.
 		ready := start.Add(c.loadTime(m, TierRemote))
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -35,7 +35,8 @@
 		inFlight int // inFlight sums the activity reports of the entries.
 		urgent   int // urgent is the urgent part of inFlight.
 
-		missing     int // missing is the number of replicas that waiting work still needs.
+		optional    bool // optional tells that the missing replica would help, but that the work gets by without it.
+		missing     int  // missing is the number of replicas that waiting work still needs.
 		score       float64
 		preempting  *replica  // preempting is the replica that drains to make room for urgent work.
 		wantedSince time.Time // wantedSince is when the model entered the load queue.
@@ -156,20 +157,26 @@
 	c.reviewAdapters(m)
 }
 
-// reviewNeed computes how many replicas the waiting work lacks. Replicas are added when more requests wait than all
-// serving replicas, including those that are loading, have slots: by then a whole batch would wait for another.
+// reviewNeed computes how many replicas the waiting work lacks. Replicas are added when more requests wait, at entries or
+// engines, than all serving replicas, including those that are loading, have slots: by then a whole batch would wait for
+// another. A shorter queue is worth one more replica as long as nothing else needs its memory and load.
 func (c *Controller) reviewNeed(m *model) {
-	serving, slots := 0, 0
+	serving, slots, waiters, fresh := 0, 0, m.waiters(), false
 	for _, r := range m.replicas {
 		if m.serving(r) {
 			serving++
 			slots += r.slots
+			waiters += r.waiting
+			fresh = fresh || !r.ready || c.now.Sub(r.closedAt) < helpDelay
 		}
 	}
 	need := 0
+	m.optional = m.known && serving > 0 && !fresh && waiters <= slots && waiters > slots/helpShare
 	if m.known {
-		if waiters := m.waiters(); waiters > slots {
+		if waiters > slots {
 			need = (waiters - slots + m.spec.Slots - 1) / m.spec.Slots
+		} else if m.optional {
+			need = 1
 		} else if serving == 0 && c.now.Before(m.promised) {
 			need = 1
 		}
