fix: hosts keep serving when a log outage begins

Cause: a host's own proof of a current state lapsed at the same age (5 s) at which peers stopped to count as having contact with the log, so all hosts refused work for up to a heartbeat interval. Ruled out: missing heartbeats (none were lost). Change: contact with the log ends after 3 s, the proof after 5 s; publishing needs contact.

--- a/internal/scene/judges_test.go
+++ b/internal/scene/judges_test.go
@@ -226,9 +226,11 @@
 	done    sync.WaitGroup
 	reverts atomic.Int64
 	samples atomic.Int64
+	unready atomic.Int64
 }
 
-// monotone start|stop watches the offset of each living host; a restarted host begins anew.
+// monotone start|stop watches the offset of each living host; a restarted host begins anew. With unready=N it also fails when
+// a host was not ready in more than N samples.
 func (w *world) monotone(a args) error {
 	if a.words[0] == "start" {
 		x := &watch{stop: make(chan struct{})}
@@ -243,6 +245,9 @@
 	if n := w.watch.reverts.Load(); n > 0 || w.watch.samples.Load() == 0 {
 		return fmt.Errorf("%d reversions in %d samples", n, w.watch.samples.Load())
 	}
+	if most := a.number("unready", -1); most >= 0 && int(w.watch.unready.Load()) > most {
+		return fmt.Errorf("not ready in %d of %d samples", w.watch.unready.Load(), w.watch.samples.Load())
+	}
 	return nil
 }
 
@@ -252,6 +257,9 @@
 		var s wire.Status
 		if w.request(http.MethodGet, name, "/v1/status", nil, &s) == nil {
 			x.samples.Add(1)
+			if !s.Ready {
+				x.unready.Add(1)
+			}
 			if s.Incarnation == incarnation && s.Offset < last {
 				x.reverts.Add(1)
 			}
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -12,6 +12,11 @@
 	// Bound is the age of the oldest evidence that proves a configuration current.
 	Bound = 5 * time.Second
 
+	// contactAge is the age of the last log read at which a daemon still has contact with the log. It is below Bound by more
+	// than a heartbeat interval: with equal limits every daemon refused work for up to a second at the start of an outage,
+	// when its own proof had lapsed and its peers had not yet said that theirs had.
+	contactAge = 3 * time.Second
+
 	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the
 	// difference between a daemon's clock and the log's.
 	memberHistory = 24*time.Hour + 10*time.Minute
@@ -252,7 +257,7 @@
 }
 
 func (t *Tracker) supports(now time.Time, h heard) bool {
-	hasLog := h.beat.HasRead && h.beat.LogAge <= Bound
+	hasLog := h.beat.HasRead && h.beat.LogAge <= contactAge
 	return now.Sub(h.at) <= Bound && !hasLog && (h.beat.Known <= t.offset || t.off.noKnown) && !h.beat.Blocked
 }
 
@@ -283,7 +288,7 @@
 // MayPublish returns nil if a change of configuration may be appended now, or a NotCurrent or NoMajority error. The change
 // must carry the offset that the daemon has folded, and the fold must reject it if the members have changed since.
 func (t *Tracker) MayPublish(now time.Time) error {
-	if !t.hasRead || now.Sub(t.readAt) > Bound {
+	if !t.hasRead || now.Sub(t.readAt) > contactAge {
 		return codes.New(codes.NotCurrent, "the log has not been read to its end")
 	}
 	if !t.live[t.self] {
