--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -34,6 +34,6 @@
 		return codes.New(codes.BadArgument, err.Error())
 	})
 	c.AddCommand(newDev(), newServe(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
-		newAsk(), newStandin())
+		newAsk(), newStandin(), newBench())
 	return c
 }
