feat(cell): idle replicas drain for 0.3 s and need no least idle time

Cause: a replica with gaps of 20 s stayed 2 s by rule, then 1.5 s for the directory to spread and until the next status. A request that reaches a draining replica is refused as not run and goes elsewhere, so the long drain bought nothing. Change: DrainDelay 1.5 s to 0.3 s, IdleMin 2 s to 0; TestLateUnloadAnswerFreesNothing sets the idle time it needs.

--- a/pkg/cell/rules_test.go
+++ b/pkg/cell/rules_test.go
@@ -405,6 +405,7 @@
 func TestLateUnloadAnswerFreesNothing(t *testing.T) {
 	c := qt.New(t)
 	p := newPlant(1, testModel("a", 10*gib, 1))
+	p.c.set.IdleMin = 2 * time.Second // The idle replica must stay listed for as long as the test looks at it.
 	p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(time.Minute)})
 	p.run(2 * time.Second)
 	p.do(Demand{Host: "h", Model: "a"})
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -64,12 +64,12 @@
 		ClaimInterval:       2 * time.Second,
 		DemandLife:          10 * time.Second,
 		PublishInterval:     50 * time.Millisecond,
-		DrainDelay:          1500 * time.Millisecond,
+		DrainDelay:          300 * time.Millisecond,
 		DrainTime:           5 * time.Second,
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
 		ColdCost:            1,
-		IdleMin:             2 * time.Second,
+		IdleMin:             0,
 		IdleMax:             10 * time.Minute,
 	}
 }
