fix: a late answer of a peer was read while it was written

Cause: after the time-out of a forwarded booking the daemon read the reply that net/rpc still could write to (found by the race detector in book_host_paused); the scenario harness changed a process's addresses while others read them. Change: the reply is read only without an error; processes get their addresses before they are shared; a data race in a daemon fails its scenario.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -212,5 +212,9 @@
 	}
 	telem.End(span, err)
 	d.countPeerCall("Begin", err)
-	return engine.PlainAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, err
+	if err != nil {
+		// After a time-out the answer may still be written into reply, so it must not be read.
+		return engine.PlainAnswer{}, err
+	}
+	return engine.PlainAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}, nil
 }
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -29,7 +29,8 @@
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{conns: make(map[string]*rpc.Client)} }
 
-// Call calls the method of the daemon at the address. A PeerUnavailable error has the outcome NotRun when the connection
+// Call calls the method of the daemon at the address. The reply must not be read after an error, because a late answer may
+// still be written into it. A PeerUnavailable error has the outcome NotRun when the connection
 // was refused or could not be opened, else Unknown.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	return c.CallWithin(ctx, CallTimeout, address, method, args, reply)
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -82,6 +82,11 @@
 		<-p.done
 	}
 	failed := w.env.T().(interface{ Failed() bool }).Failed()
+	if w.raced() {
+		failed = true
+		w.env.T().Log("a daemon reported a data race")
+		w.env.T().(interface{ Fail() }).Fail()
+	}
 	if failed {
 		w.showLogs()
 	}
@@ -90,6 +95,17 @@
 	}
 }
 
+// raced reports whether the race detector found something in a daemon.
+func (w *world) raced() bool {
+	for _, name := range w.names("host") {
+		b, err := os.ReadFile(filepath.Join(w.env.WorkDir, name+".log"))
+		if err == nil && bytes.Contains(b, []byte("DATA RACE")) {
+			return true
+		}
+	}
+	return false
+}
+
 // showLogs prints the last lines of the daemons' logs after a failure.
 func (w *world) showLogs() {
 	for _, name := range w.names("host") {
@@ -102,8 +118,8 @@
 	}
 }
 
-// start runs the program and returns when a stand-in has printed its address; daemons print none.
-func (w *world) start(name string, standin bool, args ...string) (*proc, error) {
+// start runs the program as the given process. A stand-in has no settings file and prints its address.
+func (w *world) start(name string, p *proc, args ...string) (*proc, error) {
 	c := exec.Command(w.binary, args...)
 	c.Dir = w.env.WorkDir
 	c.Env = w.env.Vars
@@ -119,9 +135,9 @@
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
-	p := &proc{cmd: c, done: make(chan struct{})}
+	p.cmd, p.done = c, make(chan struct{})
 	r := bufio.NewReader(out)
-	if standin {
+	if p.settings == "" {
 		line, err := r.ReadString('\n')
 		if err != nil {
 			return nil, fmt.Errorf("%s did not start: %w", name, err)
@@ -144,10 +160,10 @@
 // platform starts the stand-ins: log, store, host list, engines and services spread over the data centres.
 func (w *world) platform(engines, services int, centres []string, extra []string) error {
 	w.centres = centres
-	if _, err := w.start("log", true, append(append([]string{"standin", "log"}, w.logArgs...), w.latency()...)...); err != nil {
+	if _, err := w.start("log", &proc{}, append(append([]string{"standin", "log"}, w.logArgs...), w.latency()...)...); err != nil {
 		return err
 	}
-	store, err := w.start("store", true, "standin", "store")
+	store, err := w.start("store", &proc{}, "standin", "store")
 	if err != nil {
 		return err
 	}
@@ -157,7 +173,7 @@
 		args := append([]string{
 			"standin", "engine", "--name", name, "--store", store.address, fmt.Sprintf("--checks-fence=%t", checks),
 		}, append(w.latency(), extra...)...)
-		p, err := w.start(name, true, args...)
+		p, err := w.start(name, &proc{}, args...)
 		if err != nil {
 			return err
 		}
@@ -167,7 +183,7 @@
 	}
 	for i := range services {
 		name := fmt.Sprintf("service%d", i+1)
-		p, err := w.start(name, true, append([]string{"standin", "service"}, w.latency()...)...)
+		p, err := w.start(name, &proc{}, append([]string{"standin", "service"}, w.latency()...)...)
 		if err != nil {
 			return err
 		}
@@ -175,7 +191,7 @@
 			Name: name, Address: p.address, DataCentre: centres[i%len(centres)], Kind: wire.KindService, Service: "booking", State: wire.HostLive,
 		})
 	}
-	if _, err := w.start("hosts", true, "standin", "hosts", "--lag", "2s"); err != nil {
+	if _, err := w.start("hosts", &proc{}, "standin", "hosts", "--lag", "2s"); err != nil {
 		return err
 	}
 	return w.request(http.MethodPut, "hosts", "/v1/hosts", wire.HostList{AsOf: time.Now(), Hosts: w.hosts}, nil)
@@ -192,10 +208,8 @@
 func (w *world) daemon(name string, index int) error {
 	old := w.proc(name)
 	if old != nil {
-		p, err := w.start(name, false, "serve", "--config", old.settings)
-		if err == nil {
-			p.address, p.operator, p.settings = old.address, old.operator, old.settings
-		}
+		again := &proc{address: old.address, operator: old.operator, settings: old.settings}
+		_, err := w.start(name, again, "serve", "--config", old.settings)
 		return err
 	}
 	// Each scenario has loopback addresses of its own, since a free port of a shared address may be taken before it is used.
@@ -211,11 +225,10 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	p, err := w.start(name, false, "serve", "--config", file)
-	if err != nil {
+	p := &proc{address: free[0], operator: free[2], settings: file}
+	if _, err := w.start(name, p, "serve", "--config", file); err != nil {
 		return err
 	}
-	p.address, p.operator, p.settings = free[0], free[2], file
 	return w.request(http.MethodPut, "hosts", "/v1/hosts/"+name, wire.Host{
 		Name: name, Address: free[1], DataCentre: centre, Kind: wire.KindEntry, State: wire.HostLive,
 	}, nil)
