fix(fold): reject a change id that is reused for another change

Cause: the fold, the planner and appends.add answered a known change id with the first verdict without comparing, so a second change with the same id reported success and was not made.

Change: a 32-bit digest of the content (without author, Seen and the base of a template or team) is kept with each change id; other content is rejected with KeyConflict. State.Known compares, State.Seen stays as it was.

Measured: TestChangeIDReused fails without the change for all four changed contents, and passes with it; pkg/fold and pkg/fresh pass.

--- a/internal/daemon/appends.go
+++ b/internal/daemon/appends.go
@@ -47,7 +47,7 @@
 	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
-	if v, ok := a.d.state.Seen(r.ID); ok {
+	if v, ok := a.d.state.Known(r); ok {
 		done(v.First, verdictError(v))
 		return
 	}
--- a/pkg/fold/apply.go
+++ b/pkg/fold/apply.go
@@ -39,7 +39,7 @@
 func (s *State) fold(v Verdict, r Record) Verdict {
 	v.Record = r
 	if c, ok := s.changes[r.ID]; ok && !s.off.noChangeID {
-		first := c.verdict(v.Offset)
+		first := c.verdict(v.Offset, r)
 		first.Record = r
 		return first
 	}
@@ -50,7 +50,7 @@
 			v.LostTo = lost.lostTo
 		}
 	}
-	c := change{ID: r.ID, Offset: v.Offset, LostTo: v.LostTo}
+	c := change{ID: r.ID, Offset: v.Offset, Digest: r.digest(), LostTo: v.LostTo}
 	if v.Err != nil {
 		c.Code, c.Field, c.Detail = v.Err.Code(), v.Err.Field(), v.Err.Detail()
 	}
--- a/pkg/fold/doc.go
+++ b/pkg/fold/doc.go
@@ -21,8 +21,10 @@
 //
 // # What is remembered
 //
-// Change ids, deleted templates and teams, and hosts that are gone are remembered for ChangeWindow offsets. Any record that
-// could depend on an older one has a Seen that is too old and is rejected, so forgetting is safe.
+// Change ids with a digest of the change, deleted templates and teams, and hosts that are gone are remembered for
+// ChangeWindow offsets. Any record that could depend on an older one has a Seen that is too old and is rejected, so
+// forgetting is safe. A record with a known change id is not folded: it gets the verdict on the first one, or KeyConflict
+// if its content differs.
 //
 // # Where a reader starts
 //
--- a/pkg/fold/fold_test.go
+++ b/pkg/fold/fold_test.go
@@ -278,3 +278,43 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(sent.Seen, qt.Equals, int64(5))
 }
+
+// Guards against a reused change id that reports success although its other content was not applied, in the fold, in a
+// snapshot and in the planner, and against a resend being taken for another change.
+func TestChangeIDReused(t *testing.T) {
+	c := qt.New(t)
+	p := newTape("a", "b")
+	name := func(r Record, id string) Record { r.ID = id; return r }
+	first := name(set("a", "m", 0, 2), "i")
+	c.Assert(p.put(first).Outcome, qt.Equals, Accepted)
+	restored, err := Restore(p.s.Snapshot())
+	c.Assert(err, qt.IsNil)
+	for _, tc := range []struct {
+		what string
+		r    Record
+		same bool
+	}{
+		{"resend", first, true},
+		{"resend through another host, from the present offset", set("b", "m", 3, 2), true},
+		{"other value", set("a", "m", 3, 4), false},
+		{"other name", set("a", "n", 0, 2), false},
+		{"deletion", DeleteTemplate("", "a", 3, "m"), false},
+		{"other kind", SetTeam("", "a", 0, spec.Team{Name: "m"}), false},
+	} {
+		r := name(tc.r, "i")
+		planner := func(e Event) Verdict {
+			l := NewPlanner(2, rand.New(rand.NewPCG(1, 1)))
+			l.Handle(epoch, Submit{r, epoch.Add(time.Second)})
+			return l.Handle(epoch, e)[0].(Done).Verdict
+		}
+		seen, _ := restored.Known(r)
+		for _, v := range []Verdict{
+			p.put(r), seen, planner(Folded{Verdict{Outcome: Accepted, Record: first, Offset: 3, First: 3}}), planner(Restored{restored}),
+		} {
+			c.Check(v.Err == nil, qt.Equals, tc.same, qt.Commentf("%s: %v", tc.what, v.Err))
+			c.Check(v.First, qt.Equals, int64(3))
+			c.Check(tc.same || v.Outcome == Rejected && v.Err.Code() == codes.KeyConflict, qt.IsTrue, qt.Commentf("%s: %v", tc.what, v))
+		}
+		c.Check(p.s.TemplateOffset("m"), qt.Equals, int64(3))
+	}
+}
--- a/pkg/fold/plan.go
+++ b/pkg/fold/plan.go
@@ -195,6 +195,10 @@
 	}
 	var out []Action
 	if q := p.plans[id]; q != nil && id != "" {
+		// Another daemon may have appended another change with this id; the fold then rejects this one.
+		if v.Record.ID == id && v.Record.digest() != q.record.digest() {
+			v = conflict(v.Offset, v.First, q.record)
+		}
 		out = p.done(q, v)
 	}
 	for _, i := range slices.Sorted(maps.Keys(p.plans)) {
@@ -210,7 +214,7 @@
 	var out []Action
 	for _, i := range slices.Sorted(maps.Keys(p.plans)) {
 		q := p.plans[i]
-		if v, ok := s.Seen(i); ok {
+		if v, ok := s.Known(q.record); ok {
 			v.Record = q.record
 			out = append(out, p.done(q, v)...)
 		} else if q.attempts > 0 && p.offset-q.record.Seen > ChangeWindow {
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -100,6 +103,7 @@
 	change struct {
 		ID     string     `json:"id"`
 		Offset int64      `json:"offset"`
+		Digest uint32     `json:"digest,omitempty"` // Digest is zero for a withdrawn change, whose content is unknown.
 		Code   codes.Code `json:"code,omitempty"`
 		Field  string     `json:"field,omitempty"`
 		Detail string     `json:"detail,omitempty"`
@@ -261,10 +265,27 @@
 	if !ok {
 		return Verdict{}, false
 	}
-	return c.verdict(c.Offset), true
+	return c.first(c.Offset), true
 }
 
-func (c change) verdict(offset int64) Verdict {
+// Known returns the verdict that the record would get if its change id was folded within ChangeWindow.
+func (s *State) Known(r Record) (Verdict, bool) {
+	c, ok := s.changes[r.ID]
+	if !ok {
+		return Verdict{}, false
+	}
+	return c.verdict(c.Offset, r), true
+}
+
+// verdict returns the verdict on a later record with the same change id.
+func (c change) verdict(offset int64, r Record) Verdict {
+	if c.Digest != 0 && c.Digest != r.digest() {
+		return conflict(offset, c.Offset, r)
+	}
+	return c.first(offset)
+}
+
+func (c change) first(offset int64) Verdict {
 	v := Verdict{Outcome: Duplicate, Offset: offset, First: c.Offset}
 	if c.Code != codes.OK {
 		v.Err, v.LostTo = codes.New(c.Code, c.Detail).WithField(c.Field), c.LostTo
@@ -272,6 +293,29 @@
 	return v
 }
 
+func conflict(offset, first int64, r Record) Verdict {
+	err := codes.Newf(codes.KeyConflict, "the change id was used for another change at offset %d", first).WithField("id")
+	return Verdict{Outcome: Rejected, Record: r, Offset: offset, First: first, Err: err}
+}
+
+// digest identifies the content of a change. Author, Seen and the base of a template or team are no part of it, because an
+// operator's resend may go through another host and name the offset that is present by then. It finds mistakes, not
+// forgeries: 4 bytes keep the state small, as ChangeWindow digests are remembered.
+func (r Record) digest() uint32 {
+	r.ID, r.By, r.Seen = "", "", 0
+	if r.Template != nil {
+		t := *r.Template
+		t.Base, r.Template = 0, &t
+	}
+	if r.Team != nil {
+		t := *r.Team
+		t.Base, r.Team = 0, &t
+	}
+	data, _ := json.Marshal(r) // These types cannot fail.
+	sum := sha256.Sum256(data)
+	return binary.BigEndian.Uint32(sum[:])
+}
+
 // Error returns the text of the coded error.
 func (r *rejection) Error() string { return r.err.Error() }
 
