fix(front): name the request in refusals, ask for the token at /metrics

Cause: only whole answers named their request id, so decisions REQUEST could not be used for refusals; the operators' address served /metrics to everybody.

Change: calls to models answer with X-Request-Id, and problem documents carry it as instance, in refusals and in broken streams. /metrics on the operators' address needs the token; the callers' address still serves it.

--- a/internal/front/answers.go
+++ b/internal/front/answers.go
@@ -58,7 +58,7 @@
 	if !begun {
 		return err
 	}
-	if data, e := json.Marshal(problem(err)); e == nil {
+	if data, e := json.Marshal(problem(err, call.ID)); e == nil {
 		_ = writeEvent(w, controller, data) // the caller may have left; the broken connection says the same
 	}
 	abort(controller)
--- a/internal/front/callers.go
+++ b/internal/front/callers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 
 	"github.com/fireflycleat/fireflycleat/internal/engine"
@@ -81,8 +82,8 @@
 	app.Get("/v1/address", c.address)
 	app.Get("/v1/models", c.door("models", c.models))
 	app.Post("/v1/keys", c.door("keys", c.keys))
-	app.Post("/v1/chat/completions", c.door("chat", c.chat))
-	app.Post("/v1/completions", c.door("completions", c.completions))
+	app.Post("/v1/chat/completions", c.modelDoor("chat", c.chat))
+	app.Post("/v1/completions", c.modelDoor("completions", c.completions))
 	app.Any("/v1/services/{service}/{path:path}", c.door("services", c.services))
 	app.OnAnyErrorCode(unknownPath)
 	if err := app.Build(); err != nil {
@@ -118,6 +119,15 @@
 	writeJSON(x.ResponseWriter(), http.StatusOK, a)
 }
 
+// modelDoor is the door of calls to models. Each answer names the request, so that operators can look it up in the decisions.
+func (c *Callers) modelDoor(name string, serve func(http.ResponseWriter, *http.Request, spec.Team) error) iris.Handler {
+	door := c.door(name, serve)
+	return func(x iris.Context) {
+		x.ResponseWriter().Header().Set(requestHeader, "req-"+uuid.NewString())
+		door(x)
+	}
+}
+
 // door wraps a handler with the span, the limit of requests in progress, the caller's team and the metrics.
 func (c *Callers) door(name string, serve func(http.ResponseWriter, *http.Request, spec.Team) error) iris.Handler {
 	return func(x iris.Context) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -113,6 +113,58 @@
 	qt.Assert(t, w.Body.String(), qt.Equals, "x")
 }
 
+// Guards against an answer whose request cannot be looked up in the decisions, because it does not name its id, or names
+// another than the call.
+func TestRequestID(t *testing.T) {
+	c, h := testCallers(t)
+	for _, tc := range []struct {
+		name, path, body string
+		chunk            bool
+		end              error
+		instance         bool
+	}{
+		{"whole", "chat/completions", `{"model":"m","messages":[{"role":"user","content":"x"}]}`, true, nil, false},
+		{"whole text", "completions", `{"model":"m","prompt":"x"}`, true, nil, false},
+		{"streamed", "completions", `{"model":"m","prompt":"x","stream":true}`, true, nil, false},
+		{"refused", "completions", `{"model":"m","prompt":"x"}`, false, codes.New(codes.OverCapacity, ""), true},
+		{"refused stream", "chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user"}]}`, false, codes.New(codes.TeamLimit, ""), true},
+		{"broken stream", "completions", `{"model":"m","prompt":"x","stream":true}`, true, codes.New(codes.StreamBroken, ""), true},
+		{"bad request", "completions", `{"model":"m"}`, false, nil, true},
+	} {
+		id := ""
+		c.Model = func(_ context.Context, call ModelCall, sink func([]byte) error) error {
+			if id = call.ID; tc.chunk {
+				_ = sink([]byte(`{"choices":[]}`))
+			}
+			return tc.end
+		}
+		r := httptest.NewRequest("POST", "/v1/"+tc.path, strings.NewReader(tc.body))
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		sent := w.Header().Get("X-Request-Id")
+		qt.Check(t, sent, qt.Matches, "req-.+", qt.Commentf(tc.name))
+		qt.Check(t, id == "" || id == sent, qt.IsTrue, qt.Commentf("%s: %s for %s", tc.name, sent, id))
+		member := `"instance":"urn:fireflycleat:request:` + sent + `"`
+		qt.Check(t, strings.Contains(w.Body.String(), member), qt.Equals, tc.instance, qt.Commentf("%s: %s", tc.name, w.Body))
+	}
+}
+
+// Guards against metrics of the operators' address that are served without the token, or not with it.
+func TestOperatorMetrics(t *testing.T) {
+	c, _ := testCallers(t)
+	h, err := (&Operators{Traces: c.Traces, Metrics: c.Metrics, Token: "secret"}).Handler()
+	qt.Assert(t, err, qt.IsNil)
+	for token, want := range map[string]int{"": 401, "Bearer x": 401, "Bearer secret": 200} {
+		r := httptest.NewRequest("GET", "/metrics", nil)
+		r.Header.Set("Authorization", token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		qt.Check(t, w.Code, qt.Equals, want)
+		qt.Check(t, strings.Contains(w.Body.String(), "go_goroutines"), qt.Equals, want == 200)
+	}
+}
+
 // Guards against a caller that sends its body slowly holding a connection for ever, and against a broken answer that ends
 // like a whole one.
 func TestSlowBodyAndBrokenAnswer(t *testing.T) {
--- a/internal/front/models.go
+++ b/internal/front/models.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	openai "github.com/sashabaranov/go-openai"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -18,6 +17,7 @@
 const (
 	urgencyHeader = "X-Urgency"
 	timeoutHeader = "X-Request-Timeout" // in seconds
+	requestHeader = "X-Request-Id"
 	bytesPerToken = 4
 	defaultTokens = 256
 	maxTokens     = 1 << 20
@@ -64,7 +64,7 @@
 	if tokens == 0 {
 		tokens = q.MaxCompletionTokens
 	}
-	call, err := c.modelCall(r, t, q.Model, tokens, body)
+	call, err := c.modelCall(w, r, t, q.Model, tokens, body)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 	if q.Prompt == nil {
 		return codes.New(codes.BadRequest, "is missing").WithField("prompt")
 	}
-	call, err := c.modelCall(r, t, q.Model, q.MaxTokens, body)
+	call, err := c.modelCall(w, r, t, q.Model, q.MaxTokens, body)
 	if err != nil {
 		return err
 	}
@@ -99,7 +99,9 @@
 }
 
 // modelCall checks what both kinds of model call have in common.
-func (c *Callers) modelCall(r *http.Request, t spec.Team, name string, tokens int, body []byte) (ModelCall, error) {
+func (c *Callers) modelCall(
+	w http.ResponseWriter, r *http.Request, t spec.Team, name string, tokens int, body []byte,
+) (ModelCall, error) {
 	model, adapter, _ := strings.Cut(name, ":")
 	m, ok := c.View().Model(model)
 	switch {
@@ -131,7 +133,7 @@
 		tokens = defaultTokens
 	}
 	return ModelCall{
-		ID: "req-" + uuid.NewString(), Team: t, Model: model, Adapter: adapter, Urgency: urgency, Timeout: timeout,
+		ID: requestID(w), Team: t, Model: model, Adapter: adapter, Urgency: urgency, Timeout: timeout,
 		Body: streamed, PromptTokens: len(body) / bytesPerToken, MaxTokens: tokens,
 	}, nil
 }
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -57,7 +57,7 @@
 		return struct{}{}, nil
 	}))
 	app.Put("/v1/logLevel", o.door(o.putLogLevel))
-	app.Get("/metrics", iris.FromStd(o.Metrics.Handler()))
+	app.Get("/metrics", o.metrics)
 	app.OnAnyErrorCode(unknownPath)
 	if err := app.Build(); err != nil {
 		return nil, err
@@ -92,6 +92,15 @@
 	}
 }
 
+// metrics serves the metrics to operators; the callers' address serves them to everybody.
+func (o *Operators) metrics(x iris.Context) {
+	if err := o.allowed(x.Request()); err != nil {
+		writeProblem(x.ResponseWriter(), err)
+		return
+	}
+	o.Metrics.Handler().ServeHTTP(x.ResponseWriter(), x.Request())
+}
+
 func (o *Operators) allowed(r *http.Request) error {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
 	if o.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) != 1 {
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -13,6 +13,8 @@
 const (
 	problemType = "application/problem+json"
 	typePrefix  = "urn:fireflycleat:code:"
+
+	instancePrefix = "urn:fireflycleat:request:"
 )
 
 type (
@@ -29,9 +31,16 @@
 	}
 )
 
-// problem returns the RFC 9457 document of the error.
-func problem(err error) apiProblem {
+// requestID returns the id that the answer names, or an empty string.
+func requestID(w http.ResponseWriter) string { return w.Header().Get(requestHeader) }
+
+// problem returns the RFC 9457 document of the error; an empty request id is left out.
+func problem(err error, request string) apiProblem {
 	e := codes.From(err)
+	instance := ""
+	if request != "" {
+		instance = instancePrefix + request
+	}
 	number := strconv.Itoa(int(e.Code()))
 	return apiProblem{
 		Problem: wire.Problem{
@@ -39,6 +48,7 @@
 			Title:             e.Code().Title(),
 			Status:            e.Code().HTTPStatus(),
 			Detail:            e.Detail(),
+			Instance:          instance,
 			Code:              int(e.Code()),
 			Outcome:           e.Outcome().String(),
 			Field:             e.Field(),
@@ -50,7 +60,7 @@
 
 // writeProblem answers with the problem document of the error and a Retry-After header where a time is known.
 func writeProblem(w http.ResponseWriter, err error) {
-	p := problem(err)
+	p := problem(err, requestID(w))
 	w.Header().Set("Content-Type", problemType)
 	if p.RetryAfterSeconds > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfterSeconds))))
