fix(telem): name gauges for what they show

Cause: queued_requests counted calls in progress and current_state showed readiness; name, help and page disagreed.

Change: model_calls_in_flight and ready, with the same help text as the page. The values are unchanged.

Measured: TestGaugesOnPage failed for three of four gauges before and passes.

--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -23,10 +23,10 @@
 	appends    *prometheus.CounterVec
 	peerCalls  *prometheus.CounterVec
 	control    prometheus.Histogram
-	queue      prometheus.Gauge
+	models     prometheus.Gauge
 	inFlight   prometheus.Gauge
 	offset     prometheus.Gauge
-	current    prometheus.Gauge
+	ready      prometheus.Gauge
 }
 
 // NewMetrics returns registered metrics, with those of the Go runtime and the process.
@@ -53,13 +53,13 @@
 			Help:    "Time of one step of the control thread, in seconds.",
 			Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10),
 		}),
-		queue:    gauge("queued_requests", "Requests that wait for a replica."),
-		inFlight: gauge("in_flight_requests", "Requests in progress."),
+		models:   gauge("model_calls_in_flight", "Calls to models in progress, waiting ones included."),
+		inFlight: gauge("in_flight_requests", "Calls to models and services in progress."),
 		offset:   gauge("log_offset", "Offset of the last log record applied."),
-		current:  gauge("current_state", "1 when the configuration is proven current, else 0."),
+		ready:    gauge("ready", "1 when the host is ready to serve, else 0."),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.firstToken, m.control, m.queue, m.inFlight,
-		m.offset, m.current, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.firstToken, m.control, m.models, m.inFlight,
+		m.offset, m.ready, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -91,18 +91,18 @@
 // ControlStep records the time of one step of the control thread.
 func (m *Metrics) ControlStep(d time.Duration) { m.control.Observe(d.Seconds()) }
 
-// Load records the number of queued requests and of requests in progress.
-func (m *Metrics) Load(queued, inFlight int) {
-	m.queue.Set(float64(queued))
+// Load records the number of calls to models in progress, and that of calls to models and services.
+func (m *Metrics) Load(models, inFlight int) {
+	m.models.Set(float64(models))
 	m.inFlight.Set(float64(inFlight))
 }
 
-// State records the log offset and whether it is proven current.
-func (m *Metrics) State(offset int64, current bool) {
+// State records the log offset and whether the host is ready to serve.
+func (m *Metrics) State(offset int64, ready bool) {
 	m.offset.Set(float64(offset))
 	value := 0.0
-	if current {
+	if ready {
 		value = 1
 	}
-	m.current.Set(value)
+	m.ready.Set(value)
 }
