fix(cmds): report usage errors, addresses and missing things as what they are

Cause: errors of the command-line library ended as 5001 or as help with exit code 0; reports left out the flag, the setting, the retry time or what is missing; file faults followed from others; team files took numbers only, and one that said nothing of maxUrgency allowed urgent requests.

Reports end with the retry time. An address in use names its setting (1001). delete of an unknown name is 2004. A syntax error or wrong type in a settings file is the only fault reported. Names that are missing or invalid are described in words. Team files take classes by name; maxUrgency defaults to urgency. hosts has READY and CALLERS, status CELL and - for unknown memory.

--- a/internal/cmds/ask.go
+++ b/internal/cmds/ask.go
@@ -20,9 +20,13 @@
 
 const (
 	keyVariable    = "FIREFLYCLEAT_KEY"
+	hostFlag       = "--host"
 	addressTimeout = 5 * time.Second
 )
 
+// problems is the HTTP client of the client library.
+type problems struct{}
+
 func newAsk() *cobra.Command {
 	var host, dataCentre string
 	var tokens int
@@ -51,21 +55,24 @@
 
 // addressFrom asks a host which address to use.
 func addressFrom(ctx context.Context, host, dataCentre string) (string, error) {
+	if err := checkAddress(hostFlag, host); err != nil {
+		return "", err
+	}
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
 	u := url.URL{Scheme: "http", Host: host, Path: "/v1/address", RawQuery: url.Values{"dataCentre": {dataCentre}}.Encode()}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return "", codes.New(codes.BadArgument, err.Error()).WithField("--host")
+		return "", codes.New(codes.BadArgument, err.Error()).WithField(hostFlag)
 	}
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return "", codes.New(codes.PeerUnavailable, err.Error())
+		return "", unreachable(hostFlag, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
-		return "", codes.New(codes.PeerUnavailable, err.Error())
+		return "", unreachable(hostFlag, err)
 	}
 	var a wire.AddressAnswer
 	if answer.StatusCode != http.StatusOK || json.Unmarshal(b, &a) != nil || len(a.Addresses) == 0 {
@@ -77,6 +84,7 @@
 func ask(ctx context.Context, w io.Writer, address string, q openai.ChatCompletionRequest) error {
 	s := openai.DefaultConfig(os.Getenv(keyVariable))
 	s.BaseURL = "http://" + address + "/v1"
+	s.HTTPClient = problems{}
 	stream, err := openai.NewClientWithConfig(s).CreateChatCompletionStream(ctx, q)
 	if err != nil {
 		return clientError(err)
@@ -97,14 +105,28 @@
 	}
 }
 
-// clientError keeps the result code that the client library passes on as the error's code.
+// Do sends the request and returns a refusal as its coded error, which the client library would reduce to a message.
+func (problems) Do(r *http.Request) (*http.Response, error) {
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, unreachable("address given by "+hostFlag, err)
+	}
+	if answer.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, codes.New(codes.StreamBroken, err.Error())
+	}
+	return nil, refusal(answer.Status, b)
+}
+
+// clientError keeps a coded error; anything else ended an answer that had begun.
 func clientError(err error) error {
-	var api *openai.APIError
-	if errors.As(err, &api) {
-		var number int
-		if _, e := fmt.Sscan(fmt.Sprint(api.Code), &number); e == nil && number > 0 {
-			return codes.New(codes.Code(number), api.Message)
-		}
+	var coded *codes.Error
+	if errors.As(err, &coded) {
+		return coded
 	}
 	return codes.New(codes.StreamBroken, err.Error())
 }
--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -35,38 +36,65 @@
 }
 
 func (o *operator) flags(c *cobra.Command) {
-	address := os.Getenv(operatorVariable)
+	f := c.PersistentFlags()
+	// The default is read later, since a default value would appear in the help.
+	f.StringVar(&o.address, "operator", "",
+		"`IP:port` of a daemon's operators' API (default "+operatorVariable+", else "+defaultOperator+")")
+	f.StringVar(&o.output, "output", tableOutput, "table or json")
+}
+
+// target returns the address of the operators' API, and the flag or variable that it comes from.
+func (o *operator) target() (address, source string, err error) {
+	address, source = o.address, "--operator"
+	if v := os.Getenv(operatorVariable); address == "" && v != "" {
+		address, source = v, operatorVariable
+	}
 	if address == "" {
 		address = defaultOperator
 	}
-	f := c.PersistentFlags()
-	f.StringVar(&o.address, "operator", address, "`IP:port` of a daemon's operators' API; default from "+operatorVariable)
-	f.StringVar(&o.output, "output", tableOutput, "table or json")
+	return address, source, checkAddress(source, address)
+}
+
+// checkAddress refuses host names, because nothing in the system resolves names.
+func checkAddress(source, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return codes.Newf(codes.BadArgument, "must be an IP number and a port such as 127.0.0.1:7003, not %q", address).WithField(source)
+	}
+	return nil
+}
+
+// unreachable names the flag or variable that holds the address of a daemon that does not answer.
+func unreachable(source string, err error) error {
+	return codes.New(codes.PeerUnavailable, err.Error()).WithField(source)
 }
 
 // call sends a request with the token from the environment and decodes the answer. A refusal keeps its result code.
 func (o *operator) call(ctx context.Context, method, path string, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
+	address, source, err := o.target()
+	if err != nil {
+		return err
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "request")
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+o.address+path, bytes.NewReader(data))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
-		return codes.New(codes.BadArgument, err.Error()).WithField("--operator")
+		return codes.New(codes.BadArgument, err.Error()).WithField(source)
 	}
 	if token := os.Getenv(tokenVariable); token != "" {
 		r.Header.Set("Authorization", "Bearer "+token)
 	}
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return codes.New(codes.PeerUnavailable, err.Error())
+		return unreachable(source, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
-		return codes.New(codes.PeerUnavailable, err.Error())
+		return unreachable(source, err)
 	}
 	if answer.StatusCode != http.StatusOK {
 		return refusal(answer.Status, b)
--- a/internal/cmds/dev.go
+++ b/internal/cmds/dev.go
@@ -75,7 +75,7 @@
 	_ = logs.SetLevel("warn") // a known level
 	d, err := daemon.New(s, logs)
 	if err != nil {
-		return err
+		return listenError(s, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/cmds/examples_test.go
+++ b/internal/cmds/examples_test.go
@@ -21,8 +21,8 @@
 			var template spec.Template
 			c.Check(readTOML(filepath.Join(dir, "template.toml"), &template), qt.IsNil)
 			c.Check(template.Check(), qt.IsNil)
-			var team spec.Team
-			c.Check(readTOML(filepath.Join(dir, "team.toml"), &team), qt.IsNil)
+			team, err := readTeam(filepath.Join(dir, "team.toml"))
+			c.Check(err, qt.IsNil)
 			c.Check(team.Check(), qt.IsNil)
 		})
 	}
--- a/internal/cmds/files.go
+++ b/internal/cmds/files.go
@@ -3,13 +3,70 @@
 import (
 	"bytes"
 	"os"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
+type (
+	// teamFile is a team as an operator writes it.
+	teamFile struct {
+		Name           string       `toml:"name"`
+		KeyDigests     []string     `toml:"keyDigests"`
+		Models         []string     `toml:"models"`
+		Adapters       []string     `toml:"adapters"`
+		Services       []string     `toml:"services"`
+		Urgency        urgencyText  `toml:"urgency"`
+		MaxUrgency     *urgencyText `toml:"maxUrgency"`
+		MaxInFlight    int          `toml:"maxInFlight"`
+		DeadlineMillis int64        `toml:"deadlineMillis"`
+	}
+
+	// urgencyText is a class of requests by name or number; a fault is kept, so that it can be reported with its key.
+	urgencyText struct {
+		value spec.Urgency
+		bad   bool
+	}
+)
+
+// UnmarshalText takes a name or a number.
+func (u *urgencyText) UnmarshalText(b []byte) error {
+	var ok bool
+	if u.value, ok = spec.ParseUrgency(string(b)); ok {
+		return nil
+	}
+	n, err := strconv.Atoi(string(b))
+	u.value, u.bad = spec.Urgency(n), err != nil || spec.Urgency(n) < spec.Urgent || spec.Urgency(n) > spec.Bulk
+	return nil
+}
+
+// readTeam decodes a team; its requests may name no class above urgency unless maxUrgency says so.
+func readTeam(file string) (spec.Team, error) {
+	var f teamFile
+	if err := readTOML(file, &f); err != nil {
+		return spec.Team{}, err
+	}
+	if f.MaxUrgency == nil {
+		f.MaxUrgency = &f.Urgency
+	}
+	for _, u := range []struct {
+		key  string
+		text urgencyText
+	}{{"urgency", f.Urgency}, {"maxUrgency", *f.MaxUrgency}} {
+		if u.text.bad {
+			return spec.Team{}, codes.New(codes.BadRequest, `must be "urgent", "normal" or "bulk", or 0, 1 or 2`).WithField(u.key)
+		}
+	}
+	return spec.Team{
+		Name: f.Name, KeyDigests: f.KeyDigests, Models: f.Models, Adapters: f.Adapters, Services: f.Services, Urgency: f.Urgency.value,
+		MaxUrgency: f.MaxUrgency.value, MaxInFlight: f.MaxInFlight, DeadlineMillis: f.DeadlineMillis,
+	}, nil
+}
+
 // readTOML decodes an operator's file; unknown keys and wrong types are faults that name line and key.
 func readTOML(file string, into any) error {
 	data, err := os.ReadFile(file)
--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -28,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			rows := [][]any{{"HOST", "DATA CENTRE", "OFFSET", "CURRENT", "DRAINING", "SUSPECT", "AGE", "TRAFFIC"}}
+			rows := [][]any{{"HOST", "DATA CENTRE", "OFFSET", "READY", "DRAINING", "SUSPECT", "AGE", "CALLERS"}}
 			for _, h := range list {
 				rows = append(rows, []any{
 					h.Host, h.DataCentre, h.Offset, h.Current, h.Draining, h.Suspect, fmt.Sprintf("%.1fs", h.AgeSeconds), h.Traffic,
--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -17,7 +17,7 @@
 	c.SetContext(context.Background())
 	if err := c.Execute(); err != nil {
 		e := codes.From(err)
-		fmt.Fprintf(os.Stderr, "fireflycleat: error %d: %v\n", e.Code(), e)
+		fmt.Fprintln(os.Stderr, describe(e))
 		return e.Code().ExitCode()
 	}
 	return 0
@@ -30,10 +30,11 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
-		return codes.New(codes.BadArgument, err.Error())
-	})
+	c.SetFlagErrorFunc(badUsage)
 	c.AddCommand(newDev(), newServe(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
 		newAsk(), newStandin())
+	c.InitDefaultHelpCmd()
+	c.InitDefaultCompletionCmd()
+	checkUsage(c)
 	return c
 }
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -1,15 +1,18 @@
 package cmds
 
 import (
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/fireflycleat/fireflycleat/internal/daemon"
 	"github.com/fireflycleat/fireflycleat/internal/setup"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
 func newServe() *cobra.Command {
@@ -31,14 +34,32 @@
 			}
 			d, err := daemon.New(s, logs)
 			if err != nil {
-				return err
+				return listenError(s, err)
 			}
 			ctx, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 			defer cancel()
-			return d.Run(ctx)
+			return listenError(s, d.Run(ctx))
 		},
 	}
 	c.Flags().StringVar(&file, "config", "", "settings `file` (TOML)")
 	_ = c.MarkFlagRequired("config") // fails only for an unknown flag
 	return c
 }
+
+// listenError names the setting of an address on which the daemon cannot listen, for example because it is in use.
+func listenError(s setup.Settings, err error) error {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "listen" || op.Addr == nil {
+		return err
+	}
+	for _, l := range []struct {
+		key     string
+		address setup.Address
+	}{{"listen.traffic", s.Listen.Traffic}, {"listen.peers", s.Listen.Peers}, {"listen.operator", s.Listen.Operator}} {
+		a, bad := net.ResolveTCPAddr("tcp", l.address.String()) // an IP number and a port, so that nothing is resolved
+		if bad == nil && a.String() == op.Addr.String() {
+			return codes.New(codes.BadSettings, op.Error()).WithField(l.key)
+		}
+	}
+	return err
+}
--- a/internal/cmds/standin.go
+++ b/internal/cmds/standin.go
@@ -26,6 +26,8 @@
 	c := &cobra.Command{
 		Use:   "standin",
 		Short: "Runs a stand-in of a platform service for tests and trials",
+		Long: "Runs a stand-in of a platform service for tests and trials. POST /faults with a JSON document replaces the faults " +
+			"that it shows; {} ends them.",
 	}
 	c.AddCommand(newStandinLog(), newStandinStore(), newStandinHosts(), newStandinEngine(), newStandinService())
 	return c
@@ -42,7 +44,7 @@
 	defer stop()
 	l, err := new(net.ListenConfig).Listen(ctx, "tcp", s.listen)
 	if err != nil {
-		return codes.New(codes.BadArgument, err.Error())
+		return codes.New(codes.BadArgument, err.Error()).WithField("--listen")
 	}
 	srv := &http.Server{Handler: stand.Latency(s.oneWay, h), ReadHeaderTimeout: time.Minute}
 	defer context.AfterFunc(ctx, func() {
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -26,6 +26,14 @@
 	return c
 }
 
+// cellOf returns the cell of an engine. There is one cell in each data centre so far; plain services belong to none.
+func cellOf(u wire.UpstreamReport) string {
+	if u.Kind != string(wire.KindEngine) {
+		return "-"
+	}
+	return u.DataCentre
+}
+
 func statusRows(s wire.Status) [][]any {
 	rows := [][]any{
 		{"HOST", "INCARNATION", "STAGE", "READY", "OFFSET", "IN FLIGHT"},
@@ -42,9 +50,13 @@
 			rows = append(rows, []any{r.Model, r.Version, r.Upstream, c.Cell, r.Ready})
 		}
 	}
-	rows = append(rows, []any{}, []any{"UPSTREAM", "KIND", "DATA CENTRE", "STATE", "LEAVING", "FENCED", "USED BYTES", "CAPACITY BYTES"})
+	rows = append(rows, []any{}, []any{"UPSTREAM", "KIND", "DATA CENTRE", "CELL", "STATE", "LEAVING", "FENCED", "USED BYTES", "CAPACITY BYTES"})
 	for _, u := range s.Upstreams {
-		rows = append(rows, []any{u.Upstream, u.Kind, u.DataCentre, u.State, u.Leaving, u.ChecksFence, u.UsedBytes, u.CapacityBytes})
+		row := []any{u.Upstream, u.Kind, u.DataCentre, cellOf(u), u.State, u.Leaving, u.ChecksFence, "-", "-"}
+		if u.CapacityBytes > 0 {
+			row[len(row)-2], row[len(row)-1] = u.UsedBytes, u.CapacityBytes
+		}
+		rows = append(rows, row)
 	}
 	rows = append(rows, []any{}, []any{"PERMITS OF", "CELL", "COUNT"})
 	for _, p := range s.Permits {
--- a/internal/cmds/team.go
+++ b/internal/cmds/team.go
@@ -10,9 +10,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fireflycleat/fireflycleat/internal/front"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
-	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
 func newTeam() *cobra.Command {
@@ -32,8 +32,11 @@
 			"--base; without --base the present offset is used.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			var t spec.Team
-			if err := readTOML(args[0], &t); err != nil {
+			t, err := readTeam(args[0])
+			if err != nil {
+				return err
+			}
+			if err := front.CheckName("name", t.Name); err != nil {
 				return err
 			}
 			if err := t.Check(); err != nil {
@@ -57,7 +60,7 @@
 		Short: "Deletes a team",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			base, err := edit.baseOr(func() (int64, error) { return teamOffset(c, o, args[0]) })
+			base, err := edit.baseOf("team "+args[0], func() (int64, error) { return teamOffset(c, o, args[0]) })
 			if err != nil {
 				return err
 			}
--- a/internal/cmds/template.go
+++ b/internal/cmds/template.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fireflycleat/fireflycleat/internal/front"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
@@ -34,6 +35,9 @@
 			if err := readTOML(args[0], &t); err != nil {
 				return err
 			}
+			if err := front.CheckName("name", t.Name); err != nil {
+				return err
+			}
 			if err := t.Check(); err != nil {
 				return err
 			}
@@ -57,7 +61,7 @@
 		Short: "Deletes a template",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			base, err := edit.baseOr(func() (int64, error) { return templateOffset(c, o, args[0]) })
+			base, err := edit.baseOf("template "+args[0], func() (int64, error) { return templateOffset(c, o, args[0]) })
 			if err != nil {
 				return err
 			}
@@ -120,7 +124,7 @@
 }
 
 func (e *change) flags(c *cobra.Command) {
-	c.Flags().Int64Var(&e.base, "base", -1, "offset of the version to change; 0 for a new one")
+	c.Flags().Int64Var(&e.base, "base", -1, "offset of the version to change; 0 for a new one; negative for the present offset")
 	c.Flags().StringVar(&e.id, "change-id", "", "id of the change; repeat it to send the same change again")
 }
 
@@ -131,6 +135,15 @@
 	return present()
 }
 
+// baseOf returns the base of a deletion; without a present version there is nothing to delete.
+func (e *change) baseOf(what string, present func() (int64, error)) (int64, error) {
+	base, err := e.baseOr(present)
+	if err == nil && e.base < 0 && base == 0 {
+		err = codes.New(codes.NotFound, what)
+	}
+	return base, err
+}
+
 func (e *change) deletion(prefix, name string, base int64) string {
 	q := url.Values{"base": {fmt.Sprint(base)}}
 	if e.id != "" {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
 // Limits bounds the size of a request body and the time in which it has to arrive.
@@ -39,6 +40,18 @@
 	return nil, codes.New(codes.BadRequest, err.Error())
 }
 
+// CheckName returns a BadRequest error for a missing or invalid name in the field.
+func CheckName(field, name string) error {
+	switch {
+	case name == "":
+		return codes.New(codes.BadRequest, "is missing").WithField(field)
+	case !spec.ValidName(name):
+		return codes.New(codes.BadRequest,
+			"must have 1 to 63 lower-case letters, digits, dots, hyphens and underscores, and start with a letter or digit").WithField(field)
+	}
+	return nil
+}
+
 // decodeStrict decodes a document of an own format: unknown fields and trailing data are faults.
 func decodeStrict(b []byte, into any) error {
 	d := json.NewDecoder(bytes.NewReader(b))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// Guards against a regular expression in the answer to an operator's invalid name, and against a missing one called invalid.
+func TestOperatorNames(t *testing.T) {
+	c, _ := testCallers(t)
+	h, err := (&Operators{Limits: c.Limits, Traces: c.Traces, Metrics: c.Metrics}).Handler()
+	qt.Assert(t, err, qt.IsNil)
+	for path, body := range map[string]string{"templates/A": `{"template":{"name":"A"}}`, "teams/A": `{"team":{"name":"A"}}`} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("PUT", "/v1/"+path, strings.NewReader(body)))
+		var p wire.Problem
+		qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &p), qt.IsNil)
+		qt.Check(t, p.Field, qt.Matches, "(template|team).name")
+		qt.Check(t, p.Detail, qt.Matches, "must have 1 to 63 lower-case letters.*")
+	}
+	qt.Check(t, CheckName("f", ""), qt.ErrorMatches, ".*: f: is missing")
+}
+
 // Guards against a caller that sends its body slowly holding a connection for ever, and against a broken answer that ends
 // like a whole one.
 func TestSlowBodyAndBrokenAnswer(t *testing.T) {
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -118,6 +118,9 @@
 	if c.Template.Name != name {
 		return nil, codes.New(codes.BadRequest, "must be the name in the path").WithField("template.name")
 	}
+	if err := CheckName("template.name", name); err != nil {
+		return nil, err
+	}
 	if err := c.Template.Check(); err != nil {
 		return nil, err
 	}
@@ -133,6 +136,9 @@
 	if c.Team.Name != name {
 		return nil, codes.New(codes.BadRequest, "must be the name in the path").WithField("team.name")
 	}
+	if err := CheckName("team.name", name); err != nil {
+		return nil, err
+	}
 	if err := c.Team.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -50,7 +50,10 @@
 }
 
 func (c *checker) name(key, value string) {
-	if !spec.ValidName(value) {
+	switch {
+	case value == "":
+		c.add(key, "is missing")
+	case !spec.ValidName(value):
 		c.add(key, "must be a name of lower-case letters, digits, dots, hyphens and underscores")
 	}
 }
--- a/internal/setup/read.go
+++ b/internal/setup/read.go
@@ -44,7 +44,12 @@
 	s := Default()
 	d := toml.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
-	faults := decodeFaults(file, d.Decode(&s))
+	err := d.Decode(&s)
+	faults := decodeFaults(file, err)
+	// The decoder stops at a syntax error or a wrong type: the keys after it would be reported as missing.
+	if syntax := new(toml.DecodeError); errors.As(err, &syntax) {
+		return s, faults
+	}
 	at := locate(data)
 	for _, f := range s.check() {
 		f.file = file
--- a/internal/setup/read_test.go
+++ b/internal/setup/read_test.go
@@ -30,7 +30,9 @@
 		{"impossible limit", "[platform]", "[store]\nslots = 0\n[platform]", "f.toml:10: store.slots: must be between"},
 		{"token", `"127.0.0.1:7003"`, `"10.0.0.1:7003"`, "f.toml:1: operator.token: is needed"},
 		{"missing key", `log = "127.0.0.1:9001"`, "", "f.toml:9: platform.log: is missing"},
+		{"missing name", `name = "a-1"`, "", "f.toml:2: host.name: is missing"},
 		{"wrong type", `name = "a-1"`, "name = 3", "f.toml:3: host.name"},
+		{"syntax", `name = "a-1"`, "name = ", "f.toml:3: "},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, faults := Parse("f.toml", []byte(strings.Replace(valid, tc.old, tc.new, 1)))
@@ -39,6 +41,7 @@
 				return
 			}
 			qt.Assert(t, AsError(faults), qt.ErrorMatches, "(?s).*"+tc.want+".*")
+			qt.Assert(t, faults, qt.HasLen, 1, qt.Commentf("%v", faults))
 		})
 	}
 }
