--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -32,7 +32,7 @@
 	}
 	c.SetFlagErrorFunc(badUsage)
 	c.AddCommand(newDev(), newServe(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
-		newAsk(), newStandin())
+		newAsk(), newStandin(), newBench())
 	c.InitDefaultHelpCmd()
 	c.InitDefaultCompletionCmd()
 	checkUsage(c)
