--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -113,6 +115,84 @@
 	qt.Assert(t, w.Body.String(), qt.Equals, "x")
 }
 
+// Guards against an answer whose request cannot be looked up in the decisions, because it does not name its id, or names
+// another than the call.
+func TestRequestID(t *testing.T) {
+	c, h := testCallers(t)
+	for _, tc := range []struct {
+		name, path, body string
+		chunk            bool
+		end              error
+		instance         bool
+	}{
+		{"whole", "chat/completions", `{"model":"m","messages":[{"role":"user","content":"x"}]}`, true, nil, false},
+		{"whole text", "completions", `{"model":"m","prompt":"x"}`, true, nil, false},
+		{"streamed", "completions", `{"model":"m","prompt":"x","stream":true}`, true, nil, false},
+		{"refused", "completions", `{"model":"m","prompt":"x"}`, false, codes.New(codes.OverCapacity, ""), true},
+		{"refused stream", "chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user"}]}`, false, codes.New(codes.TeamLimit, ""), true},
+		{"broken stream", "completions", `{"model":"m","prompt":"x","stream":true}`, true, codes.New(codes.StreamBroken, ""), true},
+		{"bad request", "completions", `{"model":"m"}`, false, nil, true},
+	} {
+		id := ""
+		c.Model = func(_ context.Context, call ModelCall, sink func([]byte) error) error {
+			if id = call.ID; tc.chunk {
+				_ = sink([]byte(`{"choices":[]}`))
+			}
+			return tc.end
+		}
+		r := httptest.NewRequest("POST", "/v1/"+tc.path, strings.NewReader(tc.body))
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		sent := w.Header().Get("X-Request-Id")
+		qt.Check(t, sent, qt.Matches, "req-.+", qt.Commentf(tc.name))
+		qt.Check(t, id == "" || id == sent, qt.IsTrue, qt.Commentf("%s: %s for %s", tc.name, sent, id))
+		member := `"instance":"urn:fireflycleat:request:` + sent + `"`
+		qt.Check(t, strings.Contains(w.Body.String(), member), qt.Equals, tc.instance, qt.Commentf("%s: %s", tc.name, w.Body))
+	}
+}
+
+// Guards against an operators' path without the token, and a regular expression in the answer to an invalid name.
+func TestOperators(t *testing.T) {
+	c, _ := testCallers(t)
+	h, err := (&Operators{Limits: c.Limits, Traces: c.Traces, Metrics: c.Metrics, Token: "secret"}).Handler()
+	qt.Assert(t, err, qt.IsNil)
+	for _, tc := range []struct{ method, path, token, body, want string }{
+		{"GET", "/metrics", "", "", `"code":2001`},
+		{"GET", "/metrics", "Bearer x", "", `"code":2001`},
+		{"GET", "/metrics", "Bearer secret", "", "go_goroutines"},
+		{"PUT", "/v1/templates/A", "Bearer secret", `{"template":{"name":"A"}}`, `"template.name: must have 1 to 63 lower-case`},
+		{"PUT", "/v1/teams/A", "Bearer secret", `{"team":{"name":"A"}}`, `"team.name: must have 1 to 63 lower-case`},
+	} {
+		r := httptest.NewRequest(tc.method, tc.path, strings.NewReader(tc.body))
+		r.Header.Set("Authorization", tc.token)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		text := strings.ReplaceAll(w.Body.String(), "request is invalid: ", "")
+		qt.Check(t, text, qt.Contains, tc.want)
+		qt.Check(t, w.Code == 200, qt.Equals, strings.Contains(text, "go_goroutines"))
+	}
+}
+
+// Guards against a gauge whose help says something else than the operators' page or its value, and one that the page omits.
+func TestGauges(t *testing.T) {
+	c, h := testCallers(t)
+	page, err := os.ReadFile("../../docs/operators.md")
+	qt.Assert(t, err, qt.IsNil)
+	c.Metrics.Load(2, 5)
+	c.Metrics.State(7, true)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	gauges := regexp.MustCompile(`# HELP (fireflycleat_\w+) (.)(.*)\.\n# TYPE \w+ gauge\n`).FindAllStringSubmatch(w.Body.String(), -1)
+	qt.Assert(t, gauges, qt.HasLen, 4)
+	for _, g := range gauges {
+		qt.Check(t, string(page), qt.Contains, "| `"+g[1]+"` | gauge | "+strings.ToLower(g[2])+g[3]+" |")
+	}
+	for _, want := range []string{"model_calls_in_flight 2\n", "in_flight_requests 5\n", "log_offset 7\n", "ready 1\n"} {
+		qt.Check(t, w.Body.String(), qt.Contains, "\nfireflycleat_"+want)
+	}
+}
+
 // Guards against a caller that sends its body slowly holding a connection for ever, and against a broken answer that ends
 // like a whole one.
 func TestSlowBodyAndBrokenAnswer(t *testing.T) {
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -57,7 +57,7 @@
 		return struct{}{}, nil
 	}))
 	app.Put("/v1/logLevel", o.door(o.putLogLevel))
-	app.Get("/metrics", iris.FromStd(o.Metrics.Handler()))
+	app.Get("/metrics", o.metrics)
 	app.OnAnyErrorCode(unknownPath)
 	if err := app.Build(); err != nil {
 		return nil, err
@@ -92,6 +92,15 @@
 	}
 }
 
+// metrics serves the metrics to operators; the callers' address serves them to everybody.
+func (o *Operators) metrics(x iris.Context) {
+	if err := o.allowed(x.Request()); err != nil {
+		writeProblem(x.ResponseWriter(), err)
+		return
+	}
+	o.Metrics.Handler().ServeHTTP(x.ResponseWriter(), x.Request())
+}
+
 func (o *Operators) allowed(r *http.Request) error {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
 	if o.Token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) != 1 {
@@ -109,6 +118,9 @@
 	if c.Template.Name != name {
 		return nil, codes.New(codes.BadRequest, "must be the name in the path").WithField("template.name")
 	}
+	if err := CheckName("template.name", name); err != nil {
+		return nil, err
+	}
 	if err := c.Template.Check(); err != nil {
 		return nil, err
 	}
@@ -124,6 +136,9 @@
 	if c.Team.Name != name {
 		return nil, codes.New(codes.BadRequest, "must be the name in the path").WithField("team.name")
 	}
+	if err := CheckName("team.name", name); err != nil {
+		return nil, err
+	}
 	if err := c.Team.Check(); err != nil {
 		return nil, err
 	}
