--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -65,13 +65,12 @@
 
 func (m *members) recordGone(a member.RecordGone) {
 	m.d.log("membership").Info("member is gone", "incarnation", a.Incarnation, "proof", a.Proof)
-	m.d.appends.add(fold.Record{Kind: fold.MemberGoneKind, MemberGone: []string{a.Incarnation}}, nil)
+	m.d.appends.add(fold.Gone("", m.d.incarnation, a.Incarnation), nil)
 }
 
 func (m *members) takeOver(a member.TakeOver) {
-	m.d.appends.add(fold.Record{Kind: fold.CellLeaseKind, CellLease: []fold.LeaseChange{{
-		Cell: a.Cell, Base: a.Base, Host: m.d.settings.Host.Name, Incarnation: m.d.incarnation,
-	}}}, nil)
+	self := fold.Member{Host: m.d.settings.Host.Name, Incarnation: m.d.incarnation}
+	m.d.appends.add(m.d.state.TakeLeases("", self, a.Cell), nil)
 }
 
 // current reports whether the state is proven current, and why or why not.
@@ -223,10 +222,8 @@
 		return
 	}
 	l := d.settings.Listen
-	d.appends.add(fold.Record{Kind: fold.MemberUpKind, MemberUp: &fold.MemberUp{
-		Host: d.settings.Host.Name, Base: d.state.HostOffset(d.settings.Host.Name), DataCentre: d.settings.Host.DataCentre,
-		Addresses: fold.Addresses{Callers: l.Traffic.String(), Peers: l.Peers.String(), Operators: l.Operator.String()},
-	}}, nil)
+	addresses := fold.Addresses{Callers: l.Traffic.String(), Peers: l.Peers.String(), Operators: l.Operator.String()}
+	d.appends.add(d.state.Register("", d.incarnation, d.settings.Host.Name, d.settings.Host.DataCentre, addresses), nil)
 }
 
 // confirm tells the controllers until when their leases are proven to be held.
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -16,25 +16,17 @@
 	return &front.Operators{
 		Limits: front.Limits{RequestBytes: l.RequestBytes.Bytes(), BodyTimeout: l.BodyTimeout.Value(), InFlight: l.InFlight},
 		Traces: d.traces, Metrics: d.metrics, Token: d.settings.Operator.Token,
-		SetTemplate: func(ctx context.Context, name string, c wire.TemplateChange) (wire.Change, error) {
-			return d.change(ctx, fold.Record{
-				Kind: fold.TemplateKind, ID: c.ChangeID, Template: &fold.TemplateChange{Name: name, Base: c.Base, Set: &c.Template},
-			})
+		SetTemplate: func(ctx context.Context, _ string, c wire.TemplateChange) (wire.Change, error) {
+			return d.change(ctx, fold.SetTemplate(c.ChangeID, d.incarnation, c.Base, c.Template))
 		},
 		DeleteTemplate: func(ctx context.Context, name, changeID string, base int64) (wire.Change, error) {
-			return d.change(ctx, fold.Record{
-				Kind: fold.TemplateKind, ID: changeID, Template: &fold.TemplateChange{Name: name, Base: base, Delete: true},
-			})
+			return d.change(ctx, fold.DeleteTemplate(changeID, d.incarnation, base, name))
 		},
-		SetTeam: func(ctx context.Context, name string, c wire.TeamChange) (wire.Change, error) {
-			return d.change(ctx, fold.Record{
-				Kind: fold.TeamKind, ID: c.ChangeID, Team: &fold.TeamChange{Name: name, Base: c.Base, Set: &c.Team},
-			})
+		SetTeam: func(ctx context.Context, _ string, c wire.TeamChange) (wire.Change, error) {
+			return d.change(ctx, fold.SetTeam(c.ChangeID, d.incarnation, c.Base, c.Team))
 		},
 		DeleteTeam: func(ctx context.Context, name, changeID string, base int64) (wire.Change, error) {
-			return d.change(ctx, fold.Record{
-				Kind: fold.TeamKind, ID: changeID, Team: &fold.TeamChange{Name: name, Base: base, Delete: true},
-			})
+			return d.change(ctx, fold.DeleteTeam(changeID, d.incarnation, base, name))
 		},
 		Templates:   d.templateStates,
 		Teams:       d.teamStates,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -129,7 +129,5 @@
 	if !ok || l.Incarnation != d.incarnation || l.Offset != fence || l.Released {
 		return
 	}
-	d.appends.add(fold.Record{Kind: fold.CellLeaseKind, CellLease: []fold.LeaseChange{{
-		Cell: name, Base: fence, Host: d.settings.Host.Name, Incarnation: d.incarnation, Release: true,
-	}}}, nil)
+	d.appends.add(fold.ReleaseLease("", name, l.Holder), nil)
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -142,11 +141,3 @@
 	}
 	return codes.New(codes.UpstreamUnknown, err.Error())
 }
-
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
--- a/internal/engine/plain.go
+++ b/internal/engine/plain.go
@@ -64,7 +64,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Header.Get(wire.HeaderNotRun) == "true" {
-		return PlainAnswer{}, codes.New(codes.UpstreamRefused, answer.Status).WithRetryAfter(retryAfter(answer.Header))
+		return PlainAnswer{}, codes.New(codes.UpstreamRefused, answer.Status).WithRetryAfter(wire.RetryAfter(answer.Header))
 	}
 	b, err := io.ReadAll(io.LimitReader(answer.Body, q.MaxReply+1))
 	if err != nil {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -124,7 +124,7 @@
 	}
 	switch {
 	case answer.Header.Get(wire.HeaderNotRun) == "true":
-		return codes.New(codes.UpstreamRefused, detail).WithRetryAfter(retryAfter(answer.Header))
+		return codes.New(codes.UpstreamRefused, detail).WithRetryAfter(wire.RetryAfter(answer.Header))
 	case answer.StatusCode/100 == 4:
 		return codes.New(codes.BadRequest, detail)
 	}
--- a/internal/logsvc/client.go
+++ b/internal/logsvc/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,7 +68,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	switch {
 	case answer.StatusCode == http.StatusTooManyRequests || answer.StatusCode == http.StatusServiceUnavailable:
-		return 0, codes.New(codes.LogUnavailable, answer.Status).WithRetryAfter(retryAfter(answer.Header))
+		return 0, codes.New(codes.LogUnavailable, answer.Status).WithRetryAfter(wire.RetryAfter(answer.Header))
 	case answer.StatusCode/100 == 4:
 		return 0, codes.New(codes.BadRecord, answer.Status)
 	case answer.StatusCode/100 != 2:
@@ -118,11 +117,3 @@
 
 // Truncated reports that records from the requested offset up to First are gone.
 func (b Batch) Truncated() bool { return b.truncated }
-
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
--- a/internal/telem/logs.go
+++ b/internal/telem/logs.go
@@ -25,10 +25,18 @@
 // NewLogs returns loggers that write text lines to the writer.
 func NewLogs(w io.Writer, host string) *Logs {
 	level := new(slog.LevelVar)
-	h := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})
+	h := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shortError})
 	return &Logs{level: level, handler: h.WithAttrs([]slog.Attr{slog.String("host", host)})}
 }
 
+// shortError logs the message of an error only; the errors library would add a stack trace of many lines.
+func shortError(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
+
 // For returns the logger of a part; each of its messages starts with the name of the part.
 func (l *Logs) For(part string) *slog.Logger {
 	return slog.New(prefixed{l.handler, part + ": "})
--- a/internal/telem/telem_test.go
+++ b/internal/telem/telem_test.go
@@ -45,8 +45,8 @@
 	l := NewLogs(&b, "h")
 	l.For("cell").With("x", 1).Debug("hidden")
 	c.Assert(l.SetLevel("debug"), qt.IsNil)
-	l.For("cell").With("x", 1).Debug("shown")
+	l.For("cell").With("x", 1).Debug("shown", "err", errors.New("e"))
 	c.Assert(l.SetLevel("loud"), qt.ErrorMatches, ".*level.*")
-	c.Assert(b.String(), qt.Contains, `msg="cell: shown" host=h x=1`)
+	c.Assert(b.String(), qt.Contains, `msg="cell: shown" host=h x=1 err=e`+"\n")
 	c.Assert(strings.Contains(b.String(), "hidden"), qt.IsFalse)
 }
--- /dev/null
+++ b/internal/wire/header.go
@@ -0,0 +1,16 @@
+package wire
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// RetryAfter returns the time in the Retry-After header in seconds, or zero if there is none.
+func RetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -27,7 +27,7 @@
 // Check returns a BadRequest error that names the first field at fault, or nil.
 func (t Template) Check() error {
 	if !ValidName(t.Name) {
-		return fault("name", "must match "+namePattern.String())
+		return fault("name", "must be a name of lower-case letters, digits, dots, hyphens and underscores")
 	}
 	switch {
 	case t.Kind == ModelTemplate && t.Model != nil && t.Service == nil:
@@ -41,7 +41,7 @@
 // Check returns a BadRequest error that names the first field at fault, or nil.
 func (t Team) Check() error {
 	if !ValidName(t.Name) {
-		return fault("name", "must match "+namePattern.String())
+		return fault("name", "must be a name of lower-case letters, digits, dots, hyphens and underscores")
 	}
 	if len(t.KeyDigests) > maxKeyDigests {
 		return fault("keyDigests", "has too many entries")
