--- a/pkg/entry/measure_test.go
+++ b/pkg/entry/measure_test.go
@@ -117,8 +117,7 @@
 			}
 		}
 	}
-	// The target is 1.5; the hosts learn of slowed upstreams one by one, which costs more in this simulation.
-	c.Check(float64(slowed) < 2*float64(usual), qt.IsTrue, qt.Commentf("%v %v", slowed, usual))
+	c.Check(float64(slowed) <= 1.5*float64(usual), qt.IsTrue, qt.Commentf("%v %v", slowed, usual))
 }
 
 // Guards against a cold start that refuses what a load in time would serve, or keeps what it would not.
