feat: ledgers and queues in status

Cause: operators could not see what a controller has reserved, what is in doubt and which models wait.

--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -62,6 +62,16 @@
 	for _, p := range s.Permits {
 		rows = append(rows, []any{p.Model, p.Cell, p.Count})
 	}
+	rows = append(rows, []any{}, []any{"LEDGER OF CELL", "USED BYTES", "CAPACITY BYTES", "LOADING", "QUEUED LOADS", "IN DOUBT", "UNSETTLED"})
+	for _, c := range s.Cells {
+		if l := c.Ledger; l != nil {
+			rows = append(rows, []any{c.Cell, l.UsedBytes, l.CapacityBytes, l.Loading, l.Queued, l.InDoubt, l.Unsettled})
+		}
+	}
+	rows = append(rows, []any{}, []any{"QUEUE OF MODEL", "WAITING"})
+	for _, q := range s.Queue {
+		rows = append(rows, []any{q.Model, q.Waiting})
+	}
 	rows = append(rows, []any{}, []any{"KEY RANGES", "HOLDER", "BACKUP"})
 	for _, k := range s.KeyRanges {
 		rows = append(rows, []any{k.Ranges, k.Holder, k.Backup})
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -108,6 +108,7 @@
 			}
 		}
 		s.KeyRanges = d.rangeReports()
+		s.Queue = d.queueReports()
 	})
 	return s
 }
@@ -121,11 +122,28 @@
 				Upstream: x.Upstream, Model: x.Model, Version: x.Version, Ready: x.Ready, ReadyAt: x.ReadyAt,
 			})
 		}
+		if run := d.cells.get(l.Cell); run.held {
+			x := run.control.Stats()
+			r.Ledger = &wire.LedgerReport{
+				UsedBytes: x.UsedBytes, CapacityBytes: x.CapacityBytes, Loading: x.Loading, Queued: x.Queued, InDoubt: x.InDoubt,
+				Unsettled: x.Unsettled,
+			}
+		}
 		list = append(list, r)
 	}
 	return list
 }
 
+func (d *Daemon) queueReports() []wire.QueueReport {
+	list := []wire.QueueReport{}
+	for _, m := range d.state.View().Models() {
+		if n := d.models.machine.Queued(m); n > 0 {
+			list = append(list, wire.QueueReport{Model: m, Waiting: n})
+		}
+	}
+	return list
+}
+
 func (d *Daemon) rangeReports() []wire.RangeReport {
 	list := []wire.RangeReport{}
 	for i := range fold.KeyRanges {
--- a/internal/wire/operator.go
+++ b/internal/wire/operator.go
@@ -65,6 +65,24 @@
 		Upstreams   []UpstreamReport `json:"upstreams"`
 		Permits     []PermitReport   `json:"permits"`
 		KeyRanges   []RangeReport    `json:"keyRanges"`
+		Queue       []QueueReport    `json:"queue"`
+	}
+
+	// QueueReport is the number of calls of a model that wait at this host.
+	QueueReport struct {
+		Model   string `json:"model"`
+		Waiting int    `json:"waiting"`
+	}
+
+	// LedgerReport is what the controller of a cell accounts for: memory that is loaded or reserved, loads in flight or in
+	// doubt, models that wait for a load, orders without answer, and upstreams that get no order yet.
+	LedgerReport struct {
+		UsedBytes     int64 `json:"usedBytes"`
+		CapacityBytes int64 `json:"capacityBytes"`
+		Loading       int   `json:"loading"`
+		Queued        int   `json:"queued"`
+		InDoubt       int   `json:"inDoubt"`
+		Unsettled     int   `json:"unsettled"`
 	}
 
 	// CellReport is the lease and the directory of a cell.
@@ -74,6 +92,7 @@
 		Fence    int64           `json:"fence"`
 		Released bool            `json:"released"`
 		Replicas []ReplicaReport `json:"replicas"`
+		Ledger   *LedgerReport   `json:"ledger,omitempty"` // Ledger is known to the controller only.
 	}
 
 	// ReplicaReport is one replica of a directory.
