--- a/internal/daemon/cellrun.go
+++ b/internal/daemon/cellrun.go
@@ -207,6 +207,7 @@
 }
 
 func (r *cellRun) publish(a cell.Publish) {
+	r.directory.Header = r.d.header(r.d.life)
 	r.directory.Fence, r.directory.Seq, r.directory.Replicas = a.Fence, a.Seq, a.Replicas
 	r.d.applyDirectory(r.directory)
 	r.d.tellAll("Directory", r.directory)
@@ -219,7 +220,7 @@
 	}
 	for _, m := range r.d.state.Members() {
 		if m.Host == a.Host {
-			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Cell: r.name, Forecast: a})
+			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Header: r.d.header(r.d.life), Cell: r.name, Forecast: a})
 		}
 	}
 }
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -85,7 +85,7 @@
 		return
 	}
 	r.d.directories[r.name] = true
-	r.directory.Fence = r.fence
+	r.directory.Header, r.directory.Fence = r.d.header(r.d.life), r.fence
 	r.d.tellAll("Directory", r.directory)
 	for holder, fence := range r.earlier {
 		r.askRelease(holder, fence)
