fix: a question to the control thread ends only after its step

Ruled out: Add and Wait of the daemon's task group (all Adds come from the control thread, which has ended before Wait) and the closed peer connection. Change: ask waits for its step or for the end of the control thread. The scenario log now prints a race report whole.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,6 +14,7 @@
 	control struct {
 		steps   chan func()
 		stopped chan struct{}
+		ended   chan struct{}
 		once    sync.Once
 		metrics *telem.Metrics
 	}
@@ -28,11 +29,12 @@
 )
 
 func newControl(m *telem.Metrics) *control {
-	return &control{steps: make(chan func(), controlQueue), stopped: make(chan struct{}), metrics: m}
+	return &control{steps: make(chan func(), controlQueue), stopped: make(chan struct{}), ended: make(chan struct{}), metrics: m}
 }
 
 // run executes steps until stop.
 func (c *control) run() error {
+	defer close(c.ended)
 	for {
 		select {
 		case step := <-c.steps:
@@ -53,7 +55,8 @@
 	}
 }
 
-// ask runs a step and waits for it; it reports false after stop.
+// ask runs a step and waits for it; it reports false if the step was not run because of a stop. It waits for the end of the
+// control thread and not for the stop, because a step that is running may still write what the caller reads next.
 func (c *control) ask(step func()) bool {
 	done := make(chan struct{})
 	c.post(func() {
@@ -61,9 +64,13 @@
 		close(done)
 	})
 	select {
+	case <-done:
+	case <-c.ended:
+	}
+	select {
 	case <-done:
 		return true
-	case <-c.stopped:
+	default:
 		return false
 	}
 }
--- /dev/null
+++ b/internal/daemon/control_test.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/telem"
+)
+
+// TestAskWaitsForItsStep guards against a step that still writes an answer while the asking goroutine already reads it: with
+// a stop in between, ask returned before its step had ended, and the reply to a peer was encoded while it was written.
+func TestAskWaitsForItsStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newControl(telem.NewMetrics())
+		ended := make(chan struct{})
+		go func() {
+			_ = c.run()
+			close(ended)
+		}()
+		release, answered := make(chan struct{}), make(chan bool, 1)
+		go func() { answered <- c.ask(func() { <-release }) }()
+		synctest.Wait()
+		c.stop()
+		synctest.Wait()
+		qt.Assert(t, answered, qt.HasLen, 0, qt.Commentf("ask returned while its step was running"))
+		close(release)
+		qt.Assert(t, <-answered, qt.IsTrue)
+		<-ended
+		qt.Assert(t, c.ask(func() {}), qt.IsFalse)
+	})
+}
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -106,7 +107,8 @@
 	return false
 }
 
-// showLogs prints the last lines of the daemons' logs after a failure.
+// showLogs prints the last lines of the daemons' logs after a failure. A report of the race detector is printed whole,
+// because its first lines name the two accesses.
 func (w *world) showLogs() {
 	for _, name := range w.names("host") {
 		b, err := os.ReadFile(filepath.Join(w.env.WorkDir, name+".log"))
@@ -114,7 +116,11 @@
 			continue
 		}
 		lines := strings.Split(strings.TrimSpace(string(b)), "\n")
-		w.env.T().Log(name + ":\n" + strings.Join(lines[max(0, len(lines)-25):], "\n"))
+		from := max(0, len(lines)-25)
+		if i := slices.Index(lines, "WARNING: DATA RACE"); i >= 0 {
+			from = min(from, i)
+		}
+		w.env.T().Log(name + ":\n" + strings.Join(lines[from:], "\n"))
 	}
 }
 
