feat(peers): advertise.peers, and links between scenario daemons that can be cut

Cause: scenarios cut daemons from each other only by pausing or killing processes, so a network that loses packets between two living daemons was never seen by a test.

Change: a daemon may advertise another peer address than it listens on, and its connections to peers come from the IP number of listen.peers. Scenario daemons get a TCP relay in front of the peer port (platform links=relayed) that knows the sender by source IP. `cut A B [way=one]` and `heal` take daemons or data centres. A relay stops listening when its daemon ends, because a refused connection is the proof that a daemon is gone. Traffic gets names, fixed hosts, a limit of time, and a comparison of each booking's answer with the runs that the services counted.

Ruled out: learning the sender from the messages (the relay would have to decode gob), one address for each pair of daemons (a daemon registers one address). A lost SYN shows as a connection that never answers, since the kernel completes the handshake of the relay; the daemon sees the harder case, an unknown outcome instead of a failed dial.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -81,7 +81,7 @@
 // trySeeds sends heartbeats to addresses from the settings and the host list, because a daemon that starts during a log
 // outage cannot learn from the log who the others are.
 func (d *Daemon) trySeeds(now time.Time) {
-	known := map[string]bool{d.settings.Listen.Peers.String(): true}
+	known := map[string]bool{d.settings.PeerAddress().String(): true}
 	for _, p := range d.members.list.Peers(now) {
 		known[p.Address] = true
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 	d := &Daemon{
 		settings: s, incarnation: s.Host.Name + "." + uuid.NewString()[:8], logger: logs, metrics: telem.NewMetrics(),
 		traces: traces, logs: logsvc.New(s.Platform.Log.String(), s.Platform.LogStream, s.Host.Name),
-		engines: engine.New(traces.ToHeader), peerClient: peers.NewClient(), life: life, endLife: end,
+		engines: engine.New(traces.ToHeader), peerClient: peers.NewClient(s.Listen.Peers.IP()), life: life, endLife: end,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(), directories: make(map[string]bool),
 	}
 	d.control = newControl(d.metrics)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -35,7 +35,7 @@
 	s := d.settings
 	m := &members{d: d, fresh: fresh.New(d.incarnation), told: make(map[string]bool)}
 	m.list = member.New(member.Identity{
-		Incarnation: d.incarnation, Host: s.Host.Name, Address: s.Listen.Peers.String(), CallerURL: s.Listen.Traffic.String(),
+		Incarnation: d.incarnation, Host: s.Host.Name, Address: s.PeerAddress().String(), CallerURL: s.Listen.Traffic.String(),
 		DataCentre: s.Host.DataCentre,
 	}, s.Caller.AddressLifetime.Value())
 	m.alarm = newAlarm(d.control, func() { m.handle(member.Tick{}) })
@@ -106,7 +106,7 @@
 	ok := m.d.snapshot.Load().ready == nil
 	return member.Heartbeat{
 		Identity: member.Identity{
-			Incarnation: m.d.incarnation, Host: s.Host.Name, Address: s.Listen.Peers.String(), CallerURL: s.Listen.Traffic.String(),
+			Incarnation: m.d.incarnation, Host: s.Host.Name, Address: s.PeerAddress().String(), CallerURL: s.Listen.Traffic.String(),
 			DataCentre: s.Host.DataCentre,
 		},
 		Offset: m.d.state.Offset(), LogContactAge: now.Sub(m.logContact), Current: ok, Draining: m.d.stopping.asked,
@@ -222,7 +222,7 @@
 		return
 	}
 	l := d.settings.Listen
-	addresses := fold.Addresses{Callers: l.Traffic.String(), Peers: l.Peers.String(), Operators: l.Operator.String()}
+	addresses := fold.Addresses{Callers: l.Traffic.String(), Peers: d.settings.PeerAddress().String(), Operators: l.Operator.String()}
 	d.appends.add(d.state.Register("", d.incarnation, d.settings.Host.Name, d.settings.Host.DataCentre, addresses), nil)
 }
 
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"sync"
 	"time"
@@ -21,13 +22,17 @@
 type (
 	// Client calls other daemons. It keeps one connection to each and is safe for concurrent use.
 	Client struct {
-		mu    sync.Mutex
-		conns map[string]*rpc.Client
+		source netip.Addr
+		mu     sync.Mutex
+		conns  map[string]*rpc.Client
 	}
 )
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: make(map[string]*rpc.Client)} }
+// NewClient returns a client without connections. Its connections come from the source address, so that a host with several
+// addresses is known to the others, and to what filters between them, by the one that it listens on.
+func NewClient(source netip.Addr) *Client {
+	return &Client{source: source, conns: make(map[string]*rpc.Client)}
+}
 
 // Call calls the method of the daemon at the address. The reply must not be read after an error, because a late answer may
 // still be written into it. A PeerUnavailable error has the outcome NotRun when the connection
@@ -75,7 +80,7 @@
 	if ok {
 		return conn, nil
 	}
-	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	raw, err := c.dialer(address).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, dialError(err)
 	}
@@ -90,6 +95,17 @@
 	return fresh, nil
 }
 
+// dialer leaves the choice of the source address to the system where the client's own cannot reach the target: an address of
+// the other family, or a loopback address for another machine.
+func (c *Client) dialer(address string) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout}
+	to, err := netip.ParseAddrPort(address)
+	if err == nil && c.source.Is4() == to.Addr().Is4() && c.source.IsLoopback() == to.Addr().IsLoopback() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.source, 0))
+	}
+	return d
+}
+
 func (c *Client) result(address string, conn *rpc.Client, err error) error {
 	var remote rpc.ServerError
 	switch {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"net/rpc"
 	"strings"
 	"testing"
@@ -27,7 +28,7 @@
 	c.Assert(err, qt.IsNil)
 	go func() { _ = s.Serve() }()
 	t.Cleanup(s.Close)
-	p := NewClient()
+	p := NewClient(netip.MustParseAddr("127.0.0.1"))
 	t.Cleanup(p.Close)
 	var reply string
 	for _, size := range []int{10, MaxMessageBytes / 2, 2 * MaxMessageBytes, 10} {
@@ -52,7 +53,7 @@
 	_, err = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	c.Assert(err, qt.IsNil)
 	_ = raw.Close()
-	p := NewClient()
+	p := NewClient(netip.MustParseAddr("127.0.0.1"))
 	var reply string
 	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Echo", "x", &reply), qt.IsNil)
 	p.Close()
--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -45,6 +45,8 @@
 	"settled":  do(func(w *world, a args) error { return w.settled(a) }),
 	"loaded":   do(func(w *world, a args) error { return w.loaded(a) }),
 	"publish":  do(func(w *world, a args) error { return w.publish(a) }),
+	"cut":      do(func(w *world, a args) error { return w.cut(a) }),
+	"heal":     do(func(w *world, a args) error { return w.heal(a) }),
 	"newwork":  do(func(w *world, a args) error { return w.newWork(a) }),
 	"appends":  do(func(w *world, a args) error { return w.appends(a) }),
 	"monotone": do(func(w *world, a args) error { return w.monotone(a) }),
@@ -101,6 +103,9 @@
 
 func platform(w *world, a args) error {
 	w.oneWay = a.named["oneWay"]
+	if a.named["links"] == "relayed" {
+		w.links = newLinks()
+	}
 	if keep, ok := a.named["logKeeps"]; ok {
 		w.logArgs = []string{"--keep-records", keep}
 	}
--- a/internal/scene/traffic_test.go
+++ b/internal/scene/traffic_test.go
@@ -21,25 +21,39 @@
 	faults  []string
 	refused int
 	reasons map[string]int
+	unknown int
+	slowest time.Duration
+	keys    map[string][2]int // The least and the most runs that the answers to bookings allow, by key.
 }
 
 // traffic start|stop runs callers=N against the model; stop reports calls that were cut off. A refusal that says "not run"
-// with a retry time is not a cut, and at most refused=N of them are allowed.
+// with a retry time is not a cut, and at most refused=N of them are allowed, as are unknown=N bookings whose outcome is unknown.
+// The services' counts decide whether "not run" and the answers of bookings are true. With at=HOST,... the callers use these
+// hosts, with slowest=10s each call has to end in that time.
 func (w *world) traffic(a args) error {
 	if a.words[0] == "start" {
-		l := &load{stop: make(chan struct{}), reasons: make(map[string]int)}
+		l := &load{stop: make(chan struct{}), reasons: make(map[string]int), keys: make(map[string][2]int)}
 		for i := range a.number("callers", 4) {
 			l.done.Go(func() { w.caller(l, i, a) })
 		}
-		w.load = l
+		w.loads[a.named["name"]] = l
 		return nil
 	}
-	l := w.load
+	l := w.loads[a.named["name"]]
 	close(l.stop)
 	l.done.Wait()
 	if len(l.faults) > 0 {
 		return fmt.Errorf("%d calls whole, %d refused, %d faults: %s", l.whole, l.refused, len(l.faults), strings.Join(l.faults, "; "))
 	}
+	if most := a.duration("slowest", time.Hour); l.slowest > most {
+		return fmt.Errorf("a call took %s, at most %s allowed", l.slowest, most)
+	}
+	if err := w.answersTrue(l); err != nil {
+		return err
+	}
+	if l.unknown > a.number("unknown", 0) {
+		return fmt.Errorf("%d calls whole, %d unknown: %v", l.whole, l.unknown, l.reasons)
+	}
 	if l.whole < a.number("atLeast", 1) || l.refused > a.number("refused", 0) {
 		return fmt.Errorf("%d calls whole, %d refused: %v", l.whole, l.refused, l.reasons)
 	}
@@ -55,7 +69,10 @@
 			return
 		default:
 		}
-		if time.Now().After(until) {
+		if at := a.named["at"]; at != "" {
+			hosts := strings.Split(at, ",")
+			host = hosts[index%len(hosts)]
+		} else if time.Now().After(until) {
 			if h, life := w.freshAddress(); h != "" {
 				host, until = h, time.Now().Add(life)
 			}
@@ -65,27 +82,61 @@
 			continue
 		}
 		var c *call
+		key := fmt.Sprintf("t%s%d-%d", a.named["name"], index, n)
 		if a.named["book"] == "yes" {
-			c = w.book(host, fmt.Sprintf("t%d-%d", index, n), "visit")
+			c = w.book(host, key, "visit")
 		} else {
 			c = w.chat(host, a.text("model", "m1"), fmt.Sprintf("caller %d call %d", index, n), a.number("tokens", 30), nil)
 		}
 		<-c.done
-		l.mu.Lock()
-		switch {
-		case c.whole:
-			l.whole++
-		case c.out == "notRun":
-			l.refused++
-			l.reasons[fmt.Sprintf("%d %s at %s", c.code, c.detail, host)]++
-		default:
-			l.faults = append(l.faults, fmt.Sprintf("%s: code %d %s %s after %s", host, c.code, c.out, c.detail, c.took))
-		}
-		l.mu.Unlock()
+		l.ended(c, host, key, a.named["book"] == "yes")
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// ended counts a call by its answer.
+func (l *load) ended(c *call, host, key string, booking bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowest = max(l.slowest, c.took)
+	runs := [2]int{0, 1}
+	switch {
+	case c.whole:
+		l.whole++
+		runs = [2]int{1, 1}
+	case c.out == "notRun":
+		l.refused++
+		l.reasons[fmt.Sprintf("%d %s at %s", c.code, c.detail, host)]++
+		runs = [2]int{0, 0}
+	case booking && c.out == "unknown":
+		l.unknown++
+		l.reasons[fmt.Sprintf("%d %s at %s", c.code, c.detail, host)]++
+	default:
+		l.faults = append(l.faults, fmt.Sprintf("%s: code %d %s %s after %s", host, c.code, c.out, c.detail, c.took))
+	}
+	if booking {
+		l.keys[key] = runs
+	}
+}
+
+// answersTrue compares the answers to bookings with the runs that the services counted.
+func (w *world) answersTrue(l *load) error {
+	for key, allowed := range l.keys {
+		runs := 0
+		for _, s := range w.names("service") {
+			var r wire.PlainRuns
+			if err := w.request(http.MethodGet, s, "/v1/runs?key="+key, nil, &r); err != nil {
+				return err
+			}
+			runs += r.Runs
+		}
+		if runs < allowed[0] || runs > allowed[1] {
+			return fmt.Errorf("booking %s ran %d times, its answer allows %d to %d", key, runs, allowed[0], allowed[1])
+		}
+	}
+	return nil
+}
+
 // freshAddress asks a living host which address to use, and returns the name of the host behind it.
 func (w *world) freshAddress() (string, time.Duration) {
 	hosts := w.names("host")
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -49,7 +49,8 @@
 		rules   [][2]string
 		broken  []string
 		watch   *watch
-		load    *load
+		loads   map[string]*load
+		links   *links // Links is nil where daemons reach each other directly.
 	}
 
 	proc struct {
@@ -57,6 +58,7 @@
 		address  string // Address of a stand-in, or of a daemon's callers' API.
 		operator string
 		settings string
+		relay    *relay
 		done     chan struct{}
 		code     int
 	}
@@ -72,11 +74,15 @@
 	return &world{
 		env: e, number: worlds.Add(1) % 250, binary: filepath.Join(strings.Split(path, string(os.PathListSeparator))[0], "fireflycleat"),
 		procs: make(map[string]*proc), calls: make(map[string]*call),
+		loads: make(map[string]*load),
 	}
 }
 
 // close ends all processes by their own ids and records the results.
 func (w *world) close() {
+	if w.links != nil {
+		close(w.links.ended)
+	}
 	for _, p := range w.procs {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
@@ -155,6 +161,9 @@
 		_ = c.Wait()
 		p.code = c.ProcessState.ExitCode()
 		_ = log.Close()
+		if p.relay != nil {
+			_ = p.relay.listener.Close()
+		}
 		close(p.done)
 	}()
 	w.mu.Lock()
@@ -214,12 +223,17 @@
 func (w *world) daemon(name string, index int) error {
 	old := w.proc(name)
 	if old != nil {
-		again := &proc{address: old.address, operator: old.operator, settings: old.settings}
+		again := &proc{address: old.address, operator: old.operator, settings: old.settings, relay: old.relay}
+		if again.relay != nil {
+			if err := again.relay.listen(); err != nil {
+				return err
+			}
+		}
 		_, err := w.start(name, again, "serve", "--config", old.settings)
 		return err
 	}
 	// Each scenario has loopback addresses of its own, since a free port of a shared address may be taken before it is used.
-	var free [3]string
+	var free [4]string
 	for i := range free {
 		free[i] = fmt.Sprintf("127.%d.%d.%d:%d", 64+os.Getpid()%128, w.number, index+1, 7001+i)
 	}
@@ -227,11 +241,20 @@
 	text := fmt.Sprintf("[host]\nname = %q\ndataCentre = %q\n[listen]\ntraffic = %q\npeers = %q\noperator = %q\n"+
 		"[caller]\naddressLifetime = \"2s\"\n[platform]\nlog = %q\nhostList = %q\n%s[telemetry]\nlogLevel = \"debug\"\n",
 		name, centre, free[0], free[1], free[2], w.procs["log"].address, w.procs["hosts"].address, w.extra)
+	p := &proc{address: free[0], operator: free[2]}
+	if w.links != nil {
+		p.relay = &relay{links: w.links, name: name, address: free[3], target: free[1]}
+		if err := p.relay.listen(); err != nil {
+			return err
+		}
+		text += fmt.Sprintf("[advertise]\npeers = %q\n", free[3])
+		free[1] = free[3]
+	}
 	file := filepath.Join(w.env.WorkDir, name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	p := &proc{address: free[0], operator: free[2], settings: file}
+	p.settings = file
 	if _, err := w.start(name, p, "serve", "--config", file); err != nil {
 		return err
 	}
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -22,6 +22,7 @@
 	c.address("listen.traffic", s.Listen.Traffic, true)
 	c.address("listen.peers", s.Listen.Peers, true)
 	c.address("listen.operator", s.Listen.Operator, true)
+	c.address("advertise.peers", s.Advertise.Peers, false)
 	c.address("platform.log", s.Platform.Log, true)
 	c.address("platform.hostList", s.Platform.HostList, true)
 	c.address("telemetry.otlpEndpoint", s.Telemetry.OTLPEndpoint, false)
--- a/internal/setup/read_test.go
+++ b/internal/setup/read_test.go
@@ -29,6 +29,7 @@
 		{"missing unit", "[platform]", "[platform]\nstatusInterval = \"5\"", "f.toml:10: platform.statusInterval: must be a duration"},
 		{"impossible limit", "[platform]", "[store]\nslots = 0\n[platform]", "f.toml:10: store.slots: must be between"},
 		{"token", `"127.0.0.1:7003"`, `"10.0.0.1:7003"`, "f.toml:1: operator.token: is needed"},
+		{"advertised", "[platform]", "[advertise]\npeers = \"0.0.0.0:1\"\n[platform]", "f.toml:10: advertise.peers: must be an address that"},
 		{"missing key", `log = "127.0.0.1:9001"`, "", "f.toml:9: platform.log: is missing"},
 		{"missing name", `name = "a-1"`, "", "f.toml:2: host.name: is missing"},
 		{"wrong type", `name = "a-1"`, "name = 3", "f.toml:3: host.name"},
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -7,6 +7,7 @@
 	Settings struct {
 		Host      Host      `toml:"host"`
 		Listen    Listen    `toml:"listen"`
+		Advertise Advertise `toml:"advertise"`
 		Platform  Platform  `toml:"platform"`
 		Store     Store     `toml:"store"`
 		Limits    Limits    `toml:"limits"`
@@ -21,13 +22,18 @@
 		DataCentre string `toml:"dataCentre"`
 	}
 
-	// Listen holds the addresses that the daemon listens on; callers and peers connect to them as written.
+	// Listen holds the addresses that the daemon listens on; callers connect to them as written.
 	Listen struct {
 		Traffic  Address `toml:"traffic"`
 		Peers    Address `toml:"peers"`
 		Operator Address `toml:"operator"`
 	}
 
+	// Advertise holds the addresses under which others reach the daemon where these differ from the ones it listens on.
+	Advertise struct {
+		Peers Address `toml:"peers"`
+	}
+
 	// Platform tells where the platform's services are.
 	Platform struct {
 		Log            Address   `toml:"log"`
@@ -73,6 +79,14 @@
 	}
 )
 
+// PeerAddress returns the address to which other daemons connect.
+func (s Settings) PeerAddress() Address {
+	if s.Advertise.Peers.IsSet() {
+		return s.Advertise.Peers
+	}
+	return s.Listen.Peers
+}
+
 // Default returns the settings that apply where a file says nothing.
 func Default() Settings {
 	return Settings{
--- a/internal/setup/types.go
+++ b/internal/setup/types.go
@@ -98,6 +98,9 @@
 // IsSet reports whether an address was written.
 func (a Address) IsSet() bool { return a.text != "" }
 
+// IP returns the IP number of the address; it is invalid when no address is set.
+func (a Address) IP() netip.Addr { return a.value.Addr() }
+
 // Loopback reports whether the address can be reached from this machine only.
 func (a Address) Loopback() bool { return a.value.Addr().IsLoopback() }
 
