feat(bench): figures of the previous version beside each result

Change: bench records its results (--record) and shows a record beside the new ones (--previous; by default the record of the previous version, which the program carries for seeds 1 to 3). Weighed: keeping the old decision packages in the tree, which doubles them; a run depends on version and seed alone, so a record says the same.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -240,12 +240,40 @@
 func TestReport(t *testing.T) {
 	dir := t.TempDir()
 	all := Run(Deployments()[1:], shortened(t)[:1], 1)
-	qt.Assert(t, WriteReport(dir, 1, all), qt.IsNil)
+	file := filepath.Join(dir, "figures.json")
+	qt.Assert(t, NewFigures(1, "v9", all).Write(file), qt.IsNil)
+	earlier, err := ReadFigures(file)
+	qt.Assert(t, err, qt.IsNil)
+	for _, r := range all[0].Rows {
+		qt.Check(t, earlier.of(r), qt.Equals, figureText(r.Result))
+	}
+	qt.Assert(t, WriteReport(dir, 1, earlier, all), qt.IsNil)
 	data, err := os.ReadFile(filepath.Join(dir, reportFile))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, bytes.Count(data, []byte("<svg")), qt.Equals, 2)
 	qt.Check(t, bytes.Count(data, []byte(`<td class=`)), qt.Equals, len(all[0].Rows))
 	var table bytes.Buffer
-	qt.Assert(t, WriteTable(&table, all), qt.IsNil)
+	qt.Assert(t, WriteTable(&table, earlier, all), qt.IsNil)
 	qt.Check(t, table.String(), qt.Contains, "coldStart")
+	_, err = ReadFigures(filepath.Join(dir, reportFile))
+	qt.Check(t, err, qt.ErrorMatches, "(?s).*figures cannot be read.*")
+}
+
+// Guards against a record of the previous version that cannot be read, belongs to another seed or lacks a measure.
+func TestPreviousFigures(t *testing.T) {
+	traces, err := Traces()
+	qt.Assert(t, err, qt.IsNil)
+	for seed := uint64(1); seed <= 3; seed++ {
+		f, err := PreviousFigures(seed)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, f.Seed, qt.Equals, seed)
+		for _, d := range Deployments() {
+			for _, x := range traces {
+				for _, e := range x.Expects {
+					r := Row{Deployment: d.Name, Trace: x.Name, Measure: e.Measure}
+					qt.Check(t, f.of(r), qt.Not(qt.Equals), "none", qt.Commentf(r.key()))
+				}
+			}
+		}
+	}
 }
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -32,6 +32,7 @@
 type (
 	page struct {
 		Seed     uint64
+		Previous string
 		Rows     []Row
 		Sections []section
 	}
@@ -52,8 +53,8 @@
 func (r Row) Goal() string { return r.target() }
 
 // WriteReport writes the table and plots of each trace as one HTML page to the directory.
-func WriteReport(dir string, seed uint64, all []*Result) error {
-	p := page{Seed: seed, Rows: Rows(all)}
+func WriteReport(dir string, seed uint64, previous Figures, all []*Result) error {
+	p := page{Seed: seed, Previous: previous.Version, Rows: Rows(all)}
 	for _, r := range all {
 		s := section{Deployment: r.Deployment.Name, Trace: r.Trace.Name, About: r.Trace.About, Safety: r.Safety}
 		for _, draw := range []func(*Result) (*plot.Plot, error){firstTokenPlot, ratePlot} {
@@ -65,7 +66,9 @@
 		}
 		p.Sections = append(p.Sections, s)
 	}
-	t, err := template.New("report.html").Funcs(template.FuncMap{"figure": figureText, "short": short}).ParseFS(reportPage, "report.html")
+	t, err := template.New("report.html").Funcs(template.FuncMap{
+		"figure": figureText, "short": short, "previous": previous.of,
+	}).ParseFS(reportPage, "report.html")
 	if err != nil {
 		return codes.New(codes.Internal, err.Error())
 	}
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -7,15 +7,16 @@
 	"text/tabwriter"
 )
 
-// WriteTable writes the measures with target, result, baseline and bound, and the safety counters of each trace.
-func WriteTable(out io.Writer, all []*Result) error {
+// WriteTable writes the measures with target, result, that of the previous version, baseline and bound, and the safety
+// counters of each trace.
+func WriteTable(out io.Writer, previous Figures, all []*Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "deployment\ttrace\tmeasure\ttarget\tresult\tbaseline\tbound\t\tfrom")
+	fmt.Fprintln(w, "deployment\ttrace\tmeasure\ttarget\tresult\tprevious\tbaseline\tbound\t\tfrom")
 	for _, r := range Rows(all) {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s / %s\n", r.Deployment, r.Trace, r.Measure, r.target(), figureText(r.Result),
-			figureText(r.Baseline), figureText(r.Bound), r.verdict(), short(r.Over), short(r.Under))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s / %s\n", r.Deployment, r.Trace, r.Measure, r.target(), figureText(r.Result),
+			previous.of(r), figureText(r.Baseline), figureText(r.Bound), r.verdict(), short(r.Over), short(r.Under))
 	}
-	fmt.Fprintln(w, "\t\t\t\t\t\t\t")
+	fmt.Fprintln(w, "\t\t\t\t\t\t\t\t")
 	fmt.Fprintln(w, "deployment\ttrace\tcalls\tloads\tviolations: permits\tmemory\tends\t")
 	for _, r := range all {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t\n", r.Deployment.Name, r.Trace.Name, len(r.System.Calls), r.System.Loads,
--- a/internal/cmds/bench.go
+++ b/internal/cmds/bench.go
@@ -10,7 +10,7 @@
 )
 
 func newBench() *cobra.Command {
-	var deployment, trace, out string
+	var deployment, trace, out, previous, record, version string
 	var seed uint64
 	c := &cobra.Command{
 		Use:   "bench",
@@ -31,16 +31,39 @@
 			if len(traces) == 0 {
 				return codes.New(codes.BadArgument, "trace is unknown: "+trace)
 			}
+			earlier, err := earlierFigures(previous, seed)
+			if err != nil {
+				return err
+			}
 			results := bench.Run(deployments, traces, seed)
-			if err := bench.WriteTable(c.OutOrStdout(), results); err != nil || out == "" {
+			if err := bench.WriteTable(c.OutOrStdout(), earlier, results); err != nil {
 				return err
 			}
-			return bench.WriteReport(out, seed, results)
+			if record != "" {
+				if err := bench.NewFigures(seed, version, results).Write(record); err != nil {
+					return err
+				}
+			}
+			if out == "" {
+				return nil
+			}
+			return bench.WriteReport(out, seed, earlier, results)
 		},
 	}
 	c.Flags().StringVar(&deployment, "deployment", "", "name of one deployment; default is both")
 	c.Flags().StringVar(&trace, "trace", "", "name of one trace; default is all")
 	c.Flags().StringVar(&out, "out", "", "directory for a report in HTML; default is none")
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of arrivals, delays and choices")
+	c.Flags().StringVar(&previous, "previous", "", "file with the figures of an earlier run; default is the previous version's")
+	c.Flags().StringVar(&record, "record", "", "file to write the figures of this run to; default is none")
+	c.Flags().StringVar(&version, "record-version", "unnamed", "version that --record names as the origin of the figures")
 	return c
 }
+
+// earlierFigures returns the figures in the file, or without a file those of the previous version for the seed.
+func earlierFigures(file string, seed uint64) (bench.Figures, error) {
+	if file == "" {
+		return bench.PreviousFigures(seed)
+	}
+	return bench.ReadFigures(file)
+}
