refactor(daemon): lists of states and recurring steps stand once

Cause: templateStates and teamStates, and the loops of beat and watchLoads, repeated each other. Change: listStates and every hold the common part.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -15,42 +15,38 @@
 
 // beat does what recurs until the daemon stops: it asks engines for their status, and repeats what peers may have missed.
 func (d *Daemon) beat(ctx context.Context) error {
-	t := time.NewTicker(d.settings.Platform.StatusInterval.Value())
-	defer t.Stop()
 	last := time.Time{}
-	for {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil
+	return d.every(ctx, d.settings.Platform.StatusInterval.Value(), func() {
+		d.upstreams.pollHeld()
+		d.cells.use(d.models.use)
+		d.refresh()
+		if time.Since(last) >= republishInterval {
+			last = time.Now()
+			d.repeat()
 		}
-		d.control.ask(func() {
-			d.upstreams.pollHeld()
-			d.cells.use(d.models.use)
-			d.refresh()
-			if time.Since(last) >= republishInterval {
-				last = time.Now()
-				d.repeat()
-			}
-		})
-	}
+	})
 }
 
 // watchLoads asks engines that load a model for their status until the daemon stops.
 func (d *Daemon) watchLoads(ctx context.Context) error {
-	t := time.NewTicker(loadPollInterval)
+	return d.every(ctx, loadPollInterval, func() {
+		for _, r := range d.cells.byName {
+			r.pollLoading()
+		}
+	})
+}
+
+// every runs the step on the control thread at each interval until the context ends.
+func (d *Daemon) every(ctx context.Context, interval time.Duration, step func()) error {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
+			d.control.ask(step)
 		case <-ctx.Done():
 			return nil
 		}
-		d.control.ask(func() {
-			for _, r := range d.cells.byName {
-				r.pollLoading()
-			}
-		})
 	}
 }
 
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
 func (d *Daemon) operatorsDoor() *front.Operators {
@@ -59,24 +60,26 @@
 }
 
 func (d *Daemon) templateStates() []wire.TemplateState {
-	list := []wire.TemplateState{}
-	d.control.ask(func() {
-		v := d.state.View()
-		for _, n := range v.Templates() {
-			t, _ := v.Template(n)
-			list = append(list, wire.TemplateState{Offset: d.state.TemplateOffset(n), Template: t})
-		}
+	return listStates(d, (*spec.View).Templates, func(v *spec.View, name string) wire.TemplateState {
+		t, _ := v.Template(name)
+		return wire.TemplateState{Offset: d.state.TemplateOffset(name), Template: t}
 	})
-	return list
 }
 
 func (d *Daemon) teamStates() []wire.TeamState {
-	list := []wire.TeamState{}
+	return listStates(d, (*spec.View).Teams, func(v *spec.View, name string) wire.TeamState {
+		t, _ := v.Team(name)
+		return wire.TeamState{Offset: d.state.TeamOffset(name), Team: t}
+	})
+}
+
+// listStates returns the state of each named object of one view; it is empty and not nil without any, as JSON shows it.
+func listStates[S any](d *Daemon, names func(*spec.View) []string, state func(*spec.View, string) S) []S {
+	list := []S{}
 	d.control.ask(func() {
 		v := d.state.View()
-		for _, n := range v.Teams() {
-			t, _ := v.Team(n)
-			list = append(list, wire.TeamState{Offset: d.state.TeamOffset(n), Team: t})
+		for _, n := range names(v) {
+			list = append(list, state(v, n))
 		}
 	})
 	return list
