--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -51,6 +51,9 @@
 		watch   *watch
 		loads   map[string]*load
 		links   *links // Links is nil where daemons reach each other directly.
+		logEnd  int64  // LogEnd is the end of the log at logCounted.
+
+		logCounted time.Time
 	}
 
 	proc struct {
