feat(telem): bytes of control are counted by link

Cause: the limit of 13 KB/s of control for each daemon was worked out from message sizes, and nothing showed what a daemon carries.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,10 +86,12 @@
 		return nil, err
 	}
 	life, end := context.WithCancel(context.Background())
+	metrics := telem.NewMetrics()
 	d := &Daemon{
-		settings: s, incarnation: s.Host.Name + "." + uuid.NewString()[:8], logger: logs, metrics: telem.NewMetrics(),
-		traces: traces, logs: logsvc.New(s.Platform.Log.String(), s.Platform.LogStream, s.Host.Name),
-		engines: engine.New(traces.ToHeader), peerClient: peers.NewClient(s.Listen.Peers.IP()), life: life, endLife: end,
+		settings: s, incarnation: s.Host.Name + "." + uuid.NewString()[:8], logger: logs, metrics: metrics, traces: traces,
+		logs:       logsvc.New(s.Platform.Log.String(), s.Platform.LogStream, s.Host.Name, metrics.Link(telem.LogLink)),
+		engines:    engine.New(traces.ToHeader, metrics.Link(telem.EngineLink)),
+		peerClient: peers.NewClient(s.Listen.Peers.IP(), metrics.Link(telem.PeerLink)), life: life, endLife: end,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(), directories: make(map[string]bool),
 	}
 	d.control = newControl(d.metrics)
@@ -127,7 +129,7 @@
 	}
 	d.callers = front.Server(callers, d.settings.Limits.HeaderTimeout.Value())
 	d.operators = front.Server(operators, d.settings.Limits.HeaderTimeout.Value())
-	d.peerServer, err = peers.Listen(d.settings.Listen.Peers.String(), &service{d})
+	d.peerServer, err = peers.Listen(d.settings.Listen.Peers.String(), &service{d}, d.metrics.Link(telem.PeerLink))
 	return err
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
@@ -32,11 +33,13 @@
 	inject  func(context.Context, http.Header)
 }
 
-// New returns a client; inject writes the trace context into each request.
-func New(inject func(context.Context, http.Header)) *Client {
-	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+// New returns a client; inject writes the trace context into each request, and control counts the
+// bytes of orders, statuses and the host list.
+func New(inject func(context.Context, http.Header), control telem.Link) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := dialer.DialContext
 	return &Client{
-		control: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4}},
+		control: &http.Client{Transport: &http.Transport{DialContext: control.Dial(dialer), MaxIdleConnsPerHost: 4}},
 		traffic: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerHost}},
 		// Connections to plain services are not reused: net/http sends a request with an Idempotency-Key header again when
 		// a reused connection breaks, which could run a booking twice.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
@@ -32,7 +33,7 @@
 		_ = conn.Close()
 	}))
 	defer s.Close()
-	e := New(noTrace)
+	e := New(noTrace, telem.Link{})
 	q := PlainRequest{
 		Address: strings.TrimPrefix(s.URL, "http://"), Method: http.MethodPost, Path: "/x", Key: "k", Body: []byte("b"),
 		Timeout: time.Second, MaxReply: 10,
@@ -55,7 +56,7 @@
 			_ = conn.Close()
 		}
 	}()
-	e := New(noTrace)
+	e := New(noTrace, telem.Link{})
 	_, err = e.Open(t.Context(), q)
 	c.Assert(codes.From(err).Outcome(), qt.Equals, codes.Unknown)
 	c.Assert(l.Close(), qt.IsNil)
@@ -102,7 +103,7 @@
 		`{"model":"m","version":"v1","ready":true}],"cached":[]}`
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, status) }))
 	defer s.Close()
-	e := New(noTrace)
+	e := New(noTrace, telem.Link{})
 	b.ReportMetric(float64(len(status)), "body-B")
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/logsvc/client.go
+++ b/internal/logsvc/client.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
@@ -20,6 +22,7 @@
 	appendTimeout = 2 * time.Second
 	readSlack     = 2 * time.Second // readSlack is added to the long-poll time before a read counts as lost.
 	readLimit     = 1000
+	dialTimeout   = time.Second
 	maxReadBytes  = 64 << 20
 	clientHeader  = "X-Client"
 )
@@ -41,10 +44,13 @@
 	}
 )
 
-// New returns a client of the stream at the address (IP:port); name identifies this host to the service.
-func New(address, stream, name string) *Client {
+// New returns a client of the stream at the address (IP:port); name identifies this host to the service,
+// and link counts the bytes.
+func New(address, stream, name string, link telem.Link) *Client {
 	u := url.URL{Scheme: "http", Host: address, Path: "/v1/streams/" + stream + "/records"}
-	return &Client{base: u.String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, name: name}
+	return &Client{base: u.String(), client: &http.Client{Transport: &http.Transport{
+		DialContext: link.Dial(&net.Dialer{Timeout: dialTimeout}), MaxIdleConnsPerHost: 8,
+	}}, name: name}
 }
 
 // Close closes idle connections.
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
@@ -23,6 +24,7 @@
 	// Client calls other daemons. It keeps one connection to each and is safe for concurrent use.
 	Client struct {
 		source netip.Addr
+		link   telem.Link
 		mu     sync.Mutex
 		conns  map[string]*rpc.Client
 	}
@@ -30,8 +32,8 @@
 
 // NewClient returns a client without connections. Its connections come from the source address, so that a host with several
 // addresses is known to the others, and to what filters between them, by the one that it listens on.
-func NewClient(source netip.Addr) *Client {
-	return &Client{source: source, conns: make(map[string]*rpc.Client)}
+func NewClient(source netip.Addr, link telem.Link) *Client {
+	return &Client{source: source, link: link, conns: make(map[string]*rpc.Client)}
 }
 
 // Call calls the method of the daemon at the address. The reply must not be read after an error, because a late answer may
@@ -80,7 +82,7 @@
 	if ok {
 		return conn, nil
 	}
-	raw, err := c.dialer(address).DialContext(ctx, "tcp", address)
+	raw, err := c.link.Dial(c.dialer(address))(ctx, "tcp", address)
 	if err != nil {
 		return nil, dialError(err)
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"net/rpc"
 	"strings"
@@ -10,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
@@ -24,11 +27,11 @@
 // Guards against an oversized message being read into memory, and against a broken connection being kept.
 func TestSizeLimit(t *testing.T) {
 	c := qt.New(t)
-	s, err := Listen("127.0.0.1:0", echo{})
+	s, err := Listen("127.0.0.1:0", echo{}, telem.Link{})
 	c.Assert(err, qt.IsNil)
 	go func() { _ = s.Serve() }()
 	t.Cleanup(s.Close)
-	p := NewClient(netip.MustParseAddr("127.0.0.1"))
+	p := NewClient(netip.MustParseAddr("127.0.0.1"), telem.Link{})
 	t.Cleanup(p.Close)
 	var reply string
 	for _, size := range []int{10, MaxMessageBytes / 2, 2 * MaxMessageBytes, 10} {
@@ -42,10 +45,31 @@
 	}
 }
 
+// Guards against control bytes that the metrics leave out: both ends count each message.
+func TestBytesAreCounted(t *testing.T) {
+	c := qt.New(t)
+	there, here := telem.NewMetrics(), telem.NewMetrics()
+	s, err := Listen("127.0.0.1:0", echo{}, there.Link(telem.PeerLink))
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(s.Close)
+	p := NewClient(netip.MustParseAddr("127.0.0.1"), here.Link(telem.PeerLink))
+	t.Cleanup(p.Close)
+	var reply string
+	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Echo", strings.Repeat("x", 1000), &reply), qt.IsNil)
+	for _, m := range []*telem.Metrics{there, here} {
+		text := httptest.NewRecorder()
+		m.Handler().ServeHTTP(text, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		for _, way := range []string{"read", "written"} {
+			c.Check(text.Body.String(), qt.Matches, `(?s).*control_bytes_total\{direction="`+way+`",link="peers"\} 1[0-9]{3}\n.*`)
+		}
+	}
+}
+
 // Guards against bytes that are not gob taking the server down, and against a time-out being read as a refusal.
 func TestRefusedIsProof(t *testing.T) {
 	c := qt.New(t)
-	s, err := Listen("127.0.0.1:0", echo{})
+	s, err := Listen("127.0.0.1:0", echo{}, telem.Link{})
 	c.Assert(err, qt.IsNil)
 	go func() { _ = s.Serve() }()
 	raw, err := net.Dial("tcp", s.Address())
@@ -53,7 +77,7 @@
 	_, err = raw.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
 	c.Assert(err, qt.IsNil)
 	_ = raw.Close()
-	p := NewClient(netip.MustParseAddr("127.0.0.1"))
+	p := NewClient(netip.MustParseAddr("127.0.0.1"), telem.Link{})
 	var reply string
 	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Echo", "x", &reply), qt.IsNil)
 	p.Close()
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 )
 
 // ServiceName is the name under which a daemon's methods are called.
@@ -14,18 +16,19 @@
 // Server accepts calls from other daemons.
 type Server struct {
 	listener net.Listener
+	link     telem.Link
 	rpc      *rpc.Server
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 }
 
 // Listen returns a server that serves the methods of the service at the address.
-func Listen(address string, service any) (*Server, error) {
+func Listen(address string, service any, link telem.Link) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer listener")
 	}
-	s := &Server{listener: l, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	s := &Server{listener: l, link: link, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
 	if err := s.rpc.RegisterName(ServiceName, service); err != nil {
 		_ = l.Close()
 		return nil, errors.Wrap(err, "peer service")
@@ -61,7 +64,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(&serverCodec{newCodec(conn)})
+	s.rpc.ServeCodec(&serverCodec{newCodec(s.link.Wrap(conn))})
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -49,6 +49,7 @@
 	"heal":     do(func(w *world, a args) error { return w.heal(a) }),
 	"newwork":  do(func(w *world, a args) error { return w.newWork(a) }),
 	"appends":  do(func(w *world, a args) error { return w.appends(a) }),
+	"control":  do(func(w *world, a args) error { return w.controlBytes(a) }),
 	"monotone": do(func(w *world, a args) error { return w.monotone(a) }),
 }
 
--- a/internal/scene/judges_test.go
+++ b/internal/scene/judges_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -10,9 +12,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 )
 
+var controlMetric = regexp.MustCompile(`(?m)^fireflycleat_control_bytes_total\{direction="\w+",link="(\w+)"\} (.+)$`)
+
 // bookingsRunOnce lets the services' own counts decide: no key ran twice, and key=KEY ran runs=N times over all services.
 func (w *world) bookingsRunOnce(a args) error {
 	runs := 0
@@ -223,6 +228,49 @@
 	return nil
 }
 
+// controlBytes logs what a host and link carry for control on average, in bytes a second over=10s; docs/CAPACITY.md reports it.
+func (w *world) controlBytes(a args) error {
+	before, err := w.countControl()
+	if err != nil {
+		return err
+	}
+	span := a.duration("over", 10*time.Second)
+	time.Sleep(span)
+	after, err := w.countControl()
+	if err != nil {
+		return err
+	}
+	for _, link := range []string{telem.PeerLink, telem.EngineLink, telem.LogLink} {
+		rate := (after[link] - before[link]) / span.Seconds() / float64(len(w.names("host")))
+		w.env.T().Log(fmt.Sprintf("control: %d hosts, %s: %.1f KB/s for each", len(w.names("host")), link, rate/1000))
+	}
+	return nil
+}
+
+// countControl sums the bytes of all hosts, by link.
+func (w *world) countControl() (map[string]float64, error) {
+	sums := make(map[string]float64)
+	for _, name := range w.names("host") {
+		answer, err := http.Get("http://" + w.procs[name].address + "/metrics")
+		if err != nil {
+			return nil, err
+		}
+		text, err := io.ReadAll(answer.Body)
+		_ = answer.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		for _, m := range controlMetric.FindAllStringSubmatch(string(text), -1) {
+			n, err := strconv.ParseFloat(m[2], 64)
+			if err != nil {
+				return nil, err
+			}
+			sums[m[1]] += n
+		}
+	}
+	return sums, nil
+}
+
 // watch records the offsets of a host; a lower one after a higher one is a reversion.
 type watch struct {
 	stop    chan struct{}
--- a/internal/scene/main_test.go
+++ b/internal/scene/main_test.go
@@ -17,6 +17,7 @@
 
 var (
 	repeat = flag.Int("scene.runs", 1, "number of runs of each scenario")
+	folder = flag.String("scene.dir", "testdata", "directory of the scenarios")
 	table  results
 )
 
@@ -51,7 +52,7 @@
 
 // Runs every script; each starts its own processes. A script names what it proves in lines "rule NAME: FAILURE".
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
+	files, err := filepath.Glob(filepath.Join(*folder, "*.txtar"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -16,17 +16,18 @@
 
 // Metrics holds the metrics of one daemon.
 type Metrics struct {
-	registry   *prometheus.Registry
-	requests   *prometheus.CounterVec
-	firstToken *prometheus.HistogramVec
-	attempts   *prometheus.CounterVec
-	appends    *prometheus.CounterVec
-	peerCalls  *prometheus.CounterVec
-	control    prometheus.Histogram
-	models     prometheus.Gauge
-	inFlight   prometheus.Gauge
-	offset     prometheus.Gauge
-	ready      prometheus.Gauge
+	registry     *prometheus.Registry
+	requests     *prometheus.CounterVec
+	firstToken   *prometheus.HistogramVec
+	attempts     *prometheus.CounterVec
+	appends      *prometheus.CounterVec
+	peerCalls    *prometheus.CounterVec
+	controlBytes *prometheus.CounterVec
+	control      prometheus.Histogram
+	models       prometheus.Gauge
+	inFlight     prometheus.Gauge
+	offset       prometheus.Gauge
+	ready        prometheus.Gauge
 }
 
 // NewMetrics returns registered metrics, with those of the Go runtime and the process.
@@ -38,11 +39,12 @@
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	}
 	m := &Metrics{
-		registry:  prometheus.NewRegistry(),
-		requests:  counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
-		attempts:  counter("attempts_total", "Attempts at upstreams, by result.", "result"),
-		appends:   counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
-		peerCalls: counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
+		registry:     prometheus.NewRegistry(),
+		requests:     counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
+		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
+		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
+		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
+		controlBytes: counter("control_bytes_total", "Bytes of control, by link and direction.", "link", "direction"),
 		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "first_token_seconds",
 			Help:    "Time from arrival to the first token, in seconds.",
@@ -58,7 +60,7 @@
 		offset:   gauge("log_offset", "Offset of the last log record applied."),
 		ready:    gauge("ready", "1 when the host is ready to serve, else 0."),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.firstToken, m.control, m.models, m.inFlight,
+	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.control, m.models, m.inFlight,
 		m.offset, m.ready, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
