--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -192,10 +192,12 @@
 func (d *Daemon) pollHostList(ctx context.Context) error {
 	t := time.NewTicker(hostListInterval)
 	defer t.Stop()
+	var l wire.HostList
 	for {
-		l, err := d.engines.Hosts(ctx, d.settings.Platform.HostList.String())
-		if err == nil {
-			d.control.post(func() { d.upstreams.update(l) })
+		var err error
+		if l, err = d.engines.Hosts(ctx, d.settings.Platform.HostList.String(), l); err == nil {
+			read := l
+			d.control.post(func() { d.upstreams.update(read) })
 		}
 		select {
 		case <-t.C:
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,14 +95,30 @@
 	return s, err
 }
 
-// Hosts returns the host list of the platform.
-func (c *Client) Hosts(ctx context.Context, address string) (wire.HostList, error) {
-	var l wire.HostList
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/hosts", nil, &l)
-	if err == nil && status != http.StatusOK {
-		err = codes.New(codes.UpstreamFailed, http.StatusText(status))
+// Hosts returns the host list of the platform; last is the list that was read before, which is sent again only if it has
+// changed: read whole twice a second, a list of 29 hosts took 8 KB/s.
+func (c *Client) Hosts(ctx context.Context, address string, last wire.HostList) (wire.HostList, error) {
+	asked := time.Now()
+	next := wire.HostList{}
+	header := make(http.Header)
+	if last.Tag != "" {
+		header.Set("If-None-Match", last.Tag)
 	}
-	return l, err
+	status, answer, err := c.callWith(ctx, header, http.MethodGet, address, "/v1/hosts", nil, &next)
+	switch {
+	case err != nil:
+		return last, err
+	case status == http.StatusNotModified:
+		next = last
+	case status != http.StatusOK:
+		return last, codes.New(codes.UpstreamFailed, http.StatusText(status))
+	}
+	age, err := strconv.ParseUint(answer.Get("Age"), 10, 31)
+	if err != nil {
+		return last, codes.New(codes.UpstreamFailed, "host list has no valid Age header")
+	}
+	next.AsOf, next.Tag = asked.Add(-time.Duration(age)*time.Second), answer.Get("ETag")
+	return next, nil
 }
 
 // Cancel cancels a request at an engine.
@@ -111,29 +128,37 @@
 }
 
 func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) (int, error) {
+	status, _, err := c.callWith(ctx, make(http.Header), method, address, path, body, into)
+	return status, err
+}
+
+func (c *Client) callWith(
+	ctx context.Context, header http.Header, method, address, path string, body []byte, into any,
+) (int, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, errors.Wrap(err, "upstream request")
+		return 0, nil, errors.Wrap(err, "upstream request")
 	}
+	r.Header = header
 	r.Header.Set("Content-Type", jsonType)
 	c.inject(ctx, r.Header)
 	answer, err := c.control.Do(r)
 	if err != nil {
-		return 0, Classify(err)
+		return 0, nil, Classify(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(answer.Body, maxStatusBytes))
 	if err != nil {
-		return 0, codes.New(codes.UpstreamUnknown, err.Error())
+		return 0, nil, codes.New(codes.UpstreamUnknown, err.Error())
 	}
 	if into != nil && answer.StatusCode < http.StatusMultipleChoices {
 		if err := json.Unmarshal(b, into); err != nil {
-			return 0, codes.New(codes.UpstreamUnknown, err.Error())
+			return 0, nil, codes.New(codes.UpstreamUnknown, err.Error())
 		}
 	}
-	return answer.StatusCode, nil
+	return answer.StatusCode, answer.Header, nil
 }
 
 // Classify turns a transport error into UpstreamRefused when no byte was sent, else into UpstreamUnknown.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,7 +14,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fireflycleat/fireflycleat/internal/stand/hosts"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/stream"
 )
@@ -112,3 +115,41 @@
 		}
 	}
 }
+
+// Guards against a list that is taken for newer than it is, sent whole without a change, or kept after a change.
+func TestHosts(t *testing.T) {
+	c := qt.New(t)
+	list := hosts.New(hosts.Settings{Lag: 1500 * time.Millisecond})
+	defer list.Close()
+	sent := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		list.Handler().ServeHTTP(rec, r)
+		sent = rec.Body.Len()
+		maps.Copy(w.Header(), rec.Header())
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	defer s.Close()
+	e, address := New(noTrace, telem.Link{}), strings.TrimPrefix(s.URL, "http://")
+	c.Assert(list.Put(wire.Host{Name: "a", Address: "127.0.0.1:1", State: wire.HostLive}), qt.IsNil)
+	time.Sleep(1600 * time.Millisecond)
+	first, err := e.Hosts(t.Context(), address, wire.HostList{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Hosts, qt.HasLen, 1)
+	c.Check(time.Since(first.AsOf) >= 1500*time.Millisecond, qt.IsTrue)
+	second, err := e.Hosts(t.Context(), address, first)
+	c.Assert(err, qt.IsNil)
+	c.Check(second.Hosts, qt.DeepEquals, first.Hosts)
+	c.Check(second.AsOf.After(first.AsOf), qt.IsTrue)
+	c.Check(sent, qt.Equals, 0)
+	c.Assert(list.SetState("a", wire.HostGone), qt.IsTrue)
+	time.Sleep(1600 * time.Millisecond)
+	third, err := e.Hosts(t.Context(), address, second)
+	c.Assert(err, qt.IsNil)
+	c.Check(third.Hosts[0].State, qt.Equals, wire.HostGone)
+	c.Assert(list.SetFaults(hosts.Faults{Outage: true}), qt.IsNil)
+	kept, err := e.Hosts(t.Context(), address, third)
+	c.Check(err, qt.IsNotNil)
+	c.Check(kept, qt.DeepEquals, third)
+}
--- a/internal/scene/world_test.go
+++ b/internal/scene/world_test.go
@@ -212,7 +212,7 @@
 	if _, err := w.start("hosts", &proc{}, "standin", "hosts", "--lag", "2s"); err != nil {
 		return err
 	}
-	return w.request(http.MethodPut, "hosts", "/v1/hosts", wire.HostList{AsOf: time.Now(), Hosts: w.hosts}, nil)
+	return w.request(http.MethodPut, "hosts", "/v1/hosts", wire.HostList{Hosts: w.hosts}, nil)
 }
 
 func (w *world) latency() []string {
--- a/internal/stand/hosts/hosts.go
+++ b/internal/stand/hosts/hosts.go
@@ -3,12 +3,16 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fireflycleat/fireflycleat/internal/stand"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 )
@@ -102,7 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	hosts, asOf := l.shown.Shown(time.Now())
-	return wire.HostList{AsOf: asOf, Hosts: hosts}
+	return wire.HostList{Hosts: hosts, AsOf: asOf, Tag: tag(hosts)}
 }
 
 // Handler returns the HTTP interface of the list.
@@ -122,6 +126,13 @@
 	l.shown.Put(time.Now(), next)
 }
 
+// tag names the content of a list.
+func tag(hosts []wire.Host) string {
+	d := xxhash.New()
+	_ = json.NewEncoder(d).Encode(hosts) // A digest takes all bytes, and hosts have no value that JSON cannot hold.
+	return `"` + strconv.FormatUint(d.Sum64(), 16) + `"`
+}
+
 func (l *List) get(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -134,7 +145,16 @@
 		stand.Fail(w, http.StatusServiceUnavailable, "host list is down")
 		return
 	}
-	stand.Reply(w, http.StatusOK, l.Shown())
+	shown := l.Shown()
+	// Rounded up, so that a reader never takes the list for newer than it is.
+	age := (time.Since(shown.AsOf) + time.Second - 1) / time.Second
+	w.Header().Set("Age", strconv.FormatInt(int64(age), 10))
+	w.Header().Set("ETag", shown.Tag)
+	if r.Header.Get("If-None-Match") == shown.Tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	stand.Reply(w, http.StatusOK, shown)
 }
 
 func (l *List) put(w http.ResponseWriter, r *http.Request) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -85,10 +85,13 @@
 		Records []LogRecord `json:"records"`
 	}
 
-	// HostList answers GET /v1/hosts. AsOf tells how old the list is.
+	// HostList answers GET /v1/hosts. The header Age tells in seconds how old the list is, and ETag names its content; with
+	// that name in If-None-Match an unchanged list is answered with 304.
 	HostList struct {
-		AsOf  time.Time `json:"asOf"`
-		Hosts []Host    `json:"hosts"`
+		Hosts []Host `json:"hosts"`
+		// AsOf is a time at which the list was true, by the reader's own clock: clocks of the platform may differ from it.
+		AsOf time.Time `json:"-"`
+		Tag  string    `json:"-"`
 	}
 
 	// Host is one line of the host list.
