fix(member): daemons on both sides of a cut link no longer take leases from each other

Cause: a daemon proposed a take-over of a cell lease as soon as it had not heard from the holder for 3 s, and the delay for daemons of other data centres was chosen once, when the silence began. With links cut and the log readable by all, the holder was alive: each side took the lease back at once, because the new holder was already silent to it. Seen in a scenario (one of three data centres cut off): fencing numbers of three cells rose from 102 to 140 in 6 s, each take-over left the upstreams unsettled, and no load was ordered in any cell. A single cut link was enough, also one between data centres.

Change: silence is weak evidence in three cases and then counts only after one minute, unless the holder is proven gone: the holder wrote its lease record while this daemon did not hear it; a daemon at home hears others and would act; several daemons of the data centre fell silent together. The delay is worked out at each step.

Ruled out: a majority as condition of a take-over (the majority would take the leases of a data centre that is cut off and works); asking peers whether they hear the holder (more messages; does not help when a whole data centre is cut off). A single silent host is still taken over after 3 s and its rank; the second host of a cut data centre pair costs one take-over.

--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -121,7 +121,9 @@
 	return w.platform(a.number("engines", 3), a.number("services", 1), strings.Split(a.text("centres", "colombo,galle,matara"), ","), extra)
 }
 
-// daemons starts hosts and waits until all are current and each cell and key range has a holder.
+// daemons starts hosts and waits until all are current and each cell and key range has a holder. With inOrder=yes each is
+// registered before the next is started: a change needs a majority of each member set of the last day, so it depends on the
+// order which hosts may publish while links are cut.
 func daemons(w *world, a args) error {
 	n, err := strconv.Atoi(a.words[0])
 	if err != nil {
@@ -131,10 +133,29 @@
 		if err := w.daemon(fmt.Sprintf("host%d", i+1), i); err != nil {
 			return err
 		}
+		if a.named["inOrder"] == "yes" && i < n-1 {
+			if err := w.registered(i + 1); err != nil {
+				return err
+			}
+		}
 	}
 	return w.settled(a)
 }
 
+// registered waits until host1 knows so many hosts as members.
+func (w *world) registered(count int) error {
+	return await(readyTimeout, func() error {
+		var list []wire.HostReport
+		if err := w.request(http.MethodGet, "host1", "/v1/hosts", nil, &list); err != nil {
+			return err
+		}
+		if len(list) < count || !list[0].Current {
+			return fmt.Errorf("host1 knows %d hosts, want %d", len(list), count)
+		}
+		return nil
+	})
+}
+
 // settled waits until the living hosts know each other, and each cell and key range has a holder and a backup among them.
 func (w *world) settled(a args) error {
 	return await(a.duration("within", readyTimeout), func() error {
--- a/pkg/member/lease.go
+++ b/pkg/member/lease.go
@@ -11,26 +11,33 @@
 const (
 	// Candidates propose in order of rank, so that usually one of them does; an append takes well under a second.
 	leaseRankDelay = time.Second
-	// Daemons of other data centres serve a cell only when its own data centre has none.
-	foreignDelay = 10 * time.Second
+	// Silence is weak evidence where the holder may be alive behind a cut link: a daemon at home would act if it were not, or
+	// several daemons of one data centre fell silent together, or the holder wrote to the log while it was not heard. Each
+	// take-over of a living holder leaves upstreams unsettled until the link is back. With short delays both sides of a cut
+	// took the leases from each other each second.
+	cutDelay = time.Minute
 	// Daemons that start together become ready within this time of each other.
 	startDelay    = time.Second
 	leaseInterval = 2 * time.Second
+	// As many silent daemons of a data centre are taken for a cut link, a single one for a failed host.
+	silentTogether = 2
 )
 
 // lease is a cell lease and how long it has been without a working holder.
 type lease struct {
 	Lease
-	vacant    bool
-	proposeAt time.Time
+	vacantSince time.Time // VacantSince is zero while the holder works.
+	notBefore   time.Time
+	unheard     bool // Unheard tells that the holder took the lease while this daemon did not hear it, and it still does not.
 }
 
-func (l *List) setLease(m Lease) {
+func (l *List) setLease(now time.Time, m Lease) {
 	old, ok := l.leases[m.Cell]
 	if ok && (m.Offset < old.Offset || m == old.Lease) {
 		return
 	}
-	l.leases[m.Cell] = &lease{Lease: m}
+	// A daemon that is not current reads old records, which do not show that the holder is alive.
+	l.leases[m.Cell] = &lease{Lease: m, unheard: m.Holder != "" && l.state.Current && l.Lost(now, m.Holder)}
 }
 
 func (l *List) takeOver(now time.Time) {
@@ -41,30 +48,45 @@
 
 // watch proposes a take-over of a lease whose holder is missing once this daemon's turn has come.
 func (l *List) watch(now time.Time, c *lease) {
-	vacant := c.Holder == "" || l.Lost(now, c.Holder)
-	if vacant && !c.vacant {
-		c.proposeAt = now.Add(l.leaseDelay(now, c))
+	switch vacant := c.Holder == "" || l.Lost(now, c.Holder); {
+	case !vacant:
+		c.vacantSince, c.unheard = time.Time{}, false
+		return
+	case c.vacantSince.IsZero():
+		c.vacantSince = now
 	}
-	c.vacant = vacant
-	if !vacant || now.Before(c.proposeAt) || !l.state.Current || l.state.Draining || l.evicted {
+	// The delay is worked out anew, since others fall silent or are proven gone while this daemon waits.
+	due := c.vacantSince.Add(l.leaseDelay(now, c))
+	if now.Before(due) || now.Before(c.notBefore) || !l.state.Current || l.state.Draining || l.evicted {
 		return
 	}
-	c.proposeAt = now.Add(leaseInterval)
+	c.notBefore = now.Add(leaseInterval)
 	l.emit(TakeOver{Cell: c.Cell, Base: c.Offset})
 }
 
 func (l *List) leaseDelay(now time.Time, c *lease) time.Duration {
 	d := time.Duration(l.rank(now, c.Cell, c.DataCentre)) * leaseRankDelay
+	home := l.self.DataCentre == c.DataCentre
 	switch {
-	case l.self.DataCentre == c.DataCentre:
-	case l.servedAtHome(now, c.DataCentre):
-		d += foreignDelay
-	default:
+	case c.unheard && !l.Gone(c.Holder), !home && (l.servedAtHome(now, c.DataCentre) || l.silent(now, c.DataCentre) >= silentTogether):
+		d += cutDelay
+	case !home:
 		d += startDelay
 	}
 	return d
 }
 
+// silent counts the daemons of the data centre that are recorded and not heard, without a proof that they are gone.
+func (l *List) silent(now time.Time, dataCentre string) int {
+	n := 0
+	for _, p := range l.peers {
+		if p.DataCentre == dataCentre && p.upOffset > 0 && p.proof == "" && p.lost(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // servedAtHome reports whether a daemon of the data centre can take its lease.
 func (l *List) servedAtHome(now time.Time, dataCentre string) bool {
 	for _, p := range l.peers {
--- a/pkg/member/list.go
+++ b/pkg/member/list.go
@@ -109,7 +109,7 @@
 	case UpstreamRefused:
 		l.evidence(now, Evidence{Upstream: m.Upstream, Incarnation: m.Incarnation, First: now, Last: now}, true)
 	case Lease:
-		l.setLease(m)
+		l.setLease(now, m)
 	case Tick:
 	}
 	l.recordGone(now)
--- a/pkg/member/list_test.go
+++ b/pkg/member/list_test.go
@@ -242,3 +242,45 @@
 		qt.Check(t, l.Peers(start), qt.HasLen, 0)
 	}
 }
+
+// Guards against daemons that take leases from each other while links are cut and all of them read the log.
+func TestTakeOverWhileCut(t *testing.T) {
+	const n, away = 6, 0 // Daemons 0 and 3 are those of dc0.
+	for _, test := range []struct {
+		name string
+		cut  func(i, k int) bool // Cut reports whether daemon k does not hear daemon i.
+		want int                 // Want is the number of take-overs in 50 s.
+	}{
+		{"data centre", func(i, k int) bool { return (i%3 == away) != (k%3 == away) }, 0},
+		{"every data centre", func(i, k int) bool { return i%3 != k%3 }, 0},
+		{"one foreign link", func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 1 }, 0},
+		{"link at home", func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 3 }, 1},
+		{"link at home, one way", func(i, k int) bool { return i == 0 && k == 3 }, 1},
+		{"holder", func(i, k int) bool { return i == 0 || k == 0 }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lists := group(n)
+			held := Lease{Cell: "dc0", DataCentre: "dc0", Offset: 20, Holder: identity(0).Incarnation}
+			taken := 0
+			for age := time.Duration(0); age <= 50*time.Second; age += simStep {
+				now := start.Add(age)
+				for k, l := range lists {
+					actions := l.Handle(now, held)
+					for i := range n {
+						if i != k && !test.cut(i, k) {
+							actions = append(actions, l.Handle(now, Heartbeat{Identity: identity(i), Current: true})...)
+						}
+					}
+					for _, p := range pick[TakeOver](actions) {
+						if p.Base == held.Offset {
+							taken++
+							held.Offset, held.Holder = held.Offset+1, identity(k).Incarnation
+						}
+					}
+				}
+			}
+			qt.Assert(t, taken, qt.Equals, test.want)
+			qt.Assert(t, held.Holder, qt.Equals, identity(3*test.want).Incarnation)
+		})
+	}
+}
