fix(fresh): a change that is asked for during a log outage no longer stops the hosts

Cause: a host opened its intent as soon as an operator asked for a change, also without contact with the log. Nothing can be appended then, but the members that noted the intent were not current by majority until the request was given up after 10 s.

Change: an intent is opened only while the log has been read within 3 s, which MayPublish asks as well, so no change that could be appended is delayed. The planner asks again at each step, so the intent opens when the log is back. An intent that is open when the outage begins still blocks, since its record may be in the log.

Ruled out: refusing the change at once (it may wait up to 10 s for the log, which a short outage needs).

TestNoIntentWithoutLog fails without the change; the model check of pkg/fresh, whose daemons now ask again at each step as the planner does, passes with -race.

--- a/internal/scene/traffic_test.go
+++ b/internal/scene/traffic_test.go
@@ -23,7 +23,7 @@
 	reasons map[string]int
 	unknown int
 	slowest time.Duration
-	slow    string // Slow describes the slowest call.
+	slow    string            // Slow describes the slowest call.
 	keys    map[string][2]int // The least and the most runs that the answers to bookings allow, by key.
 }
 
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -275,12 +275,14 @@
 }
 
 // SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When it
-// becomes true, heartbeats should be sent at once, and MayPublish awaited. It has no effect until the daemon is registered.
-func (t *Tracker) SetIntent(publishing bool) {
+// becomes true, heartbeats should be sent at once, and MayPublish awaited. It has no effect until the daemon is registered and
+// in contact with the log: nothing can be published before, and an open intent keeps the members that note it from proving
+// that they are current during the outage.
+func (t *Tracker) SetIntent(now time.Time, publishing bool) {
 	switch {
 	case !publishing:
 		t.intent.Open = false
-	case !t.intent.Open && t.live[t.self]:
+	case !t.intent.Open && t.live[t.self] && t.logContact(now):
 		t.intent = Intent{Serial: t.intent.Serial + 1, Open: true}
 	}
 }
@@ -288,7 +290,7 @@
 // MayPublish returns nil if a change of configuration may be appended now, or a NotCurrent or NoMajority error. The change
 // must carry the offset that the daemon has folded, and the fold must reject it if the members have changed since.
 func (t *Tracker) MayPublish(now time.Time) error {
-	if !t.hasRead || now.Sub(t.readAt) > contactAge {
+	if !t.logContact(now) {
 		return codes.New(codes.NotCurrent, "the log has not been read to its end")
 	}
 	if !t.live[t.self] {
@@ -313,6 +315,8 @@
 	return nil
 }
 
+func (t *Tracker) logContact(now time.Time) bool { return t.hasRead && now.Sub(t.readAt) <= contactAge }
+
 // contact reports whether the member was heard from and has noted the open intent.
 func (t *Tracker) contact(now time.Time, incarnation string) bool {
 	if incarnation == t.self {
--- a/pkg/fresh/model_test.go
+++ b/pkg/fresh/model_test.go
@@ -105,7 +105,7 @@
 	d.t.Folded(d.s.Offset(), members)
 	if _, ok := d.s.Seen(d.id); ok && d.data != nil {
 		d.data = nil
-		d.t.SetIntent(false)
+		d.t.SetIntent(w.now(), false)
 	}
 }
 
@@ -176,13 +176,16 @@
 // publish appends a change once it is permitted, and the same bytes again while the answer is missing. An append may take
 // effect up to 2 s later, even if the daemon is cut off or dead by then, or never.
 func (w *world) publish(d *node) {
+	if d.data != nil && !d.sent {
+		d.t.SetIntent(w.now(), true)
+	}
 	switch {
 	case d.data == nil && w.pick(w.rate) == 0:
-		d.t.SetIntent(true)
+		d.t.SetIntent(w.now(), true)
 		d.sent, d.sentAt, d.data = false, w.tick, []byte{}
 	case d.data != nil && !d.sent && w.tick-d.sentAt > 8:
 		// The deadline has passed before the change could be sent.
-		d.t.SetIntent(false)
+		d.t.SetIntent(w.now(), false)
 		d.data = nil
 		return
 	case d.data != nil && !d.sent && d.t.MayPublish(w.now()) == nil:
@@ -333,7 +336,7 @@
 		}
 		call(x, y)
 		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*0 of the 1 oldest.*")
-		x.t.SetIntent(true)
+		x.t.SetIntent(w.now(), true)
 		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*1 of the 2 oldest.*")
 		call(x, y)
 		c.Assert(x.t.MayPublish(w.now()), qt.IsNil)
@@ -350,3 +353,22 @@
 		c.Assert(w.reasons[ByMajority], qt.Equals, 1)
 	}
 }
+
+// Guards against a change that is asked for during an outage and keeps the members that note it from serving, although nothing
+// can be appended.
+func TestNoIntentWithoutLog(t *testing.T) {
+	c, now := qt.New(t), time.Unix(1000, 0)
+	x := New("x")
+	x.Folded(1, []Member{{Incarnation: "x", Offset: 1, Up: now}})
+	for _, step := range []struct {
+		age  time.Duration
+		open bool
+	}{{contactAge + 1, false}, {contactAge, true}, {contactAge + 1, true}} {
+		x.Read(now, 1)
+		x.SetIntent(now.Add(step.age), true)
+		c.Assert(x.Beat(now, "y").Intent.Open, qt.Equals, step.open)
+		c.Assert(x.Beat(now, "y").Blocked, qt.Equals, step.open)
+	}
+	x.SetIntent(now, false)
+	c.Assert(x.Beat(now, "y").Blocked, qt.IsFalse)
+}
