fix(idemp): the smaller part of a cut network resets no key ranges

Cause: a daemon that did not hear holder and backup of a range for 30 s and its rank proposed a blind reset, which costs callers their own keys for 24 h. With data centres cut from each other and the log readable by all, holder and backup work in the other part.

Change: a reset without proof that both are gone needs contact with a majority of the members, and 5 minutes in place of 30 s, since regions lose contact for minutes and the larger part cannot see that the smaller one works. A reset after proof (refused connection, newer incarnation, host list) is unchanged: 2 s and the rank.

Cost: where both fail without any proof, their ranges refuse new keys as not run for 5 minutes, and until the host list says gone if no majority is in contact.

--- a/pkg/idemp/govern.go
+++ b/pkg/idemp/govern.go
@@ -17,10 +17,10 @@
 	proposeInterval = time.Second
 	// Daemons propose in the order of their rank for a range, so that usually only one of them does.
 	rankDelay = 2 * time.Second
-	// A blind reset costs callers their own keys for a day, so a daemon that is merely out of contact does not ask for
-	// it at once.
+	// A blind reset costs callers their own keys for a day, so the daemons that are merely out of contact with holder and
+	// backup wait longer than data centres usually are cut from each other (minutes).
 	goneDelay = 2 * time.Second
-	lostDelay = 30 * time.Second
+	lostDelay = 5 * time.Minute
 )
 
 type cause int
@@ -69,10 +69,24 @@
 		return noCause
 	case h.gone(a.Holder) && (a.Backup == self || a.Backup == "" || h.gone(a.Backup)):
 		return goneReset
+	case !h.majority():
+		return noCause
 	}
 	return lostReset
 }
 
+// majority reports whether this daemon is in contact with most members. Without this condition the smaller part of a cut
+// network resets ranges that the other part serves.
+func (h *Host) majority() bool {
+	n := 0
+	for _, m := range h.members {
+		if !m.Lost {
+			n++
+		}
+	}
+	return 2*n > len(h.members)
+}
+
 func (h *Host) holderCause(r *keyRange) cause {
 	backup := r.assign.Backup
 	poor := backup == "" || h.lost(backup) || h.members[backup].Draining
--- a/pkg/idemp/host_test.go
+++ b/pkg/idemp/host_test.go
@@ -230,3 +230,41 @@
 		qt.Check(t, h.Keys() == 1, qt.Equals, acked)
 	}
 }
+
+// Guards against a daemon that is cut from the others and resets ranges whose holder and backup work, which costs callers
+// their keys for a day.
+func TestNoResetWhileCut(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		lost   string // Lost names the members that "f" does not hear.
+		gone   bool   // Gone tells that holder "a" and backup "b" are proven gone.
+		within time.Duration
+	}{
+		{"cut from all", "abcde", false, 0},
+		{"in the smaller part", "abcd", false, 0},
+		{"in half", "abc", false, 0},
+		{"in the larger part", "ab", false, lostDelay},
+		{"gone, in the smaller part", "cd", true, goneDelay},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			h := New(Config{Incarnation: "f", Ranges: 1}, rand.New(rand.NewPCG(1, 2)))
+			h.Handle(start, Assignment{Epoch: 7, Holder: "a", Backup: "b"})
+			var list []Member
+			for _, name := range strings.Split("abcdef", "") {
+				if !test.gone || !strings.Contains("ab", name) {
+					list = append(list, Member{Incarnation: name, Lost: strings.Contains(test.lost, name)})
+				}
+			}
+			h.Handle(start, Peers{Members: list})
+			var at time.Duration
+			for age := time.Second; age <= time.Hour && at == 0; age += time.Second {
+				if p, ok := first[Propose](h.Handle(start.Add(age), Tick{})); ok {
+					c.Assert(p.Blind, qt.IsTrue)
+					at = age
+				}
+			}
+			c.Assert(at >= test.within && at <= test.within+6*rankDelay, qt.IsTrue, qt.Commentf("proposed after %s", at))
+		})
+	}
+}
