--- a/internal/scene/traffic_test.go
+++ b/internal/scene/traffic_test.go
@@ -30,7 +30,8 @@
 // traffic start|stop runs callers=N against the model; stop reports calls that were cut off. A refusal that says "not run"
 // with a retry time is not a cut, and at most refused=N of them are allowed, as are unknown=N bookings whose outcome is unknown.
 // The services' counts decide whether "not run" and the answers of bookings are true. With at=HOST,... the callers use these
-// hosts, with slowest=10s each call has to end in that time.
+// hosts, with slowest=10s each call has to end in that time. With
+// again=yes each booking is sent with the same key to the next of the hosts as well, whatever the first answer was.
 func (w *world) traffic(a args) error {
 	if a.words[0] == "start" {
 		l := &load{stop: make(chan struct{}), reasons: make(map[string]int), keys: make(map[string][2]int)}
@@ -86,6 +87,13 @@
 		key := fmt.Sprintf("t%s%d-%d", a.named["name"], index, n)
 		if a.named["book"] == "yes" {
 			c = w.book(host, key, "visit")
+			if a.named["again"] == "yes" {
+				<-c.done
+				l.ended(c, host, key, true)
+				hosts := strings.Split(a.named["at"], ",")
+				host = hosts[(index+1)%len(hosts)]
+				c = w.book(host, key, "visit")
+			}
 		} else {
 			c = w.chat(host, a.text("model", "m1"), fmt.Sprintf("caller %d call %d", index, n), a.number("tokens", 30), nil)
 		}
@@ -117,6 +125,9 @@
 	default:
 		l.faults = append(l.faults, fmt.Sprintf("%s: code %d %s %s after %s", host, c.code, c.out, c.detail, c.took))
 	}
+	if old, ok := l.keys[key]; booking && ok {
+		runs = [2]int{max(old[0], runs[0]), max(old[1], runs[1])}
+	}
 	if booking {
 		l.keys[key] = runs
 	}
