fix: changes that cannot be published stop no work in a log outage

Cause: an operator's change opened an intent even without contact with the log; every member that noted it refused new work as in doubt until the change was given up. Change: an intent opens only in contact with the log, and closes again when the contact is lost before MayPublish has permitted an append. Ruled out: ending it in the planner, which does not know the contact and would have to give the change up early.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -83,7 +83,7 @@
 }
 
 func (m *members) setIntent(publishing bool) {
-	m.fresh.SetIntent(publishing)
+	m.fresh.SetIntent(time.Now(), publishing)
 	if publishing {
 		m.urge()
 	}
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -78,7 +78,7 @@
 
 	// guards switches single checks off, so that tests can show that the bound depends on them.
 	guards struct {
-		noMajority, noNotes, noAge, noKnown, noHistory bool
+		noMajority, noNotes, noAge, noKnown, noHistory, noContact bool
 	}
 
 	// Tracker holds the evidence of one daemon.
@@ -94,6 +94,7 @@
 		peers    map[string]heard
 		notes    map[string]note
 		intent   Intent
+		granted  bool // MayPublish has permitted an append under the intent, whose outcome may be unknown from then on.
 		off      guards
 	}
 )
@@ -274,27 +275,33 @@
 	return t.intent.Open
 }
 
-// SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When it
-// becomes true, heartbeats should be sent at once, and MayPublish awaited. It has no effect until the daemon is registered.
-func (t *Tracker) SetIntent(publishing bool) {
+// SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When the
+// intent opens, heartbeats should be sent at once, and MayPublish awaited. It stays closed until the daemon is registered and
+// in contact with the log, and closes again when the contact is lost before MayPublish has permitted an append: an intent
+// that cannot be published must not keep the members that note it from serving in a log outage.
+func (t *Tracker) SetIntent(now time.Time, publishing bool) {
+	able := t.live[t.self] && (t.contactsLog(now) || t.off.noContact)
 	switch {
-	case !publishing:
+	case !publishing, !able && t.intent.Open && !t.granted:
 		t.intent.Open = false
-	case !t.intent.Open && t.live[t.self]:
-		t.intent = Intent{Serial: t.intent.Serial + 1, Open: true}
+	case !t.intent.Open && able:
+		t.intent, t.granted = Intent{Serial: t.intent.Serial + 1, Open: true}, false
 	}
 }
 
+func (t *Tracker) contactsLog(now time.Time) bool { return t.hasRead && now.Sub(t.readAt) <= contactAge }
+
 // MayPublish returns nil if a change of configuration may be appended now, or a NotCurrent or NoMajority error. The change
 // must carry the offset that the daemon has folded, and the fold must reject it if the members have changed since.
 func (t *Tracker) MayPublish(now time.Time) error {
-	if !t.hasRead || now.Sub(t.readAt) > contactAge {
+	if !t.contactsLog(now) {
 		return codes.New(codes.NotCurrent, "the log has not been read to its end")
 	}
 	if !t.live[t.self] {
 		return codes.New(codes.NotCurrent, string(Unregistered))
 	}
 	if t.off.noMajority {
+		t.granted = true
 		return nil
 	}
 	// A daemon without log may know an older member set. Without the members that are gone since, the sets that were in
@@ -310,6 +317,7 @@
 			return codes.Newf(codes.NoMajority, "%d of the %d oldest members have noted the change", count, i+1)
 		}
 	}
+	t.granted = true
 	return nil
 }
 
--- a/pkg/fresh/model_test.go
+++ b/pkg/fresh/model_test.go
@@ -106,7 +106,7 @@
 	d.t.Folded(d.s.Offset(), members)
 	if _, ok := d.s.Seen(d.id); ok && d.data != nil {
 		d.data = nil
-		d.t.SetIntent(false)
+		d.t.SetIntent(w.now(), false)
 	}
 }
 
@@ -177,13 +177,16 @@
 // publish appends a change once it is permitted, and the same bytes again while the answer is missing. An append may take
 // effect up to 2 s later, even if the daemon is cut off or dead by then, or never.
 func (w *world) publish(d *node) {
+	if d.data != nil {
+		d.t.SetIntent(w.now(), true)
+	}
 	switch {
 	case d.data == nil && w.pick(w.rate) == 0:
-		d.t.SetIntent(true)
+		d.t.SetIntent(w.now(), true)
 		d.sent, d.sentAt, d.data = false, w.tick, []byte{}
 	case d.data != nil && !d.sent && w.tick-d.sentAt > 8:
 		// The deadline has passed before the change could be sent.
-		d.t.SetIntent(false)
+		d.t.SetIntent(w.now(), false)
 		d.data = nil
 		return
 	case d.data != nil && !d.sent && d.t.MayPublish(w.now()) == nil:
@@ -337,7 +340,7 @@
 		}
 		call(x, y)
 		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*0 of the 1 oldest.*")
-		x.t.SetIntent(true)
+		x.t.SetIntent(w.now(), true)
 		c.Assert(x.t.MayPublish(w.now()), qt.ErrorMatches, ".*1 of the 2 oldest.*")
 		call(x, y)
 		c.Assert(x.t.MayPublish(w.now()), qt.IsNil)
--- a/pkg/fresh/outage_test.go
+++ b/pkg/fresh/outage_test.go
@@ -19,11 +19,12 @@
 
 // outage runs five daemons through an hour without log. One of them dies after a quarter of it; another is cut off
 // between the half and three quarters. Daemons that lost contact to the majority refuse work until they have it back.
-func outage(seed uint64, rate int, off guards) (stopped [5]int, doubt bool, err error) {
+// The rates tell how often a daemon starts a change before the outage and in it.
+func outage(seed uint64, before, within int, off guards) (stopped [5]int, doubt bool, err error) {
 	w := newWorld(rand.New(rand.NewPCG(seed, 4)).IntN, off, false)
 	w.start(3)
 	w.start(4)
-	w.quiet, w.rate = true, rate
+	w.quiet, w.rate = true, before
 	if err := w.run(warmUp); err != nil {
 		return stopped, doubt, err
 	}
@@ -33,7 +34,9 @@
 		if err := w.run(w.tick + 1); err != nil {
 			return stopped, doubt, err
 		}
-		w.quarter(w.tick - start)
+		if w.quarter(w.tick - start); w.tick == start+settling {
+			w.rate = within
+		}
 		for i, d := range w.nodes {
 			ok, why := d.t.Current(w.now())
 			doubt = doubt || why == InDoubt
@@ -64,19 +67,20 @@
 func TestOutageOfAnHour(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
-		name string
-		rate int
+		name           string
+		before, within int
 	}{
-		{"no change", never},
-		{"changes before it", 100},
+		{"no change", never, never},
+		{"changes before it", 100, never},
+		{"changes tried in it", never, 100},
 	} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprint(test.name, seed), func(t *testing.T) {
 				c := qt.New(t)
-				stopped, doubt, err := outage(seed, test.rate, guards{})
+				stopped, doubt, err := outage(seed, test.before, test.within, guards{})
 				c.Assert(err, qt.IsNil)
 				c.Assert(stopped[3] >= hour/4-settling, qt.IsTrue, qt.Commentf("%v", stopped))
-				if !doubt {
+				if !doubt || test.before == never {
 					c.Assert(stopped[0]+stopped[1]+stopped[2]+stopped[4], qt.Equals, 0, qt.Commentf("%v", stopped))
 					c.Assert(stopped[3] <= hour/4+settling, qt.IsTrue, qt.Commentf("%v", stopped))
 				}
@@ -84,3 +88,10 @@
 		}
 	}
 }
+
+// Guards against an outage check that passes whatever the rule for intents does.
+func TestOutageMutant(t *testing.T) {
+	stopped, _, err := outage(0, never, 100, guards{noContact: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, stopped[0] > settling, qt.IsTrue, qt.Commentf("%v", stopped))
+}
