--- a/internal/daemon/cellrun.go
+++ b/internal/daemon/cellrun.go
@@ -210,7 +210,7 @@
 	r.directory.Header = r.d.header(r.d.life)
 	r.directory.Fence, r.directory.Seq, r.directory.Replicas = a.Fence, a.Seq, a.Replicas
 	r.d.applyDirectory(r.directory)
-	r.d.tellAll("Directory", r.directory)
+	r.d.tellAll("Directory", r.directory.Outward(time.Now()))
 }
 
 func (r *cellRun) forecast(a cell.Forecast) {
@@ -220,7 +220,8 @@
 	}
 	for _, m := range r.d.state.Members() {
 		if m.Host == a.Host {
-			r.d.tellMember(m.Incarnation, "Forecast", peers.ForecastArgs{Header: r.d.header(r.d.life), Cell: r.name, Forecast: a})
+			args := peers.ForecastArgs{Header: r.d.header(r.d.life), Cell: r.name, Forecast: a}
+			r.d.tellMember(m.Incarnation, "Forecast", args.Outward(time.Now()))
 		}
 	}
 }
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -123,7 +123,7 @@
 	if !ok {
 		return
 	}
-	c.d.tellMember(lease.Incarnation, "CellEvent", peers.CellEvent{Header: c.d.header(c.d.life), Cell: name, Event: e})
+	c.d.tellMember(lease.Incarnation, "CellEvent", peers.CellEvent{Header: c.d.header(c.d.life), Cell: name, Event: e}.Outward(time.Now()))
 }
 
 // sync compares the leases and permits of the fold with what the controllers know.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/setup"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
@@ -41,6 +42,7 @@
 		metrics     *telem.Metrics
 		traces      *telem.Traces
 		logs        *logsvc.Client
+		logClock    clocks.Remote
 		engines     *engine.Client
 		peerClient  *peers.Client
 		peerServer  *peers.Server
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -86,7 +86,7 @@
 	}
 	r.d.directories[r.name] = true
 	r.directory.Header, r.directory.Fence = r.d.header(r.d.life), r.fence
-	r.d.tellAll("Directory", r.directory)
+	r.d.tellAll("Directory", r.directory.Outward(time.Now()))
 	for holder, fence := range r.earlier {
 		r.askRelease(holder, fence)
 	}
--- a/internal/daemon/logtail.go
+++ b/internal/daemon/logtail.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
+	"github.com/fireflycleat/fireflycleat/pkg/idemp"
 )
 
 const (
@@ -75,6 +76,7 @@
 	}
 	d.state = s
 	d.log("state").Info("state adopted", "offset", s.Offset())
+	d.noteLogTime()
 	for i := range fold.KeyRanges {
 		d.assign(s.KeyRange(i), unknownBase)
 	}
@@ -93,11 +95,17 @@
 	if d.appends.appending(fold.SnapshotKind) || d.stopping.asked {
 		return
 	}
-	if due, _ := d.state.SnapshotDue(time.Now(), d.incarnation, d.settings.Platform.SnapshotInterval.Value()); due {
+	if due, _ := d.state.SnapshotDue(d.logClock.Earliest(time.Now()), d.incarnation, d.settings.Platform.SnapshotInterval.Value()); due {
 		d.writeSnapshot()
 	}
 }
 
+// noteLogTime passes the time of the newest record on to what has to wait by the log's clock. The own clock may differ.
+func (d *Daemon) noteLogTime() {
+	d.logClock.Passed(time.Now(), d.state.Clock())
+	d.bookings.handle(idemp.LogTime{At: d.state.Clock()})
+}
+
 func (d *Daemon) apply(records []wire.LogRecord) bool {
 	changed := false
 	for _, r := range records {
@@ -110,6 +118,7 @@
 			continue
 		}
 		changed = true
+		d.noteLogTime()
 		for _, c := range v.Record.KeyRange {
 			if v.Outcome == fold.Accepted {
 				d.assign(d.state.KeyRange(c.Range), c.Base)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -169,7 +169,7 @@
 			m.handle(member.Down{Incarnation: i})
 		}
 	}
-	m.fresh.Folded(m.d.state.Offset(), list)
+	m.fresh.Folded(time.Now(), m.d.state.Offset(), list)
 }
 
 // tellPeers passes the state of the members on to the key ranges when it has changed.
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -43,7 +43,7 @@
 	}
 	s.d.control.post(func() {
 		if r, ok := s.d.cells.byName[a.Cell]; ok && r.held {
-			r.handle(a.Event)
+			r.handle(a.Inward(time.Now()).Event)
 		}
 	})
 	return nil
@@ -51,13 +51,13 @@
 
 // Forecast passes a forecast to the entry machine.
 func (s *service) Forecast(a peers.ForecastArgs, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.cells.forecast(a.Cell, a.Forecast) })
+	s.d.control.post(func() { s.d.cells.forecast(a.Cell, a.Inward(time.Now()).Forecast) })
 	return nil
 }
 
 // Directory passes the directory of a cell to the entry machine.
 func (s *service) Directory(a peers.Directory, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.applyDirectory(a) })
+	s.d.control.post(func() { s.d.applyDirectory(a.Inward(time.Now())) })
 	return nil
 }
 
@@ -66,7 +66,7 @@
 	if a.Message == nil {
 		return codes.New(codes.BadPeerMessage, "message is missing")
 	}
-	s.d.control.post(func() { s.d.bookings.handle(a.Message) })
+	s.d.control.post(func() { s.d.bookings.handle(a.Inward(time.Now()).Message) })
 	return nil
 }
 
@@ -182,7 +182,7 @@
 }
 
 func (d *Daemon) sendKeyMessage(a idemp.Send) {
-	d.tellMember(a.To, "Keys", peers.KeyMessage{Header: d.header(d.life), Message: a.Message})
+	d.tellMember(a.To, "Keys", peers.KeyMessage{Header: d.header(d.life), Message: a.Message}.Outward(time.Now()))
 }
 
 // forward sends a keyed call to the holder of its range. Without an answer its outcome is unknown; the same key may be
--- /dev/null
+++ b/internal/peers/moved.go
@@ -0,0 +1,67 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
+	"github.com/fireflycleat/fireflycleat/pkg/idemp"
+)
+
+// Messages between daemons carry ages in place of instants, because the clocks of hosts differ and step. Each type with
+// instants has Outward, which the sender calls with its present time, and Inward, which the receiver calls with its own.
+
+// Outward returns the message as it is sent at the time.
+func (m CellEvent) Outward(now time.Time) CellEvent {
+	m.Event = cell.Moved(m.Event, now, clocks.Epoch)
+	return m
+}
+
+// Inward returns the message as it is received at the time.
+func (m CellEvent) Inward(now time.Time) CellEvent {
+	m.Event = cell.Moved(m.Event, clocks.Epoch, now)
+	return m
+}
+
+// Outward returns the message as it is sent at the time.
+func (m ForecastArgs) Outward(now time.Time) ForecastArgs {
+	m.Forecast = m.Forecast.Moved(now, clocks.Epoch)
+	return m
+}
+
+// Inward returns the message as it is received at the time.
+func (m ForecastArgs) Inward(now time.Time) ForecastArgs {
+	m.Forecast = m.Forecast.Moved(clocks.Epoch, now)
+	return m
+}
+
+// Outward returns the message as it is sent at the time.
+func (d Directory) Outward(now time.Time) Directory { return d.moved(now, clocks.Epoch) }
+
+// Inward returns the message as it is received at the time.
+func (d Directory) Inward(now time.Time) Directory { return d.moved(clocks.Epoch, now) }
+
+func (d Directory) moved(from, to time.Time) Directory {
+	replicas, loads := make([]cell.Replica, len(d.Replicas)), make([]Load, len(d.Loads))
+	for i, r := range d.Replicas {
+		replicas[i] = r.Moved(from, to)
+	}
+	for i, l := range d.Loads {
+		l.At = clocks.Move(l.At, from, to)
+		loads[i] = l
+	}
+	d.Replicas, d.Loads = replicas, loads
+	return d
+}
+
+// Outward returns the message as it is sent at the time.
+func (m KeyMessage) Outward(now time.Time) KeyMessage {
+	m.Message = idemp.Moved(m.Message, now, clocks.Epoch)
+	return m
+}
+
+// Inward returns the message as it is received at the time.
+func (m KeyMessage) Inward(now time.Time) KeyMessage {
+	m.Message = idemp.Moved(m.Message, clocks.Epoch, now)
+	return m
+}
--- /dev/null
+++ b/pkg/cell/moved.go
@@ -0,0 +1,29 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
+)
+
+// Moved returns the event with its instants as far from the second reference as they were from the first; a daemon sends
+// them relative to clocks.Epoch.
+func Moved(e Event, from, to time.Time) Event {
+	if d, ok := e.(Demand); ok {
+		d.EarliestDeadline = clocks.Move(d.EarliestDeadline, from, to)
+		return d
+	}
+	return e
+}
+
+// Moved returns the forecast with its instants moved like those of events.
+func (f Forecast) Moved(from, to time.Time) Forecast {
+	f.ReadyAt = clocks.Move(f.ReadyAt, from, to)
+	return f
+}
+
+// Moved returns the line with its instants moved like those of events.
+func (r Replica) Moved(from, to time.Time) Replica {
+	r.ReadyAt = clocks.Move(r.ReadyAt, from, to)
+	return r
+}
--- /dev/null
+++ b/pkg/clocks/clocks_test.go
@@ -0,0 +1,53 @@
+package clocks
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against bounds that exclude what the other clock shows, or that stay loose, with clocks that are hours apart,
+// drift, answer late and, once, step.
+func TestRemote(t *testing.T) {
+	for seed := range uint64(50) {
+		c, rng := qt.New(t), rand.New(rand.NewPCG(seed, 1))
+		start := time.Unix(1_700_000_000, 0)
+		ahead, drift := time.Duration(rng.IntN(12)-6)*time.Hour, float64(rng.IntN(3)-1)/2000
+		remote := func(at time.Duration) time.Time {
+			step := time.Duration(0)
+			if at > time.Hour {
+				step = -time.Hour
+			}
+			return start.Add(ahead + step + at + time.Duration(drift*float64(at)))
+		}
+		var r Remote
+		c.Assert([]bool{r.Known(), r.Earliest(start).IsZero(), r.Latest(start).IsZero(), r.Since(start).IsZero()}, qt.DeepEquals,
+			[]bool{false, true, true, true})
+		for at := time.Duration(0); at < 2*time.Hour; {
+			asked := at
+			at += time.Duration(rng.IntN(200)) * time.Millisecond
+			shown := remote(at).Truncate(time.Second)
+			at += time.Duration(rng.IntN(200)) * time.Millisecond
+			r.Observe(start.Add(asked), start.Add(at), shown, shown.Add(time.Second))
+			for _, d := range []time.Duration{-time.Minute, 0, 10 * time.Minute} {
+				if s := at + d; s >= 0 && (s > time.Hour) == (at > time.Hour) {
+					local, want := start.Add(s), remote(s)
+					c.Assert(r.Earliest(local).After(want) || r.Latest(local).Before(want), qt.IsFalse, qt.Commentf("%v %v", seed, at))
+					c.Assert(r.Since(want).After(local), qt.IsFalse)
+				}
+			}
+			c.Assert(r.Latest(start.Add(at)).Sub(r.Earliest(start.Add(at))) < 1500*time.Millisecond, qt.IsTrue)
+			at += time.Duration(rng.IntN(60_000)) * time.Millisecond
+		}
+	}
+}
+
+// Guards against instants that move with the offset between two clocks, and against a zero time that becomes one.
+func TestMove(t *testing.T) {
+	now := time.Unix(5000, 0)
+	sent := Move(now.Add(-time.Minute), now, Epoch)
+	qt.Assert(t, Move(sent, Epoch, now.Add(time.Hour)), qt.Equals, now.Add(59*time.Minute))
+	qt.Assert(t, Move(time.Time{}, now, Epoch).IsZero(), qt.IsTrue)
+}
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
@@ -17,8 +18,8 @@
 	// when its own proof had lapsed and its peers had not yet said that theirs had.
 	contactAge = 3 * time.Second
 
-	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the
-	// difference between a daemon's clock and the log's.
+	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the delay and
+	// the drift of clocks.
 	memberHistory = 24*time.Hour + 10*time.Minute
 )
 
@@ -78,12 +79,13 @@
 
 	// guards switches single checks off, so that tests can show that the bound depends on them.
 	guards struct {
-		noMajority, noNotes, noAge, noKnown, noHistory, noContact bool
+		noMajority, noNotes, noAge, noKnown, noHistory, noContact, ownClock bool
 	}
 
 	// Tracker holds the evidence of one daemon.
 	Tracker struct {
 		self     string
+		clock    clocks.Remote // clock is the log's.
 		offset   int64
 		known    int64
 		hasRead  bool
@@ -104,12 +106,13 @@
 	return &Tracker{self: incarnation, peers: make(map[string]heard), notes: make(map[string]note)}
 }
 
-// Folded takes the offset of the last record that the daemon has folded and the members as of that offset.
-func (t *Tracker) Folded(offset int64, members []Member) {
+// Folded takes the offset of the last record that the daemon has folded by now and the members as of that offset.
+func (t *Tracker) Folded(now time.Time, offset int64, members []Member) {
 	t.offset, t.known = max(t.offset, offset), max(t.known, offset)
 	t.members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Offset, b.Offset) })
 	t.live = make(map[string]bool, len(members))
 	for _, m := range members {
+		t.clock.Passed(now, m.Up)
 		t.live[m.Incarnation] = true
 	}
 	for i := range t.peers {
@@ -314,7 +317,7 @@
 			count++
 		}
 		last := i == len(t.members)-1
-		inForce := last || !t.off.noHistory && now.Sub(t.members[i+1].Up) < memberHistory
+		inForce := last || !t.off.noHistory && t.logTime(now).Sub(t.members[i+1].Up) < memberHistory
 		if inForce && 2*count <= i+1 {
 			return codes.Newf(codes.NoMajority, "%d of the %d oldest members have noted the change", count, i+1)
 		}
@@ -323,6 +326,15 @@
 	return nil
 }
 
+// logTime is the time by the log's clock, or somewhat before it. The own clock may be hours ahead of the log's: it made a
+// publisher forget member sets that a daemon without log still knew. The own registration keeps the estimate close.
+func (t *Tracker) logTime(now time.Time) time.Time {
+	if t.off.ownClock {
+		return now
+	}
+	return t.clock.Earliest(now)
+}
+
 // contact reports whether the member was heard from and has noted the open intent.
 func (t *Tracker) contact(now time.Time, incarnation string) bool {
 	if incarnation == t.self {
--- a/pkg/idemp/assign.go
+++ b/pkg/idemp/assign.go
@@ -8,6 +8,7 @@
 	if r == nil || a.Epoch <= r.assign.Epoch {
 		return
 	}
+	h.clock.Passed(now, a.BlindSince)
 	self, old := h.cfg.Incarnation, r.assign
 	held := old.Holder == self && r.valid
 	backed := old.Backup == self && r.complete
--- a/pkg/idemp/begin.go
+++ b/pkg/idemp/begin.go
@@ -77,7 +77,7 @@
 		return moving("key is newer than this holder")
 	case h.blind(now, r.assign) && !(isMinted && epoch >= r.assign.BlindEpoch):
 		return codes.New(codes.KeyOutcomeLost, "keys from before a restart are unknown; use a key from POST /v1/keys").
-			WithRetryAfter(r.assign.BlindSince.Add(h.cfg.KeyLifetime + blindSlack).Sub(now))
+			WithRetryAfter(r.assign.BlindSince.Add(h.cfg.KeyLifetime + blindSlack).Sub(h.clock.Earliest(now)))
 	case !h.canStart(r):
 		return moving("backup of the range is not ready")
 	case len(r.table) >= h.cfg.MaxKeys:
@@ -86,8 +86,12 @@
 	return nil
 }
 
+// blind compares times of the log only; this daemon's clock may be hours ahead of the log's.
 func (h *Host) blind(now time.Time, a Assignment) bool {
-	return a.BlindEpoch > 0 && now.Before(a.BlindSince.Add(h.cfg.KeyLifetime+blindSlack)) && !h.faults.ignoreBlind
+	if h.faults.ownClock {
+		return a.BlindEpoch > 0 && now.Before(a.BlindSince.Add(h.cfg.KeyLifetime+blindSlack))
+	}
+	return a.BlindEpoch > 0 && h.clock.Earliest(now).Before(a.BlindSince.Add(h.cfg.KeyLifetime+blindSlack)) && !h.faults.ignoreBlind
 }
 
 func (h *Host) canStart(r *keyRange) bool {
--- a/pkg/idemp/host.go
+++ b/pkg/idemp/host.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
@@ -38,6 +39,7 @@
 	// Host is the state of one daemon incarnation for all key ranges.
 	Host struct {
 		cfg      Config
+		clock    clocks.Remote // clock is the log's.
 		rng      *rand.Rand
 		ranges   []*keyRange
 		members  map[string]Member
@@ -68,6 +70,7 @@
 		anyEpoch      bool
 		ignoreBlind   bool
 		releaseAlways bool
+		ownClock      bool
 	}
 )
 
@@ -100,6 +103,8 @@
 		h.assign(now, m)
 	case Peers:
 		h.setPeers(now, m)
+	case LogTime:
+		h.clock.Passed(now, m.At)
 	case Drain:
 		h.draining = true
 		h.govern(now)
--- a/pkg/idemp/table.go
+++ b/pkg/idemp/table.go
@@ -59,7 +59,12 @@
 	if r.table == nil {
 		r.reset()
 	}
-	if old, ok := r.table[e.Key]; !ok || !old.StartedAt.Equal(e.StartedAt) {
+	old, ok := r.table[e.Key]
+	if ok && old.Attempt == e.Attempt {
+		// Every message about an attempt gives its start with another delay.
+		e.StartedAt = old.StartedAt
+	}
+	if !ok || !old.StartedAt.Equal(e.StartedAt) {
 		r.order = append(r.order, aged{key: e.Key, startedAt: e.StartedAt})
 	}
 	r.table[e.Key] = e
--- a/pkg/idemp/types.go
+++ b/pkg/idemp/types.go
@@ -54,7 +54,7 @@
 		State     State
 		Attempt   Attempt
 		Digest    string
-		StartedAt time.Time
+		StartedAt time.Time // StartedAt is by the clock of the daemon that has the entry; Moved changes it in messages.
 		Stored    Stored
 	}
 
@@ -74,12 +74,15 @@
 		Holder     string
 		Backup     string    // Backup is empty when the holder runs alone.
 		BlindEpoch int64     // BlindEpoch is the epoch of the last blind reset; zero means there was none.
-		BlindSince time.Time // BlindSince is the time of the last blind reset.
+		BlindSince time.Time // BlindSince is the time of the last blind reset by the log's clock.
 	}
 
 	// Peers replaces the list of members, this daemon included; an incarnation that is not listed is gone.
 	Peers struct{ Members []Member }
 
+	// LogTime tells the time of the newest record that this daemon has read, by the log's clock.
+	LogTime struct{ At time.Time }
+
 	// Drain tells that this daemon stops and hands over its ranges.
 	Drain struct{}
 
@@ -211,6 +214,7 @@
 
 func (Assignment) event()       {}
 func (Peers) event()            {}
+func (LogTime) event()          {}
 func (Drain) event()            {}
 func (Begin) event()            {}
 func (Outcome) event()          {}
