--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -7,16 +7,22 @@
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
 
-// status passes an engine's status to the controller and its load to all entries.
-func (r *cellRun) status(h wire.Host, asked time.Time, s wire.EngineStatus) {
+// status passes an engine's status to the controller and its load to all entries. The time of the load figures is by the
+// engine's clock k: the controller, which unloads what is reported empty, takes the earliest time that it can be.
+func (r *cellRun) status(h wire.Host, asked time.Time, k *clocks.Remote, s wire.EngineStatus) {
 	var loads []peers.Load
+	loadAt := k.About(s.ReportedAt)
+	if loadAt.IsZero() {
+		loadAt = asked
+	}
 	x := cell.Status{
 		Incarnation: s.Incarnation, CapacityBytes: s.CapacityBytes, UsedBytes: s.UsedBytes, OrdersPending: s.OrdersPending,
-		HighestFence: s.HighestFence, Leaving: s.Leaving, ReportedAt: s.ReportedAt,
+		HighestFence: s.HighestFence, Leaving: s.Leaving, ReportedAt: k.Since(s.ReportedAt),
 	}
 	for _, p := range s.Replicas {
 		x.Replicas = append(x.Replicas, cell.StatusReplica{
@@ -24,7 +30,7 @@
 			Waiting: p.Waiting, Adapters: p.Adapters,
 		})
 		loads = append(loads, peers.Load{
-			Upstream: h.Name, Model: p.Model, Running: p.Running, Waiting: p.Waiting, Slots: p.Slots, At: s.ReportedAt,
+			Upstream: h.Name, Model: p.Model, Running: p.Running, Waiting: p.Waiting, Slots: p.Slots, At: loadAt,
 		})
 	}
 	for _, c := range s.Cached {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -8,11 +8,15 @@
 
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
-const hostListInterval = 500 * time.Millisecond
+const (
+	hostListInterval = 500 * time.Millisecond
+	dateStep         = time.Second // dateStep is the resolution of Date headers.
+)
 
 type (
 	// upstreams is what the host list, the engines and the peers say of upstreams. It belongs to the control thread.
@@ -22,15 +26,16 @@
 		leaving map[string]bool
 		polling map[string]bool
 		status  map[string]wire.EngineStatus
-		cells   []string // Cells are those with an engine that is not gone.
-		usable  []string // Usable cells have an engine that takes loads.
+		clocks  map[string]*clocks.Remote // Clocks are those of the engines.
+		cells   []string                  // Cells are those with an engine that is not gone.
+		usable  []string                  // Usable cells have an engine that takes loads.
 	}
 )
 
 func newUpstreams(d *Daemon) *upstreams {
 	return &upstreams{
 		d: d, hosts: make(map[string]wire.Host), leaving: make(map[string]bool), polling: make(map[string]bool),
-		status: make(map[string]wire.EngineStatus),
+		status: make(map[string]wire.EngineStatus), clocks: make(map[string]*clocks.Remote),
 	}
 }
 
@@ -124,6 +129,7 @@
 func (u *upstreams) gone(h wire.Host) {
 	u.d.log("membership").Info("upstream is gone", "upstream", h.Name)
 	delete(u.status, h.Name)
+	delete(u.clocks, h.Name)
 	u.d.models.handle(entry.UpstreamGone{Upstream: h.Name})
 	if h.Kind == wire.KindEngine {
 		u.d.cells.get(h.DataCentre).handle(cell.UpstreamGone{Upstream: h.Name})
@@ -170,22 +176,30 @@
 	asked := time.Now()
 	u.d.background(func(ctx context.Context) {
 		s, err := u.d.engines.Status(ctx, h.Address)
+		answered := time.Now()
 		u.d.control.post(func() {
 			delete(u.polling, name)
 			if err == nil && s.Name == name {
-				u.reported(h, asked, s)
+				u.reported(h, asked, answered, s)
 			}
 		})
 	})
 }
 
-func (u *upstreams) reported(h wire.Host, asked time.Time, s wire.EngineStatus) {
+func (u *upstreams) reported(h wire.Host, asked, answered time.Time, s wire.EngineStatus) {
 	u.status[h.Name] = s
+	if u.clocks[h.Name] == nil {
+		u.clocks[h.Name] = new(clocks.Remote)
+	}
+	k := u.clocks[h.Name]
+	if !s.Date.IsZero() {
+		k.Observe(asked, answered, s.Date, s.Date.Add(dateStep))
+	}
 	u.d.members.handle(member.UpstreamSeen{Upstream: h.Name, Incarnation: s.Incarnation, AskedAt: asked})
 	if s.Leaving {
 		u.d.members.handle(member.UpstreamRefused{Upstream: h.Name, Incarnation: s.Incarnation})
 	}
-	u.d.cells.get(h.DataCentre).status(h, asked, s)
+	u.d.cells.get(h.DataCentre).status(h, asked, k, s)
 }
 
 // pollHostList reads the host list until the daemon stops.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -58,7 +58,7 @@
 		return "", errors.Wrap(err, "order")
 	}
 	var a wire.OrderAnswer
-	status, err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, &a)
+	status, _, err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, &a)
 	if err != nil {
 		return "", err
 	}
@@ -71,7 +71,7 @@
 // Query returns the state of an order; wire.OrderUnknown means that the engine never saw it.
 func (c *Client) Query(ctx context.Context, address, id string) (wire.OrderState, error) {
 	var a wire.OrderAnswer
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/orders/"+url.PathEscape(id), nil, &a)
+	status, _, err := c.call(ctx, http.MethodGet, address, "/v1/orders/"+url.PathEscape(id), nil, &a)
 	if err != nil {
 		return "", err
 	}
@@ -84,7 +84,8 @@
 // Status returns the status of an engine.
 func (c *Client) Status(ctx context.Context, address string) (wire.EngineStatus, error) {
 	var s wire.EngineStatus
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/status", nil, &s)
+	status, date, err := c.call(ctx, http.MethodGet, address, "/v1/status", nil, &s)
+	s.Date = date
 	if err == nil && status != http.StatusOK {
 		err = codes.New(codes.UpstreamFailed, http.StatusText(status))
 	}
@@ -94,7 +95,8 @@
 // Hosts returns the host list of the platform.
 func (c *Client) Hosts(ctx context.Context, address string) (wire.HostList, error) {
 	var l wire.HostList
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/hosts", nil, &l)
+	status, date, err := c.call(ctx, http.MethodGet, address, "/v1/hosts", nil, &l)
+	l.Date = date
 	if err == nil && status != http.StatusOK {
 		err = codes.New(codes.UpstreamFailed, http.StatusText(status))
 	}
@@ -103,34 +105,36 @@
 
 // Cancel cancels a request at an engine.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	_, err := c.call(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
+	_, _, err := c.call(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
 	return err
 }
 
-func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) (int, error) {
+// call returns the status and the Date of the answer; the date is zero where the answer has none.
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) (status int, date time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, errors.Wrap(err, "upstream request")
+		return 0, date, errors.Wrap(err, "upstream request")
 	}
 	r.Header.Set("Content-Type", jsonType)
 	c.inject(ctx, r.Header)
 	answer, err := c.control.Do(r)
 	if err != nil {
-		return 0, Classify(err)
+		return 0, date, Classify(err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(answer.Body, maxStatusBytes))
 	if err != nil {
-		return 0, codes.New(codes.UpstreamUnknown, err.Error())
+		return 0, date, codes.New(codes.UpstreamUnknown, err.Error())
 	}
 	if into != nil && answer.StatusCode < http.StatusMultipleChoices {
 		if err := json.Unmarshal(b, into); err != nil {
-			return 0, codes.New(codes.UpstreamUnknown, err.Error())
+			return 0, date, codes.New(codes.UpstreamUnknown, err.Error())
 		}
 	}
-	return answer.StatusCode, nil
+	date, _ = http.ParseTime(answer.Header.Get("Date"))
+	return answer.StatusCode, date, nil
 }
 
 // Classify turns a transport error into UpstreamRefused when no byte was sent, else into UpstreamUnknown.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,6 +89,7 @@
 	HostList struct {
 		AsOf  time.Time `json:"asOf"`
 		Hosts []Host    `json:"hosts"`
+		Date  time.Time `json:"-"` // Date is the time of the answer to the second, by the clock that AsOf is of.
 	}
 
 	// Host is one line of the host list.
@@ -137,6 +138,7 @@
 		Waiting       int             `json:"waiting"`
 		Replicas      []EngineReplica `json:"replicas"`
 		Cached        []CachedCopy    `json:"cached"`
+		Date          time.Time       `json:"-"` // Date is the time of the answer to the second, by the engine's clock.
 	}
 
 	// EngineReplica is a model that an engine has loaded or is loading.
--- a/pkg/clocks/clocks.go
+++ b/pkg/clocks/clocks.go
@@ -69,6 +69,16 @@
 	return r.high.local.Add(d - d.Abs()/driftShare)
 }
 
+// About returns the middle of the local times at which the other clock can have shown the time, or zero if nothing is known.
+func (r *Remote) About(remote time.Time) time.Time {
+	since := r.Since(remote)
+	if since.IsZero() {
+		return since
+	}
+	until := r.low.local.Add(remote.Sub(r.low.remote))
+	return since.Add(max(0, until.Sub(since)) / 2)
+}
+
 func (a anchor) earliest(local time.Time) time.Time {
 	if a.remote.IsZero() {
 		return a.remote
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -11,6 +11,9 @@
 	frontSpan  = 10 * time.Second // Several times the length of short requests.
 	shunTime   = time.Second      // News of unloads and of leaving upstreams arrive within about this time.
 	reportLife = 10 * time.Second // Five times the longest usual lag of reports.
+
+	// A report may come twice with times that differ by the delay of the messages; engines report at most a few times a second.
+	sameReport = 20 * time.Millisecond
 )
 
 type (
@@ -64,10 +67,10 @@
 		modelName = u.nodes[0].Model
 	}
 	n := t.nodes[place{upstream, modelName}]
-	if n == nil || !at.After(n.reported) {
+	if n == nil || at.Sub(n.reported) <= sameReport {
 		return ""
 	}
-	if at.After(now) { // The clock of the upstream may be ahead.
+	if at.After(now) { // The time of a report is an estimate: clocks of upstreams differ.
 		at = now
 	}
 	n.reported = at
