fix: evidence of leaving upstreams is compared by one clock, the platform's

Change: evidence has the latest time that the platform's clock can show, from the Date of the host list's answers; before the first list it is limited only by that list. The log's time of a registration is no longer compared with the list's, since a daemon knows a peer only after its registration. Drift bounds allow for both clocks. Ruled out: ages in heartbeats, whose delays add up as evidence goes round between daemons.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -160,7 +160,7 @@
 			m.handle(member.Up{Identity: member.Identity{
 				Incarnation: x.Incarnation, Host: x.Host, Address: x.Addresses.Peers, CallerURL: x.Addresses.Callers,
 				DataCentre: x.DataCentre,
-			}, Offset: x.Offset, At: x.Up})
+			}, Offset: x.Offset})
 		}
 	}
 	for i := range m.told {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -58,7 +58,7 @@
 }
 
 // update takes over a host list.
-func (u *upstreams) update(l wire.HostList) {
+func (u *upstreams) update(asked time.Time, l wire.HostList) {
 	seen := make(map[string]bool, len(l.Hosts))
 	for _, h := range l.Hosts {
 		seen[h.Name] = true
@@ -71,7 +71,7 @@
 		}
 	}
 	u.count()
-	u.d.members.handle(listEvent(l))
+	u.d.members.handle(listEvent(asked, l))
 	u.d.members.syncLeases()
 }
 
@@ -89,9 +89,12 @@
 	u.cells, u.usable = slices.Sorted(maps.Keys(cells)), slices.Sorted(maps.Keys(usable))
 }
 
-func listEvent(l wire.HostList) member.HostList {
+func listEvent(asked time.Time, l wire.HostList) member.HostList {
 	states := map[wire.HostState]member.HostState{wire.HostLive: member.Live, wire.HostLeaving: member.Leaving, wire.HostGone: member.Gone}
-	e := member.HostList{AsOf: l.AsOf}
+	e := member.HostList{AsOf: l.AsOf, AskedAt: asked}
+	if !l.Date.IsZero() {
+		e.Earliest, e.Latest = l.Date, l.Date.Add(dateStep)
+	}
 	for _, h := range l.Hosts {
 		e.Hosts = append(e.Hosts, member.ListedHost{Name: h.Name, Upstream: h.Kind != wire.KindEntry, State: states[h.State]})
 	}
@@ -207,9 +210,10 @@
 	t := time.NewTicker(hostListInterval)
 	defer t.Stop()
 	for {
+		asked := time.Now()
 		l, err := d.engines.Hosts(ctx, d.settings.Platform.HostList.String())
 		if err == nil {
-			d.control.post(func() { d.upstreams.update(l) })
+			d.control.post(func() { d.upstreams.update(asked, l) })
 		}
 		select {
 		case <-t.C:
--- a/pkg/clocks/clocks.go
+++ b/pkg/clocks/clocks.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// driftShare bounds the drift between two clocks: one part in so many.
-const driftShare = 1000
+// driftShare bounds the drift between two clocks, each of which drifts by up to 0.1%: one part in so many.
+const driftShare = 500
 
 // Epoch is the instant that stands for the time of sending in a message between daemons.
 var Epoch = time.Unix(0, 0).UTC()
--- a/pkg/member/list.go
+++ b/pkg/member/list.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 )
 
 const (
@@ -45,6 +47,7 @@
 		upstreams map[string]*upstream
 		leases    map[string]*lease
 		listAsOf  time.Time
+		platform  clocks.Remote // Platform is the clock of the host list.
 		nextBeat  time.Time
 		beatNow   bool
 		urgent    int    // urgent counts the heartbeats that still follow at the short interval.
@@ -58,7 +61,6 @@
 	peer struct {
 		Identity
 		upOffset   int64
-		upAt       time.Time
 		since      time.Time // since is when this daemon first knew of the peer.
 		heard      time.Time
 		offset     int64
@@ -107,7 +109,8 @@
 	case UpstreamSeen:
 		l.upstreamSeen(now, m)
 	case UpstreamRefused:
-		l.evidence(now, Evidence{Upstream: m.Upstream, Incarnation: m.Incarnation, First: now, Last: now}, true)
+		at := l.platformTime(now)
+		l.evidence(now, Evidence{Upstream: m.Upstream, Incarnation: m.Incarnation, First: at, Last: at}, true)
 	case Lease:
 		l.setLease(m)
 	case Tick:
@@ -199,7 +202,7 @@
 func (l *List) up(now time.Time, m Up) {
 	if m.Incarnation != l.self.Incarnation {
 		p := l.known(now, m.Identity)
-		p.Identity, p.upOffset, p.upAt = m.Identity, m.Offset, m.At
+		p.Identity, p.upOffset = m.Identity, m.Offset
 	}
 	for _, o := range l.sorted() {
 		same := o.Host == m.Host || o.Address != "" && o.Address == m.Address
--- a/pkg/member/types.go
+++ b/pkg/member/types.go
@@ -32,7 +32,6 @@
 	Up struct {
 		Identity
 		Offset int64
-		At     time.Time // At is the time of the record.
 	}
 
 	// Down is an accepted memberGone record.
@@ -46,7 +45,7 @@
 		Draining   bool
 	}
 
-	// Evidence tells that an incarnation of an upstream is leaving.
+	// Evidence tells that an incarnation of an upstream is leaving. Its times are by the platform's clock.
 	Evidence struct {
 		Upstream    string
 		Incarnation string    // Incarnation is empty if it was not known.
@@ -67,10 +66,14 @@
 	// Refused tells that the address of a daemon refused a connection.
 	Refused struct{ Incarnation string }
 
-	// HostList is the platform's list as of a time.
+	// HostList is the platform's list as of a time by the platform's clock, which showed a time from Earliest to Latest when
+	// it answered.
 	HostList struct {
-		AsOf  time.Time
-		Hosts []ListedHost
+		AsOf     time.Time
+		AskedAt  time.Time // AskedAt is by the clock of this daemon.
+		Earliest time.Time
+		Latest   time.Time // Latest is zero if the answer does not tell the platform's time.
+		Hosts    []ListedHost
 	}
 
 	// ListedHost is one line of the host list.
@@ -129,7 +132,7 @@
 	LeavingChanged struct {
 		Upstream string
 		Leaving  bool
-		First    time.Time // First is the time of the first evidence at any daemon.
+		First    time.Time // First is the time of the first evidence at any daemon, by the platform's clock.
 	}
 
 	// Wake asks for a Tick at the time At.
--- a/pkg/member/upstream.go
+++ b/pkg/member/upstream.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// unknownTime stands for the platform's time until the first host list; the list then limits it.
+var unknownTime = time.Unix(1<<40, 0).UTC()
+
 const (
 	maxRetired = 8
 	// An upstream that the host list no longer names is forgotten after this time.
@@ -39,12 +42,22 @@
 	return u
 }
 
+// platformTime returns the latest time that the platform's clock can show. Evidence has that time because host lists do: by
+// the clocks of daemons, which differ by hours, a list could end evidence that is newer than the list.
+func (l *List) platformTime(now time.Time) time.Time {
+	if !l.platform.Known() {
+		return unknownTime
+	}
+	return l.platform.Latest(now)
+}
+
 // evidence merges what this daemon or a peer found. Evidence about an earlier incarnation, or from before a host list
 // that said live, is over.
 func (l *List) evidence(now time.Time, e Evidence, local bool) {
 	u := l.upstream(e.Upstream)
-	// A sender whose clock is ahead must not make evidence that no host list can outdate.
-	e.First, e.Last = earlier(e.First, now), earlier(e.Last, now)
+	// A faulty sender must not make evidence that no host list can outdate.
+	latest := l.platformTime(now)
+	e.First, e.Last = earlier(e.First, latest), earlier(e.Last, latest)
 	if e.Incarnation == "" {
 		e.Incarnation = u.incarnation
 	}
@@ -101,7 +114,7 @@
 	case !u.leaving || e.Incarnation == m.Incarnation:
 	case e.Incarnation == "":
 		u.evidence.Incarnation = m.Incarnation
-	case m.AskedAt.After(e.Last):
+	case l.platform.Earliest(m.AskedAt).After(e.Last):
 		u.retire(e.Incarnation)
 		l.clear(m.Upstream, u)
 	}
@@ -119,6 +132,7 @@
 
 // hostList applies a list that is newer than the last one.
 func (l *List) hostList(now time.Time, m HostList) {
+	l.observe(now, m)
 	if !m.AsOf.After(l.listAsOf) {
 		return
 	}
@@ -138,11 +152,23 @@
 	}
 }
 
+// observe takes the platform's time from an answer, and limits evidence from before the first one.
+func (l *List) observe(now time.Time, m HostList) {
+	if m.Latest.IsZero() {
+		return
+	}
+	l.platform.Observe(m.AskedAt, now, m.Earliest, m.Latest)
+	latest := l.platform.Latest(now)
+	for _, u := range l.upstreams {
+		u.evidence.First, u.evidence.Last = earlier(u.evidence.First, latest), earlier(u.evidence.Last, latest)
+	}
+}
+
 func (l *List) listedUpstream(now, asOf time.Time, h ListedHost) {
 	u := l.upstream(h.Name)
 	u.listedAt = asOf
 	if h.State != Live {
-		l.evidence(now, Evidence{Upstream: h.Name, First: now, Last: asOf}, true)
+		l.evidence(now, Evidence{Upstream: h.Name, First: l.platformTime(now), Last: asOf}, true)
 		return
 	}
 	u.liveAsOf = asOf
@@ -154,7 +180,11 @@
 // listedGone takes the list as a proof only for incarnations that neither started nor were heard after it.
 func (l *List) listedGone(now, asOf time.Time, host string) {
 	for _, p := range l.sorted() {
-		if p.Host == host && asOf.After(p.upAt) && asOf.After(p.heard) && asOf.After(p.since) {
+		last := p.since
+		if p.heard.After(last) {
+			last = p.heard
+		}
+		if p.Host == host && l.platform.Known() && asOf.After(l.platform.Latest(last)) {
 			l.prove(now, p, proofListed)
 		}
 	}
