test: second lines of defence of a cell

Ruled out: removing a rule. Those on earlier queries and on refusals cannot exceed a permit by themselves, but without them an order is closed whose effect is still to come.

--- a/pkg/cell/chaos_test.go
+++ b/pkg/cell/chaos_test.go
@@ -30,7 +30,11 @@
 			if !ok {
 				return
 			}
-			fate := rapid.SampledFrom([]string{"late", "late", "done", "done", "done", "lost", "never", "hangs", "hangs"}).Draw(t, "fate")
+			fate := rapid.SampledFrom([]string{"late", "late", "done", "done", "done", "lost", "never", "lingers", "hangs", "hangs"}).Draw(t, "fate")
+			if fate == "lingers" {
+				w.linger(s)
+				return
+			}
 			if fate != "never" && fate != "hangs" {
 				w.deliver(s)
 			}
@@ -39,6 +43,11 @@
 				w.end(s, fate == "done")
 			}
 		},
+		"arrive": func(w *world, t *rapid.T) {
+			if s, ok := pick(t, w.copies); ok {
+				w.arrive(s)
+			}
+		},
 		"ask": func(w *world, t *rapid.T) {
 			d, _ := pick(t, w.daemons)
 			e, _ := pick(t, w.engines)
@@ -112,7 +121,7 @@
 	}
 	stepNames = []string{
 		"advance", "advance", "advance", "demand", "demand", "demand", "demand", "demand", "send", "send", "send", "send",
-		"send", "send", "send", "send", "send", "ask", "ask", "reply", "reply", "reply", "reply", "finish", "finish",
+		"send", "send", "send", "send", "send", "arrive", "arrive", "ask", "ask", "reply", "reply", "reply", "reply", "finish", "finish",
 		"finish", "readLog", "readLog", "readLog", "claim", "claim", "calm", "calm", "calm", "calm", "fault", "fault",
 		"fault",
 	}
--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -52,7 +52,10 @@
 	}
 
 	// guards switches single safety rules off; tests use it to show that the judge notices.
-	guards struct{ confirm, reserve, doubt, settle bool }
+	guards struct {
+		confirm, reserve, doubt, settle         bool
+		order, void, stale, sender, fresh, wait bool
+	}
 )
 
 // New returns a controller that does not hold the lease.
--- a/pkg/cell/fleet_test.go
+++ b/pkg/cell/fleet_test.go
@@ -37,7 +37,8 @@
 		from   *daemon
 		order  Order
 		answer OrderState
-		held   bool // held tells that the sender hangs: it neither ends nor gives its answer, even while all else is calm.
+		until  time.Time // until is when a copy in the network is lost at the latest, once the sender has given up.
+		held   bool      // held tells that the sender hangs: it neither ends nor gives its answer, even while all else is calm.
 	}
 
 	// reply is a status or a query answer on its way back.
@@ -81,6 +82,7 @@
 		daemons   []*daemon
 		released  map[int]bool // released holds the log offsets of lease records known to be released.
 		sends     []*send
+		copies    []*send // copies are orders in the network whose senders have given up.
 		replies   []*reply
 		claims    []Claim
 		bids      []*daemon // bids are the takeovers that wait for the log.
@@ -233,6 +235,23 @@
 	}
 }
 
+// linger makes the sender give up while the order is still in the network, from where it can reach the engine for as long
+// as Settings.DoubtDelay allows for.
+func (w *world) linger(s *send) {
+	s.until = w.now.Add(DefaultSettings().DoubtDelay * 998 / 1000) // The clock of the holder may be fast.
+	w.copies = append(w.copies, s)
+	w.end(s, false)
+}
+
+// arrive lets a copy in the network reach the engine if it can still do so.
+func (w *world) arrive(s *send) {
+	if w.now.Before(s.until) {
+		w.deliver(s)
+	} else {
+		w.copies = slices.DeleteFunc(w.copies, func(x *send) bool { return x == s })
+	}
+}
+
 // end makes the sender give up or pass the answer on; afterwards nothing it sent is delivered any more.
 func (w *world) end(s *send, answered bool) {
 	w.sends = slices.DeleteFunc(w.sends, func(x *send) bool { return x == s })
--- a/pkg/cell/ledger.go
+++ b/pkg/cell/ledger.go
@@ -155,7 +155,7 @@
 // is void.
 func (c *Controller) readStatus(e UpstreamStatus) {
 	u := c.upstream(e.Upstream)
-	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) || u.void(e) {
+	if u == nil || u.gone || e.AskedAt.Before(u.statusAt) && !c.off.order || u.void(e) && !c.off.void {
 		return
 	}
 	s := &e.Status
--- a/pkg/cell/orders.go
+++ b/pkg/cell/orders.go
@@ -134,7 +134,8 @@
 // provesNeverSeen reports whether the answer to a query shows that the order has no effect and cannot get one: the sender
 // had ended some time before the query, so that nothing it sent is still on its way to the engine.
 func (c *Controller) provesNeverSeen(o *order, attempt int) bool {
-	return o.ended && attempt == o.lastQuery && !o.queriedAt.Before(o.endedAt.Add(c.set.DoubtDelay))
+	return (o.ended || c.off.sender) && (attempt == o.lastQuery || c.off.fresh) &&
+		(!o.queriedAt.Before(o.endedAt.Add(c.set.DoubtDelay)) || c.off.wait)
 }
 
 // resolveStale handles a refusal by fence. The refusal of one delivery does not show that an earlier delivery of the same
@@ -143,7 +144,7 @@
 	if c.holds && o.fence == c.fence {
 		c.confirmedAt = time.Time{} // A higher fence exists: the lease has probably been taken over.
 	}
-	if !sent && o.ended {
+	if !sent && o.ended || c.off.stale {
 		c.determine(o, OrderNeverSeen)
 		return
 	}
