test: mutants of the stream check in the suite

Cause: the guards of pkg/stream had been removed by hand only. Change: the random answers also bring chunks of other requests, invalid indices, tokens after the end and early ends, and the check looks at refused late chunks, at tokens after a fault and at the resume index; TestMutantsAreCaught removes ten guards. Ruled out: mutants of the decoder, which its fuzz test and the cases of the format cover.

--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -68,43 +69,121 @@
 	qt.Assert(t, err, qt.ErrorMatches, ".*follow the end")
 }
 
+// answer is an answer of a few tokens that several attempts deliver; anything is lost, doubled, late or of another request.
+type answer struct {
+	draw   func(n int) int
+	check  *Check
+	total  int
+	at     []int // at is the position of each attempt; the last one is present.
+	failed bool  // failed tells that the present attempt has failed.
+}
+
+// chunk draws the next chunk of an attempt.
+func (x *answer) chunk(a int) Chunk {
+	from := max(0, x.at[a]-x.draw(2)+x.draw(9)/8)
+	to := min(x.total, from+x.draw(3))
+	k := Chunk{RequestID: fmt.Sprint(a), Seq: int64(from), End: to == x.total && x.draw(2) == 0}
+	for i := from; i < to; i++ {
+		k.Tokens = append(k.Tokens, fmt.Sprint(i))
+	}
+	x.at[a] = max(x.at[a], to)
+	switch x.draw(24) {
+	case 0:
+		k = Chunk{RequestID: "other", Seq: k.Seq, Tokens: []string{"x"}}
+	case 1:
+		k = Chunk{RequestID: k.RequestID, Seq: -1, Tokens: []string{"x", "x", "x"}}
+	case 2:
+		if next := x.check.Next(); x.check.Ended() {
+			k = Chunk{RequestID: k.RequestID, Seq: next, Tokens: []string{"x"}}
+		} else if next > 0 {
+			k = Chunk{RequestID: k.RequestID, Seq: next - 1, End: true} // The end comes too early.
+		}
+	}
+	return k
+}
+
+// step delivers a chunk or changes the attempt, and returns what is wrong with the effect.
+func (x *answer) step() string {
+	s, present := x.check, len(x.at)-1
+	if x.draw(8) == 0 {
+		from := s.Resume(present+1, fmt.Sprint(present+1))
+		x.at, x.failed = append(x.at, max(0, int(from)-x.draw(3))), false
+		if from != s.Next() {
+			return fmt.Sprintf("resumed at %d of %d", from, s.Next())
+		}
+		return ""
+	}
+	a := x.draw(len(x.at))
+	k, before, ended := x.chunk(a), s.Next(), s.Ended()
+	tokens, err := s.Accept(a, k)
+	switch {
+	case err != nil && a != present:
+		return "a late chunk of a cancelled attempt fails the present one"
+	case err == nil && a == present && k.Seq > before:
+		return fmt.Sprintf("gap accepted at %d", before)
+	case len(tokens) > 0 && (x.failed || ended):
+		return fmt.Sprintf("tokens at %d after a fault or the end", before)
+	case err == nil && a == present && k.RequestID == "other":
+		return "chunk of another request accepted"
+	}
+	x.failed = x.failed || err != nil
+	for i, token := range tokens {
+		if token != fmt.Sprint(before+int64(i)) || a != present {
+			return fmt.Sprintf("token %s of attempt %d at %d", token, a, before)
+		}
+	}
+	return ""
+}
+
+func play(draw func(n int) int, off guards) string {
+	x := &answer{draw: draw, check: New("0"), total: 1 + draw(12), at: []int{0}}
+	x.check.off = off
+	for range draw(60) {
+		if fault := x.step(); fault != "" {
+			return fault
+		}
+	}
+	if s := x.check; s.Ended() && s.Next() != int64(x.total) || s.Ended() != (s.Close() == nil) {
+		return fmt.Sprintf("short success: %d of %d tokens", s.Next(), x.total)
+	}
+	return ""
+}
+
 // Guards against an answer mixed from several attempts: whatever is lost, doubled or late, the caller has a prefix of
 // the answer, each token from the attempt that was present, and the whole answer when the check says so.
 func TestResume(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }
-		total, attempts, s := 1+draw(12), 1, New("0")
-		at := []int{0} // at is the position of each attempt.
-		for range draw(60) {
-			a := draw(attempts)
-			if draw(8) == 0 {
-				at = append(at, max(0, int(s.Resume(attempts, fmt.Sprint(attempts)))-draw(3)))
-				attempts++
-				continue
-			}
-			from := max(0, at[a]-draw(2)+draw(9)/8)
-			to := min(total, from+draw(3))
-			k := Chunk{RequestID: fmt.Sprint(a), Seq: int64(from), End: to == total && draw(2) == 0}
-			for i := from; i < to; i++ {
-				k.Tokens = append(k.Tokens, fmt.Sprintf("%d", i))
-			}
-			before := s.Next()
-			tokens, err := s.Accept(a, k)
-			if at[a] = max(at[a], to); err == nil && a == attempts-1 && int64(from) > before {
-				rt.Fatalf("gap accepted at %d", before)
-			}
-			for i, token := range tokens {
-				if token != fmt.Sprint(before+int64(i)) || a != attempts-1 {
-					rt.Fatalf("token %s of attempt %d at %d", token, a, before)
-				}
-			}
-		}
-		if s.Ended() && s.Next() != int64(total) || s.Ended() != (s.Close() == nil) {
-			rt.Fatalf("short success: %d of %d tokens", s.Next(), total)
+		if fault := play(draw, guards{}); fault != "" {
+			rt.Fatal(fault)
 		}
 	})
 }
 
+// Guards against a model check that passes whatever the rules do.
+func TestMutantsAreCaught(t *testing.T) {
+	for name, off := range map[string]guards{
+		"":                               {},
+		"cancelled attempts":             {attempt: true},
+		"goes on after a fault":          {sticky: true},
+		"request ID":                     {request: true},
+		"index and length":               {index: true},
+		"sequence":                       {gap: true},
+		"tokens after the end":           {afterEnd: true},
+		"end before delivered tokens":    {earlyEnd: true},
+		"tokens that the caller has":     {overlap: true},
+		"resume index":                   {resume: true},
+		"whole only with the end marker": {end: true},
+	} {
+		fault := ""
+		for seed := uint64(0); seed < 2000 && fault == ""; seed++ {
+			fault = play(rand.New(rand.NewPCG(seed, 5)).IntN, off)
+		}
+		t.Logf("%q: %s", name, fault)
+		qt.Check(t, fault != "", qt.Equals, off != guards{}, qt.Commentf("%q", name))
+	}
+}
+
 func decode(pieces ...string) ([]Event, *Decoder, error) {
 	var (
 		d   Decoder
