test: a model of the planned stop and its mutants

Change: random stops with callers who keep an address, peers who give it away for up to a heartbeat, long requests and stuck hand-overs; seven removed rules are noticed. Ruled out: a whole daemon in the model, which the scenarios run.

--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -41,6 +41,12 @@
 		stage Stage
 		until time.Time
 		done  Done
+		off   stopFaults
+	}
+
+	// stopFaults switches single rules off; only tests set it, to show that their checks notice.
+	stopFaults struct {
+		noLifetime, noBeat, noAccept, cutRequests, keepLoad, noLimit, noCount bool
 	}
 )
 
@@ -60,8 +66,18 @@
 	if s.stage == Running {
 		s.stage = Announcing
 		// A peer may answer with this address until it hears of the draining, and the answer is then kept.
-		s.until = now.Add(s.cfg.AddressLifetime + HeartbeatInterval)
+		s.until = now.Add(s.announcing())
+	}
+}
+
+func (s *Stop) announcing() time.Duration {
+	switch {
+	case s.off.noLifetime:
+		return HeartbeatInterval
+	case s.off.noBeat:
+		return s.cfg.AddressLifetime
 	}
+	return s.cfg.AddressLifetime + HeartbeatInterval
 }
 
 // Advance moves to the stage that the time and the remaining load allow, and returns it with the time of the next call.
@@ -69,11 +85,15 @@
 	if s.stage == Announcing && !now.Before(s.until) {
 		s.stage, s.until = Finishing, now.Add(s.cfg.FinishLimit)
 	}
-	if s.stage == Finishing && (load.Requests == 0 || !now.Before(s.until)) {
-		s.done.Interrupted = load.Requests
+	late := !now.Before(s.until) && !s.off.noLimit
+	if s.stage == Finishing && (load.Requests == 0 || late || s.off.cutRequests) {
+		if !s.off.noCount {
+			s.done.Interrupted = load.Requests
+		}
 		s.stage, s.until = HandingOver, now.Add(s.cfg.HandOverLimit)
 	}
-	if s.stage == HandingOver && (load.Leases+load.Ranges == 0 || !now.Before(s.until)) {
+	late = !now.Before(s.until) && !s.off.noLimit
+	if s.stage == HandingOver && (load.Leases+load.Ranges == 0 || late || s.off.keepLoad) {
 		s.done.Kept = load.Leases + load.Ranges
 		s.stage = Stopped
 	}
@@ -84,7 +104,9 @@
 func (s *Stop) Stage() Stage { return s.stage }
 
 // Accepts reports whether new requests may still be accepted.
-func (s *Stop) Accepts() bool { return s.stage <= Announcing }
+func (s *Stop) Accepts() bool {
+	return s.stage <= Announcing && (s.stage == Running || !s.off.noAccept)
+}
 
 // Done returns the result and whether the stop has ended.
 func (s *Stop) Done() (Done, bool) { return s.done, s.stage == Stopped }
