--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -160,7 +160,7 @@
 			m.handle(member.Up{Identity: member.Identity{
 				Incarnation: x.Incarnation, Host: x.Host, Address: x.Addresses.Peers, CallerURL: x.Addresses.Callers,
 				DataCentre: x.DataCentre,
-			}, Offset: x.Offset, At: x.Up})
+			}, Offset: x.Offset})
 		}
 	}
 	for i := range m.told {
@@ -169,7 +169,7 @@
 			m.handle(member.Down{Incarnation: i})
 		}
 	}
-	m.fresh.Folded(m.d.state.Offset(), list)
+	m.fresh.Folded(time.Now(), m.d.state.Offset(), list)
 }
 
 // tellPeers passes the state of the members on to the key ranges when it has changed.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -62,7 +62,7 @@
 		return "", errors.Wrap(err, "order")
 	}
 	var a wire.OrderAnswer
-	status, err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, &a)
+	status, _, err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, &a)
 	if err != nil {
 		return "", err
 	}
@@ -75,7 +75,7 @@
 // Query returns the state of an order; wire.OrderUnknown means that the engine never saw it.
 func (c *Client) Query(ctx context.Context, address, id string) (wire.OrderState, error) {
 	var a wire.OrderAnswer
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/orders/"+url.PathEscape(id), nil, &a)
+	status, _, err := c.call(ctx, http.MethodGet, address, "/v1/orders/"+url.PathEscape(id), nil, &a)
 	if err != nil {
 		return "", err
 	}
@@ -88,7 +88,8 @@
 // Status returns the status of an engine.
 func (c *Client) Status(ctx context.Context, address string) (wire.EngineStatus, error) {
 	var s wire.EngineStatus
-	status, err := c.call(ctx, http.MethodGet, address, "/v1/status", nil, &s)
+	status, date, err := c.call(ctx, http.MethodGet, address, "/v1/status", nil, &s)
+	s.Date = date
 	if err == nil && status != http.StatusOK {
 		err = codes.New(codes.UpstreamFailed, http.StatusText(status))
 	}
@@ -98,8 +99,7 @@
 // Hosts returns the host list of the platform; last is the list that was read before, which is sent again only if it has
 // changed: read whole twice a second, a list of 29 hosts took 8 KB/s.
 func (c *Client) Hosts(ctx context.Context, address string, last wire.HostList) (wire.HostList, error) {
-	asked := time.Now()
-	next := wire.HostList{}
+	var next wire.HostList
 	header := make(http.Header)
 	if last.Tag != "" {
 		header.Set("If-None-Match", last.Tag)
@@ -117,21 +117,30 @@
 	if err != nil {
 		return last, codes.New(codes.UpstreamFailed, "host list has no valid Age header")
 	}
-	next.AsOf, next.Tag = asked.Add(-time.Duration(age)*time.Second), answer.Get("ETag")
+	if next.Date, err = http.ParseTime(answer.Get("Date")); err != nil {
+		return last, codes.New(codes.UpstreamFailed, "host list has no valid Date header")
+	}
+	next.AsOf, next.Tag = next.Date.Add(-time.Duration(age)*time.Second), answer.Get("ETag")
 	return next, nil
 }
 
 // Cancel cancels a request at an engine.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	_, err := c.call(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
+	_, _, err := c.call(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
 	return err
 }
 
-func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) (int, error) {
-	status, _, err := c.callWith(ctx, make(http.Header), method, address, path, body, into)
-	return status, err
+// call returns the status and the Date of the answer; the date is zero where the answer has none.
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, into any) (status int, date time.Time, err error) {
+	status, header, err := c.callWith(ctx, make(http.Header), method, address, path, body, into)
+	if err != nil {
+		return status, date, err
+	}
+	date, _ = http.ParseTime(header.Get("Date"))
+	return status, date, nil
 }
 
+// callWith sends the request with the header and returns the status and the header of the answer.
 func (c *Client) callWith(
 	ctx context.Context, header http.Header, method, address, path string, body []byte, into any,
 ) (int, http.Header, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,8 +89,10 @@
 	// that name in If-None-Match an unchanged list is answered with 304.
 	HostList struct {
 		Hosts []Host `json:"hosts"`
-		// AsOf is a time at which the list was true, by the reader's own clock: clocks of the platform may differ from it.
+		// AsOf is a time at which the list was true, and Date the time of the answer to the second; both are by the platform's
+		// clock.
 		AsOf time.Time `json:"-"`
+		Date time.Time `json:"-"`
 		Tag  string    `json:"-"`
 	}
 
@@ -140,6 +142,7 @@
 		Waiting       int             `json:"waiting"`
 		Replicas      []EngineReplica `json:"replicas"`
 		Cached        []CachedCopy    `json:"cached"`
+		Date          time.Time       `json:"-"` // Date is the time of the answer to the second, by the engine's clock.
 	}
 
 	// EngineReplica is a model that an engine has loaded or is loading.
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
@@ -17,8 +18,8 @@
 	// when its own proof had lapsed and its peers had not yet said that theirs had.
 	contactAge = 3 * time.Second
 
-	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the
-	// difference between a daemon's clock and the log's.
+	// memberHistory covers the member sets that a daemon without log may still know: 24 h, and 10 minutes for the delay and
+	// the drift of clocks.
 	memberHistory = 24*time.Hour + 10*time.Minute
 )
 
@@ -78,12 +79,13 @@
 
 	// guards switches single checks off, so that tests can show that the bound depends on them.
 	guards struct {
-		noMajority, noNotes, noAge, noKnown, noHistory bool
+		noMajority, noNotes, noAge, noKnown, noHistory, noContact, ownClock bool
 	}
 
 	// Tracker holds the evidence of one daemon.
 	Tracker struct {
 		self     string
+		clock    clocks.Remote // clock is the log's.
 		offset   int64
 		known    int64
 		hasRead  bool
@@ -94,6 +96,7 @@
 		peers    map[string]heard
 		notes    map[string]note
 		intent   Intent
+		granted  bool // MayPublish has permitted an append under the intent, whose outcome may be unknown from then on.
 		off      guards
 	}
 )
@@ -103,12 +106,13 @@
 	return &Tracker{self: incarnation, peers: make(map[string]heard), notes: make(map[string]note)}
 }
 
-// Folded takes the offset of the last record that the daemon has folded and the members as of that offset.
-func (t *Tracker) Folded(offset int64, members []Member) {
+// Folded takes the offset of the last record that the daemon has folded by now and the members as of that offset.
+func (t *Tracker) Folded(now time.Time, offset int64, members []Member) {
 	t.offset, t.known = max(t.offset, offset), max(t.known, offset)
 	t.members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Offset, b.Offset) })
 	t.live = make(map[string]bool, len(members))
 	for _, m := range members {
+		t.clock.Passed(now, m.Up)
 		t.live[m.Incarnation] = true
 	}
 	for i := range t.peers {
@@ -274,29 +278,35 @@
 	return t.intent.Open
 }
 
-// SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When it
-// becomes true, heartbeats should be sent at once, and MayPublish awaited. It has no effect until the daemon is registered and
-// in contact with the log: nothing can be published before, and an open intent keeps the members that note it from proving
-// that they are current during the outage.
+// SetIntent says whether the daemon has changes of configuration to append, or whose outcome is not folded yet. When the
+// intent opens, heartbeats should be sent at once, and MayPublish awaited. It stays closed until the daemon is registered and
+// in contact with the log, and closes again when the contact is lost before MayPublish has permitted an append: an intent
+// that cannot be published must not keep the members that note it from serving in a log outage.
 func (t *Tracker) SetIntent(now time.Time, publishing bool) {
+	able := t.live[t.self] && (t.contactsLog(now) || t.off.noContact)
 	switch {
-	case !publishing:
+	case !publishing, !able && t.intent.Open && !t.granted:
 		t.intent.Open = false
-	case !t.intent.Open && t.live[t.self] && t.logContact(now):
-		t.intent = Intent{Serial: t.intent.Serial + 1, Open: true}
+	case !t.intent.Open && able:
+		t.intent, t.granted = Intent{Serial: t.intent.Serial + 1, Open: true}, false
 	}
 }
 
+func (t *Tracker) contactsLog(now time.Time) bool {
+	return t.hasRead && now.Sub(t.readAt) <= contactAge
+}
+
 // MayPublish returns nil if a change of configuration may be appended now, or a NotCurrent or NoMajority error. The change
 // must carry the offset that the daemon has folded, and the fold must reject it if the members have changed since.
 func (t *Tracker) MayPublish(now time.Time) error {
-	if !t.logContact(now) {
+	if !t.contactsLog(now) {
 		return codes.New(codes.NotCurrent, "the log has not been read to its end")
 	}
 	if !t.live[t.self] {
 		return codes.New(codes.NotCurrent, string(Unregistered))
 	}
 	if t.off.noMajority {
+		t.granted = true
 		return nil
 	}
 	// A daemon without log may know an older member set. Without the members that are gone since, the sets that were in
@@ -307,15 +317,23 @@
 			count++
 		}
 		last := i == len(t.members)-1
-		inForce := last || !t.off.noHistory && now.Sub(t.members[i+1].Up) < memberHistory
+		inForce := last || !t.off.noHistory && t.logTime(now).Sub(t.members[i+1].Up) < memberHistory
 		if inForce && 2*count <= i+1 {
 			return codes.Newf(codes.NoMajority, "%d of the %d oldest members have noted the change", count, i+1)
 		}
 	}
+	t.granted = true
 	return nil
 }
 
-func (t *Tracker) logContact(now time.Time) bool { return t.hasRead && now.Sub(t.readAt) <= contactAge }
+// logTime is the time by the log's clock, or somewhat before it. The own clock may be hours ahead of the log's: it made a
+// publisher forget member sets that a daemon without log still knew. The own registration keeps the estimate close.
+func (t *Tracker) logTime(now time.Time) time.Time {
+	if t.off.ownClock {
+		return now
+	}
+	return t.clock.Earliest(now)
+}
 
 // contact reports whether the member was heard from and has noted the open intent.
 func (t *Tracker) contact(now time.Time, incarnation string) bool {
