fix(member): a planned stop ends only when its peers know who has its key ranges

Cause: a host ended as soon as the log had its hand-over. Ruled out: a fixed pause (no bound on how late a peer reads), keeping the port open after the exit.

--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -211,6 +211,10 @@
 	}
 	telem.End(span, err)
 	d.countPeerCall("Begin", err)
+	if peers.Refused(err) {
+		// The holder has ended, so the call was not run there; its range is about to get another holder.
+		return engine.PlainAnswer{}, codes.New(codes.KeyRangeMoving, err.Error()).WithRetryAfter(time.Second)
+	}
 	if err != nil {
 		// After a time-out the answer may still be written into reply, so it must not be read.
 		return engine.PlainAnswer{}, err
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -27,6 +27,7 @@
 	asked     bool
 	rules     *member.Stop
 	stage     member.Stage
+	handedAt  int64 // HandedAt is the log offset at which nothing was left to hand over.
 }
 
 func newStopping(d *Daemon) *stopping {
@@ -120,9 +121,27 @@
 			l.Ranges++
 		}
 	}
+	if l.Leases+l.Ranges == 0 {
+		l.Behind = s.behind()
+	}
+	l.Ranges += d.bookings.host.InProgress()
 	return l
 }
 
+// behind counts the peers whose heartbeats do not show yet that they have read of the hand-over.
+func (s *stopping) behind() int {
+	if s.handedAt == 0 {
+		s.handedAt = s.d.state.Offset()
+	}
+	n := 0
+	for _, p := range s.d.members.list.Peers(time.Now()) {
+		if p.Recorded && !p.Lost && !p.Gone && p.Offset < s.handedAt {
+			n++
+		}
+	}
+	return n
+}
+
 // leaseReleased records that no order under the lost lease is in flight any more.
 func (d *Daemon) leaseReleased(name string, fence int64) {
 	l, ok := d.state.Lease(name)
--- a/pkg/member/list_test.go
+++ b/pkg/member/list_test.go
@@ -212,11 +212,11 @@
 	}{
 		{0, Load{}, Announcing, true},
 		{11*time.Second - 1, Load{}, Announcing, true},
-		{11 * time.Second, Load{2, 1, 3}, Finishing, false},
-		{71*time.Second - 1, Load{2, 1, 3}, Finishing, false},
-		{71 * time.Second, Load{1, 1, 3}, HandingOver, false},
-		{75 * time.Second, Load{0, 0, 1}, HandingOver, false},
-		{76 * time.Second, Load{0, 0, 1}, Stopped, false},
+		{11 * time.Second, Load{2, 1, 3, 0}, Finishing, false},
+		{71*time.Second - 1, Load{2, 1, 3, 0}, Finishing, false},
+		{71 * time.Second, Load{1, 1, 3, 0}, HandingOver, false},
+		{75 * time.Second, Load{0, 0, 1, 0}, HandingOver, false},
+		{76 * time.Second, Load{0, 0, 1, 0}, Stopped, false},
 	} {
 		stage, _ := s.Advance(start.Add(step.at), step.load)
 		c.Assert(stage, qt.Equals, step.stage, qt.Commentf("%v", step.at))
--- a/pkg/member/stop.go
+++ b/pkg/member/stop.go
@@ -27,6 +27,7 @@
 		Requests int // Requests counts the requests in progress, queued ones included.
 		Leases   int
 		Ranges   int // Ranges counts the key ranges that it holds or backs and the calls whose outcome it still owes.
+		Behind   int // Behind counts the peers that may not know yet who has the leases and ranges now.
 	}
 
 	// Done is the result of a planned stop.
@@ -46,7 +47,7 @@
 
 	// stopFaults switches single rules off; only tests set it, to show that their checks notice.
 	stopFaults struct {
-		noLifetime, noBeat, noAccept, cutRequests, keepLoad, noLimit, noCount bool
+		noLifetime, noBeat, noAccept, cutRequests, keepLoad, noBehind, noLimit, noCount bool
 	}
 )
 
@@ -93,7 +94,9 @@
 		s.stage, s.until = HandingOver, now.Add(s.cfg.HandOverLimit)
 	}
 	late = !now.Before(s.until) && !s.off.noLimit
-	if s.stage == HandingOver && (load.Leases+load.Ranges == 0 || late || s.off.keepLoad) {
+	// A peer that has not read of the hand-over still sends calls here; after the exit their outcome would be unknown.
+	known := load.Behind == 0 || s.off.noBehind
+	if s.stage == HandingOver && (load.Leases+load.Ranges == 0 && known || late || s.off.keepLoad) {
 		s.done.Kept = load.Leases + load.Ranges
 		s.stage = Stopped
 	}
--- a/pkg/member/stop_test.go
+++ b/pkg/member/stop_test.go
@@ -20,10 +20,13 @@
 	overdue bool        // overdue tells that a request or a hand-over takes longer than its limit.
 	leases  int
 	ranges  int
+	behind  int           // behind counts the peers that still send calls for what was handed over.
 	given   time.Duration // given is how long after the begin a peer still gives the address away.
 }
 
-func (l *leaver) load() Load { return Load{Requests: len(l.ends), Leases: l.leases, Ranges: l.ranges} }
+func (l *leaver) load() Load {
+	return Load{Requests: len(l.ends), Leases: l.leases, Ranges: l.ranges, Behind: l.behind}
+}
 
 // call is a request from a caller. It has to be accepted while the caller may hold an address that was given away.
 func (l *leaver) call() string {
@@ -53,6 +56,9 @@
 	}
 	l.ends = kept
 	if l.stop.Stage() == HandingOver && !stuck && l.draw(3) == 0 {
+		if l.leases+l.ranges == 0 {
+			l.behind = max(0, l.behind-1)
+		}
 		l.leases, l.ranges = max(0, l.leases-1), max(0, l.ranges-1)
 	}
 	l.stop.Advance(l.now, l.load())
@@ -61,7 +67,7 @@
 // plannedStop plays a stop and returns what is wrong with it.
 func plannedStop(draw func(n int) int, off stopFaults) string {
 	cfg := StopConfig{AddressLifetime: 10 * time.Second, FinishLimit: 30 * time.Second, HandOverLimit: 10 * time.Second}
-	l := &leaver{draw: draw, stop: NewStop(cfg), now: simStart, leases: draw(3), ranges: draw(4)}
+	l := &leaver{draw: draw, stop: NewStop(cfg), now: simStart, leases: draw(3), ranges: draw(4), behind: draw(3)}
 	l.stop.off = off
 	l.given = time.Duration(draw(11)) * simStep
 	stuck := draw(6) == 0
@@ -94,6 +100,8 @@
 		return fmt.Sprintf("%d requests interrupted before their limit", len(l.ends))
 	case l.leases+l.ranges > 0 && !stuck:
 		return fmt.Sprintf("%d leases and %d ranges left", l.leases, l.ranges)
+	case l.behind > 0 && !stuck:
+		return fmt.Sprintf("%d peers still send calls", l.behind)
 	case (done.Interrupted > 0) != (len(l.ends) > 0) || (done.Kept > 0) != (l.leases+l.ranges > 0):
 		return fmt.Sprintf("result %+v with %d requests, %d leases and %d ranges left", done, len(l.ends), l.leases, l.ranges)
 	}
@@ -120,6 +128,7 @@
 		"drain refuses at once":              {noAccept: true},
 		"exits with streams":                 {cutRequests: true},
 		"exits with leases or ranges":        {keepLoad: true},
+		"exits before peers know":            {noBehind: true},
 		"waits for ever":                     {noLimit: true},
 		"interruptions not counted":          {noCount: true},
 	} {
