fix(member): a daemon whose calls arrive but that cannot be called counts as lost

Cause: a heartbeat that a peer sent counted like one that answered. With packets lost in one direction, one host held the other for reachable, forwarded bookings to it, and each ended as unknown after 8 to 11 s (scenario links_two_hosts: 10.99 s at the host that could not reach the holder). And the two hosts judged each other differently, so that leases changed twice: the earlier holder counted the new one as lost only 0.5 s after it had read the lease record, so its silence was not taken for a cut link.

Change: only answers count for suspicion; leaving upstreams, draining and readiness are still taken from both. Silence when a lease record is read starts at one and a half heartbeat intervals instead of three seconds.

Tests: TestCalledIsNotHeard; TestTakeOverWhileCut has heartbeats a second apart and one-way cuts, and finds two lease changes in place of one in four cases with the limit of three seconds.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -108,7 +108,8 @@
 			switch {
 			case err == nil:
 				d.members.fresh.Heard(began, reply.Fresh)
-				d.heartbeatFrom(reply.Beat)
+				d.members.handle(reply.Beat)
+				d.catchUp(reply.Beat)
 			case peers.Refused(err) && incarnation != "":
 				d.members.handle(member.Refused{Incarnation: incarnation})
 			}
@@ -116,9 +117,8 @@
 	})
 }
 
-// heartbeatFrom takes a peer's heartbeat in, and the state of a peer that is ahead while the log cannot be read.
-func (d *Daemon) heartbeatFrom(b member.Heartbeat) {
-	d.members.handle(b)
+// catchUp takes the state of a peer that is ahead while the log cannot be read.
+func (d *Daemon) catchUp(b member.Heartbeat) {
 	if b.Offset <= d.state.Offset() || time.Since(d.members.logContact) < 2*readWait || d.fetching {
 		return
 	}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -11,6 +11,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
 	"github.com/fireflycleat/fireflycleat/pkg/idemp"
+	"github.com/fireflycleat/fireflycleat/pkg/member"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
@@ -28,7 +29,8 @@
 	s.d.control.ask(func() {
 		now := time.Now()
 		s.d.members.fresh.Note(a.Fresh)
-		s.d.heartbeatFrom(a.Beat)
+		s.d.members.handle(member.Called{Heartbeat: a.Beat})
+		s.d.catchUp(a.Beat)
 		*reply = peers.Heartbeat{
 			Header: s.d.header(s.d.life), Beat: s.d.members.heartbeat(now), Fresh: s.d.members.fresh.Beat(now, a.Beat.Incarnation),
 		}
--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -42,6 +42,7 @@
 	"audit":    do(func(w *world, a args) error { return w.audit(a) }),
 	"inforce":  do(func(w *world, a args) error { return w.inForce(a) }),
 	"traffic":  do(func(w *world, a args) error { return w.traffic(a) }),
+	"again":    do(func(w *world, a args) error { return w.again(a) }),
 	"settled":  do(func(w *world, a args) error { return w.settled(a) }),
 	"loaded":   do(func(w *world, a args) error { return w.loaded(a) }),
 	"publish":  do(func(w *world, a args) error { return w.publish(a) }),
--- a/internal/scene/judges_test.go
+++ b/internal/scene/judges_test.go
@@ -227,13 +227,16 @@
 	reverts atomic.Int64
 	samples atomic.Int64
 	unready atomic.Int64
+	mu      sync.Mutex
+	leases  map[string]int64 // The last fencing number of each cell.
+	changes int              // Changes counts lease records after the first of a cell.
 }
 
 // monotone start|stop watches the offset of each living host; a restarted host begins anew. With unready=N it also fails when
-// a host was not ready in more than N samples.
+// a host was not ready in more than N samples, with leases=N when cell leases changed more often.
 func (w *world) monotone(a args) error {
 	if a.words[0] == "start" {
-		x := &watch{stop: make(chan struct{})}
+		x := &watch{stop: make(chan struct{}), leases: make(map[string]int64)}
 		for _, name := range w.names("host") {
 			x.done.Go(func() { w.follow(x, name) })
 		}
@@ -248,15 +251,31 @@
 	if most := a.number("unready", -1); most >= 0 && int(w.watch.unready.Load()) > most {
 		return fmt.Errorf("not ready in %d of %d samples", w.watch.unready.Load(), w.watch.samples.Load())
 	}
+	if most := a.number("leases", -1); most >= 0 && w.watch.changes > most {
+		return fmt.Errorf("cell leases changed %d times, at most %d allowed", w.watch.changes, most)
+	}
 	return nil
 }
 
+// sawLeases counts the changes of the cells' leases.
+func (x *watch) sawLeases(s wire.Status) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range s.Cells {
+		if last := x.leases[c.Cell]; c.Fence > last {
+			x.leases[c.Cell] = c.Fence
+			x.changes += min(1, int(last))
+		}
+	}
+}
+
 func (w *world) follow(x *watch, name string) {
 	last, incarnation := int64(0), ""
 	for {
 		var s wire.Status
 		if w.request(http.MethodGet, name, "/v1/status", nil, &s) == nil {
 			x.samples.Add(1)
+			x.sawLeases(s)
 			if !s.Ready {
 				x.unready.Add(1)
 			}
--- a/internal/scene/traffic_test.go
+++ b/internal/scene/traffic_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -133,6 +135,27 @@
 	}
 }
 
+// again NAME HOST sends bookings of a load that has stopped once more with the same keys, and compares the runs with both
+// answers. It sends at most 100 keys, evenly chosen, and all at once, because a host that cannot reach the holder of a range
+// answers only after some seconds.
+func (w *world) again(a args) error {
+	l := w.loads[a.words[0]]
+	keys := slices.Sorted(maps.Keys(l.keys))
+	var group sync.WaitGroup
+	for i := 0; i < len(keys); i += len(keys)/100 + 1 {
+		group.Go(func() {
+			c := w.book(a.words[1], keys[i], "visit")
+			<-c.done
+			l.ended(c, a.words[1], keys[i], true)
+		})
+	}
+	group.Wait()
+	if len(keys) == 0 || len(l.faults) > 0 {
+		return fmt.Errorf("%d keys sent again, faults: %s", len(keys), strings.Join(l.faults, "; "))
+	}
+	return w.answersTrue(l)
+}
+
 // answersTrue compares the answers to bookings with the runs that the services counted.
 func (w *world) answersTrue(l *load) error {
 	for key, allowed := range l.keys {
--- a/pkg/member/lease.go
+++ b/pkg/member/lease.go
@@ -21,6 +21,7 @@
 	leaseInterval = 2 * time.Second
 	// As many silent daemons of a data centre are taken for a cut link, a single one for a failed host.
 	silentTogether = 2
+	missedAfter    = 3 * HeartbeatInterval / 2
 )
 
 // lease is a cell lease and how long it has been without a working holder.
@@ -28,7 +29,8 @@
 	Lease
 	vacantSince time.Time // VacantSince is zero while the holder works.
 	notBefore   time.Time
-	unheard     bool // Unheard tells that the holder took the lease while this daemon did not hear it, and it still does not.
+	// SilentAt is when the holder took the lease although this daemon had missed a heartbeat of it; zero if it had not.
+	silentAt time.Time
 }
 
 func (l *List) setLease(now time.Time, m Lease) {
@@ -36,8 +38,19 @@
 	if ok && (m.Offset < old.Offset || m == old.Lease) {
 		return
 	}
-	// A daemon that is not current reads old records, which do not show that the holder is alive.
-	l.leases[m.Cell] = &lease{Lease: m, unheard: m.Holder != "" && l.state.Current && l.Lost(now, m.Holder)}
+	c := &lease{Lease: m}
+	// A daemon that is not current reads old records, which do not show that the holder is alive. Two daemons that are cut from
+	// each other count each other as lost up to a heartbeat apart, so the limit is well below SuspectAfter.
+	if p := l.peers[m.Holder]; p != nil && l.state.Current && now.Sub(p.lastHeard()) > missedAfter {
+		c.silentAt = now
+	}
+	l.leases[m.Cell] = c
+}
+
+// unheard reports whether the holder took the lease while this daemon did not hear it, and it still does not.
+func (l *List) unheard(c *lease) bool {
+	p := l.peers[c.Holder]
+	return p != nil && p.proof == "" && !c.silentAt.IsZero() && !p.heard.After(c.silentAt)
 }
 
 func (l *List) takeOver(now time.Time) {
@@ -50,7 +63,7 @@
 func (l *List) watch(now time.Time, c *lease) {
 	switch vacant := c.Holder == "" || l.Lost(now, c.Holder); {
 	case !vacant:
-		c.vacantSince, c.unheard = time.Time{}, false
+		c.vacantSince = time.Time{}
 		return
 	case c.vacantSince.IsZero():
 		c.vacantSince = now
@@ -68,7 +81,7 @@
 	d := time.Duration(l.rank(now, c.Cell, c.DataCentre)) * leaseRankDelay
 	home := l.self.DataCentre == c.DataCentre
 	switch {
-	case c.unheard && !l.Gone(c.Holder), !home && (l.servedAtHome(now, c.DataCentre) || l.silent(now, c.DataCentre) >= silentTogether):
+	case l.unheard(c), !home && (l.servedAtHome(now, c.DataCentre) || l.silent(now, c.DataCentre) >= silentTogether):
 		d += cutDelay
 	case !home:
 		d += startDelay
--- a/pkg/member/list.go
+++ b/pkg/member/list.go
@@ -97,7 +97,9 @@
 	case Self:
 		l.setSelf(m)
 	case Heartbeat:
-		l.heartbeat(now, m)
+		l.heartbeat(now, m, true)
+	case Called:
+		l.heartbeat(now, m.Heartbeat, false)
 	case Refused:
 		if p, ok := l.peers[m.Incarnation]; ok {
 			l.prove(now, p, proofRefused)
@@ -161,13 +163,16 @@
 	return all
 }
 
-// lost gives a peer that was never heard the same time from when it became known.
+// lost reports whether a peer is suspected or proven gone; one that was never heard counts from when it became known.
 func (p *peer) lost(now time.Time) bool {
-	last := p.heard
-	if last.IsZero() {
-		last = p.since
+	return p.proof != "" || now.Sub(p.lastHeard()) > SuspectAfter
+}
+
+func (p *peer) lastHeard() time.Time {
+	if p.heard.IsZero() {
+		return p.since
 	}
-	return p.proof != "" || now.Sub(last) > SuspectAfter
+	return p.heard
 }
 
 // stale reports whether a peer can be forgotten: recorded as gone long ago, or never recorded and silent.
@@ -244,13 +249,16 @@
 	}
 }
 
-func (l *List) heartbeat(now time.Time, m Heartbeat) {
+func (l *List) heartbeat(now time.Time, m Heartbeat, answer bool) {
 	if m.Incarnation == l.self.Incarnation || !m.acceptable() {
 		return
 	}
 	p := l.known(now, m.Identity)
 	if p.proof == "" {
-		p.heard, p.current, p.draining = now, m.Current, m.Draining
+		if answer {
+			p.heard = now
+		}
+		p.current, p.draining = m.Current, m.Draining
 		p.offset = max(p.offset, m.Offset)
 		if contact := now.Add(-m.LogContactAge); contact.After(p.logContact) {
 			p.logContact = contact
--- a/pkg/member/list_test.go
+++ b/pkg/member/list_test.go
@@ -102,6 +102,18 @@
 	c.Assert(l.Peers(at), qt.HasLen, 1)
 }
 
+// Guards against a peer that counts as reachable because its own calls arrive while those to it are lost.
+func TestCalledIsNotHeard(t *testing.T) {
+	c := qt.New(t)
+	l := group(2)[0]
+	at, id := start.Add(SuspectAfter+1), identity(1)
+	l.Handle(at, Called{Heartbeat{Identity: id, Draining: true}})
+	c.Assert(l.Lost(at, id.Incarnation), qt.IsTrue)
+	c.Assert(l.Peers(at)[0].Draining, qt.IsTrue)
+	l.Handle(at, Heartbeat{Identity: id})
+	c.Assert(l.Lost(at, id.Incarnation), qt.IsFalse)
+}
+
 // Guards against a daemon that goes on after the log recorded it as gone.
 func TestEvicted(t *testing.T) {
 	c := qt.New(t)
@@ -245,18 +257,21 @@
 
 // Guards against daemons that take leases from each other while links are cut and all of them read the log.
 func TestTakeOverWhileCut(t *testing.T) {
-	const n, away = 6, 0 // Daemons 0 and 3 are those of dc0.
+	// Daemons 0 and 3 are those of dc0. Heartbeats are a second apart, at another moment for each pair.
+	const n, away = 6, 0
 	for _, test := range []struct {
-		name string
-		cut  func(i, k int) bool // Cut reports whether daemon k does not hear daemon i.
-		want int                 // Want is the number of take-overs in 50 s.
+		name  string
+		phase int                 // Phase sets which of two daemons misses the other first.
+		cut   func(i, k int) bool // Cut reports whether calls of daemon i do not reach daemon k.
+		want  int                 // Want is the number of take-overs in 50 s.
 	}{
-		{"data centre", func(i, k int) bool { return (i%3 == away) != (k%3 == away) }, 0},
-		{"every data centre", func(i, k int) bool { return i%3 != k%3 }, 0},
-		{"one foreign link", func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 1 }, 0},
-		{"link at home", func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 3 }, 1},
-		{"link at home, one way", func(i, k int) bool { return i == 0 && k == 3 }, 1},
-		{"holder", func(i, k int) bool { return i == 0 || k == 0 }, 1},
+		{"data centre", 0, func(i, k int) bool { return (i%3 == away) != (k%3 == away) }, 0},
+		{"every data centre", 0, func(i, k int) bool { return i%3 != k%3 }, 0},
+		{"one foreign link", 0, func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 1 }, 0},
+		{"link at home", 0, func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 3 }, 1},
+		{"link at home, taker first", 2, func(i, k int) bool { return min(i, k) == 0 && max(i, k) == 3 }, 1},
+		{"link at home, one way", 0, func(i, k int) bool { return i == 0 && k == 3 }, 1},
+		{"holder", 0, func(i, k int) bool { return i == 0 || k == 0 }, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			lists := group(n)
@@ -267,7 +282,9 @@
 				for k, l := range lists {
 					actions := l.Handle(now, held)
 					for i := range n {
-						if i != k && !test.cut(i, k) {
+						due := (age+time.Duration(i+test.phase*k)*simStep)%HeartbeatInterval == 0
+						up := age < 2*HeartbeatInterval || !test.cut(i, k) && !test.cut(k, i)
+						if i != k && due && up {
 							actions = append(actions, l.Handle(now, Heartbeat{Identity: identity(i), Current: true})...)
 						}
 					}
--- a/pkg/member/types.go
+++ b/pkg/member/types.go
@@ -54,7 +54,7 @@
 		Last        time.Time // Last is the time of the latest evidence at any daemon.
 	}
 
-	// Heartbeat is what daemons send each other every second, and at once when they learn of a leaving upstream.
+	// Heartbeat is what daemons send and answer each other every second, and at once when they learn of a leaving upstream.
 	Heartbeat struct {
 		Identity
 		Offset        int64
@@ -64,6 +64,10 @@
 		Leaving       []Evidence
 	}
 
+	// Called is a heartbeat that a peer sent on its own, where Heartbeat is one that answers a call of this daemon. It does not
+	// show that the peer can be reached: when the network loses packets in one direction, calls to it get no answer.
+	Called struct{ Heartbeat }
+
 	// Refused tells that the address of a daemon refused a connection.
 	Refused struct{ Incarnation string }
 
