--- /dev/null
+++ b/pkg/fresh/bench_test.go
@@ -0,0 +1,76 @@
+package fresh
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// plannedMembers is the number of daemons at the planned size.
+const plannedMembers = 1400
+
+// plannedTracker returns the tracker of a daemon that has heard from every other member, without log if outage is set.
+func plannedTracker(now time.Time, outage bool) (*Tracker, []Beat) {
+	t, members, beats := New("m0000"), []Member{}, []Beat{}
+	for i := range plannedMembers {
+		name := fmt.Sprintf("m%04d", i)
+		members = append(members, Member{name, int64(i + 1), now.Add(-time.Hour)})
+		beats = append(beats, Beat{Incarnation: name, Offset: plannedMembers, Known: plannedMembers, HasRead: true, LogAge: time.Minute})
+	}
+	t.Folded(now, plannedMembers, members)
+	if !outage {
+		t.Read(now, plannedMembers)
+	}
+	for _, b := range beats[1:] {
+		t.Heard(now, b)
+	}
+	return t, beats
+}
+
+// BenchmarkHeartbeat measures what a daemon spends on each heartbeat of a peer, on each question whether it is current, and
+// on each change of the members, with all members as peers, and the size of its state.
+func BenchmarkHeartbeat(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	t, beats := plannedTracker(now, true)
+	if ok, why := t.Current(now); !ok || why != ByMajority {
+		b.Fatal(why)
+	}
+	log, _ := plannedTracker(now, false)
+	log.SetIntent(now, true)
+	for _, x := range beats[1:] {
+		x.Noted = 1
+		log.Heard(now, x)
+	}
+	if err := log.MayPublish(now); err != nil {
+		b.Fatal(err)
+	}
+	for name, f := range map[string]func(i int){
+		"heard":         func(i int) { t.Heard(now, beats[1+i%(plannedMembers-1)]) },
+		"beat":          func(i int) { t.Beat(now, beats[1+i%(plannedMembers-1)].Incarnation) },
+		"current":       func(int) { t.Current(now) },
+		"proven":        func(int) { t.ProvenAt(now) },
+		"currentByLog":  func(int) { log.Current(now) },
+		"mayPublish":    func(int) { _ = log.MayPublish(now) },
+		"membersChange": func(int) { t.Folded(now, plannedMembers, t.members) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				f(i)
+			}
+		})
+	}
+	b.Run("heap", func(b *testing.B) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			x, _ := plannedTracker(now, true)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(x)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<10), "KiB")
+	})
+}
