test: a holder and a backup that both miss a blind reset

Cause: the check of pkg/idemp had no partition, so this case was out of its reach. Ruled out: a rule in pkg/idemp itself, which would repeat what freshness proves.

--- a/pkg/idemp/host_test.go
+++ b/pkg/idemp/host_test.go
@@ -133,7 +133,7 @@
 		n.h.cfg.MaxKeys = 5000
 	}
 	w.settle(20)
-	leaver := w.find(w.current[0].Holder)
+	leaver := w.find(w.assigned[0].Holder)
 	var keys []string
 	for range 3 * chunkEntries {
 		key, err := leaver.h.Mint(0)
@@ -155,7 +155,7 @@
 	w.settle(12)
 	c.Assert(leaver.h.Holds()+leaver.h.Backs(), qt.Equals, 0)
 	c.Assert(leaver.h.InProgress(), qt.Equals, 1)
-	second := w.find(w.current[0].Holder)
+	second := w.find(w.assigned[0].Holder)
 	c.Assert(second.h.Ready() > 0, qt.IsTrue)
 	status := func(key string) string {
 		got, _ := first[Answer](second.h.Handle(second.local(w.now), Begin{ID: "x", Key: key, Digest: "d"}))
@@ -178,7 +178,7 @@
 	c := qt.New(t)
 	w := newWorld(3, faults{}, seeded(1))
 	w.settle(20)
-	holder := w.find(w.current[0].Holder)
+	holder := w.find(w.assigned[0].Holder)
 	key, err := holder.h.Mint(0)
 	c.Assert(err, qt.IsNil)
 	w.begin(holder, key)
--- a/pkg/idemp/machine_test.go
+++ b/pkg/idemp/machine_test.go
@@ -53,7 +53,7 @@
 			w.call(i, w.draw(9))
 		}
 	default:
-		w.disturb(n, w.draw(26))
+		w.disturb(n, w.draw(27))
 	}
 }
 
@@ -101,7 +101,10 @@
 		w.heal()
 		w.now = w.now.Add(25 * time.Hour)
 		w.newKeys()
-	case k >= 24 && !w.reused: // Most of a day passes, and callers still repeat their keys.
+	case k == 26 && w.draw(3) == 0:
+		w.cutPair(w.draw(2))
+		w.settle(w.draw(100))
+	case k >= 24 && k < 26 && !w.reused: // Most of a day passes, and callers still repeat their keys.
 		w.heal()
 		w.now, w.reused = w.now.Add(23*time.Hour), true
 	}
--- a/pkg/idemp/outage_test.go
+++ b/pkg/idemp/outage_test.go
@@ -123,7 +123,7 @@
 	}
 	o.settle(80)
 	for _, key := range o.unheld {
-		o.begin(o.find(o.current[RangeOf(key, 2)].Holder), key)
+		o.begin(o.find(o.assigned[RangeOf(key, 2)].Holder), key)
 		o.settle(2)
 	}
 }
@@ -134,9 +134,9 @@
 	for _, n := range o.nodes {
 		n.h.cfg.MaxKeys = 5000
 	}
-	o.down, o.before = true, map[int]Assignment{0: o.current[0], 1: o.current[1]}
+	o.down, o.before = true, map[int]Assignment{0: o.assigned[0], 1: o.assigned[1]}
 	if lose {
-		o.victim = o.find(o.current[o.draw(2)].Holder)
+		o.victim = o.find(o.assigned[o.draw(2)].Holder)
 	}
 	at := outageRounds/3 + o.draw(outageRounds/3)
 	for i := 0; i < outageRounds && o.err == nil; i++ {
@@ -160,7 +160,7 @@
 		c.Assert(o.ran > outageRounds/10, qt.IsTrue, qt.Commentf("seed %d: %d", seed, o.ran))
 		for id, key := range o.open {
 			before := o.runs[key]
-			second := o.find(o.current[RangeOf(key, 2)].Holder)
+			second := o.find(o.assigned[RangeOf(key, 2)].Holder)
 			got, _ := first[Answer](second.h.Handle(second.local(o.now), Begin{ID: id + "again", Key: key, Digest: "d"}))
 			c.Assert(got.Err, qt.IsNotNil)
 			c.Assert(got.Err.Code(), qt.Equals, codes.KeyOutcomeLost, qt.Commentf("seed %d", seed))
--- a/pkg/idemp/world_test.go
+++ b/pkg/idemp/world_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fireflycleat/fireflycleat/pkg/clocks"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fresh"
 )
 
 const fine = -1 // fine is the fate of a packet that is delivered in order.
@@ -22,26 +23,27 @@
 type (
 	// world is a log, a network and a plain service around a few hosts; draw(n) chooses every next step below n.
 	world struct {
-		draw    func(n int) int
-		faults  faults
-		now     time.Time
-		nodes   []*node
-		log     []Assignment
-		at      []time.Time // at are the times of the records.
-		current map[int]Assignment
-		packets []packet
-		appends []Propose
-		calls   []serviceCall
-		down    bool
-		reused  bool // reused tells that most of the lifetime of the keys has passed.
-		gen     int
-		total   int
-		blind   int
-		keys    []string
-		runs    map[string]int    // runs counts by key what the service ran.
-		answers map[string]string // answers holds by key what the service answered.
-		asked   map[string]*asked
-		err     error
+		draw     func(n int) int
+		faults   faults
+		now      time.Time
+		nodes    []*node
+		log      []Assignment
+		at       []time.Time // at are the times of the records.
+		assigned map[int]Assignment
+		packets  []packet
+		appends  []Propose
+		calls    []serviceCall
+		down     bool
+		stale    bool // stale lets hosts that are not current accept work, to show what depends on it.
+		reused   bool // reused tells that most of the lifetime of the keys has passed.
+		gen      int
+		total    int
+		blind    int
+		keys     []string
+		runs     map[string]int    // runs counts by key what the service ran.
+		answers  map[string]string // answers holds by key what the service answered.
+		asked    map[string]*asked
+		err      error
 	}
 
 	// asked is what became of one Begin.
@@ -56,12 +58,15 @@
 		ahead         time.Duration // ahead is what the clock of the host was ahead by at the start.
 		drift         float64       // drift is what its clock gains in a unit of time.
 		alive, paused bool
+		cut           bool // cut tells that it reaches only other hosts that are cut off, callers and the service.
+		cutAt         time.Time
 		gone          bool
 		draining      bool
 		folded        int
 	}
 
 	packet struct {
+		from  *node
 		to    string
 		event Event
 	}
@@ -74,7 +79,7 @@
 
 func newWorld(hosts int, f faults, draw func(n int) int) *world {
 	w := &world{
-		draw: draw, faults: f, now: began, current: make(map[int]Assignment),
+		draw: draw, faults: f, now: began, assigned: make(map[int]Assignment),
 		runs: make(map[string]int), answers: make(map[string]string), asked: make(map[string]*asked),
 	}
 	for range hosts {
@@ -125,13 +130,16 @@
 	for _, a := range n.h.Handle(n.local(w.now), e) {
 		switch m := a.(type) {
 		case Send:
-			w.packets = append(w.packets, packet{m.To, Moved(m.Message, n.local(w.now), clocks.Epoch)})
+			w.packets = append(w.packets, packet{n, m.To, Moved(m.Message, n.local(w.now), clocks.Epoch)})
 		case Run:
 			w.calls = append(w.calls, serviceCall{n, m})
 		case Propose:
+			if n.cut {
+				continue // It does not reach the log.
+			}
 			w.appends = append(w.appends, m)
 		case Forward:
-			w.packets = append(w.packets, packet{m.To, Begin{ID: m.ID, Key: w.asked[m.ID].key, Digest: "d", Forwarded: true}})
+			w.packets = append(w.packets, packet{n, m.To, Begin{ID: m.ID, Key: w.asked[m.ID].key, Digest: "d", Forwarded: true}})
 		case Answer:
 			w.answered(m)
 		}
@@ -150,9 +158,28 @@
 	}
 }
 
+// current is the rule of pkg/fresh for a host without log and without a majority: it accepts work for a short while only.
+func (w *world) current(n *node) bool {
+	return !n.cut || w.stale || n.local(w.now).Sub(n.local(n.cutAt)) <= fresh.Bound
+}
+
+// cutPair cuts the holder and the backup of a range off from the log and the other hosts. The others reset the range.
+func (w *world) cutPair(keyRange int) {
+	a := w.assigned[keyRange]
+	for _, n := range w.nodes {
+		if n.alive && (n.name == a.Holder || n.name == a.Backup) {
+			n.cut, n.cutAt = true, w.now
+		}
+	}
+}
+
 func (w *world) begin(n *node, key string) string {
 	id := fmt.Sprintf("b%d", len(w.asked)+1)
 	w.asked[id] = &asked{key: key}
+	if !w.current(n) {
+		w.asked[id].notRun = true
+		return id
+	}
 	w.handle(n, Begin{ID: id, Key: key, Digest: "d"})
 	return id
 }
@@ -201,7 +228,7 @@
 	if !keep {
 		w.appends = append(w.appends[:i:i], w.appends[i+1:]...)
 	}
-	cur := w.current[p.Range]
+	cur := w.assigned[p.Range]
 	if p.Base != cur.Epoch {
 		return
 	}
@@ -213,7 +240,7 @@
 		a.BlindEpoch, a.BlindSince = a.Epoch, w.now.Add(logAhead)
 		w.blind++
 	}
-	w.current[p.Range] = a
+	w.assigned[p.Range] = a
 	w.log, w.at = append(w.log, a), append(w.at, w.now.Add(logAhead))
 }
 
@@ -231,7 +258,7 @@
 	if _, isBegin := p.event.(Begin); fate != 1 || isBegin {
 		w.packets = append(w.packets[:i:i], w.packets[i+1:]...)
 	}
-	if n := w.find(p.to); fate != 0 && n != nil && n.alive && !n.paused {
+	if n := w.find(p.to); fate != 0 && n != nil && n.alive && !n.paused && n.cut == p.from.cut {
 		w.handle(n, Moved(p.event, clocks.Epoch, n.local(w.now)))
 	}
 }
@@ -243,7 +270,7 @@
 		if o.gone {
 			continue
 		}
-		lost := !o.alive || o.paused
+		lost := !o.alive || o.paused || o.cut != n.cut
 		if noisy && w.draw(12) == 0 {
 			lost = !lost
 		}
@@ -253,7 +280,7 @@
 }
 
 func (w *world) fold(n *node, most int) {
-	for ; most > 0 && n.folded < len(w.log); most-- {
+	for ; most > 0 && n.folded < len(w.log) && !n.cut; most-- {
 		n.folded++
 		w.handle(n, LogTime{At: w.at[n.folded-1]})
 		w.handle(n, w.log[n.folded-1])
@@ -283,7 +310,7 @@
 func (w *world) jump(n *node) {
 	n.folded = len(w.log)
 	for keyRange := range 2 {
-		if a, ok := w.current[keyRange]; ok {
+		if a, ok := w.assigned[keyRange]; ok {
 			if w.draw(2) == 0 {
 				a.Base = -1
 			}
@@ -325,7 +352,7 @@
 func (w *world) heal() {
 	w.down = false
 	for _, n := range append([]*node(nil), w.nodes...) {
-		n.paused = false
+		n.paused, n.cut = false, false
 		if n.draining && n.alive {
 			w.kill(n)
 		}
