--- a/pkg/clocks/clocks_test.go
+++ b/pkg/clocks/clocks_test.go
@@ -36,6 +36,7 @@
 					local, want := start.Add(s), remote(s)
 					c.Assert(r.Earliest(local).After(want) || r.Latest(local).Before(want), qt.IsFalse, qt.Commentf("%v %v", seed, at))
 					c.Assert(r.Since(want).After(local), qt.IsFalse)
+					c.Assert(r.About(want).Sub(local).Abs() < 3*time.Second, qt.IsTrue)
 				}
 			}
 			c.Assert(r.Latest(start.Add(at)).Sub(r.Earliest(start.Add(at))) < 1500*time.Millisecond, qt.IsTrue)
