test: the Date of answers, and a report that comes twice with another age

Change: a case for the client with and without a Date, and one for routing. Ruled out: a fallback clock where the Date is missing.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -44,6 +44,26 @@
 	c.Assert(runs.Load(), qt.Equals, int64(2))
 }
 
+// Guards against an answer whose clock cannot be told, and against a guess where the answer has no Date.
+func TestDate(t *testing.T) {
+	date := time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+	for _, header := range [][]string{nil, {date.Format(http.TimeFormat)}} {
+		c := qt.New(t)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()["Date"] = header
+			_, _ = w.Write([]byte(`{}`))
+		}))
+		defer s.Close()
+		address := strings.TrimPrefix(s.URL, "http://")
+		status, err := New(noTrace).Status(t.Context(), address)
+		c.Assert(err, qt.IsNil)
+		hosts, err := New(noTrace).Hosts(t.Context(), address)
+		c.Assert(err, qt.IsNil)
+		c.Assert([]bool{status.Date.Equal(date), hosts.Date.Equal(date)}, qt.DeepEquals, []bool{header != nil, header != nil})
+		c.Assert(status.Date.IsZero() && hosts.Date.IsZero(), qt.Equals, header == nil)
+	}
+}
+
 // Guards against "not run" being said of a call whose bytes left, and "unknown" of one that never left.
 func TestOutcomeOfTransportErrors(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -185,6 +185,8 @@
 	}
 	table.Report(start.Add(1500*time.Millisecond), "u0", "", 5, 0, 8, at)
 	table.Report(start.Add(2*time.Second), "u0", "", 9, 0, 8, at) // No newer than the last one.
+	// The same report again: its age was estimated with another delay.
+	table.Report(start.Add(2*time.Second), "u0", "", 9, 0, 8, at.Add(sameReport))
 	return table.Load("m").All
 }
 
