fix(member): a host whose links are healed does not take its leases back at once

Cause: a host that was cut off from peers and log reads the log first and is current at that moment, while no peer has answered yet, so every holder counted as lost and it proposed to take over at once. Seen in links_controller_apart: the earlier controller took the cell back from its living successor in the same second in which its links were healed, and left the upstreams unsettled again.

Free leases and holders proven gone are taken as before.

TestNoTakeOverAfterCut. The scenario allows one lease change.

--- a/pkg/member/lease.go
+++ b/pkg/member/lease.go
@@ -68,6 +68,10 @@
 	case c.vacantSince.IsZero():
 		c.vacantSince = now
 	}
+	// A daemon that was cut off reads the log before its peers have answered, and hears none of them at that moment.
+	if c.Holder != "" && !l.Gone(c.Holder) && now.Sub(l.currentSince) <= SuspectAfter {
+		return
+	}
 	// The delay is worked out anew, since others fall silent or are proven gone while this daemon waits.
 	due := c.vacantSince.Add(l.leaseDelay(now, c))
 	if now.Before(due) || now.Before(c.notBefore) || !l.state.Current || l.state.Draining || l.evicted {
--- a/pkg/member/list.go
+++ b/pkg/member/list.go
@@ -51,8 +51,10 @@
 		turn      uint64 // turn rotates the address answers.
 		lifetime  time.Duration
 		evicted   bool
-		actions   []Action
-		faults    faults
+		// CurrentSince is when this daemon became current the last time.
+		currentSince time.Time
+		actions      []Action
+		faults       faults
 	}
 
 	peer struct {
@@ -95,7 +97,7 @@
 	case Down:
 		l.downed(now, m.Incarnation)
 	case Self:
-		l.setSelf(m)
+		l.setSelf(now, m)
 	case Heartbeat:
 		l.heartbeat(now, m, true)
 	case Called:
@@ -183,11 +185,14 @@
 	return p.upOffset == 0 && p.lost(now) && now.Sub(p.since) > forgetPeer && now.Sub(p.heard) > forgetPeer
 }
 
-func (l *List) setSelf(m Self) {
+func (l *List) setSelf(now time.Time, m Self) {
 	// Peers must stop giving this address away without waiting for the next second.
 	if m.Draining && !l.state.Draining {
 		l.hurry()
 	}
+	if m.Current && !l.state.Current {
+		l.currentSince = now
+	}
 	l.state = m
 }
 
--- a/pkg/member/list_test.go
+++ b/pkg/member/list_test.go
@@ -255,6 +255,24 @@
 	}
 }
 
+// Guards against a daemon that takes a lease back when its links are healed, before its peers have answered.
+func TestNoTakeOverAfterCut(t *testing.T) {
+	c := qt.New(t)
+	l := group(4)[0]
+	held := Lease{Cell: "dc0", DataCentre: "dc0", Offset: 20, Holder: identity(3).Incarnation}
+	l.Handle(start, Self{})
+	healed := start.Add(10 * time.Second)
+	l.Handle(healed, held)
+	for age := time.Duration(0); age <= SuspectAfter; age += simStep {
+		c.Assert(pick[TakeOver](l.Handle(healed.Add(age), Self{Current: true})), qt.HasLen, 0)
+	}
+	c.Assert(pick[TakeOver](l.Handle(healed.Add(SuspectAfter+simStep), Tick{})), qt.HasLen, 1)
+	held.Offset, held.Holder = 21, ""
+	l.Handle(healed.Add(time.Minute), Self{})
+	l.Handle(healed.Add(time.Minute), Self{Current: true})
+	c.Assert(pick[TakeOver](l.Handle(healed.Add(time.Minute), held)), qt.HasLen, 1)
+}
+
 // Guards against daemons that take leases from each other while links are cut and all of them read the log.
 func TestTakeOverWhileCut(t *testing.T) {
 	// Daemons 0 and 3 are those of dc0. Heartbeats are a second apart, at another moment for each pair.
