--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -19,7 +19,7 @@
 
 const gib = 1 << 30
 
-// commands are the words of the scenario language; testdata/README.md describes them.
+// commands are the words of the scenario language; docs/contributing.md describes them.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
 	"platform":  do(platform),
 	"daemons":   do(daemons),
