feat: urgent calls leave full replicas, and waits there are no slowness

A call that waited at a full replica stayed there unless its own host had a bulk stream to preempt.

Change: tokens at the usual speed clear what late first tokens said of an upstream. An urgent call without a first token after 1.5 times the median is cancelled and sent to a replica with a free slot, at most three times and only if it is repeatable; its replica counts as full until the next report. Otherwise it makes room as before. A call that moves keeps its deadline.

--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -16,8 +16,9 @@
 	medianFactor = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
 	// Where first-token times vary little, 5% of all calls pass the 95th percentile by noise and would use up the budget.
 	noiseTenths = 15
-	// An urgent call without a first token after this multiple of the expected time takes the place of a bulk stream.
-	roomFactor     = 2
+	// An urgent call without a first token after this multiple of the expected time looks for another place.
+	coldRoomFactor = 2
+	roomTenths     = 12 // The same once the median is known, which is then the better measure.
 	leastHedgeWait = 5 * time.Millisecond
 )
 
@@ -45,7 +46,7 @@
 	c.roomAt = time.Time{}
 	next := c.Deadline
 	if c.Urgency == spec.Urgent {
-		c.roomAt = now.Add(roomFactor * choice.First)
+		c.roomAt = now.Add(c.queue.roomAfter(choice.First))
 		next = earlier(next, c.roomAt)
 	}
 	if c.Repeatable && c.Urgency != spec.Bulk {
@@ -63,18 +64,33 @@
 	return max(min(q.first.Late(), medianFactor*q.first.Median()), q.first.Median()*noiseTenths/10)
 }
 
+// roomAfter returns the delay after which an urgent call without a first token is known to wait for a slot.
+func (q *queue) roomAfter(expected time.Duration) time.Duration {
+	median := q.first.Median()
+	if median == 0 {
+		return coldRoomFactor * expected
+	}
+	return max(median*noiseTenths, expected*roomTenths) / 10
+}
+
 // callDue handles the timer of a call whose first token is missing.
 func (e *Entry) callDue(now time.Time, c *call) {
-	if c.state != running || !c.bound() {
+	if c.state != running && c.state != suspended || !c.bound() {
 		return
 	}
 	if !now.Before(c.Deadline) {
 		e.refuse(c, codes.DeadlineMissed, e.promise(now, c))
 		return
 	}
+	if c.state == suspended {
+		e.timers.set(&c.timer, c.Deadline)
+		return
+	}
 	if !c.roomAt.IsZero() && !now.Before(c.roomAt) {
 		c.roomAt = time.Time{}
-		e.makeRoom(now, c.queue, c.attempts[0].upstream)
+		if e.retract(now, c) {
+			return
+		}
 	}
 	if !c.hedgeAt.IsZero() && !now.Before(c.hedgeAt) {
 		c.hedgeAt = time.Time{}
@@ -199,7 +215,7 @@
 		e.forget(c)
 	case a.cancelled && c.state != suspended, c.delivers != 0 && c.delivers != a.number:
 		// Another attempt won, or this one was replaced.
-	case ev.Result == retry.Done:
+	case ev.Result == retry.Done && (c.delivers != 0 || !a.cancelled):
 		if c.delivers == 0 { // The first token and the end crossed, or the answer is empty.
 			e.deliver(now, c, a)
 		}
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -33,6 +33,7 @@
 		failures  int
 		preempted int
 		moves     int
+		retracts  int  // retracts counts the moves before the first token.
 		moving    bool // moving tells that the cancelled attempt is to be resumed at another upstream.
 		started   bool // started tells that the caller got a token, so the deadline no longer applies.
 		waiting   bool // waiting tells that the call is in the queue's list.
--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -278,21 +278,6 @@
 	return true
 }
 
-// makeRoom preempts a bulk stream at an upstream where an urgent call waits longer than predicted.
-func (e *Entry) makeRoom(now time.Time, q *queue, upstream string) bool {
-	var victim *call
-	for _, v := range q.streams {
-		if e.mayPreempt(now, v) && v.attempt(v.delivers).upstream == upstream && v.better(victim) {
-			victim = v
-		}
-	}
-	if victim == nil {
-		return false
-	}
-	e.suspend(victim)
-	return true
-}
-
 func (e *Entry) suspend(v *call) {
 	e.unlist(v)
 	v.state = suspended
--- /dev/null
+++ b/pkg/entry/retract.go
@@ -0,0 +1,44 @@
+package entry
+
+import "time"
+
+const maxRetracts = 3 // Each costs a round trip and the time in which the wait was noticed.
+
+// retract looks after an urgent call whose first token is late, which shows that its replica has no free slot although the
+// load figures said so. The call moves to a replica with a free slot if there is one, and otherwise takes the place of a bulk
+// stream at its own replica. It reports whether the call moves.
+func (e *Entry) retract(now time.Time, c *call) bool {
+	a := c.attempts[0]
+	if len(c.attempts) != 1 || a.cancelled || a.lost {
+		return false
+	}
+	e.table.Full(&a.flight)
+	e.mark(c.queue) // A higher load lowers the predictions of the calls that wait.
+	if c.Repeatable && c.retracts < maxRetracts {
+		if choice, ok := e.table.Pick(now, c.query(a.upstream)); ok && choice.Free && !now.Add(choice.First).After(c.Deadline) {
+			c.retracts++
+			c.moving = true
+			c.state = suspended
+			e.cancel(c, a)
+			e.timers.set(&c.timer, c.Deadline)
+			return true
+		}
+	}
+	e.makeRoom(now, c.queue, a.upstream)
+	return false
+}
+
+// makeRoom preempts a bulk stream at an upstream where an urgent call waits longer than predicted.
+func (e *Entry) makeRoom(now time.Time, q *queue, upstream string) bool {
+	var victim *call
+	for _, v := range q.streams {
+		if e.mayPreempt(now, v) && v.attempt(v.delivers).upstream == upstream && v.better(victim) {
+			victim = v
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	e.suspend(victim)
+	return true
+}
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Full records that the first token of an attempt is late because all slots of its replica are taken. What other hosts hold
+// there counts as so much until the next report.
+func (t *Table) Full(f *Flight) {
+	n := f.node
+	if n == nil || !f.first.IsZero() {
+		return
+	}
+	if others := n.Slots + 1 - n.ownAll; others > n.others {
+		if n.active {
+			n.model.load += others - n.others
+		}
+		n.others = others
+	}
+}
+
 // Progress records that the attempt has reached the token index.
 func (t *Table) Progress(now time.Time, f *Flight, tokens int) {
 	if f.node == nil || f.first.IsZero() || tokens-f.tokens < minTokens {
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -273,3 +273,56 @@
 		})
 	}
 }
+
+// Guards against an upstream that is avoided as slow because requests waited there for a slot, and against a slow one whose
+// late first tokens are forgotten.
+func TestLateFirstTokenIsNoSlowness(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		token time.Duration
+		slow  bool
+	}{{"usual tokens", 10 * time.Millisecond, false}, {"slow tokens", 50 * time.Millisecond, true}} {
+		t.Run(x.name, func(t *testing.T) {
+			tb := newTable(3, 8)
+			now := start
+			run := func(upstream string, first, token time.Duration) {
+				c, _ := tb.At(now, Query{Model: "m"}, upstream)
+				f := tb.Sent(now, c, spec.Urgent, 0)
+				now = now.Add(first)
+				tb.First(now, &f)
+				now = now.Add(8 * token)
+				tb.Progress(now, &f, 8)
+				tb.Ended(now, &f, 8, false)
+			}
+			for range minSamples {
+				for _, u := range []string{"u1", "u2"} {
+					run(u, 50*time.Millisecond, 10*time.Millisecond)
+				}
+			}
+			for range minSamples {
+				run("u0", 400*time.Millisecond, x.token)
+			}
+			u := tb.upstreams["u0"]
+			qt.Check(t, u.slowness(tb.models["m"]) > 1, qt.Equals, x.slow)
+			qt.Check(t, u.ejected, qt.Equals, x.slow)
+		})
+	}
+}
+
+// Guards against calls that follow another to a replica that turned out to be full, and against a mark that outlives the
+// next report.
+func TestFull(t *testing.T) {
+	tb := newTable(1, 4)
+	q := Query{Model: "m", Urgency: spec.Urgent}
+	c, _ := tb.At(start, q, "u0")
+	qt.Assert(t, c.Free, qt.IsTrue)
+	f := tb.Sent(start, c, spec.Urgent, 0)
+	tb.Full(&f)
+	c, _ = tb.At(start, q, "u0")
+	qt.Check(t, c.Free, qt.IsFalse)
+	qt.Check(t, tb.Load("m").All, qt.Equals, 5)
+	now := start.Add(time.Second)
+	tb.Report(now, "u0", "m", 1, 0, 4, now)
+	c, _ = tb.At(now, q, "u0")
+	qt.Check(t, c.Free, qt.IsTrue)
+}
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -55,6 +55,10 @@
 	if !n.up.ejected {
 		n.model.pace.add(ratio, slowWeight)
 	}
+	if n.up.first.value > noticeable && n.up.token.count >= minSamples && max(ratio, n.up.token.value) < noticeable*n.model.pace.or(1) {
+		// The upstream computes tokens at the usual speed, so its late first tokens waited for a slot.
+		n.up.first = meter{}
+	}
 	t.judge(now, n)
 }
 
