feat: the reserve for urgent work follows its load

Cause: on the trace reports, bulk work had all but two slots of a replica, and aged streams, which are most of them under load, could not be preempted.

Change: bulk work leaves room for the usual number of other requests and 3.5 times its deviation over all replicas of the model, but at least one bulk request may run at each replica where the usual load leaves room for it; it starts only where as many slots are free as other requests usually hold, half of them at most. Aged streams may be preempted, within the same limits of quantum and number. A call that found a full replica makes room there before it moves to a replica without a sure slot, and when it is sent again, it prefers the place of an own bulk stream. A slot counts as sure at 2.0 instead of 1.5 deviations.

--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -204,8 +204,9 @@
 	}
 	inTime := !c.bound() || !now.Add(wait+choice.First).After(c.Deadline)
 	switch {
-	case c.Urgency == spec.Urgent && !choice.Sure && e.preempt(now, q, c):
-		// Without this, short work waits behind long streams whenever the estimate of the load is too low.
+	case c.Urgency == spec.Urgent && (!choice.Sure || c.retracts > 0) && e.preempt(now, q, c):
+		// Without this, short work waits behind long streams whenever the estimate of the load is too low, as it was if the
+		// call found a full replica before.
 		return true
 	case choice.Free && (inTime || !now.Add(choice.First/2).After(c.Deadline)):
 		// The first-token time is a mean, and half of it is common with a cached prompt prefix.
@@ -289,7 +290,8 @@
 	return than == nil || c.preempted < than.preempted || c.preempted == than.preempted && c.streamAt.After(than.streamAt)
 }
 
-// mayPreempt protects progress: a stream runs for a quantum that grows with each preemption, and their number is limited.
+// mayPreempt protects progress: a stream runs for a quantum that grows with each preemption, and their number is limited. An
+// aged stream is no exception: under load most streams are aged, and urgent calls would find none to preempt.
 func (e *Entry) mayPreempt(now time.Time, v *call) bool {
 	a := v.attempt(v.delivers)
 	if a == nil || a.cancelled || a.lost || !v.Repeatable {
@@ -298,7 +300,7 @@
 	if e.mutant.endlessBulk {
 		return true
 	}
-	return v.preempted < e.settings.MaxPreemptions && !v.aged &&
+	return v.preempted < e.settings.MaxPreemptions &&
 		now.Sub(v.streamAt) >= time.Duration(float64(e.settings.Quantum)*math.Pow(quantumGrowth, float64(v.preempted)))
 }
 
--- a/pkg/entry/retract.go
+++ b/pkg/entry/retract.go
@@ -5,8 +5,8 @@
 const maxRetracts = 3 // Each costs a round trip and the time in which the wait was noticed.
 
 // retract looks after an urgent call whose first token is late, which shows that its replica has no free slot although the
-// load figures said so. The call moves to a replica with a free slot if there is one, and otherwise takes the place of a bulk
-// stream at its own replica. It reports whether the call moves.
+// load figures said so. The call moves to a replica that surely has a free slot, takes the place of a bulk stream at its own
+// replica, or moves to a replica that probably has a free slot, in this order. It reports whether the call moves.
 func (e *Entry) retract(now time.Time, c *call) bool {
 	a := c.attempts[0]
 	if len(c.attempts) != 1 || a.cancelled || a.lost {
@@ -14,18 +14,18 @@
 	}
 	e.table.Full(&a.flight)
 	e.mark(c.queue) // A higher load lowers the predictions of the calls that wait.
-	if c.Repeatable && c.retracts < maxRetracts {
-		if choice, ok := e.table.Pick(now, c.query(a.upstream)); ok && choice.Free && !now.Add(choice.First).After(c.Deadline) {
-			c.retracts++
-			c.moving = true
-			c.state = suspended
-			e.cancel(c, a)
-			e.timers.set(&c.timer, c.Deadline)
-			return true
-		}
+	choice, ok := e.table.Pick(now, c.query(a.upstream))
+	ok = ok && choice.Free && c.Repeatable && c.retracts < maxRetracts && !now.Add(choice.First).After(c.Deadline)
+	sure := ok && choice.Sure
+	if !sure && e.makeRoom(now, c.queue, a.upstream) || !ok {
+		return false
 	}
-	e.makeRoom(now, c.queue, a.upstream)
-	return false
+	c.retracts++
+	c.moving = true
+	c.state = suspended
+	e.cancel(c, a)
+	e.timers.set(&c.timer, c.Deadline)
+	return true
 }
 
 // makeRoom preempts a bulk stream at an upstream where an urgent call waits longer than predicted.
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -11,6 +11,10 @@
 	frontSpan  = 10 * time.Second // Several times the length of short requests.
 	shunTime   = time.Second      // News of unloads and of leaving upstreams arrive within about this time.
 	reportLife = 10 * time.Second // Five times the longest usual lag of reports.
+	// Bulk work leaves room for the usual number of other requests and this multiple of its deviation. With 3.0, 1.6% of urgent
+	// calls beside long reports found two full replicas in turn.
+	roomDeviations = 3.5
+	leastBulk      = 1 // Bulk requests that a replica takes even if the deviation leaves no room, so that bulk work does not starve.
 )
 
 type (
@@ -279,7 +283,7 @@
 func (n *node) wait(u spec.Urgency, aged bool, hosts int) (float64, bool) {
 	limit := n.Slots
 	if u == spec.Bulk && !aged {
-		limit -= n.reserve
+		limit -= n.kept(hosts)
 	}
 	load := n.load()
 	if load < limit && (u != spec.Bulk || aged || n.bulkRoom(hosts)) {
@@ -304,12 +308,22 @@
 	return rate * n.model.pace.or(1) / n.up.token.or(n.model.pace.or(1))
 }
 
-// bulkRoom reports whether one more bulk request leaves room for the usual number of other requests. The momentary load is
-// no measure: long requests would fill each dip of it and stay.
+// kept returns the slots that must stay free when a bulk request starts: as many as other requests usually hold, but not more
+// than half.
+func (n *node) kept(hosts int) int {
+	usual := int(math.Ceil(n.model.front * n.share() * float64(hosts)))
+	return max(n.reserve, min(usual, n.Slots/2))
+}
+
+// bulkRoom reports whether one more bulk request leaves room for the usual number of other requests and its deviation, which
+// the replicas of the model share. The momentary load is no measure: long requests would fill each dip of it and stay.
 func (n *node) bulkRoom(hosts int) bool {
-	front := n.model.front * n.share()
-	others := max(n.usual.value-front*float64(hosts-1), 0)
-	return float64(n.own[spec.Bulk])+others+1 <= float64(n.Slots-n.reserve)-front*float64(hosts)
+	front := n.model.front * float64(hosts) // Of all hosts at all replicas.
+	others := max(n.usual.value-n.model.front*n.share()*float64(hosts-1), 0)
+	reserve := float64(n.reserve)
+	mean := float64(n.Slots) - front*n.share()
+	room := mean - max(reserve, roomDeviations*math.Sqrt(front)*n.share())
+	return float64(n.own[spec.Bulk])+others+1 <= max(room, min(mean-reserve, leastBulk))
 }
 
 // average brings the mean number of own requests that are not bulk up to date.
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -19,8 +19,8 @@
 	ejectPenalty   = 1.0   // In seconds: an ejected upstream is chosen only if the others are this much worse.
 	fullPenalty    = 0.003 // In seconds: two one-way delays, so a nearly full replica loses to an empty one in another centre.
 	leastShort     = 0.5   // Other hosts may have sent a request that no report shows yet.
-	sureDeviations = 1.5
-	lightLoad      = 0.7 // Below this share of slots a replica in the own data centre is taken without further draws.
+	sureDeviations = 2.0   // The load of other hosts varies like a Poisson variable.
+	lightLoad      = 0.7   // Below this share of slots a replica in the own data centre is taken without further draws.
 )
 
 type (
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -209,6 +209,30 @@
 	}
 }
 
+// Guards against bulk work that takes the room of usual urgent work, and against bulk work that never starts beside it.
+func TestReserveFollowsLoad(t *testing.T) {
+	for _, x := range []struct {
+		replicas int
+		front    float64
+		bulk     int
+	}{{1, 0, 6}, {1, 1, 3}, {1, 4, 1}, {1, 7, 0}, {4, 0, 24}, {4, 12, 4}, {20, 60, 60}} {
+		table := newTable(x.replicas, 8)
+		m := table.model("m")
+		m.front, m.frontAt = x.front, start
+		started := 0
+		for range 8 * x.replicas {
+			for i := range x.replicas {
+				choice, _ := table.At(start, Query{Model: "m", Urgency: spec.Bulk}, fmt.Sprintf("u%d", i))
+				if choice.Free {
+					table.Sent(start, choice, spec.Bulk, 0)
+					started++
+				}
+			}
+		}
+		qt.Check(t, started, qt.Equals, x.bulk, qt.Commentf("%v", x))
+	}
+}
+
 // Guards against a replica in another data centre that is preferred to an equal one here.
 func TestNearFirst(t *testing.T) {
 	table := newTable(30, 8)
