feat(cell): a permit in advance goes to the cell with the nearest copy

Change: a cell with a copy claims the permit of an idle model in advance; Claim and PermitAsked carry a distance (tier of the nearest copy, home first among equals) and an idle cell yields only to a smaller one. The daemon asks the holder without an append when the fold would refuse the claim.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -177,7 +177,7 @@
 	if others+a.Count > m.MaxReplicas {
 		if owner != "" {
 			o := f.control(owner)
-			f.after(f.deploy.between(c.centre, owner), func() { o.handle(cell.PermitAsked{Model: a.Model, Count: most - 1}) })
+			f.after(f.deploy.between(c.centre, owner), func() { o.handle(cell.PermitAsked{Model: a.Model, Count: most - 1, Distance: a.Distance}) })
 		}
 		return
 	}
--- a/internal/daemon/cellrun.go
+++ b/internal/daemon/cellrun.go
@@ -172,10 +172,24 @@
 	var changes []fold.PermitChange
 	for _, model := range slices.Sorted(maps.Keys(r.claims)) {
 		a := r.claims[model]
+		r.distances[model] = a.Distance
+		if r.exceeds(model, a.Count) {
+			r.askOthers(model) // The fold would refuse the record, and every refused claim costs an append.
+			continue
+		}
 		changes = append(changes, fold.PermitChange{Cell: r.name, Lease: a.Fence, Model: model, Base: a.Base, Count: a.Count})
 	}
 	clear(r.claims)
-	r.appendPermits(changes)
+	if len(changes) > 0 {
+		r.appendPermits(changes)
+	}
+}
+
+// exceeds reports whether the folded permits of the other cells leave no room for a larger count in this cell.
+func (r *cellRun) exceeds(model string, count int) bool {
+	own := r.d.state.Permit(model, r.name).Count
+	sum, limit := r.d.state.PermitSum(model)
+	return count > own && sum-own+count > limit
 }
 
 // appendPermits appends one record. The fold takes or refuses it as a whole, so a refused batch is tried one by one; when
@@ -202,7 +216,9 @@
 		}
 	}
 	if most.Count > 0 {
-		r.d.cells.toController(most.Cell, cell.PermitAsked{Model: model, Count: most.Count - 1})
+		r.d.cells.toController(most.Cell, cell.PermitAsked{
+			Model: model, Count: most.Count - 1, Distance: r.distances[model],
+		})
 	}
 }
 
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -36,6 +36,7 @@
 		directory peers.Directory
 		permits   map[string]permitState
 		claims    map[string]cell.Claim
+		distances map[string]int // distances holds that of the last claim of each model.
 	}
 
 	permitState struct {
@@ -64,7 +65,7 @@
 	s.AdaptersInFlight = max(1, c.d.settings.Store.AdaptersInFlight/max(1, len(c.d.upstreams.cells)))
 	r := &cellRun{
 		d: c.d, name: name, control: cell.New(s), earlier: make(map[string]int64), permits: make(map[string]permitState),
-		claims: make(map[string]cell.Claim),
+		claims: make(map[string]cell.Claim), distances: make(map[string]int),
 	}
 	r.directory.Cell = name
 	r.alarm = newAlarm(c.d.control, func() { r.handle(cell.Tick{}) })
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -6,7 +6,11 @@
 
 func (c *Controller) setPermit(e PermitChanged) {
 	m := c.model(e.Model)
-	m.permits, m.offset, m.frozen, m.claims = e.Count, e.Offset, e.Frozen, 0
+	m.claims = 0
+	if e.Count < m.permits {
+		m.claims = maxClaimShift // A claim in advance lets the cell go first for which the permit was yielded.
+	}
+	m.permits, m.offset, m.frozen = e.Count, e.Offset, e.Frozen
 	if e.Count <= m.yielding {
 		m.yielding = noYield
 	}
@@ -19,7 +23,7 @@
 
 func (c *Controller) askPermit(e PermitAsked) {
 	m := c.model(e.Model)
-	if c.holds && e.Count < m.permits {
+	if c.holds && e.Count < m.permits && e.Distance < c.distance(m) {
 		m.yield, m.force = max(e.Count, 0), e.Force
 		c.touch(m)
 	}
@@ -72,7 +76,7 @@
 	}
 	limit := c.permitCap(m)
 	if c.inUse(m) <= limit && (m.force || m.yield == noYield || m.missing == 0 || !c.takesLoads()) {
-		c.claim(m, limit)
+		c.claim(m, limit, 0)
 		return
 	}
 	if m.yield != noYield && !m.force && c.busy(m) {
@@ -107,24 +111,43 @@
 	return min(m.spec.MinReplicas, m.permits)
 }
 
-// claimMore claims permits in advance for models at home, and for work that the permits of the cell cannot serve.
+// distance orders the cells by how soon they could load the model: by the nearest copy of the checkpoint, and the home cell
+// before others with the same. It is at least 1, and as two cells never both come before each other, a permit that is
+// claimed in advance comes to rest.
+func (c *Controller) distance(m *model) int {
+	d := 1 + 2*int(c.nearest(m))
+	if !c.home(m) {
+		d++
+	}
+	return d
+}
+
+// attracts reports whether the cell claims the permit of the model because it keeps a copy of the checkpoint. Free permits of
+// models with several are left to the cells with work, and models that stay loaded do so at home.
+func (c *Controller) attracts(m *model) bool {
+	return m.spec.MaxReplicas == 1 && m.spec.MinReplicas == 0 && c.nearest(m) < TierRemote
+}
+
+// claimMore claims permits in advance for models at home or with a copy of the checkpoint in the cell, and for work that the
+// permits of the cell cannot serve.
 func (c *Controller) claimMore(m *model, serving int) {
 	if !m.known || m.frozen || m.yield != noYield || m.yielding != noYield {
 		return
 	}
 	want := 0
-	if c.home(m) {
+	if c.home(m) || c.attracts(m) {
 		want = max(1, m.spec.MinReplicas)
 	}
+	distance := c.distance(m)
 	if m.missing > 0 && !c.mayLoad(m) {
-		want = max(want, c.inUse(m)+1, serving+m.missing)
+		want, distance = max(want, c.inUse(m)+1, serving+m.missing), 0
 	}
 	if want = min(want, m.spec.MaxReplicas); want > m.permits {
-		c.claim(m, want)
+		c.claim(m, want, distance)
 	}
 }
 
-func (c *Controller) claim(m *model, count int) {
+func (c *Controller) claim(m *model, count, distance int) {
 	wait := c.set.ClaimInterval
 	if m.missing == 0 {
 		wait <<= min(m.claims, maxClaimShift)
@@ -137,5 +160,5 @@
 	if count < m.permits {
 		m.yielding = count
 	}
-	c.emit(Claim{Fence: c.fence, Base: m.offset, Model: m.name, Count: count})
+	c.emit(Claim{Fence: c.fence, Base: m.offset, Model: m.name, Count: count, Distance: distance})
 }
--- a/pkg/cell/types.go
+++ b/pkg/cell/types.go
@@ -136,7 +136,9 @@
 	PermitAsked struct {
 		Model string
 		Count int
-		Force bool // Force tells that busy replicas are drained too, because maxReplicas fell.
+		// Distance is that of the asking cell, see Claim; a cell without work yields only to a smaller one than its own.
+		Distance int
+		Force    bool // Force tells that busy replicas are drained too, because maxReplicas fell.
 	}
 
 	// StoreReport is the state of the weight store as it concerns this cell.
@@ -217,6 +219,9 @@
 		Base  int64 // Base is the offset of the permit record on which the claim builds; zero means none.
 		Model string
 		Count int
+		// Distance orders the cells that claim a permit in advance by how near they keep the checkpoint; zero tells that work
+		// waits for the permit.
+		Distance int
 	}
 
 	// Publish replaces the directory of the cell; a higher Fence, then a higher Seq, is newer.
