perf: one observation of the log's clock for each change of the members

Cause: the tracker took the time of each of 1,400 members as an observation, and the new outage checks made the race run of the model checks longer.

--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -111,10 +111,14 @@
 	t.offset, t.known = max(t.offset, offset), max(t.known, offset)
 	t.members = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Offset, b.Offset) })
 	t.live = make(map[string]bool, len(members))
+	var newest time.Time
 	for _, m := range members {
-		t.clock.Passed(now, m.Up)
+		if m.Up.After(newest) {
+			newest = m.Up
+		}
 		t.live[m.Incarnation] = true
 	}
+	t.clock.Passed(now, newest)
 	for i := range t.peers {
 		if !t.live[i] {
 			delete(t.peers, i)
