fix(fold): a take-over names the lease that was decided on, not the present one

Cause: the record was built from the state, whose lease can be newer than the one that the member list judged: while several leases are passed on after a fold, the list decides on those that it has not been told yet. Seen with -race in links_controller_apart: host6 took the cell matara from a host that was cut off (offset 44), and 70 ms later host3 took it from host6, which worked (offset 45, base 44).

Change: the base is that of the decision (member.TakeOver.Base), so the fold rejects the late one.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -70,7 +70,7 @@
 
 func (m *members) takeOver(a member.TakeOver) {
 	self := fold.Member{Host: m.d.settings.Host.Name, Incarnation: m.d.incarnation}
-	m.d.appends.add(m.d.state.TakeLeases("", self, a.Cell), nil)
+	m.d.appends.add(fold.TakeLease("", self, a.Cell, a.Base), nil)
 }
 
 // current reports whether the state is proven current, and why or why not.
--- a/pkg/fold/make.go
+++ b/pkg/fold/make.go
@@ -33,15 +33,11 @@
 	return Record{Kind: MemberUpKind, ID: id, By: by, MemberUp: up}
 }
 
-// TakeLeases returns a record by which the member, its author, takes over the leases that the state knows of the cells.
-func (s *State) TakeLeases(id string, m Member, cells ...string) Record {
-	r := Record{Kind: CellLeaseKind, ID: id, By: m.Incarnation}
-	for _, c := range cells {
-		r.CellLease = append(r.CellLease, LeaseChange{
-			Cell: c, Base: s.leases[c].Offset, Host: m.Host, Incarnation: m.Incarnation,
-		})
-	}
-	return r
+// TakeLease returns a record by which the member, its author, takes over the lease of the cell that it has seen at the base. The
+// base is that of the decision: the state may have a later lease by now, of a holder that works.
+func TakeLease(id string, m Member, cell string, base int64) Record {
+	c := LeaseChange{Cell: cell, Base: base, Host: m.Host, Incarnation: m.Incarnation}
+	return Record{Kind: CellLeaseKind, ID: id, By: m.Incarnation, CellLease: []LeaseChange{c}}
 }
 
 // ReleaseLease returns a record by which the holder of a lease, its author, releases it with no order in flight.
