--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -176,11 +176,22 @@
 			delete(h.asked, k)
 		}
 		h.toController(a.Cell, e)
+	case entry.Tell:
+		h.tell(a)
 	case entry.Wake:
 		h.alarm.reset(a.At)
 	}
 }
 
+// tell passes findings to the other hosts, as the daemon's heartbeats do.
+func (h *host) tell(a entry.Tell) {
+	for _, o := range h.fleet.hosts {
+		if o != h {
+			h.fleet.after(h.fleet.deploy.between(h.centre, o.centre), func() { o.handle(entry.Findings(a)) })
+		}
+	}
+}
+
 func (h *host) finish(id uint64, done bool, code string, retryAfter time.Duration) {
 	c := h.calls[id]
 	if c == nil {
--- a/pkg/entry/actions.go
+++ b/pkg/entry/actions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
@@ -59,6 +60,9 @@
 	// Wake asks for a Tick at the given time; it replaces the previous Wake.
 	Wake struct{ At time.Time }
 
+	// Tell asks that the other hosts get these findings at once; Entry.Notices repeats them.
+	Tell struct{ Notices []route.Notice }
+
 	// Drained tells a draining host that no request is left.
 	Drained struct{}
 )
@@ -70,4 +74,5 @@
 func (Refuse) isAction()   {}
 func (Demand) isAction()   {}
 func (Wake) isAction()     {}
+func (Tell) isAction()     {}
 func (Drained) isAction()  {}
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -53,8 +53,32 @@
 		next = earlier(next, c.hedgeAt)
 	}
 	e.timers.set(&c.timer, next)
+	e.probe(now, c, choice.Upstream)
 }
 
+// probe sends a second attempt of the call to an upstream that was slowed, if one is due. The call itself would be late
+// there; the attempt counts as a hedge.
+func (e *Entry) probe(now time.Time, c *call, upstream string) {
+	if !c.Repeatable || c.Urgency == spec.Bulk || !e.hedges.Available() {
+		return
+	}
+	if choice, ok := e.table.Probe(now, c.query(upstream)); ok && choice.Free {
+		e.hedges.Take()
+		e.send(now, c, choice, true)
+	}
+}
+
+// endProbes cancels the attempts that only measure the speed of their upstream.
+func (e *Entry) endProbes(c *call) {
+	for _, a := range c.attempts {
+		if a.probe() && a.number != c.delivers {
+			e.cancel(c, a)
+		}
+	}
+}
+
+func (a *attempt) probe() bool { return a.hedge && a.flight.Probe() }
+
 // lateAfter returns the delay after which a first token is late.
 func (q *queue) lateAfter(expected time.Duration) time.Duration {
 	if q.first.Late() == 0 {
@@ -84,10 +108,13 @@
 }
 
 func (e *Entry) hedge(now time.Time, c *call) {
-	if len(c.attempts) != 1 || c.attempts[0].cancelled {
+	if len(c.attempts) == 0 {
 		return
 	}
 	first := c.attempts[0]
+	if first.cancelled || slices.ContainsFunc(c.attempts[1:], func(a *attempt) bool { return !a.probe() }) {
+		return
+	}
 	e.table.Overdue(now, &first.flight, false)
 	e.mark(c.queue)
 	if !e.hedges.Available() && !e.mutant.freeHedges {
@@ -120,6 +147,9 @@
 	c.queue.settled(a.upstream, c)
 	e.mark(c.queue)
 	if c.state != running || a.cancelled || c.delivers != 0 {
+		if a.probe() && c.delivers != a.number {
+			e.cancel(c, a) // It has shown the speed of its upstream.
+		}
 		return
 	}
 	if took > 0 && c.tokens == 0 && !a.hedge {
@@ -134,7 +164,7 @@
 	e.timers.set(&c.timer, time.Time{})
 	e.emit(Deliver{ID: c.id, Attempt: a.number})
 	for _, o := range c.attempts {
-		if o != a && !o.cancelled {
+		if o != a && !o.cancelled && !o.probe() {
 			e.table.Overdue(now, &o.flight, true)
 			e.cancel(c, o)
 		}
@@ -215,6 +245,9 @@
 
 // failed decides what follows an attempt that ended without the whole answer.
 func (e *Entry) failed(now time.Time, c *call, upstream string, r retry.Result) {
+	if c.delivers != 0 {
+		e.endProbes(c)
+	}
 	if c.active() { // A hedge is still under way.
 		return
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -98,6 +98,10 @@
 		e.quota.Hosts(ev.Live)
 		e.table.SetHosts(route.Hosts(ev))
 		e.touchAll()
+	case Findings:
+		for _, x := range ev.Notices {
+			e.table.Notice(now, x)
+		}
 	case Drain:
 		e.draining = true
 	case Tick:
@@ -109,6 +113,9 @@
 // Calls returns the number of calls that are not forgotten yet: those in progress and those with a cancelled attempt.
 func (e *Entry) Calls() int { return len(e.calls) }
 
+// Notices returns what this host has found out lately about the speed of upstreams, for the others.
+func (e *Entry) Notices(now time.Time) []route.Notice { return e.table.Notices(now) }
+
 // Queued returns the number of queued calls of the model.
 func (e *Entry) Queued(model string) int {
 	if q := e.queues[model]; q != nil {
@@ -136,6 +143,9 @@
 		e.settleQueue(now, q)
 	}
 	e.dirty = nil
+	if e.table.News() {
+		e.emit(Tell{Notices: e.table.Notices(now)})
+	}
 	if e.draining && len(e.calls) == 0 {
 		e.draining = false
 		e.emit(Drained{})
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -111,6 +111,9 @@
 		Index int // Index is the position of this host among those, in order of their names.
 	}
 
+	// Findings reports what another host has found out about the speed of upstreams.
+	Findings struct{ Notices []route.Notice }
+
 	// Drain marks the host as stopping. Requests are still accepted; Drained follows when none is left.
 	Drain struct{}
 
@@ -131,5 +134,6 @@
 func (UpstreamLive) isEvent()    {}
 func (ViewChanged) isEvent()     {}
 func (Hosts) isEvent()           {}
+func (Findings) isEvent()        {}
 func (Drain) isEvent()           {}
 func (Tick) isEvent()            {}
--- a/pkg/entry/sim_test.go
+++ b/pkg/entry/sim_test.go
@@ -149,6 +149,12 @@
 			if j := s.jobs[a.ID]; j.first == 0 {
 				j.first = s.now.Sub(j.arrived)
 			}
+		case Tell:
+			for o := range s.hosts {
+				if o != host {
+					s.after(simDelay, func() { s.handle(o, Findings(a)) })
+				}
+			}
 		case Complete:
 			s.jobs[a.ID].done = true
 		case Refuse:
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -42,6 +42,9 @@
 	}
 )
 
+// Probe reports whether the attempt tries an upstream that was slowed.
+func (f *Flight) Probe() bool { return f.probe }
+
 // Open reports whether the attempt is in flight.
 func (f *Flight) Open() bool { return f.node != nil }
 
@@ -208,6 +211,9 @@
 		n.pending--
 	}
 	if f.probe {
+		if f.first.IsZero() {
+			t.Overdue(now, f, false)
+		}
 		n.up.probing = false
 	}
 	t.count(now, n, f.urgency, -1)
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -20,6 +20,7 @@
 	fullPenalty    = 0.003 // In seconds: two one-way delays, so a nearly full replica loses to an empty one in another centre.
 	leastShort     = 0.5   // Other hosts may have sent a request that no report shows yet.
 	sureDeviations = 1.5
+	probeWait      = 30 * time.Second // A call itself probes an upstream if no spare attempt could for this long.
 	lightLoad      = 0.7 // Below this share of slots a replica in the own data centre is taken without further draws.
 )
 
@@ -86,6 +87,23 @@
 	return best.choice()
 }
 
+// Probe returns an upstream that was slowed and that a spare attempt for the call should try now.
+func (t *Table) Probe(now time.Time, q Query) (Choice, bool) {
+	g := t.groups[key{q.Model, q.Adapter}]
+	if g == nil || g.ejected == 0 || !q.Repeatable {
+		return Choice{}, false
+	}
+	for _, n := range g.nodes {
+		if n.up.ejected && !n.up.probing && !now.Before(n.up.until) && !now.Before(n.shunned) && n.Upstream != q.Exclude {
+			s := scored{node: n, hosts: t.hosts.Live, probe: true}
+			s.wait, s.free = n.wait(q.Urgency, q.Aged, t.hosts.Live)
+			s.first = n.model.first.or(defaultFirst.Seconds()) * n.up.slowness(n.model)
+			return s.choice()
+		}
+	}
+	return Choice{}, false
+}
+
 // At returns the choice of the given upstream for the query; ok is false if it is no candidate.
 func (t *Table) At(now time.Time, q Query, upstream string) (Choice, bool) {
 	n := t.nodes[place{upstream, q.Model}]
@@ -131,7 +149,7 @@
 	s.first = base * n.up.slowness(n.model)
 	fill := float64(n.load()) / float64(n.Slots)
 	s.score = s.wait + n.distance.Seconds() + fullPenalty*fill*fill
-	s.probe = n.up.ejected && q.Repeatable && !n.up.probing && !now.Before(n.up.until)
+	s.probe = n.up.ejected && q.Repeatable && !n.up.probing && !now.Before(n.up.until.Add(probeWait))
 	if g.ejected > 0 && now.Sub(n.up.sampled) > sampleLife {
 		s.score += doubtPenalty
 	}
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -74,17 +74,23 @@
 		return
 	}
 	limit := t.settings.SlowRatio
-	ratio := max(t.compare(n, func(o *upstream) *meter { return &o.token }),
-		t.compare(n, func(o *upstream) *meter { return &o.first })/firstMargin)
+	token := t.compare(n, func(o *upstream) *meter { return &o.token })
+	ratio := max(token, t.compare(n, func(o *upstream) *meter { return &o.first })/firstMargin)
+	tell := token >= limit
 	switch {
 	case !u.ejected && ratio >= limit:
-		t.eject(now, u)
+		if t.eject(u) {
+			u.until = now.Add(t.settings.EjectTime << u.strikes)
+			t.found(now, u, tell)
+		}
 	case u.ejected && ratio < limit*clearRatio:
 		t.restore(u)
 		u.strikes = 0
+		t.found(now, u, u.told)
 	case u.ejected && !now.Before(u.until):
 		u.strikes = min(u.strikes+1, maxStrikes)
 		u.until = now.Add(t.settings.EjectTime << u.strikes)
+		t.found(now, u, tell || u.told)
 	}
 }
 
@@ -131,22 +137,25 @@
 	return ratio
 }
 
-// eject avoids the upstream unless too many candidates of one of its models would be ejected.
-func (t *Table) eject(now time.Time, u *upstream) {
+// eject avoids the upstream unless too many candidates of one of its models would be ejected, and reports whether it does.
+func (t *Table) eject(u *upstream) bool {
+	if u.ejected {
+		return true
+	}
 	for _, n := range u.nodes {
 		for _, g := range n.groups {
 			if (g.ejected+1)*ejectShare > len(g.nodes) && !t.mutant.noFloor {
-				return
+				return false
 			}
 		}
 	}
 	u.ejected = true
-	u.until = now.Add(t.settings.EjectTime << u.strikes)
 	for _, n := range u.nodes {
 		for _, g := range n.groups {
 			g.ejected++
 		}
 	}
+	return true
 }
 
 func (t *Table) restore(u *upstream) {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -43,6 +43,7 @@
 		groups     map[key]*group
 		models     map[string]*model
 		cells      map[string]*cell
+		news       bool // news tells that the other hosts do not know the last finding yet.
 		mutant     mutant
 	}
 
@@ -65,6 +66,9 @@
 		until   time.Time
 		sampled time.Time // sampled is the time of the last sample.
 		strikes int
+		found   time.Time // found is the time of the last finding about the speed, by this host or another.
+		told    bool // told tells that the hosts know the upstream as slow.
+		own     bool      // own tells that this host made it.
 	}
 
 	node struct {
