feat: heartbeats carry the findings about slowed upstreams

Each host learnt of slowed upstreams alone. A finding that rests on the time between tokens is sent at once by a heartbeat to all peers and repeated for 20 s.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
 )
 
@@ -99,7 +100,9 @@
 // heartbeat sends a heartbeat to a peer and takes its answer in.
 func (d *Daemon) heartbeat(incarnation, address string, b member.Heartbeat) {
 	began := time.Now()
-	args := peers.Heartbeat{Header: d.header(d.life), Beat: b, Fresh: d.members.fresh.Beat(began, incarnation)}
+	args := peers.Heartbeat{
+		Header: d.header(d.life), Beat: b, Fresh: d.members.fresh.Beat(began, incarnation), Speeds: d.models.machine.Notices(began),
+	}
 	d.background(func(ctx context.Context) {
 		var reply peers.Heartbeat
 		err := d.peerClient.Call(ctx, address, "Peer.Heartbeat", args, &reply)
@@ -108,7 +111,7 @@
 			switch {
 			case err == nil:
 				d.members.fresh.Heard(began, reply.Fresh)
-				d.heartbeatFrom(reply.Beat)
+				d.heartbeatFrom(reply)
 			case peers.Refused(err) && incarnation != "":
 				d.members.handle(member.Refused{Incarnation: incarnation})
 			}
@@ -117,8 +120,12 @@
 }
 
 // heartbeatFrom takes a peer's heartbeat in, and the state of a peer that is ahead while the log cannot be read.
-func (d *Daemon) heartbeatFrom(b member.Heartbeat) {
+func (d *Daemon) heartbeatFrom(h peers.Heartbeat) {
+	b := h.Beat
 	d.members.handle(b)
+	if len(h.Speeds) > 0 {
+		d.models.handle(entry.Findings{Notices: h.Speeds})
+	}
 	if b.Offset <= d.state.Offset() || time.Since(d.members.logContact) < 2*readWait || d.fetching {
 		return
 	}
--- a/internal/daemon/model.go
+++ b/internal/daemon/model.go
@@ -157,6 +157,8 @@
 		m.finish(a.ID, codes.New(a.Code, "").WithOutcome(a.Outcome).WithRetryAfter(a.RetryAfter))
 	case entry.Demand:
 		m.d.cells.demand(a)
+	case entry.Tell:
+		m.d.members.urge() // The heartbeat carries the findings.
 	case entry.Wake:
 		m.alarm.set(a.At)
 	case entry.Drained:
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -28,7 +28,7 @@
 	s.d.control.ask(func() {
 		now := time.Now()
 		s.d.members.fresh.Note(a.Fresh)
-		s.d.heartbeatFrom(a.Beat)
+		s.d.heartbeatFrom(a)
 		*reply = peers.Heartbeat{
 			Header: s.d.header(s.d.life), Beat: s.d.members.heartbeat(now), Fresh: s.d.members.fresh.Beat(now, a.Beat.Incarnation),
 		}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/fresh"
 	"github.com/fireflycleat/fireflycleat/pkg/idemp"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
 
 type (
@@ -26,6 +27,9 @@
 		Header
 		Beat  member.Heartbeat
 		Fresh fresh.Beat
+		// Speeds holds the sender's recent findings about the speed of upstreams; a reply has none, because peers send
+		// heartbeats both ways.
+		Speeds []route.Notice
 	}
 
 	// RecordsArgs asks for the state of a peer that is ahead of the offset.
--- a/internal/peers/size_test.go
+++ b/internal/peers/size_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/fresh"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
 
 // counter counts the bytes that pass.
@@ -41,6 +43,13 @@
 			Header: header, Beat: member.Heartbeat{Identity: identity, Offset: 1 << 20, LogContactAge: time.Second, Current: true},
 			Fresh: fresh.Beat{Incarnation: header.From, Offset: 1 << 20, Known: 1 << 20, HasRead: true, LogAge: time.Second},
 		},
+		"heartbeat4slow": Heartbeat{
+			Header: header, Beat: member.Heartbeat{Identity: identity, Offset: 1 << 20, LogContactAge: time.Second, Current: true},
+			Fresh: fresh.Beat{Incarnation: header.From, Offset: 1 << 20, Known: 1 << 20, HasRead: true, LogAge: time.Second},
+			Speeds: slices.Repeat([]route.Notice{{
+				Upstream: "engine-0001", Slow: true, Age: 1234567890, Left: 9876543210, Strikes: 3, Token: 5.123456, First: 3.654321,
+			}}, 4),
+		},
 		"demand": CellEvent{Header: header, Cell: "colombo-1", Event: cell.Demand{
 			Host: "host-0001", Model: "dial-train-001", Urgent: 3, EarliestDeadline: time.Now(),
 		}},
--- a/pkg/route/notice.go
+++ b/pkg/route/notice.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	noticeLife = 20 * time.Second // Longer than the longest eject time, so that peers know of it until the next probe.
-	maxNotices = 16               // A heartbeat carries at most about 1 KB of notices.
+	noticeLife  = 20 * time.Second       // Longer than the longest eject time, so that peers know of it until the next probe.
+	maxNotices  = 16                     // A heartbeat carries at most about 1 KB of notices.
+	sameFinding = 500 * time.Millisecond // A repeated notice seems younger than it is by the time that it was under way.
+	maxFactor   = 100                    // A larger factor on the times of an upstream is taken for this one.
 	// Hosts that learned of a slowed upstream from another one probe it later, so that usually one of them does.
 	probeSpread = 2 * time.Second
 )
@@ -59,13 +61,16 @@
 	return list[:min(len(list), maxNotices)]
 }
 
-// Notice takes over a finding of another host, unless a later one is known, and reports whether it did.
+// Notice takes over a finding of another host and reports whether it did: a later one or the same may be known already.
 func (t *Table) Notice(now time.Time, x Notice) bool {
 	u := t.upstreams[x.Upstream]
 	at := now.Add(-max(x.Age, 0))
 	if u == nil || !at.After(u.found) || x.Age > noticeLife {
 		return false
 	}
+	if x.Slow == u.told && at.Sub(u.found) < sameFinding {
+		return false
+	}
 	u.found, u.own, u.told, u.sampled = at, false, x.Slow, now
 	// What this host measured before the finding is older, and would undo it with the next sample.
 	u.token.replace(x.Token)
@@ -83,6 +88,6 @@
 // replace takes over the mean of another host; zero means that it has none.
 func (m *meter) replace(v float64) {
 	if v > 0 {
-		m.value, m.count = v, max(m.count, minSamples)
+		m.value, m.count = min(v, maxFactor), max(m.count, minSamples)
 	}
 }
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -21,7 +21,7 @@
 	leastShort     = 0.5   // Other hosts may have sent a request that no report shows yet.
 	sureDeviations = 1.5
 	probeWait      = 30 * time.Second // A call itself probes an upstream if no spare attempt could for this long.
-	lightLoad      = 0.7 // Below this share of slots a replica in the own data centre is taken without further draws.
+	lightLoad      = 0.7              // Below this share of slots a replica in the own data centre is taken without further draws.
 )
 
 type (
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -67,7 +67,7 @@
 		sampled time.Time // sampled is the time of the last sample.
 		strikes int
 		found   time.Time // found is the time of the last finding about the speed, by this host or another.
-		told    bool // told tells that the hosts know the upstream as slow.
+		told    bool      // told tells that the hosts know the upstream as slow.
 		own     bool      // own tells that this host made it.
 	}
 
