--- a/pkg/route/notice.go
+++ b/pkg/route/notice.go
@@ -8,7 +8,7 @@
 
 const (
 	noticeLife  = 20 * time.Second       // Longer than the longest eject time, so that peers know of it until the next probe.
-	maxNotices  = 16                     // A heartbeat carries at most about 1 KB of notices.
+	maxNotices  = 8                      // A notice takes 52 B, so a daemon with 8 peers sends at most 3.3 KB a second of them.
 	sameFinding = 500 * time.Millisecond // A repeated notice seems younger than it is by the time that it was under way.
 	maxFactor   = 100                    // A larger factor on the times of an upstream is taken for this one.
 	// Hosts that learned of a slowed upstream from another one probe it later, so that usually one of them does.
