--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -13,7 +13,7 @@
 const (
 	maxMoves     = 2 // Moves of an answer; each computes its prompt again.
 	coldFactor   = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
-	medianFactor = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	medianFactor = 2 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
 	// Where first-token times vary little, 5% of all calls pass the 95th percentile by noise and would use up the budget.
 	noiseTenths = 15
 	// An urgent call without a first token after this multiple of the expected time takes the place of a bulk stream.
@@ -125,10 +125,12 @@
 	if !ok || !choice.Free || now.Add(choice.First).After(c.Deadline) {
 		return
 	}
-	if !e.hedges.Available() && !e.mutant.freeHedges {
-		if choice.Sure && c.moves == 0 {
-			e.withdraw(c, first)
-		}
+	hedge := e.hedges.Available() || e.mutant.freeHedges
+	switch {
+	case choice.Sure && c.moves == 0:
+		e.withdraw(now, c, first)
+		return
+	case !hedge:
 		return
 	}
 	e.hedges.Take()
@@ -137,7 +139,8 @@
 
 // withdraw cancels an attempt that waits in the queue of an engine, so that the call is sent elsewhere after its end. Unlike
 // a hedge, it adds no work but that on the prompt.
-func (e *Entry) withdraw(c *call, a *attempt) {
+func (e *Entry) withdraw(now time.Time, c *call, a *attempt) {
+	e.table.Overdue(now, &a.flight, true)
 	c.moves++
 	c.moving, c.state = true, suspended
 	e.endProbes(c)
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -80,7 +80,7 @@
 			return best.choice()
 		}
 	}
-	t.draw(now, &q, g, g.nodes, 2, few, &best)
+	t.draw(now, &q, g, g.nodes, 2, 2, &best)
 	if !best.good() {
 		t.draw(now, &q, g, g.nodes, moreDraws, moreDraws, &best)
 	}
