--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -111,6 +111,8 @@
 	e.timers.set(&c.timer, earlier(earlier(c.Deadline, c.hedgeAt), c.roomAt))
 }
 
+// hedge helps a call whose first token is late: it is withdrawn once if a slot is surely free elsewhere, and otherwise sent to
+// a second upstream as well.
 func (e *Entry) hedge(now time.Time, c *call) {
 	if len(c.attempts) == 0 {
 		return
@@ -125,20 +127,19 @@
 	if !ok || !choice.Free || now.Add(choice.First).After(c.Deadline) {
 		return
 	}
-	hedge := e.hedges.Available() || e.mutant.freeHedges
-	switch {
-	case choice.Sure && c.moves == 0:
+	if choice.Sure && c.moves == 0 {
 		e.withdraw(now, c, first)
 		return
-	case !hedge:
+	}
+	if !e.hedges.Available() && !e.mutant.freeHedges {
 		return
 	}
 	e.hedges.Take()
 	e.send(now, c, choice, true)
 }
 
-// withdraw cancels an attempt that waits in the queue of an engine, so that the call is sent elsewhere after its end. Unlike
-// a hedge, it adds no work but that on the prompt.
+// withdraw cancels a late attempt, so that the call is sent elsewhere after its end. Most such attempts wait in the queue of
+// an engine, and a hedge would keep a place there and take a slot elsewhere. At worst the work on the prompt is lost.
 func (e *Entry) withdraw(now time.Time, c *call, a *attempt) {
 	e.table.Overdue(now, &a.flight, true)
 	c.moves++
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -45,10 +45,6 @@
 // Probe reports whether the attempt tries an upstream that was slowed.
 func (f *Flight) Probe() bool { return f.probe }
 
-// Sure reports whether the attempt was sent to a slot that was surely free, so that a late first token means a slow upstream
-// and not a queue.
-func (f *Flight) Sure() bool { return f.sure }
-
 // Open reports whether the attempt is in flight.
 func (f *Flight) Open() bool { return f.node != nil }
 
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -80,6 +80,8 @@
 			return best.choice()
 		}
 	}
+	// Load figures are up to 2 s old. Hosts that compare all candidates would follow the same old figures to the same replica,
+	// so also a few are drawn by chance.
 	t.draw(now, &q, g, g.nodes, 2, 2, &best)
 	if !best.good() {
 		t.draw(now, &q, g, g.nodes, moreDraws, moreDraws, &best)
--- a/pkg/route/speed.go
+++ b/pkg/route/speed.go
@@ -83,7 +83,7 @@
 			u.until = now.Add(t.settings.EjectTime << u.strikes)
 			t.found(now, u, tell)
 		}
-	case u.ejected && ratio < limit*clearRatio:
+	case u.ejected && ratio > 0 && ratio < limit*clearRatio: // Zero means that there is nothing to compare with.
 		t.restore(u)
 		u.strikes = 0
 		t.found(now, u, u.told)
