--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -6,10 +6,12 @@
 	"net/rpc"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/route"
 )
 
 type echo struct{}
@@ -20,6 +22,29 @@
 	return nil
 }
 
+// Heartbeat returns its argument.
+func (echo) Heartbeat(a Heartbeat, reply *Heartbeat) error {
+	*reply = a
+	return nil
+}
+
+// Guards against findings about slowed upstreams that are lost or changed on the wire.
+func TestNoticesOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	s, err := Listen("127.0.0.1:0", echo{})
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	t.Cleanup(s.Close)
+	p := NewClient()
+	t.Cleanup(p.Close)
+	sent := Heartbeat{Speeds: []route.Notice{{
+		Upstream: "u0", Slow: true, Age: time.Second, Left: 4 * time.Second, Strikes: 1, Token: 5.1, First: 3.2,
+	}}}
+	var got Heartbeat
+	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Heartbeat", sent, &got), qt.IsNil)
+	c.Assert(got.Speeds, qt.DeepEquals, sent.Speeds)
+}
+
 // Guards against an oversized message being read into memory, and against a broken connection being kept.
 func TestSizeLimit(t *testing.T) {
 	c := qt.New(t)
