--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -111,8 +111,8 @@
 	e.timers.set(&c.timer, earlier(earlier(c.Deadline, c.hedgeAt), c.roomAt))
 }
 
-// hedge helps a call whose first token is late. It is withdrawn once if it was not knowingly sent into a queue and a slot is
-// surely free elsewhere, and otherwise sent to a second upstream as well.
+// hedge helps a call whose first token is late: it is withdrawn once if a slot is surely free elsewhere, and otherwise sent to
+// a second upstream as well.
 func (e *Entry) hedge(now time.Time, c *call) {
 	if len(c.attempts) == 0 {
 		return
@@ -127,7 +127,7 @@
 	if !ok || !choice.Free || now.Add(choice.First).After(c.Deadline) {
 		return
 	}
-	if choice.Sure && c.moves == 0 && first.flight.Free() && e.roomy(c.queue) {
+	if choice.Sure && c.moves == 0 {
 		e.withdraw(now, c, first)
 		return
 	}
@@ -138,13 +138,6 @@
 	e.send(now, c, choice, true)
 }
 
-// roomy reports whether a withdrawn call does not lose its place to others. In a saturated model it would, and at twice the
-// capacity withdrawals made 1% fewer of the callers who return as told succeed.
-func (e *Entry) roomy(q *queue) bool {
-	load := e.table.Load(q.model)
-	return len(q.calls) == 0 && load.All < load.Slots
-}
-
 // withdraw cancels a late attempt, so that the call is sent elsewhere after its end. Most such attempts wait in the queue of
 // an engine, and a hedge would keep a place there and take a slot elsewhere. At worst the work on the prompt is lost.
 func (e *Entry) withdraw(now time.Time, c *call, a *attempt) {
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -45,9 +45,6 @@
 // Probe reports whether the attempt tries an upstream that was slowed.
 func (f *Flight) Probe() bool { return f.probe }
 
-// Free reports whether the attempt was sent to a slot that was predicted free.
-func (f *Flight) Free() bool { return f.free }
-
 // Open reports whether the attempt is in flight.
 func (f *Flight) Open() bool { return f.node != nil }
 
