--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -95,7 +95,9 @@
 // heartbeat sends a heartbeat to a peer and takes its answer in.
 func (d *Daemon) heartbeat(incarnation, address string, b member.Heartbeat) {
 	began := time.Now()
-	args := peers.Heartbeat{Header: d.header(d.life), Beat: b, Fresh: d.members.fresh.Beat(began, incarnation)}
+	args := peers.Heartbeat{
+		Header: d.header(d.life), Beat: b, Fresh: d.members.fresh.Beat(began, incarnation), Speeds: d.models.machine.Notices(began),
+	}
 	d.background(func(ctx context.Context) {
 		var reply peers.Heartbeat
 		err := d.peerClient.Call(ctx, address, "Peer.Heartbeat", args, &reply)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/entry"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
 	"github.com/fireflycleat/fireflycleat/pkg/idemp"
 	"github.com/fireflycleat/fireflycleat/pkg/member"
@@ -30,6 +31,9 @@
 		now := time.Now()
 		s.d.members.fresh.Note(a.Fresh)
 		s.d.members.handle(member.Called{Heartbeat: a.Beat})
+		if len(a.Speeds) > 0 {
+			s.d.models.handle(entry.Findings{Notices: a.Speeds})
+		}
 		s.d.catchUp(a.Beat)
 		*reply = peers.Heartbeat{
 			Header: s.d.header(s.d.life), Beat: s.d.members.heartbeat(now), Fresh: s.d.members.fresh.Beat(now, a.Beat.Incarnation),
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -13,7 +13,7 @@
 const (
 	maxMoves     = 2 // Moves of an answer; each computes its prompt again.
 	coldFactor   = 3 // Before quantiles are learned, a first token is late after this multiple of the expected time.
-	medianFactor = 4 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
+	medianFactor = 2 // With many slowed upstreams the 95th percentile is itself slow, so the median bounds the delay.
 	// Where first-token times vary little, 5% of all calls pass the 95th percentile by noise and would use up the budget.
 	noiseTenths = 15
 	// An urgent call without a first token after this multiple of the expected time looks for another place.
@@ -54,8 +54,32 @@
 		next = earlier(next, c.hedgeAt)
 	}
 	e.timers.set(&c.timer, next)
+	e.probe(now, c, choice.Upstream)
 }
 
+// probe sends a second attempt of the call to an upstream that was slowed, if one is due. The call itself would be late
+// there; the attempt counts as a hedge.
+func (e *Entry) probe(now time.Time, c *call, upstream string) {
+	if !c.Repeatable || c.Urgency == spec.Bulk || !e.hedges.Available() {
+		return
+	}
+	if choice, ok := e.table.Probe(now, c.query(upstream)); ok && choice.Free {
+		e.hedges.Take()
+		e.send(now, c, choice, true)
+	}
+}
+
+// endProbes cancels the attempts that only measure the speed of their upstream.
+func (e *Entry) endProbes(c *call) {
+	for _, a := range c.attempts {
+		if a.probe() && a.number != c.delivers {
+			e.cancel(c, a)
+		}
+	}
+}
+
+func (a *attempt) probe() bool { return a.hedge && a.flight.Probe() }
+
 // lateAfter returns the delay after which a first token is late.
 func (q *queue) lateAfter(expected time.Duration) time.Duration {
 	if q.first.Late() == 0 {
@@ -99,24 +123,43 @@
 	e.timers.set(&c.timer, earlier(earlier(c.Deadline, c.hedgeAt), c.roomAt))
 }
 
+// hedge helps a call whose first token is late: it is withdrawn once if a slot is surely free elsewhere, and otherwise sent to
+// a second upstream as well.
 func (e *Entry) hedge(now time.Time, c *call) {
-	if len(c.attempts) != 1 || c.attempts[0].cancelled {
+	if len(c.attempts) == 0 {
 		return
 	}
 	first := c.attempts[0]
-	e.table.Overdue(now, &first.flight, false)
-	e.mark(c.queue)
-	if !e.hedges.Available() && !e.mutant.freeHedges {
+	if first.cancelled || slices.ContainsFunc(c.attempts[1:], func(a *attempt) bool { return !a.probe() }) {
 		return
 	}
+	e.table.Overdue(now, &first.flight, false)
+	e.mark(c.queue)
 	choice, ok := e.table.Pick(now, c.query(first.upstream))
 	if !ok || !choice.Free || now.Add(choice.First).After(c.Deadline) {
 		return
 	}
+	if choice.Sure && c.moves == 0 {
+		e.withdraw(now, c, first)
+		return
+	}
+	if !e.hedges.Available() && !e.mutant.freeHedges {
+		return
+	}
 	e.hedges.Take()
 	e.send(now, c, choice, true)
 }
 
+// withdraw cancels a late attempt, so that the call is sent elsewhere after its end. Most such attempts wait in the queue of
+// an engine, and a hedge would keep a place there and take a slot elsewhere. At worst the work on the prompt is lost.
+func (e *Entry) withdraw(now time.Time, c *call, a *attempt) {
+	e.table.Overdue(now, &a.flight, true)
+	c.moves++
+	c.moving, c.state = true, suspended
+	e.endProbes(c)
+	e.cancel(c, a)
+}
+
 func (c *call) query(exclude string) route.Query {
 	return route.Query{
 		Model: c.Model, Adapter: c.Adapter, Urgency: c.Urgency, Aged: c.aged, Repeatable: c.Repeatable, Exclude: exclude,
@@ -136,6 +179,9 @@
 	c.queue.settled(a.upstream, c)
 	e.mark(c.queue)
 	if c.state != running || a.cancelled || c.delivers != 0 {
+		if a.probe() && c.delivers != a.number {
+			e.cancel(c, a) // It has shown the speed of its upstream.
+		}
 		return
 	}
 	if took > 0 && c.tokens == 0 && !a.hedge {
@@ -150,7 +196,7 @@
 	e.timers.set(&c.timer, time.Time{})
 	e.emit(Deliver{ID: c.id, Attempt: a.number})
 	for _, o := range c.attempts {
-		if o != a && !o.cancelled {
+		if o != a && !o.cancelled && !o.probe() {
 			e.table.Overdue(now, &o.flight, true)
 			e.cancel(c, o)
 		}
@@ -215,7 +261,7 @@
 		e.forget(c)
 	case a.cancelled && c.state != suspended, c.delivers != 0 && c.delivers != a.number:
 		// Another attempt won, or this one was replaced.
-	case ev.Result == retry.Done && (c.delivers != 0 || !a.cancelled):
+	case ev.Result == retry.Done && (c.delivers != 0 || !a.cancelled && c.state != suspended):
 		if c.delivers == 0 { // The first token and the end crossed, or the answer is empty.
 			e.deliver(now, c, a)
 		}
@@ -231,6 +277,9 @@
 
 // failed decides what follows an attempt that ended without the whole answer.
 func (e *Entry) failed(now time.Time, c *call, upstream string, r retry.Result) {
+	if c.delivers != 0 {
+		e.endProbes(c)
+	}
 	if c.active() { // A hedge is still under way.
 		return
 	}
