feat: refusals at once for overtaken work, and fuller engines

Hosts sent normal work to full replicas up to their part of the slots, rounded down, so that slots stayed free until the host whose turn it was learned of it.

Change: bulk work is predicted next to nothing while other work usually takes all slots but the reserve. Normal and bulk work is admitted with a margin of 2; urgent work keeps 1.25. Normal work may fill the slots of a model 1.25 times.

Nothing is held back: what is refused later was admitted by prediction.

--- a/pkg/entry/predict.go
+++ b/pkg/entry/predict.go
@@ -15,8 +15,12 @@
 	// refusing admitted requests.
 	admitMargin = 1.25
 	keepMargin  = 0.75
+	// The same for normal and bulk work, which later requests overtake. At twice the capacity, 81% of the refusals were sent at
+	// once with 1.25, and 90% with 2; with 3 fewer than 80% of the callers who returned as told succeeded in one run of six.
+	patientMargin = 2
 
 	leastShare    = 0.1              // Least share of the drain rate that a class is predicted to get.
+	crowdedShare  = 0.005            // The same for bulk work while other work usually takes all slots; zero would mean unknown.
 	forecastGrace = 2 * time.Second  // A forecast stays valid this long after its time, because directories lag.
 	refusalTime   = time.Second      // A refused forecast answers for new requests this long at most.
 	resumeLimit   = 60 * time.Second // A started stream waits this long for any replica.
@@ -89,6 +93,9 @@
 		o.rate[c] = max(rate-higher, leastShare*rate)
 		higher += q.rates[c].now(now, rateSpan)
 	}
+	if !o.load.BulkRoom {
+		o.rate[spec.Bulk] = crowdedShare * rate
+	}
 	return o
 }
 
@@ -182,7 +189,11 @@
 	if !c.promised { // Callers who return as they were told go first.
 		ahead += q.books[c.Urgency].dueBy(now.Add(o.drain(c.Urgency, ahead+1, 1)))
 	}
-	return e.failAt(now, q, o, c, ahead, admitMargin)
+	margin := admitMargin
+	if c.Urgency != spec.Urgent {
+		margin = patientMargin
+	}
+	return e.failAt(now, q, o, c, ahead, margin)
 }
 
 // nextDue returns when the queue has to be looked at again if nothing happens before.
--- a/pkg/entry/queue.go
+++ b/pkg/entry/queue.go
@@ -21,7 +21,9 @@
 	// mean refused 1.7% of urgent work and lost 2.2% in all; a third of it lost 0.9%.
 	urgentOptimism = 3
 	quantumGrowth  = 1.25 // With 16 preemptions the quanta of 0.5 s and more add up to 69 s.
-	agedPart       = 10   // Aged streams may take one slot in this many, and at least one.
+	// Normal work may fill the slots this often. At twice the capacity, 1.0 gave a goodput of 0.94, and this one 0.96.
+	fairPart = 1.25
+	agedPart = 10 // Aged streams may take one slot in this many, and at least one.
 )
 
 type (
@@ -221,9 +223,11 @@
 	return true
 }
 
+// belowFairShare reports whether this host has less than its part of the slots and of what may wait for them at engines.
+// Without any waiting there, a slot stays free until the host whose turn it is learns of it.
 func (e *Entry) belowFairShare(q *queue) bool {
 	l := e.table.Load(q.model)
-	return l.Own < max(l.Slots/e.hosts, 1)
+	return l.Own < max(int(fairPart*float64(l.Slots)/float64(e.hosts)+0.5), 1)
 }
 
 func (e *Entry) mayAge(q *queue) bool {
--- a/pkg/route/load.go
+++ b/pkg/route/load.go
@@ -27,6 +27,8 @@
 		Rate float64
 		// First is the mean time to the first token at a free replica.
 		First time.Duration
+		// BulkRoom tells that the usual number of other requests leaves slots for bulk work.
+		BulkRoom bool
 	}
 
 	// Flight is the record of one attempt; the zero Flight is over.
@@ -243,6 +245,7 @@
 		slots = m.slots
 	}
 	l.Rate = float64(slots) * m.ownRate()
+	l.BulkRoom = m.slotSum == 0 || m.front*float64(t.hosts.Live) < (1-t.settings.UrgentReserve)*float64(m.slotSum)
 	return l
 }
 
