feat: an urgent call leaves a long queue

Change: an urgent call that cannot start in time by the review moves to a replica where it can, three moves at most, and only if it may be repeated.

--- a/pkg/entry/retract.go
+++ b/pkg/entry/retract.go
@@ -1,6 +1,10 @@
 package entry
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/spec"
+)
 
 const maxRetracts = 3 // Each costs a round trip and the time in which the wait was noticed.
 
@@ -20,12 +24,31 @@
 	if !sure && e.makeRoom(now, c.queue, a.upstream) || !ok {
 		return false
 	}
+	e.leave(c, a)
+	return true
+}
+
+// relocate moves an urgent call that cannot start in time at its replica to one where it can, and reports whether there is one.
+func (e *Entry) relocate(now time.Time, c *call) bool {
+	a := c.attempts[0]
+	if c.Urgency != spec.Urgent || c.state != running || !c.Repeatable || c.retracts >= maxRetracts || a.cancelled || a.lost {
+		return false
+	}
+	choice, ok := e.table.Pick(now, c.query(a.upstream))
+	if !ok || now.Add(choice.Wait+choice.First).After(c.Deadline) {
+		return false
+	}
+	e.leave(c, a)
+	return true
+}
+
+// leave cancels the only attempt of a call, so that the call is sent elsewhere when the attempt has ended.
+func (e *Entry) leave(c *call, a *attempt) {
 	c.retracts++
 	c.moving = true
 	c.state = suspended
 	e.cancel(c, a)
 	e.timers.set(&c.timer, c.Deadline)
-	return true
 }
 
 // makeRoom preempts a bulk stream at an upstream where an urgent call waits longer than predicted.
--- a/pkg/entry/retract_test.go
+++ b/pkg/entry/retract_test.go
@@ -91,3 +91,42 @@
 	}
 	qt.Check(t, refused, qt.Equals, 1)
 }
+
+// Guards against an urgent call that is refused because of a long queue at its replica while another replica is free.
+func TestUrgentCallLeavesLongQueue(t *testing.T) {
+	for _, x := range []struct {
+		urgency  spec.Urgency
+		replicas int
+		moves    bool
+	}{{spec.Urgent, 2, true}, {spec.Urgent, 1, false}, {spec.Normal, 2, false}} {
+		e := New(Defaults("c0", "dc0"), testView("m0"), rand.New(rand.NewPCG(1, 1)))
+		now := epoch
+		var list []route.Replica
+		for _, u := range []string{"u0", "u1"}[:x.replicas] {
+			list = append(list, route.Replica{Upstream: u, DataCentre: "dc0", Model: "m0", Slots: 4, Ready: true})
+		}
+		e.Handle(now, Directory{Cell: "c0", Seq: 1, Replicas: list})
+		upstream := ""
+		for _, a := range e.Handle(now, Arrive{ID: 1, Request: Request{
+			Team: "t2", Model: "m0", Urgency: x.urgency, Deadline: now.Add(time.Second), Repeatable: true,
+		}}) {
+			if s, ok := a.(Send); ok {
+				upstream = s.Upstream
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+		moved, refused := false, false
+		report := Report{Upstream: upstream, Model: "m0", Running: 4, Waiting: 40, Slots: 4, At: now}
+		for _, a := range e.Handle(now, report) {
+			switch a.(type) {
+			case Refuse:
+				refused = true
+			case Cancel:
+				moved = true
+			}
+		}
+		moved = moved && !refused // A refusal cancels the attempt as well.
+		qt.Check(t, moved, qt.Equals, x.moves, qt.Commentf("%v", x))
+		qt.Check(t, refused, qt.Equals, !x.moves, qt.Commentf("%v", x))
+	}
+}
--- a/pkg/entry/unstarted.go
+++ b/pkg/entry/unstarted.go
@@ -26,8 +26,9 @@
 	}
 }
 
-// reviewQueue refuses the calls that wait in the queue of an engine and, by its report, cannot start in time. The places in
-// that queue are not known; the calls of all hosts are taken to be interleaved evenly within a class.
+// reviewQueue refuses the calls that wait in the queue of an engine and, by its report, cannot start in time; urgent ones move
+// to another replica if they can start in time there. The places in that queue are not known; the calls of all hosts are taken
+// to be interleaved evenly within a class.
 func (e *Entry) reviewQueue(now time.Time, q *queue, r Report) {
 	list := slices.Clone(q.unstarted[r.Upstream])
 	rate := e.table.EndRate(r.Upstream, q.model)
@@ -41,7 +42,7 @@
 	for i, c := range list {
 		ahead := float64((i+1)*r.Waiting)/float64(len(list)) - ended
 		start := now.Add(time.Duration(max(ahead, 0) / rate * keepMargin * float64(time.Second)))
-		if len(c.attempts) == 1 && start.Add(first).After(c.Deadline) {
+		if len(c.attempts) == 1 && start.Add(first).After(c.Deadline) && !e.relocate(now, c) {
 			e.refuse(c, codes.OverCapacity, e.promise(now, c))
 		}
 	}
