feat(cell): a cell without memory passes work on before it drains or keeps a permit

Change: Demand tells whether the host can ask another cell (Elsewhere). Such a demand drains nothing, is refused at once when no upstream has memory, and is forgotten with the refusal.

--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -99,13 +99,17 @@
 
 // cellOf returns the cell that is asked to load a model, by the rule of the daemon.
 func (h *host) cellOf(model string) string {
+	return h.homes.Choose(h.fleet.now, model, h.cells(model))
+}
+
+func (h *host) cells(model string) homes.Cells {
 	x := homes.Cells{Own: h.centre, Usable: centreNames()}
 	for _, n := range x.Usable {
 		if h.fleet.permits[model][n] > 0 {
 			x.Holders = append(x.Holders, n)
 		}
 	}
-	return h.homes.Choose(h.fleet.now, model, x)
+	return x
 }
 
 // forecast passes a forecast to the entry machine; as in the daemon, the demand that a cell without memory refuses goes to
@@ -115,6 +119,7 @@
 		h.homes.Refused(h.fleet.now, a.Model, centre)
 		next := h.cellOf(a.Model)
 		if e, ok := h.asked[demandKey{a.Model, a.Adapter}]; ok && next != "" {
+			e.Elsewhere = h.homes.Elsewhere(h.fleet.now, a.Model, h.cells(a.Model), next)
 			h.toController(next, e)
 			return
 		}
@@ -169,6 +174,7 @@
 		e := cell.Demand{
 			Host: h.name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
 			EarliestDeadline: a.EarliestDeadline,
+			Elsewhere:        h.homes.Elsewhere(w.now, a.Model, h.cells(a.Model), a.Cell),
 		}
 		k := demandKey{a.Model, a.Adapter}
 		h.asked[k] = e
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -79,6 +79,7 @@
 	e := cell.Demand{
 		Host: c.d.settings.Host.Name, Model: a.Model, Adapter: a.Adapter, Urgent: a.Urgent, Normal: a.Normal, Bulk: a.Bulk,
 		EarliestDeadline: a.EarliestDeadline,
+		Elsewhere:        c.homes.Elsewhere(time.Now(), a.Model, c.cellsFor(a.Model), a.Cell),
 	}
 	c.asked[demandKey{a.Model, a.Adapter}] = e
 	if e.Urgent+e.Normal+e.Bulk == 0 {
@@ -94,6 +95,7 @@
 		c.homes.Refused(time.Now(), f.Model, name)
 		next := c.homeOf(f.Model)
 		if e, ok := c.asked[demandKey{f.Model, f.Adapter}]; ok && next != "" {
+			e.Elsewhere = c.homes.Elsewhere(time.Now(), f.Model, c.cellsFor(f.Model), next)
 			c.toController(next, e)
 			return
 		}
@@ -142,11 +144,16 @@
 
 // homeOf returns the cell that is asked to load a model, or an empty string if none has memory for it.
 func (c *cells) homeOf(model string) string {
+	return c.homes.Choose(time.Now(), model, c.cellsFor(model))
+}
+
+// cellsFor returns what is known of the cells for the choice of one that loads the model.
+func (c *cells) cellsFor(model string) homes.Cells {
 	x := homes.Cells{Own: c.d.settings.Host.DataCentre, Usable: c.d.upstreams.usable}
 	for _, p := range c.d.state.Permits(model) {
 		if p.Count > 0 {
 			x.Holders = append(x.Holders, p.Cell)
 		}
 	}
-	return c.homes.Choose(time.Now(), model, x)
+	return x
 }
--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -140,6 +140,11 @@
 		}
 		c.replan = true
 	}
+	for _, m := range c.queue {
+		if !c.now.Before(m.claimAt) && !c.mayLoad(m) {
+			c.touch(m)
+		}
+	}
 	for i := 0; i < len(c.touched); i++ {
 		m := c.touched[i]
 		m.touched = false
@@ -177,7 +182,7 @@
 		c.emit(ReadStatus{Upstream: u.name})
 	}
 	for _, m := range c.models {
-		m.yield, m.yielding, m.claimedAt = noYield, noYield, time.Time{}
+		m.yield, m.yielding, m.claimAt = noYield, noYield, time.Time{}
 		m.lowSince, m.idleAt, m.seen = c.now, c.now, false
 		for i := range m.demands {
 			m.demands[i].answered, m.demands[i].refused = false, false
@@ -287,6 +292,11 @@
 		if len(c.queue) > 0 && c.nextStart.After(c.now) {
 			sooner(c.nextStart)
 		}
+		for _, m := range c.queue {
+			if m.claimAt.After(c.now) && !c.mayLoad(m) {
+				sooner(m.claimAt)
+			}
+		}
 	}
 	if !at.IsZero() && (!at.Equal(c.wakeAt) || !c.now.Before(at)) {
 		c.emit(Wake{At: at})
--- a/pkg/cell/forecast.go
+++ b/pkg/cell/forecast.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -60,6 +61,14 @@
 		for i := range m.demands {
 			c.answer(m, &m.demands[i], at, waiters)
 		}
+		m.demands = slices.DeleteFunc(m.demands, func(d demand) bool {
+			// The host has the work wait at another cell now, which may ask for the permit.
+			return d.refused && d.Elsewhere && at.IsZero()
+		})
+		if len(m.demands) == 0 {
+			m.missing = 0
+			c.touch(m)
+		}
 	}
 }
 
--- a/pkg/cell/loads.go
+++ b/pkg/cell/loads.go
@@ -148,6 +148,10 @@
 
 // placeOne orders or plans one load of the model; ok is false when no further load of it can be planned.
 func (c *Controller) placeOne(m *model, p *plan) (ok bool) {
+	if !c.mayLoad(m) && c.passesOn(m) {
+		m.blocked = true
+		return false
+	}
 	if !c.mayLoad(m) || !c.canOrder() {
 		c.predictBlocked(m)
 		return false
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -20,14 +20,15 @@
 		touched bool
 		queued  bool
 
-		permits   int
-		offset    int64 // offset is that of the latest permit record.
-		frozen    bool
-		yield     int // yield is the permit count another cell asked for, or noYield.
-		force     bool
-		yielding  int // yielding is the count of a claim in flight that lowers the permits, or noYield.
-		claimedAt time.Time
-		claims    uint // claims counts the claims since the last permit record.
+		permits  int
+		offset   int64 // offset is that of the latest permit record.
+		frozen   bool
+		yield    int // yield is the permit count another cell asked for, or noYield.
+		force    bool
+		yielding int       // yielding is the count of a claim in flight that lowers the permits, or noYield.
+		claimAt  time.Time // claimAt is when the next claim may be made.
+		eager    bool      // eager tells that the last claim was for waiting work.
+		claims   uint      // claims counts the claims since the last permit record.
 
 		replicas []*replica
 		demands  []demand
@@ -122,6 +123,11 @@
 	return urgent, normal, bulk
 }
 
+// elsewhere reports whether all waiting work would go to another cell if this one had no memory.
+func (m *model) elsewhere() bool {
+	return len(m.demands) > 0 && !slices.ContainsFunc(m.demands, func(d demand) bool { return !d.Elsewhere })
+}
+
 func (m *model) waiters() int {
 	u, n, b := m.waiting()
 	return u + n + b
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -4,11 +4,14 @@
 // each refused claim costs an append.
 const maxClaimShift = 5
 
+// firstClaims is how many times sooner the first claim for waiting work is repeated: another cell yields within two messages.
+const firstClaims = 8
+
 func (c *Controller) setPermit(e PermitChanged) {
 	m := c.model(e.Model)
 	m.claims = 0
 	if e.Count < m.permits {
-		m.claims = maxClaimShift // A claim in advance lets the cell go first for which the permit was yielded.
+		m.claimAt = c.now.Add(c.set.ClaimInterval << maxClaimShift) // A claim in advance lets the cell go first for which the permit was yielded.
 	}
 	m.permits, m.offset, m.frozen = e.Count, e.Offset, e.Frozen
 	if e.Count <= m.yielding {
@@ -140,7 +143,12 @@
 	}
 	distance := c.distance(m)
 	if m.missing > 0 && !c.mayLoad(m) {
-		want, distance = max(want, c.inUse(m)+1, serving+m.missing), 0
+		for _, u := range c.upstreams {
+			c.preparePlan(u)
+		}
+		if !c.passesOn(m) {
+			want, distance = max(want, c.inUse(m)+1, serving+m.missing), 0
+		}
 	}
 	if want = min(want, m.spec.MaxReplicas); want > m.permits {
 		c.claim(m, want, distance)
@@ -148,14 +156,21 @@
 }
 
 func (c *Controller) claim(m *model, count, distance int) {
-	wait := c.set.ClaimInterval
-	if m.missing == 0 {
-		wait <<= min(m.claims, maxClaimShift)
+	eager := distance == 0 && count > m.permits
+	if eager && !m.eager {
+		m.claims, m.claimAt = 0, c.now
 	}
-	if c.now.Sub(m.claimedAt) < wait {
+	if first := count < m.permits && m.yielding == noYield; !first && c.now.Before(m.claimAt) {
 		return
 	}
-	m.claimedAt = c.now
+	wait := c.set.ClaimInterval
+	switch {
+	case eager:
+		wait = min(wait, wait/firstClaims<<min(m.claims, maxClaimShift))
+	case m.missing == 0:
+		wait <<= min(m.claims+1, maxClaimShift)
+	}
+	m.eager, m.claimAt = eager, c.now.Add(wait)
 	m.claims++
 	if count < m.permits {
 		m.yielding = count
--- a/pkg/cell/permits_test.go
+++ b/pkg/cell/permits_test.go
@@ -7,6 +7,27 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// Guards against a drain of a busy replica and against a kept permit while another cell may have memory for a model, and
+// against a model that fits nowhere and gets no drain at all.
+func TestNoMemoryPassesWorkOn(t *testing.T) {
+	for _, elsewhere := range []bool{true, false} {
+		c := qt.New(t)
+		p := newPlant(1, testModel("a", 80*gib, 1), testModel("b", 80*gib, 1))
+		p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(time.Minute)})
+		p.run(4 * time.Second)
+		p.do(Demand{Host: "h", Model: "a"})
+		p.running["a"] = 1
+		p.run(4 * time.Second)
+		d := Demand{Host: "h", Model: "b", Urgent: 9, EarliestDeadline: p.now.Add(time.Minute), Elsewhere: elsewhere}
+		p.do(d)
+		c.Assert(p.answers[len(p.answers)-1].Refused, qt.Equals, elsewhere)
+		c.Assert(p.lists("a"), qt.Equals, elsewhere)
+		p.claims = nil
+		p.do(PermitAsked{Model: "b"})
+		c.Assert(len(p.claims) == 1, qt.Equals, elsewhere, qt.Commentf("the permit goes where the work went"))
+	}
+}
+
 // Guards against a permit that stays in a cell without a copy of the checkpoint although another cell has one, against two
 // cells that yield an idle model to each other in turn, and against a home cell that takes a yielded permit back at once.
 func TestPermitGoesToNearestCopy(t *testing.T) {
--- a/pkg/cell/preempt.go
+++ b/pkg/cell/preempt.go
@@ -22,8 +22,14 @@
 
 // makeRoom drains one replica for a model that fits nowhere and whose waiting work is worth more, and predicts when the
 // model is ready after that. Without such a replica there is no prediction, and the waiting work is refused.
+//
+// Work that another cell may still have memory for drains nothing: a drained replica is loaded again elsewhere, which takes
+// the store from the models that wait.
 func (c *Controller) makeRoom(m *model) {
 	m.blocked = true
+	if c.passesOn(m) {
+		return
+	}
 	at := c.now
 	if r := m.preempting; r == nil || r.retire != preempt || !slices.Contains(r.up.replicas, r) {
 		x := c.findRoom(m)
@@ -40,6 +46,17 @@
 	m.readyAt = at.Add(c.set.DrainTime + unloadTime + c.loadTime(m, c.nearest(m)))
 }
 
+// passesOn reports whether no upstream has memory for the model and its waiting work can go to another cell. Neither a drain
+// nor a claim is made for it then.
+func (c *Controller) passesOn(m *model) bool {
+	if len(m.replicas) > 0 || !m.elsewhere() || c.settling() {
+		return false
+	}
+	return !slices.ContainsFunc(c.upstreams, func(u *upstream) bool {
+		return c.eligible(u, m) && u.avail+u.soon+u.evictable >= m.spec.ReplicaBytes()
+	})
+}
+
 // findRoom returns the replica that may be drained first, and among several that with the least valuable work.
 func (c *Controller) findRoom(m *model) room {
 	var best room
--- a/pkg/cell/types.go
+++ b/pkg/cell/types.go
@@ -92,6 +92,7 @@
 		Normal           int
 		Bulk             int
 		EarliestDeadline time.Time // EarliestDeadline is the first deadline among the waiting; zero means none.
+		Elsewhere        bool      // Elsewhere tells that the host asks another cell if this one has no memory.
 	}
 
 	// Use reports the requests of a model that a host has in progress at upstreams.
--- a/pkg/homes/homes.go
+++ b/pkg/homes/homes.go
@@ -45,13 +45,23 @@
 // Choose returns the cell to ask, or an empty string if every usable cell has refused the model a short time ago.
 func (t *Table) Choose(now time.Time, model string, c Cells) string {
 	for _, name := range order(model, c) {
-		if at, ok := t.refused[pair{model, name}]; !ok || now.Sub(at) > refusalLife {
+		if !t.refusing(now, model, name) {
 			return name
 		}
 	}
 	return ""
 }
 
+// Elsewhere reports whether a usable cell other than the named one could still be asked.
+func (t *Table) Elsewhere(now time.Time, model string, c Cells, cell string) bool {
+	return slices.ContainsFunc(c.Usable, func(name string) bool { return name != cell && !t.refusing(now, model, name) })
+}
+
+func (t *Table) refusing(now time.Time, model, cell string) bool {
+	at, ok := t.refused[pair{model, cell}]
+	return ok && now.Sub(at) <= refusalLife
+}
+
 // Refused notes that a cell had no memory for the model.
 func (t *Table) Refused(now time.Time, model, cell string) {
 	for p, at := range t.refused {
--- a/pkg/homes/homes_test.go
+++ b/pkg/homes/homes_test.go
@@ -24,6 +24,7 @@
 	for range usable {
 		cell := h.Choose(now, "m", Cells{Usable: usable})
 		c.Assert(seen[cell], qt.IsFalse)
+		c.Assert(h.Elsewhere(now, "m", Cells{Usable: usable}, cell), qt.Equals, len(seen) < len(usable)-1)
 		seen[cell] = true
 		h.Refused(now, "m", cell)
 	}
