feat(cell): idle models are noticed at once and drains end with the first figures from after them

Change: figures from before the entries' last end are void once entries know of no work; the controller asks for the status when its figures can be from after the drain and looks at the replica with it; DrainDelay 0.25 s instead of 0.3 s; an unload counts 2 s beside the load time (churnCost), so that warm models with gaps of a second stay loaded. Permits of models with several replicas go back to the home as before.

No rule of safety changed: nothing is unloaded before figures from after the drain show it empty.

--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -36,6 +36,7 @@
 		replan    bool
 		orders    []*order
 		lastOrder int
+		draining  []*replica // draining are the retired replicas that no status has shown to be drained.
 		store     store
 		near      [TierRemote]float64 // near holds the load times from the nearer tiers relative to the store at full speed.
 		adapting  int                 // adapting counts the adapter loads in flight or in doubt.
@@ -140,6 +141,7 @@
 		}
 		c.replan = true
 	}
+	c.readDrained()
 	for _, m := range c.queue {
 		if !c.now.Before(m.claimAt) && !c.mayLoad(m) {
 			c.touch(m)
@@ -286,6 +288,9 @@
 	}
 	if c.holds {
 		sooner(c.nextScan)
+		for _, r := range c.draining {
+			sooner(c.drainReadAt(r))
+		}
 		if c.stale {
 			sooner(c.publishedAt.Add(c.set.PublishInterval))
 		}
--- a/pkg/cell/idle.go
+++ b/pkg/cell/idle.go
@@ -17,6 +17,9 @@
 	gapDecay = 0.98
 	// heatHalfLife is the time in which past work counts half when replicas are compared for eviction.
 	heatHalfLife = 5 * time.Minute
+	// churnCost is the cost of an unload and a later load beside the load time: the prompt prefixes in the engine's cache are
+	// lost, and every entry learns of both.
+	churnCost = 2 * time.Second
 	// minGaps is the weight of observations from which the distribution is used instead of the break-even time.
 	minGaps = 4
 )
@@ -92,6 +95,7 @@
 	if tier == TierRemote {
 		load += waitCost * c.store.congestion(c.now)
 	}
+	load += churnCost
 	g := &m.gaps
 	if g.total < minGaps {
 		g = &c.gaps
--- a/pkg/cell/idle_test.go
+++ b/pkg/cell/idle_test.go
@@ -38,3 +38,31 @@
 		})
 	}
 }
+
+// Guards against a model that stays loaded because an engine's late figures still show the request that the entries know to
+// have ended, and against an unload on figures from before the drain.
+func TestLateFiguresAndDrain(t *testing.T) {
+	c := qt.New(t)
+	p := newPlant(1, testModel("a", 10*gib, 1))
+	p.do(Demand{Host: "h", Model: "a", Normal: 1, EarliestDeadline: p.now.Add(time.Minute)})
+	p.run(3 * time.Second)
+	p.do(Use{Host: "h", Model: "a", InFlight: 1})
+	p.do(Demand{Host: "h", Model: "a"})
+	p.running["a"] = 1
+	p.run(time.Second)
+	u := p.c.upstreams[0]
+	p.statuses[u.name].ReportedAt = p.now
+	p.run(100 * time.Millisecond)
+	c.Assert(p.c.model("a").active, qt.IsTrue)
+	p.do(Use{Host: "h", Model: "a"})
+	c.Assert(p.c.model("a").active, qt.IsFalse)
+	p.running["a"] = 0
+	p.run(10 * time.Second)
+	c.Assert(p.lists("a"), qt.IsFalse)
+	c.Assert(p.count(OpUnload, "a"), qt.Equals, 0, qt.Commentf("no figures from after the drain"))
+	r := u.replicas[0]
+	p.statuses[u.name].ReportedAt = r.retiredAt.Add(p.c.set.DrainDelay)
+	p.run(300 * time.Millisecond)
+	c.Assert(p.count(OpUnload, "a"), qt.Equals, 1)
+	c.Assert(p.c.draining, qt.HasLen, 0)
+}
--- a/pkg/cell/ledger.go
+++ b/pkg/cell/ledger.go
@@ -40,6 +40,7 @@
 		past         []replaced // past holds earlier incarnations, whose late statuses are void.
 		statusAt     time.Time
 		reportedAt   time.Time
+		drainAskedAt time.Time // drainAskedAt is when a status was last asked for because of a drain.
 		fencedAt     time.Time
 		fenceOrder   string
 		highestFence int64
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -33,8 +33,9 @@
 		replicas []*replica
 		demands  []demand
 		uses     []Use
-		inFlight int // inFlight sums the activity reports of the entries.
-		urgent   int // urgent is the urgent part of inFlight.
+		inFlight int       // inFlight sums the activity reports of the entries.
+		urgent   int       // urgent is the urgent part of inFlight.
+		endedAt  time.Time // endedAt is when an entry last told that its work had ended.
 
 		optional    bool // optional tells that the missing replica would help, but that the work gets by without it.
 		missing     int  // missing is the number of replicas that waiting work still needs.
@@ -103,7 +104,7 @@
 	case i >= 0 && e.InFlight > 0:
 		m.uses[i] = e
 	case i >= 0:
-		m.uses = slices.Delete(m.uses, i, i+1)
+		m.uses, m.endedAt = slices.Delete(m.uses, i, i+1), c.now
 	}
 	m.inFlight, m.urgent = 0, 0
 	for _, x := range m.uses {
@@ -133,11 +134,14 @@
 	return u + n + b
 }
 
-// running returns the requests in progress as the entries or the engines see them, whichever is more.
+// running returns the requests in progress as the entries or the engines see them, whichever is more. Once the entries know
+// of none, figures of engines from before that are void: they lag by a second, for which every model would stay loaded.
 func (m *model) running() int {
 	n := 0
 	for _, r := range m.replicas {
-		n += r.running + r.waiting
+		if m.inFlight > 0 || !r.up.reportedAt.Before(m.endedAt) {
+			n += r.running + r.waiting
+		}
 	}
 	return max(n, m.inFlight)
 }
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -11,7 +11,11 @@
 	m := c.model(e.Model)
 	m.claims = 0
 	if e.Count < m.permits {
-		m.claimAt = c.now.Add(c.set.ClaimInterval << maxClaimShift) // A claim in advance lets the cell go first for which the permit was yielded.
+		m.claimAt = c.now.Add(c.set.ClaimInterval)
+		if m.moves() {
+			// A claim in advance lets the cell go first for which the permit was yielded.
+			m.claimAt = c.now.Add(c.set.ClaimInterval << maxClaimShift)
+		}
 	}
 	m.permits, m.offset, m.frozen = e.Count, e.Offset, e.Frozen
 	if e.Count <= m.yielding {
@@ -26,7 +30,7 @@
 
 func (c *Controller) askPermit(e PermitAsked) {
 	m := c.model(e.Model)
-	if c.holds && e.Count < m.permits && e.Distance < c.distance(m) {
+	if c.holds && e.Count < m.permits && (!m.moves() || e.Distance < c.distance(m)) {
 		m.yield, m.force = max(e.Count, 0), e.Force
 		c.touch(m)
 	}
@@ -125,11 +129,12 @@
 	return d
 }
 
-// attracts reports whether the cell claims the permit of the model because it keeps a copy of the checkpoint. Free permits of
-// models with several are left to the cells with work, and models that stay loaded do so at home.
-func (c *Controller) attracts(m *model) bool {
-	return m.spec.MaxReplicas == 1 && m.spec.MinReplicas == 0 && c.nearest(m) < TierRemote
-}
+// moves reports whether the permit of the model follows the copies of its checkpoint. Free permits of models with several are
+// left to the cells with work, and models that stay loaded do so at home.
+func (m *model) moves() bool { return m.known && m.spec.MaxReplicas == 1 && m.spec.MinReplicas == 0 }
+
+// attracts reports whether the cell claims the permit of the model because it keeps a copy of the checkpoint.
+func (c *Controller) attracts(m *model) bool { return m.moves() && c.nearest(m) < TierRemote }
 
 // claimMore claims permits in advance for models at home or with a copy of the checkpoint in the cell, and for work that the
 // permits of the cell cannot serve.
--- a/pkg/cell/retire.go
+++ b/pkg/cell/retire.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // startRetire takes a replica out of the directory; it is unloaded when no request is left on it. A replica that cannot be
 // unloaded for now stays in service, unless its upstream is leaving.
@@ -9,6 +12,7 @@
 		return
 	}
 	r.retire, r.retiredAt = why, c.now
+	c.draining = append(c.draining, r)
 	c.ledgerChanged(r)
 }
 
@@ -58,6 +62,31 @@
 	return !c.now.Before(at) && !r.up.reportedAt.Before(at) && r.running+r.waiting == 0
 }
 
+// readDrained looks at a drained replica again once the figures of its engine are from after the drain, and asks for the
+// status as soon as they can be. The lag of the figures is
+// that of the last status.
+func (c *Controller) readDrained() {
+	c.draining = slices.DeleteFunc(c.draining, func(r *replica) bool {
+		seen := !r.up.reportedAt.Before(r.retiredAt.Add(c.set.DrainDelay))
+		if seen {
+			c.touch(r.model)
+		}
+		return seen || r.retire == keep || r.phase != loaded || r.lost
+	})
+	for _, r := range c.draining {
+		if !c.now.Before(c.drainReadAt(r)) {
+			r.up.drainAskedAt = c.now
+			c.emit(ReadStatus{Upstream: r.up.name})
+		}
+	}
+}
+
+// drainReadAt returns when a status is expected to show the drained replica.
+func (c *Controller) drainReadAt(r *replica) time.Time {
+	lag := max(r.up.statusAt.Sub(r.up.reportedAt), 0)
+	return later(r.retiredAt.Add(c.set.DrainDelay+lag), r.up.drainAskedAt.Add(minQueryInterval))
+}
+
 // unloadable reports whether the replica has no open order and its upstream may get orders.
 func (c *Controller) unloadable(r *replica) bool {
 	return r.phase == loaded && !r.lost && !c.now.Before(r.retryAt) && r.load == nil && r.unload == nil && c.mayOrder(r.up) &&
--- a/pkg/cell/settings.go
+++ b/pkg/cell/settings.go
@@ -64,7 +64,7 @@
 		ClaimInterval:       2 * time.Second,
 		DemandLife:          10 * time.Second,
 		PublishInterval:     50 * time.Millisecond,
-		DrainDelay:          300 * time.Millisecond,
+		DrainDelay:          250 * time.Millisecond,
 		DrainTime:           5 * time.Second,
 		AdapterTime:         15 * time.Millisecond,
 		RetryDefault:        5 * time.Second,
