--- a/pkg/cell/controller.go
+++ b/pkg/cell/controller.go
@@ -36,6 +36,7 @@
 		replan    bool
 		orders    []*order
 		lastOrder int
+		draining  []*replica // draining are the retired replicas that no status has shown to be drained.
 		store     store
 		near      [TierRemote]float64 // near holds the load times from the nearer tiers relative to the store at full speed.
 		adapting  int                 // adapting counts the adapter loads in flight or in doubt.
@@ -143,6 +144,12 @@
 		}
 		c.replan = true
 	}
+	c.readDrained()
+	for _, m := range c.queue {
+		if !c.now.Before(m.claimAt) && !c.mayLoad(m) {
+			c.touch(m)
+		}
+	}
 	for i := 0; i < len(c.touched); i++ {
 		m := c.touched[i]
 		m.touched = false
@@ -180,7 +187,7 @@
 		c.emit(ReadStatus{Upstream: u.name})
 	}
 	for _, m := range c.models {
-		m.yield, m.yielding, m.claimedAt = noYield, noYield, time.Time{}
+		m.yield, m.yielding, m.claimAt = noYield, noYield, time.Time{}
 		m.lowSince, m.idleAt, m.seen = c.now, c.now, false
 		for i := range m.demands {
 			m.demands[i].answered, m.demands[i].refused = false, false
@@ -284,12 +291,20 @@
 	}
 	if c.holds {
 		sooner(c.nextScan)
+		for _, r := range c.draining {
+			sooner(c.drainReadAt(r))
+		}
 		if c.stale {
 			sooner(c.publishedAt.Add(c.set.PublishInterval))
 		}
 		if len(c.queue) > 0 && c.nextStart.After(c.now) {
 			sooner(c.nextStart)
 		}
+		for _, m := range c.queue {
+			if m.claimAt.After(c.now) && !c.mayLoad(m) {
+				sooner(m.claimAt)
+			}
+		}
 	}
 	if !at.IsZero() && (!at.Equal(c.wakeAt) || !c.now.Before(at)) {
 		c.emit(Wake{At: at})
--- a/pkg/cell/model.go
+++ b/pkg/cell/model.go
@@ -20,20 +20,22 @@
 		touched bool
 		queued  bool
 
-		permits   int
-		offset    int64 // offset is that of the latest permit record.
-		frozen    bool
-		yield     int // yield is the permit count another cell asked for, or noYield.
-		force     bool
-		yielding  int // yielding is the count of a claim in flight that lowers the permits, or noYield.
-		claimedAt time.Time
-		claims    uint // claims counts the claims since the last permit record.
+		permits  int
+		offset   int64 // offset is that of the latest permit record.
+		frozen   bool
+		yield    int // yield is the permit count another cell asked for, or noYield.
+		force    bool
+		yielding int       // yielding is the count of a claim in flight that lowers the permits, or noYield.
+		claimAt  time.Time // claimAt is when the next claim may be made.
+		eager    bool      // eager tells that the last claim was for waiting work.
+		claims   uint      // claims counts the claims since the last permit record.
 
 		replicas []*replica
 		demands  []demand
 		uses     []Use
-		inFlight int // inFlight sums the activity reports of the entries.
-		urgent   int // urgent is the urgent part of inFlight.
+		inFlight int       // inFlight sums the activity reports of the entries.
+		urgent   int       // urgent is the urgent part of inFlight.
+		endedAt  time.Time // endedAt is when an entry last told that its work had ended.
 
 		optional    bool // optional tells that the missing replica would help, but that the work gets by without it.
 		missing     int  // missing is the number of replicas that waiting work still needs.
@@ -102,7 +104,7 @@
 	case i >= 0 && e.InFlight > 0:
 		m.uses[i] = e
 	case i >= 0:
-		m.uses = slices.Delete(m.uses, i, i+1)
+		m.uses, m.endedAt = slices.Delete(m.uses, i, i+1), c.now
 	}
 	m.inFlight, m.urgent = 0, 0
 	for _, x := range m.uses {
@@ -122,16 +124,24 @@
 	return urgent, normal, bulk
 }
 
+// elsewhere reports whether all waiting work would go to another cell if this one had no memory.
+func (m *model) elsewhere() bool {
+	return len(m.demands) > 0 && !slices.ContainsFunc(m.demands, func(d demand) bool { return !d.Elsewhere })
+}
+
 func (m *model) waiters() int {
 	u, n, b := m.waiting()
 	return u + n + b
 }
 
-// running returns the requests in progress as the entries or the engines see them, whichever is more.
+// running returns the requests in progress as the entries or the engines see them, whichever is more. Once the entries know
+// of none, figures of engines from before that are void: they lag by a second, for which every model would stay loaded.
 func (m *model) running() int {
 	n := 0
 	for _, r := range m.replicas {
-		n += r.running + r.waiting
+		if m.inFlight > 0 || !r.up.reportedAt.Before(m.endedAt) {
+			n += r.running + r.waiting
+		}
 	}
 	return max(n, m.inFlight)
 }
