--- a/internal/scene/commands_test.go
+++ b/internal/scene/commands_test.go
@@ -111,6 +111,9 @@
 	if keep, ok := a.named["logKeeps"]; ok {
 		w.logArgs = []string{"--keep-records", keep}
 	}
+	if rate, ok := a.named["logRate"]; ok {
+		w.logArgs = append(w.logArgs, "--appends", rate)
+	}
 	if every, ok := a.named["snapshots"]; ok {
 		w.extra = fmt.Sprintf("snapshotInterval = %q\n", every)
 	}
