fix(homes): without the log only holders of a permit are asked for a load

Cause: a cell without memory refuses at once a model that its host can ask another cell for. In a log outage the other cell cannot get the permit and kept the call until its deadline, while the holder had forgotten it and made no room (load_in_outage, call refused with 3003 after 17.8 s). Change: while the log cannot be read, the cells that may be asked are those with a permit, so the holder drains an idle model. Ruled out: a shorter memory of refusals, which only repeats the detour.

--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -117,7 +117,7 @@
 
 // catchUp takes the state of a peer that is ahead while the log cannot be read.
 func (d *Daemon) catchUp(b member.Heartbeat) {
-	if b.Offset <= d.state.Offset() || time.Since(d.members.logContact) < 2*readWait || d.fetching {
+	if b.Offset <= d.state.Offset() || !d.logLost() || d.fetching {
 		return
 	}
 	d.fetching = true
@@ -128,6 +128,9 @@
 	})
 }
 
+// logLost reports whether the log has not been read to its end for longer than a read takes.
+func (d *Daemon) logLost() bool { return time.Since(d.members.logContact) >= 2*readWait }
+
 // logRead records that the state was as new as the log when the read began.
 func (d *Daemon) logRead(asked time.Time, end int64) {
 	d.members.fresh.Read(asked, end-1)
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -149,7 +149,7 @@
 
 // cellsFor returns what is known of the cells for the choice of one that loads the model.
 func (c *cells) cellsFor(model string) homes.Cells {
-	x := homes.Cells{Own: c.d.settings.Host.DataCentre, Usable: c.d.upstreams.usable}
+	x := homes.Cells{Own: c.d.settings.Host.DataCentre, Usable: c.d.upstreams.usable, Fixed: c.d.logLost()}
 	for _, p := range c.d.state.Permits(model) {
 		if p.Count > 0 {
 			x.Holders = append(x.Holders, p.Cell)
--- a/pkg/homes/homes.go
+++ b/pkg/homes/homes.go
@@ -23,6 +23,7 @@
 		Own     string
 		Usable  []string // Usable cells have an upstream that takes loads.
 		Holders []string // Holders are the cells that hold permits of the model, in order of name.
+		Fixed   bool     // Fixed tells that permits cannot move, as in an outage of the log.
 	}
 
 	pair struct {
@@ -54,7 +55,7 @@
 
 // Elsewhere reports whether a usable cell other than the named one could still be asked.
 func (t *Table) Elsewhere(now time.Time, model string, c Cells, cell string) bool {
-	return slices.ContainsFunc(c.Usable, func(name string) bool { return name != cell && !t.refusing(now, model, name) })
+	return slices.ContainsFunc(c.open(), func(name string) bool { return name != cell && !t.refusing(now, model, name) })
 }
 
 func (t *Table) refusing(now time.Time, model, cell string) bool {
@@ -72,6 +73,16 @@
 	t.refused[pair{model, cell}] = now
 }
 
+// open returns the cells that may load the model. While permits cannot move, a cell without one would keep the work until its
+// deadline, and the holder must make room.
+func (c Cells) open() []string {
+	holders := slices.DeleteFunc(slices.Clone(c.Usable), func(name string) bool { return !slices.Contains(c.Holders, name) })
+	if c.Fixed && len(holders) > 0 {
+		return holders
+	}
+	return slices.Clone(c.Usable)
+}
+
 // order returns the usable cells in the order in which they are asked: the own one if it holds permits, other holders, and
 // the rest by rendezvous weight, so that all hosts ask the same one.
 func order(model string, c Cells) []string {
@@ -84,7 +95,7 @@
 		}
 		return 1
 	}
-	list := slices.Clone(c.Usable)
+	list := c.open()
 	slices.SortStableFunc(list, func(a, b string) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), compare(model, b, a))
 	})
--- a/pkg/homes/homes_test.go
+++ b/pkg/homes/homes_test.go
@@ -32,4 +32,12 @@
 	c.Assert(h.Choose(now, "other", Cells{Usable: usable}), qt.Not(qt.Equals), "")
 	c.Assert(h.Choose(now.Add(refusalLife+1), "m", Cells{Usable: usable}), qt.Equals, home)
 	c.Assert(Home("m", nil), qt.Equals, "")
+	// Without the log a holder that has refused is not replaced by a cell that cannot get the permit.
+	fixed := Cells{Own: "a", Usable: usable, Holders: []string{"b"}, Fixed: true}
+	h = New()
+	c.Assert(h.Choose(now, "m", fixed), qt.Equals, "b")
+	c.Assert(h.Elsewhere(now, "m", fixed, "b"), qt.IsFalse)
+	h.Refused(now, "m", "b")
+	c.Assert(h.Choose(now, "m", fixed), qt.Equals, "")
+	c.Assert(h.Choose(now, "m", Cells{Usable: usable, Fixed: true}), qt.Equals, home)
 }
