refactor(peers): tests start their echo server in one place

Cause: three tests of this change repeated the same start of a server and a client. Change: connected starts both; no check has changed.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -41,15 +41,21 @@
 	return nil
 }
 
+// connected returns an echo server that runs and a client for it; both are closed with the test.
+func connected(c *qt.C, there, here telem.Link) (*Server, *Client) {
+	s, err := Listen("127.0.0.1:0", echo{}, there)
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	c.Cleanup(s.Close)
+	p := NewClient(netip.MustParseAddr("127.0.0.1"), here)
+	c.Cleanup(p.Close)
+	return s, p
+}
+
 // Guards against findings about slowed upstreams that are lost or changed on the wire.
 func TestNoticesOnTheWire(t *testing.T) {
 	c := qt.New(t)
-	s, err := Listen("127.0.0.1:0", echo{}, telem.Link{})
-	c.Assert(err, qt.IsNil)
-	go func() { _ = s.Serve() }()
-	t.Cleanup(s.Close)
-	p := NewClient(netip.MustParseAddr("127.0.0.1"), telem.Link{})
-	t.Cleanup(p.Close)
+	s, p := connected(c, telem.Link{}, telem.Link{})
 	sent := Heartbeat{Speeds: []route.Notice{{
 		Upstream: "u0", Slow: true, Age: time.Second, Left: 4 * time.Second, Strikes: 1, Token: 5.1, First: 3.2,
 	}}}
@@ -61,12 +67,7 @@
 // Guards against an oversized message being read into memory, and against a broken connection being kept.
 func TestSizeLimit(t *testing.T) {
 	c := qt.New(t)
-	s, err := Listen("127.0.0.1:0", echo{}, telem.Link{})
-	c.Assert(err, qt.IsNil)
-	go func() { _ = s.Serve() }()
-	t.Cleanup(s.Close)
-	p := NewClient(netip.MustParseAddr("127.0.0.1"), telem.Link{})
-	t.Cleanup(p.Close)
+	s, p := connected(c, telem.Link{}, telem.Link{})
 	var reply string
 	for _, size := range []int{10, MaxMessageBytes / 2, 2 * MaxMessageBytes, 10} {
 		err := p.Call(context.Background(), s.Address(), "Peer.Echo", strings.Repeat("x", size), &reply)
@@ -83,12 +84,7 @@
 func TestBytesAreCounted(t *testing.T) {
 	c := qt.New(t)
 	there, here := telem.NewMetrics(), telem.NewMetrics()
-	s, err := Listen("127.0.0.1:0", echo{}, there.Link(telem.PeerLink))
-	c.Assert(err, qt.IsNil)
-	go func() { _ = s.Serve() }()
-	t.Cleanup(s.Close)
-	p := NewClient(netip.MustParseAddr("127.0.0.1"), here.Link(telem.PeerLink))
-	t.Cleanup(p.Close)
+	s, p := connected(c, there.Link(telem.PeerLink), here.Link(telem.PeerLink))
 	var reply string
 	c.Assert(p.Call(context.Background(), s.Address(), "Peer.Echo", strings.Repeat("x", 1000), &reply), qt.IsNil)
 	for _, m := range []*telem.Metrics{there, here} {
