refactor(ctrl): the control thread gets a package of its own

Cause: a second kind of daemon needs the same control thread; internal/daemon kept it private. Change: control.go and its test move to internal/ctrl with exported names; nothing else changes. Result: go vet and the tests of internal/ctrl and internal/daemon pass.

--- a/internal/daemon/control.go
+++ b/internal/ctrl/ctrl.go
@@ -1,4 +1,4 @@
-package daemon
+package ctrl
 
 import (
 	"sync"
@@ -10,8 +10,8 @@
 const controlQueue = 4096
 
 type (
-	// control runs steps one after the other. All decision state belongs to it.
-	control struct {
+	// Thread runs steps one after the other. All decision state belongs to it.
+	Thread struct {
 		steps   chan func()
 		stopped chan struct{}
 		ended   chan struct{}
@@ -19,21 +19,22 @@
 		metrics *telem.Metrics
 	}
 
-	// alarm calls back on the control thread at the earliest time that was asked for.
-	alarm struct {
-		control *control
+	// Alarm calls back on the control thread at the earliest time that was asked for.
+	Alarm struct {
+		control *Thread
 		ring    func()
 		timer   *time.Timer
 		at      time.Time
 	}
 )
 
-func newControl(m *telem.Metrics) *control {
-	return &control{steps: make(chan func(), controlQueue), stopped: make(chan struct{}), ended: make(chan struct{}), metrics: m}
+// New returns a control thread that does not run yet.
+func New(m *telem.Metrics) *Thread {
+	return &Thread{steps: make(chan func(), controlQueue), stopped: make(chan struct{}), ended: make(chan struct{}), metrics: m}
 }
 
-// run executes steps until stop.
-func (c *control) run() error {
+// Run executes steps until stop.
+func (c *Thread) Run() error {
 	defer close(c.ended)
 	for {
 		select {
@@ -47,19 +48,19 @@
 	}
 }
 
-// post queues a step; after stop it is dropped.
-func (c *control) post(step func()) {
+// Post queues a step; after stop it is dropped.
+func (c *Thread) Post(step func()) {
 	select {
 	case c.steps <- step:
 	case <-c.stopped:
 	}
 }
 
-// ask runs a step and waits for it; it reports false if the step was not run because of a stop. It waits for the end of the
+// Ask runs a step and waits for it; it reports false if the step was not run because of a stop. It waits for the end of the
 // control thread and not for the stop, because a step that is running may still write what the caller reads next.
-func (c *control) ask(step func()) bool {
+func (c *Thread) Ask(step func()) bool {
 	done := make(chan struct{})
-	c.post(func() {
+	c.Post(func() {
 		step()
 		close(done)
 	})
@@ -75,12 +76,14 @@
 	}
 }
 
-func (c *control) stop() { c.once.Do(func() { close(c.stopped) }) }
+// Stop ends the thread after the step that is running; steps still queued are dropped.
+func (c *Thread) Stop() { c.once.Do(func() { close(c.stopped) }) }
 
-func newAlarm(c *control, ring func()) *alarm { return &alarm{control: c, ring: ring} }
+// NewAlarm returns an alarm that calls ring on the control thread.
+func NewAlarm(c *Thread, ring func()) *Alarm { return &Alarm{control: c, ring: ring} }
 
-// set asks for a call at the time, or earlier if an earlier one is already set. It is called on the control thread.
-func (a *alarm) set(at time.Time) {
+// Set asks for a call at the time, or earlier if an earlier one is already set. It is called on the control thread.
+func (a *Alarm) Set(at time.Time) {
 	if a.timer != nil && !a.at.After(at) {
 		return
 	}
@@ -90,7 +93,7 @@
 	a.at = at
 	var t *time.Timer
 	t = time.AfterFunc(time.Until(at), func() {
-		a.control.post(func() {
+		a.control.Post(func() {
 			// A timer that was replaced after it fired must not clear its successor.
 			if a.timer == t {
 				a.timer = nil
@@ -100,3 +103,6 @@
 	})
 	a.timer = t
 }
+
+// Stopped returns a channel that is closed when the thread is asked to stop.
+func (c *Thread) Stopped() <-chan struct{} { return c.stopped }
--- a/internal/daemon/control_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -1,4 +1,4 @@
-package daemon
+package ctrl
 
 import (
 	"testing"
@@ -10,24 +10,24 @@
 )
 
 // TestAskWaitsForItsStep guards against a step that still writes an answer while the asking goroutine already reads it: with
-// a stop in between, ask returned before its step had ended, and the reply to a peer was encoded while it was written.
+// a stop in between, Ask returned before its step had ended, and the reply to a peer was encoded while it was written.
 func TestAskWaitsForItsStep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newControl(telem.NewMetrics())
+		c := New(telem.NewMetrics())
 		ended := make(chan struct{})
 		go func() {
-			_ = c.run()
+			_ = c.Run()
 			close(ended)
 		}()
 		release, answered := make(chan struct{}), make(chan bool, 1)
-		go func() { answered <- c.ask(func() { <-release }) }()
+		go func() { answered <- c.Ask(func() { <-release }) }()
 		synctest.Wait()
-		c.stop()
+		c.Stop()
 		synctest.Wait()
-		qt.Assert(t, answered, qt.HasLen, 0, qt.Commentf("ask returned while its step was running"))
+		qt.Assert(t, answered, qt.HasLen, 0, qt.Commentf("Ask returned while its step was running"))
 		close(release)
 		qt.Assert(t, <-answered, qt.IsTrue)
 		<-ended
-		qt.Assert(t, c.ask(func() {}), qt.IsFalse)
+		qt.Assert(t, c.Ask(func() {}), qt.IsFalse)
 	})
 }
--- a/internal/daemon/appends.go
+++ b/internal/daemon/appends.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fold"
 )
@@ -17,7 +18,7 @@
 	appends struct {
 		d       *Daemon
 		planner *fold.Planner
-		alarm   *alarm
+		alarm   *ctrl.Alarm
 		pending map[string]*pendingAppend
 	}
 
@@ -30,7 +31,7 @@
 func newAppends(d *Daemon) *appends {
 	a := &appends{d: d, planner: fold.NewPlanner(0, d.random), pending: make(map[string]*pendingAppend)}
 	a.planner.MayPublish = func(now time.Time) error { return d.members.fresh.MayPublish(now) }
-	a.alarm = newAlarm(d.control, func() { a.handle(fold.Tick{}) })
+	a.alarm = ctrl.NewAlarm(d.control, func() { a.handle(fold.Tick{}) })
 	return a
 }
 
@@ -82,7 +83,7 @@
 		case fold.GiveUp:
 			a.finish(x.ID, 0, x.Err)
 		case fold.Wake:
-			a.alarm.set(x.At)
+			a.alarm.Set(x.At)
 		}
 	}
 }
@@ -96,7 +97,7 @@
 		ctx, span := a.d.traces.Start(ctx, "log append")
 		defer span.End()
 		_, err := a.d.logs.Append(ctx, x.Data)
-		a.d.control.post(func() { a.answered(kind, x.ID, err) })
+		a.d.control.Post(func() { a.answered(kind, x.ID, err) })
 	})
 }
 
--- a/internal/daemon/beats.go
+++ b/internal/daemon/beats.go
@@ -43,7 +43,7 @@
 	for {
 		select {
 		case <-t.C:
-			d.control.ask(step)
+			d.control.Ask(step)
 		case <-ctx.Done():
 			return nil
 		}
@@ -102,7 +102,7 @@
 		var reply peers.Heartbeat
 		err := d.peerClient.Call(ctx, address, "Peer.Heartbeat", args, &reply)
 		d.countPeerCall("Heartbeat", err)
-		d.control.post(func() {
+		d.control.Post(func() {
 			switch {
 			case err == nil:
 				d.members.fresh.Heard(began, reply.Fresh)
@@ -124,7 +124,7 @@
 	after := d.state.Offset()
 	d.background(func(ctx context.Context) {
 		d.fetchState(ctx, b.Address, after)
-		d.control.post(func() { d.fetching = false })
+		d.control.Post(func() { d.fetching = false })
 	})
 }
 
--- a/internal/daemon/bookings.go
+++ b/internal/daemon/bookings.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/engine"
 	"github.com/fireflycleat/fireflycleat/internal/front"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
@@ -34,7 +35,7 @@
 	bookings struct {
 		d       *Daemon
 		host    *idemp.Host
-		alarm   *alarm
+		alarm   *ctrl.Alarm
 		waiting map[string]*booking
 		// proposed waits for proposeDelay, so that a change of many ranges becomes one record.
 		proposed []idemp.Propose
@@ -57,7 +58,7 @@
 
 func newBookings(d *Daemon, host *idemp.Host) *bookings {
 	b := &bookings{d: d, host: host, waiting: make(map[string]*booking)}
-	b.alarm = newAlarm(d.control, func() { b.handle(idemp.Tick{}) })
+	b.alarm = ctrl.NewAlarm(d.control, func() { b.handle(idemp.Tick{}) })
 	return b
 }
 
@@ -84,14 +85,14 @@
 	id := uuid.NewString()
 	x := &booking{call: call, trace: b.d.traces.ToText(ctx), end: make(chan bookingEnd, 1)}
 	digest := sha256.Sum256([]byte(call.Method + " " + call.Service + call.Path + "\n" + string(call.Body)))
-	b.d.control.post(func() {
+	b.d.control.Post(func() {
 		b.waiting[id] = x
 		b.handle(idemp.Begin{ID: id, Key: ownKey(call), Digest: hex.EncodeToString(digest[:]), Forwarded: forwarded})
 	})
 	select {
 	case end := <-x.end:
 		return end
-	case <-b.d.control.stopped:
+	case <-b.d.control.Stopped():
 		return bookingEnd{err: codes.New(codes.Draining, "host stopped").WithOutcome(codes.Unknown)}
 	}
 }
@@ -110,7 +111,7 @@
 		case idemp.Propose:
 			b.propose(a)
 		case idemp.Wake:
-			b.alarm.set(a.At)
+			b.alarm.Set(a.At)
 		}
 	}
 }
@@ -126,7 +127,7 @@
 func (b *bookings) propose(p idemp.Propose) {
 	b.proposed = append(b.proposed, p)
 	if len(b.proposed) == 1 {
-		time.AfterFunc(proposeDelay, func() { b.d.control.post(b.appendProposed) })
+		time.AfterFunc(proposeDelay, func() { b.d.control.Post(b.appendProposed) })
 	}
 }
 
@@ -154,7 +155,7 @@
 func (b *bookings) execute(r idemp.Run) {
 	x, ok := b.waiting[r.ID]
 	if !ok {
-		b.d.control.post(func() {
+		b.d.control.Post(func() {
 			b.handle(idemp.Outcome{Attempt: r.Attempt, Result: codes.NotRun, Proof: idemp.NoByteSent})
 		})
 		return
@@ -163,7 +164,7 @@
 		ctx, span := b.d.traces.Start(b.d.traces.FromText(ctx, x.trace), "service call")
 		answer, err := b.send(ctx, x.call, false)
 		telem.End(span, err)
-		b.d.control.post(func() { b.handle(outcomeOf(r.Attempt, answer, err)) })
+		b.d.control.Post(func() { b.handle(outcomeOf(r.Attempt, answer, err)) })
 	})
 }
 
@@ -192,7 +193,7 @@
 func (b *bookings) send(ctx context.Context, call front.PlainCall, repeatable bool) (engine.PlainAnswer, error) {
 	var addresses []string
 	var service spec.Service
-	b.d.control.ask(func() {
+	b.d.control.Ask(func() {
 		service, _ = b.d.state.View().Service(call.Service)
 		for _, n := range b.d.upstreams.service(call.Service) {
 			addresses = append(addresses, b.d.upstreams.address(n))
@@ -223,7 +224,7 @@
 func (b *bookings) mint(context.Context) (string, error) {
 	key := ""
 	var err error = codes.New(codes.Draining, "host stopped")
-	b.d.control.ask(func() { key, err = b.host.Mint(rand.IntN(fold.KeyRanges)) })
+	b.d.control.Ask(func() { key, err = b.host.Mint(rand.IntN(fold.KeyRanges)) })
 	return key, err
 }
 
--- a/internal/daemon/cellrun.go
+++ b/internal/daemon/cellrun.go
@@ -110,7 +110,7 @@
 	case cell.ReadStatus:
 		r.d.upstreams.poll(a.Upstream)
 	case cell.Wake:
-		r.alarm.set(a.At)
+		r.alarm.Set(a.At)
 	}
 }
 
@@ -125,7 +125,7 @@
 		defer span.End()
 		state, err := r.d.engines.Order(ctx, address, o)
 		r.result(a.OrderID, a.Attempt, state, err)
-		r.d.control.post(func() { r.d.upstreams.poll(a.Upstream) })
+		r.d.control.Post(func() { r.d.upstreams.poll(a.Upstream) })
 	})
 }
 
@@ -158,13 +158,13 @@
 	r.post(x)
 }
 
-func (r *cellRun) post(e cell.Event) { r.d.control.post(func() { r.handle(e) }) }
+func (r *cellRun) post(e cell.Event) { r.d.control.Post(func() { r.handle(e) }) }
 
 // claim asks the log for permits. Claims wait for proposeDelay, since a new controller claims for each model at home.
 func (r *cellRun) claim(a cell.Claim) {
 	r.claims[a.Model] = a
 	if len(r.claims) == 1 {
-		time.AfterFunc(proposeDelay, func() { r.d.control.post(r.appendClaims) })
+		time.AfterFunc(proposeDelay, func() { r.d.control.Post(r.appendClaims) })
 	}
 }
 
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -29,7 +30,7 @@
 		d         *Daemon
 		name      string
 		control   *cell.Controller
-		alarm     *alarm
+		alarm     *ctrl.Alarm
 		held      bool
 		fence     int64
 		earlier   map[string]int64
@@ -68,7 +69,7 @@
 		claims: make(map[string]cell.Claim), distances: make(map[string]int),
 	}
 	r.directory.Cell = name
-	r.alarm = newAlarm(c.d.control, func() { r.handle(cell.Tick{}) })
+	r.alarm = ctrl.NewAlarm(c.d.control, func() { r.handle(cell.Tick{}) })
 	c.byName[name] = r
 	r.handle(cell.ViewChanged{View: c.d.state.View()})
 	return r
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/engine"
 	"github.com/fireflycleat/fireflycleat/internal/front"
 	"github.com/fireflycleat/fireflycleat/internal/logsvc"
@@ -55,7 +56,7 @@
 		endLife     context.CancelFunc
 		tasks       sync.WaitGroup
 
-		control     *control
+		control     *ctrl.Thread
 		random      *rand.Rand
 		state       *fold.State
 		lastView    *spec.View
@@ -96,7 +97,7 @@
 		peerClient: peers.NewClient(s.Listen.Peers.IP(), metrics.Link(telem.PeerLink)), life: life, endLife: end,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), state: fold.New(), directories: make(map[string]bool),
 	}
-	d.control = newControl(d.metrics)
+	d.control = ctrl.New(d.metrics)
 	d.members = newMembers(d)
 	d.appends = newAppends(d)
 	d.upstreams = newUpstreams(d)
@@ -152,7 +153,7 @@
 // Run serves until the context ends or a planned stop is done. It returns nil only if no request was cut off.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	g.Add(d.control.run, func(error) { d.control.stop() })
+	g.Add(d.control.Run, func(error) { d.control.Stop() })
 	d.addServer(&g, d.callers, d.settings.Listen.Traffic.String())
 	d.addServer(&g, d.operators, d.settings.Listen.Operator.String())
 	g.Add(d.peerServer.Serve, func(error) { d.peerServer.Close() })
--- a/internal/daemon/logtail.go
+++ b/internal/daemon/logtail.go
@@ -24,7 +24,7 @@
 func (d *Daemon) tail(ctx context.Context) error {
 	for ctx.Err() == nil {
 		var from int64
-		if !d.control.ask(func() { from = d.state.Offset() + 1 }) {
+		if !d.control.Ask(func() { from = d.state.Offset() + 1 }) {
 			return nil
 		}
 		asked := time.Now()
@@ -36,11 +36,11 @@
 			}
 		}
 		if err != nil {
-			d.control.post(func() { d.readFailed(err) })
+			d.control.Post(func() { d.readFailed(err) })
 			pause(ctx, readRetry)
 			continue
 		}
-		d.control.ask(func() { d.readDone(asked, b.Records(), b.End()) })
+		d.control.Ask(func() { d.readDone(asked, b.Records(), b.End()) })
 	}
 	return nil
 }
@@ -65,7 +65,7 @@
 	if s == nil {
 		return codes.New(codes.LogUnavailable, "retained records hold no snapshot")
 	}
-	d.control.ask(func() { d.adopt(s) })
+	d.control.Ask(func() { d.adopt(s) })
 	return nil
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/cell"
 	"github.com/fireflycleat/fireflycleat/pkg/entry"
@@ -22,7 +23,7 @@
 	d           *Daemon
 	list        *member.List
 	fresh       *fresh.Tracker
-	alarm       *alarm
+	alarm       *ctrl.Alarm
 	told        map[string]bool // told holds the incarnations that the list knows to be recorded.
 	membership  int64
 	everCurrent bool
@@ -38,7 +39,7 @@
 		Incarnation: d.incarnation, Host: s.Host.Name, Address: s.PeerAddress().String(), CallerURL: s.Listen.Traffic.String(),
 		DataCentre: s.Host.DataCentre,
 	}, s.Caller.AddressLifetime.Value())
-	m.alarm = newAlarm(d.control, func() { m.handle(member.Tick{}) })
+	m.alarm = ctrl.NewAlarm(d.control, func() { m.handle(member.Tick{}) })
 	return m
 }
 
@@ -58,7 +59,7 @@
 			m.d.log("membership").Error("this incarnation is recorded as gone")
 			m.d.stopping.begin()
 		case member.Wake:
-			m.alarm.set(a.At)
+			m.alarm.Set(a.At)
 		}
 	}
 }
@@ -264,6 +265,6 @@
 // address answers which hosts a caller in the data centre should use.
 func (d *Daemon) address(dataCentre string) wire.AddressAnswer {
 	var a member.Addresses
-	d.control.ask(func() { a = d.members.list.Addresses(time.Now(), dataCentre, maxAddresses) })
+	d.control.Ask(func() { a = d.members.list.Addresses(time.Now(), dataCentre, maxAddresses) })
 	return wire.AddressAnswer{Addresses: a.URLs, LifetimeSeconds: a.Lifetime.Seconds()}
 }
--- a/internal/daemon/model.go
+++ b/internal/daemon/model.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/engine"
 	"github.com/fireflycleat/fireflycleat/internal/front"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
@@ -57,7 +58,7 @@
 	models struct {
 		d       *Daemon
 		machine *entry.Entry
-		alarm   *alarm
+		alarm   *ctrl.Alarm
 		calls   map[uint64]*modelCall
 		next    uint64
 		use     map[modelUse]useCount
@@ -79,7 +80,7 @@
 
 func newModels(d *Daemon, machine *entry.Entry) *models {
 	m := &models{d: d, machine: machine, calls: make(map[uint64]*modelCall), use: make(map[modelUse]useCount)}
-	m.alarm = newAlarm(d.control, func() { m.handle(entry.Tick{}) })
+	m.alarm = ctrl.NewAlarm(d.control, func() { m.handle(entry.Tick{}) })
 	return m
 }
 
@@ -90,13 +91,13 @@
 	c := &modelCall{
 		call: call, ctx: ctx, sink: sink, check: stream.New(call.ID), began: time.Now(), attempts: make(map[int]*attempt), end: make(chan struct{}),
 	}
-	m.d.control.post(func() { m.arrive(c) })
+	m.d.control.Post(func() { m.arrive(c) })
 	select {
 	case <-c.end:
 	case <-ctx.Done():
-		m.d.control.ask(func() { m.abandon(c) })
+		m.d.control.Ask(func() { m.abandon(c) })
 		<-c.end
-	case <-m.d.control.stopped:
+	case <-m.d.control.Stopped():
 		return codes.New(codes.Draining, "host stopped")
 	}
 	cancel()
@@ -160,7 +161,7 @@
 	case entry.Tell:
 		m.d.members.urge() // The heartbeat carries the findings.
 	case entry.Wake:
-		m.alarm.set(a.At)
+		m.alarm.Set(a.At)
 	case entry.Drained:
 		if m.idle != nil {
 			m.idle()
@@ -190,7 +191,7 @@
 	c, ok := m.calls[s.ID]
 	address := m.d.upstreams.address(s.Upstream)
 	if !ok || address == "" {
-		m.d.control.post(func() {
+		m.d.control.Post(func() {
 			m.handle(entry.AttemptEnded{ID: s.ID, Attempt: s.Attempt, Result: retry.NotRun, Tokens: s.ResumeFrom})
 		})
 		return
@@ -238,7 +239,7 @@
 	telem.End(span, err)
 	result := resultOf(a.ctx, err)
 	m.d.metrics.Attempt(result.String())
-	m.d.control.post(func() {
+	m.d.control.Post(func() {
 		m.count(a, -1)
 		if codes.Is(err, codes.UpstreamRefused) {
 			m.d.upstreams.refused(a.upstream)
@@ -260,7 +261,7 @@
 	if err != nil {
 		return a.request.ResumeFrom, err
 	}
-	m.d.control.post(func() { m.handle(entry.FirstToken{ID: c.id, Attempt: a.number}) })
+	m.d.control.Post(func() { m.handle(entry.FirstToken{ID: c.id, Attempt: a.number}) })
 	select {
 	case <-a.deliver:
 	case <-ctx.Done():
@@ -293,7 +294,7 @@
 		}
 	}
 	if next := int(c.check.Next()); len(tokens) > 0 && next%progressEvery == 0 {
-		m.d.control.post(func() { m.handle(entry.Progress{ID: c.id, Attempt: a.number, Tokens: next}) })
+		m.d.control.Post(func() { m.handle(entry.Progress{ID: c.id, Attempt: a.number, Tokens: next}) })
 	}
 	return nil
 }
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -34,7 +34,7 @@
 		Hosts:       d.hostReports,
 		Status:      d.status,
 		Decisions:   d.decisions.of,
-		Stop:        func() { d.control.post(d.stopping.begin) },
+		Stop:        func() { d.control.Post(d.stopping.begin) },
 		SetLogLevel: d.logger.SetLevel,
 	}
 }
@@ -46,7 +46,7 @@
 		err    error
 	}
 	result := make(chan verdict, 1)
-	d.control.post(func() {
+	d.control.Post(func() {
 		d.appends.add(r, func(offset int64, err error) { result <- verdict{offset, err} })
 	})
 	select {
@@ -54,7 +54,7 @@
 		return wire.Change{Offset: v.offset}, v.err
 	case <-ctx.Done():
 		return wire.Change{}, codes.New(codes.AppendInDoubt, ctx.Err().Error())
-	case <-d.control.stopped:
+	case <-d.control.Stopped():
 		return wire.Change{}, codes.New(codes.AppendInDoubt, "host stopped")
 	}
 }
@@ -76,7 +76,7 @@
 // listStates returns the state of each named object of one view; it is empty and not nil without any, as JSON shows it.
 func listStates[S any](d *Daemon, names func(*spec.View) []string, state func(*spec.View, string) S) []S {
 	list := []S{}
-	d.control.ask(func() {
+	d.control.Ask(func() {
 		v := d.state.View()
 		for _, n := range names(v) {
 			list = append(list, state(v, n))
@@ -87,7 +87,7 @@
 
 func (d *Daemon) hostReports() []wire.HostReport {
 	var list []wire.HostReport
-	d.control.ask(func() { list = d.members.reports(time.Now()) })
+	d.control.Ask(func() { list = d.members.reports(time.Now()) })
 	return list
 }
 
@@ -98,7 +98,7 @@
 	} else {
 		s.Ready = true
 	}
-	d.control.ask(func() {
+	d.control.Ask(func() {
 		s.Stage = d.stopping.stage.String()
 		s.Offset = d.state.Offset()
 		s.InFlight = len(d.models.calls) + len(d.bookings.waiting)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -27,7 +27,7 @@
 	if a.Beat.Incarnation == "" {
 		return codes.New(codes.BadPeerMessage, "incarnation is missing")
 	}
-	s.d.control.ask(func() {
+	s.d.control.Ask(func() {
 		now := time.Now()
 		s.d.members.fresh.Note(a.Fresh)
 		s.d.members.handle(member.Called{Heartbeat: a.Beat})
@@ -47,7 +47,7 @@
 	if a.Event == nil {
 		return codes.New(codes.BadPeerMessage, "event is missing")
 	}
-	s.d.control.post(func() {
+	s.d.control.Post(func() {
 		if r, ok := s.d.cells.byName[a.Cell]; ok && r.held {
 			r.handle(a.Inward(time.Now()).Event)
 		}
@@ -57,13 +57,13 @@
 
 // Forecast passes a forecast to the entry machine.
 func (s *service) Forecast(a peers.ForecastArgs, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.cells.forecast(a.Cell, a.Inward(time.Now()).Forecast) })
+	s.d.control.Post(func() { s.d.cells.forecast(a.Cell, a.Inward(time.Now()).Forecast) })
 	return nil
 }
 
 // Directory passes the directory of a cell to the entry machine.
 func (s *service) Directory(a peers.Directory, _ *peers.Nothing) error {
-	s.d.control.post(func() { s.d.applyDirectory(a.Inward(time.Now())) })
+	s.d.control.Post(func() { s.d.applyDirectory(a.Inward(time.Now())) })
 	return nil
 }
 
@@ -72,7 +72,7 @@
 	if a.Message == nil {
 		return codes.New(codes.BadPeerMessage, "message is missing")
 	}
-	s.d.control.post(func() { s.d.bookings.handle(a.Inward(time.Now()).Message) })
+	s.d.control.Post(func() { s.d.bookings.handle(a.Inward(time.Now()).Message) })
 	return nil
 }
 
@@ -94,7 +94,7 @@
 
 // Release tells whether this incarnation has released the lease with no order in flight.
 func (s *service) Release(a peers.ReleaseArgs, reply *peers.ReleaseReply) error {
-	s.d.control.ask(func() {
+	s.d.control.Ask(func() {
 		if r, ok := s.d.cells.byName[a.Cell]; ok {
 			reply.Released = r.control.Released(a.Fence)
 		}
@@ -104,7 +104,7 @@
 
 // Records returns a part of the state if it is ahead of the asking peer.
 func (s *service) Records(a peers.RecordsArgs, reply *peers.RecordsReply) error {
-	s.d.control.ask(func() {
+	s.d.control.Ask(func() {
 		if s.d.state.Offset() <= a.After {
 			return
 		}
@@ -149,7 +149,7 @@
 		d.log("state").Warn("state of a peer cannot be read", "peer", address, "err", err)
 		return
 	}
-	d.control.post(func() { d.adopt(s) })
+	d.control.Post(func() { d.adopt(s) })
 }
 
 // header returns the header of a message to a peer.
@@ -196,7 +196,7 @@
 func (d *Daemon) forward(ctx context.Context, to string, call front.PlainCall) (engine.PlainAnswer, error) {
 	var address string
 	var timeout time.Duration
-	d.control.ask(func() {
+	d.control.Ask(func() {
 		if m, ok := d.state.Member(to); ok {
 			address = m.Addresses.Peers
 		}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -53,15 +53,15 @@
 func (s *stopping) wait(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
-		s.d.control.ask(s.begin)
+		s.d.control.Ask(s.begin)
 	case <-s.requested:
-	case <-s.d.control.stopped:
+	case <-s.d.control.Stopped():
 		return nil
 	}
 	for {
 		var done member.Done
 		ended := false
-		if !s.d.control.ask(func() { done, ended = s.advance() }) {
+		if !s.d.control.Ask(func() { done, ended = s.advance() }) {
 			return nil
 		}
 		if ended {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -180,7 +180,7 @@
 	u.d.background(func(ctx context.Context) {
 		s, err := u.d.engines.Status(ctx, h.Address)
 		answered := time.Now()
-		u.d.control.post(func() {
+		u.d.control.Post(func() {
 			delete(u.polling, name)
 			if err == nil && s.Name == name {
 				u.reported(h, asked, answered, s)
@@ -215,7 +215,7 @@
 		var err error
 		if l, err = d.engines.Hosts(ctx, d.settings.Platform.HostList.String(), l); err == nil {
 			read := l
-			d.control.post(func() { d.upstreams.update(asked, read) })
+			d.control.Post(func() { d.upstreams.update(asked, read) })
 		}
 		select {
 		case <-t.C:
