--- /dev/null
+++ b/internal/node/events.go
@@ -0,0 +1,22 @@
+package node
+
+// The numbers of log events; docs/OPERATIONS.md lists them with their fields. A number is never used for another event.
+const (
+	eventStarted      = 100
+	eventStopping     = 101
+	eventStopped      = 102
+	eventReloaded     = 103
+	eventLost         = 104 // eventLost and eventBack tell of a dependency that does not answer and of its return.
+	eventBack         = 105
+	eventSuspended    = 106
+	eventRequest      = 200
+	eventConfig       = 300
+	eventSkipped      = 301
+	eventUpstream     = 302
+	eventUpstreamGone = 303
+	eventMember       = 304
+	eventLease        = 400
+	eventLeaseLost    = 401
+	eventOrder        = 402
+	eventReport       = 403
+)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,298 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"github.com/fireflycleat/fireflycleat/internal/conns"
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
+	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+	"github.com/fireflycleat/fireflycleat/pkg/retry"
+)
+
+const (
+	// DialTimeout limits the opening of a connection to an upstream; data centres are a few milliseconds apart.
+	DialTimeout = 400 * time.Millisecond
+	// UserTimeout limits how long sent data may stay unacknowledged on any socket.
+	UserTimeout = 1500 * time.Millisecond
+
+	headerTimeout = 10 * time.Second
+	idleTimeout   = time.Minute // idleTimeout is longer than callers keep an idle connection.
+	tickTime      = 100 * time.Millisecond
+)
+
+type (
+	// Node is one entry host. The fields after control belong to the control thread.
+	Node struct {
+		settings    Settings
+		platform    Platform
+		self        Member
+		logs        *telem.Logs
+		metrics     *telem.Metrics
+		pool        *conns.Pool
+		peerClient  *peers.Client
+		relay       *relay.Relay
+		config      atomic.Pointer[fleet.Config]
+		ready       atomic.Bool
+		stop        stopping
+		life        context.Context
+		endLife     context.CancelFunc
+		tasks       sync.WaitGroup
+		requests    sync.WaitGroup
+		reload      chan os.Signal
+		settingFile string
+
+		control   *ctrl.Thread
+		alarm     *ctrl.Alarm
+		table     *pick.Table
+		list      *fleet.List
+		listed    bool
+		members   map[string]*member
+		lease     *lease.Lease
+		clock     bootClock
+		placing   *place.Controller
+		tenure    int64 // tenure is the fence under which the placement was begun; zero means none.
+		changed   chan struct{}
+		windows   map[string]*retry.Window
+		dependent map[string]bool // dependent holds the dependencies that do not answer.
+	}
+)
+
+// New returns a node that does not serve yet.
+func New(s Settings, p Platform, pool *conns.Pool, logs *telem.Logs) *Node {
+	life, end := context.WithCancel(context.Background())
+	m := telem.NewMetrics()
+	incarnation := s.Host.Name + "." + uuid.NewString()[:8]
+	n := &Node{
+		settings: s, platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
+		self: Member{
+			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
+		},
+		table: pick.New(s.Host.DataCentre), list: fleet.NewList(), members: make(map[string]*member),
+		placing: place.New(place.DefaultSettings()), changed: make(chan struct{}), windows: make(map[string]*retry.Window),
+		dependent: make(map[string]bool), reload: make(chan os.Signal, 1),
+	}
+	n.lease = lease.New(lease.DefaultSettings(), s.Host.Name, incarnation)
+	n.control = ctrl.New(m)
+	n.alarm = ctrl.NewAlarm(n.control, n.plan)
+	source, _ := netip.ParseAddrPort(s.Listen.Peers) // The address was checked with the settings.
+	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
+	n.relay = relay.New(p.Dialect, relay.Control{
+		Config: n.config.Load, Choose: n.choose, First: n.first, End: n.end, Repeat: n.repeat, Count: n.count,
+		Stopping: n.stop.state, Ended: n.ended,
+	}, pool)
+	return n
+}
+
+// WithFile makes the node read its settings from the file again when it is told to.
+func (n *Node) WithFile(file string) *Node {
+	n.settingFile = file
+	return n
+}
+
+// Run serves until the context ends and a planned stop is done.
+func (n *Node) Run(ctx context.Context) error {
+	var g run.Group
+	g.Add(n.control.Run, func(error) { n.control.Stop() })
+	server, err := peers.Listen(n.settings.Listen.Peers, &service{n}, n.metrics.Link(telem.PeerLink))
+	if err != nil {
+		return err
+	}
+	g.Add(server.Serve, func(error) { server.Close() })
+	ready, directory := n.platform.Doors(n.ready.Load, n.addresses)
+	for _, x := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Listen.Traffic, n.counted()},
+		{n.settings.Listen.Ready, ready},
+		{n.settings.Listen.Directory, directory},
+		{n.settings.Listen.Metrics, n.metrics.Handler()},
+	} {
+		if err := n.addServer(&g, x.address, x.handler); err != nil {
+			server.Close()
+			return err
+		}
+	}
+	for _, loop := range []func(context.Context){n.watchConfig, n.watchList, n.watchMembers, n.beats, n.ticks, n.watchSettings} {
+		n.addLoop(&g, loop)
+	}
+	stop, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return n.awaitStop(stop) }, func(error) { cancel() })
+	n.log("node").Info("started", "event", eventStarted, "incarnation", n.self.Incarnation, "traffic", n.self.Traffic)
+	err = g.Run()
+	n.endLife()
+	n.tasks.Wait()
+	n.peerClient.Close()
+	n.pool.Close()
+	n.log("node").Info("stopped", "event", eventStopped, "err", err)
+	return err
+}
+
+// counted wraps the relay so that a planned stop can wait for requests.
+func (n *Node) counted() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		n.requests.Add(1)
+		n.stop.active.Add(1)
+		defer n.requests.Done()
+		defer n.stop.active.Add(-1)
+		n.relay.ServeHTTP(w, q)
+	})
+}
+
+func (n *Node) addServer(g *run.Group, address string, h http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	lc := net.ListenConfig{KeepAliveConfig: conns.KeepAlive(), Control: func(_, _ string, c syscall.RawConn) error {
+		return conns.UserTimeout(c, UserTimeout)
+	}}
+	l, err := lc.Listen(n.life, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listener")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)}
+	if address == n.settings.Listen.Traffic {
+		n.stop.server = s
+	}
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		close(ended)
+		_ = s.Close() // Nothing is served any more; an error changes nothing.
+	})
+	return nil
+}
+
+func (n *Node) addLoop(g *run.Group, loop func(context.Context)) {
+	ctx, cancel := context.WithCancel(n.life)
+	g.Add(func() error {
+		loop(ctx)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// background runs a task outside the control thread; its context ends with the node.
+func (n *Node) background(task func(ctx context.Context)) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		task(n.life)
+	}()
+}
+
+func (n *Node) log(part string) *slog.Logger { return n.logs.For(part) }
+
+// depends notes whether a dependency answers, and logs when it is lost or regained. It runs on the control thread.
+func (n *Node) depends(name string, err error) {
+	switch lost := n.dependent[name]; {
+	case err != nil && !lost:
+		n.dependent[name] = true
+		n.log("node").Warn("dependency lost", "event", eventLost, "dependency", name, "err", err)
+	case err == nil && lost:
+		delete(n.dependent, name)
+		n.log("node").Info("dependency is back", "event", eventBack, "dependency", name)
+	}
+}
+
+// ticks does what depends on the passing of time only.
+func (n *Node) ticks(ctx context.Context) {
+	t := time.NewTicker(tickTime)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			n.control.Post(n.tick)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) tick() {
+	n.stepLease()
+	n.table.Expire(time.Now())
+	n.updateReady()
+}
+
+func (n *Node) updateReady() {
+	_, stopping := n.stop.state()
+	n.ready.Store(n.config.Load() != nil && n.listed && !stopping)
+}
+
+// sleep waits and reports false if the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watchSettings reads the settings file again on SIGHUP and when it has changed.
+func (n *Node) watchSettings(ctx context.Context) {
+	signal.Notify(n.reload, syscall.SIGHUP)
+	defer signal.Stop(n.reload)
+	t := time.NewTicker(2 * time.Second)
+	defer t.Stop()
+	var was time.Time
+	if info, err := os.Stat(n.settingFile); err == nil {
+		was = info.ModTime()
+	}
+	for {
+		forced := false
+		select {
+		case <-n.reload:
+			forced = true
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		info, err := os.Stat(n.settingFile)
+		if err != nil || !forced && info.ModTime().Equal(was) {
+			continue
+		}
+		was = info.ModTime()
+		s, err := ReadSettings(n.settingFile)
+		if err != nil {
+			n.log("node").Warn("new settings are invalid and not used", "event", eventReloaded, "err", err)
+			continue
+		}
+		n.control.Post(func() { n.reloaded(s) })
+	}
+}
+
+// reloaded takes over the limits; addresses and names are fixed for the life of the process.
+func (n *Node) reloaded(s Settings) {
+	changed := n.settings.Limits != s.Limits
+	n.settings.Limits = s.Limits
+	clear(n.windows)
+	n.log("node").Info("settings read again", "event", eventReloaded, "changed", changed)
+}
--- /dev/null
+++ b/internal/node/placing.go
@@ -0,0 +1,248 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+)
+
+const (
+	orderTimeout  = 800 * time.Millisecond
+	reportTimeout = 800 * time.Millisecond
+	// wantWait is how long a question for an upstream waits at the controller before it is asked again.
+	wantWait    = 800 * time.Millisecond
+	wantTimeout = wantWait + 500*time.Millisecond
+)
+
+type (
+	// WantArgs asks for an upstream that serves a model; instants are relative, because clocks of hosts differ.
+	WantArgs struct {
+		Want    place.Want
+		Left    time.Duration // Left is the time until the deadline of the request.
+		Hold    time.Duration // Hold is how long the want counts without being repeated.
+		Missing string        // Missing names an upstream that said that it does not hold the model or adapter.
+	}
+
+	// WantReply answers WantArgs.
+	WantReply struct {
+		Upstream string
+		Known    bool          // Known tells that ReadyIn is a prediction.
+		ReadyIn  time.Duration // ReadyIn is the predicted time until the model can be used.
+	}
+)
+
+var errNotController = errors.New("host does not hold the lease")
+
+// stepLease makes the next call for the lease, if one is due.
+func (n *Node) stepLease() {
+	now, suspended := n.clock.now()
+	if suspended {
+		n.log("lease").Warn("the machine was suspended", "event", eventSuspended)
+		n.lease.Doubt()
+	}
+	if _, stopping := n.stop.state(); !stopping {
+		n.callLease(n.lease.Step(now))
+	}
+	n.tend()
+}
+
+// tend begins or ends the tenure of this host as controller.
+func (n *Node) tend() {
+	now, _ := n.clock.now()
+	fence, held := n.lease.Held(now)
+	switch {
+	case held && fence != n.tenure:
+		n.tenure = fence
+		n.placing.Begin(time.Now())
+		n.log("lease").Info("lease taken", "event", eventLease, "fence", fence)
+		n.plan()
+	case !held && n.tenure != 0:
+		n.log("lease").Info("lease not held any more", "event", eventLeaseLost, "fence", n.tenure, "holder", n.lease.Holder())
+		n.tenure = 0
+	}
+}
+
+func (n *Node) callLease(a lease.Action) {
+	switch a.Kind {
+	case lease.Read:
+		n.background(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			newest, err := n.platform.Lease(ctx)
+			n.control.Post(func() {
+				now, _ := n.clock.now()
+				if err != nil {
+					n.lease.Failed(now)
+				} else {
+					n.lease.Confirmed(now, newest)
+				}
+				n.depends("lease", err)
+			})
+		})
+	case lease.Append:
+		n.background(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			offset, ok, err := n.platform.Renew(ctx, a)
+			n.control.Post(func() {
+				now, _ := n.clock.now()
+				switch {
+				case err != nil:
+					n.lease.Failed(now)
+				case ok:
+					n.lease.Appended(now, a, offset)
+				default:
+					n.lease.Refused()
+				}
+				n.depends("lease", err)
+				n.tend()
+			})
+		})
+	case lease.Nothing:
+	}
+}
+
+// plan carries out what the controller decides, if this host holds the lease.
+func (n *Node) plan() {
+	boot, _ := n.clock.now()
+	if _, held := n.lease.Held(boot); !held || n.tenure == 0 {
+		return
+	}
+	now := time.Now()
+	current := n.list.Current(now)
+	for _, a := range n.placing.Plan(now) {
+		switch {
+		case a.Order != nil:
+			n.order(*a.Order, current[a.Order.Upstream].Address)
+		case a.Report != "":
+			n.report(a.Report, current[a.Report].Address)
+		}
+	}
+	n.alarm.Set(n.placing.Next(now))
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *Node) order(o place.Order, address string) {
+	fence := n.tenure
+	n.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		began := time.Now()
+		answer := n.platform.Order(ctx, address, o, n.self.Name, fence)
+		n.control.Post(func() {
+			n.log("place").Info("order", "event", eventOrder, "upstream", o.Upstream, "op", o.Op, "model", o.Key.Model,
+				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer, "took", time.Since(began))
+			n.placing.Answered(time.Now(), o, answer)
+			if answer == place.Fenced {
+				n.lease.Doubt()
+				n.tend()
+			}
+			n.plan()
+		})
+	})
+}
+
+func (n *Node) report(id, address string) {
+	n.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		asked := time.Now()
+		r, err := n.platform.Report(ctx, address, id)
+		n.control.Post(func() {
+			now := time.Now()
+			if err != nil {
+				n.log("place").Info("no report", "event", eventReport, "upstream", id, "err", err)
+				n.placing.NoReport(now, id)
+			} else {
+				n.placing.Report(now, asked, id, r)
+			}
+			n.plan()
+		})
+	})
+}
+
+// want asks the controller for an upstream.
+func (n *Node) want(ctx context.Context, a WantArgs) (WantReply, error) {
+	var holder Member
+	local := false
+	n.control.Ask(func() {
+		boot, _ := n.clock.now()
+		_, local = n.lease.Held(boot)
+		if m, ok := n.members[n.lease.Holder()]; ok {
+			holder = m.Member
+		}
+	})
+	if local {
+		var reply WantReply
+		err := n.answerWant(ctx, a, &reply)
+		return reply, err
+	}
+	if holder.Peers == "" {
+		return WantReply{}, errNotController
+	}
+	reply := new(WantReply)
+	if err := n.peerClient.CallWithin(ctx, wantTimeout, holder.Peers, peers.ServiceName+".Want", &a, reply); err != nil {
+		return WantReply{}, err
+	}
+	return *reply, nil
+}
+
+// Want answers the question of another host for an upstream.
+func (s *service) Want(a *WantArgs, reply *WantReply) error {
+	ctx, cancel := context.WithTimeout(s.n.life, wantWait)
+	defer cancel()
+	return s.n.answerWant(ctx, *a, reply)
+}
+
+// answerWant waits for a while until the model can be used.
+func (n *Node) answerWant(ctx context.Context, a WantArgs, reply *WantReply) error {
+	until := time.Now().Add(wantWait)
+	deadline := time.Now().Add(a.Left)
+	for first := true; ; first = false {
+		var f place.Forecast
+		var changed chan struct{}
+		held := false
+		if !n.control.Ask(func() {
+			held = n.tenure != 0
+			now := time.Now()
+			if first && a.Missing != "" {
+				n.placing.Missing(now, a.Missing, a.Want.Key)
+			}
+			w := a.Want
+			w.Deadline = deadline
+			f = n.placing.Want(now, w, a.Hold)
+			if f.Upstream == "" && first {
+				n.plan()
+				f = n.placing.Find(now, w)
+			}
+			changed = n.changed
+		}) {
+			return context.Canceled
+		}
+		if !held {
+			return codes.New(codes.StaleLease, errNotController.Error())
+		}
+		now := time.Now()
+		*reply = WantReply{Upstream: f.Upstream, Known: !f.ReadyAt.IsZero(), ReadyIn: max(f.ReadyAt.Sub(now), 0)}
+		// The caller decides with the first forecast whether to wait at all.
+		if f.Upstream != "" || a.Hold > 0 || !now.Before(until) || first && reply.Known && now.Add(reply.ReadyIn).After(deadline) {
+			return nil
+		}
+		t := time.NewTimer(min(time.Until(until), max(time.Until(f.ReadyAt), 10*time.Millisecond)))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil
+		}
+		t.Stop()
+	}
+}
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+const (
+	// configWait is how long a question for a newer configuration waits; a change must be in force within two seconds, also
+	// if the connection on which the question waits has gone silent.
+	configWait    = 1200 * time.Millisecond
+	configTimeout = configWait + 400*time.Millisecond
+	// listInterval is the time between two readings of the list; a leaving upstream must get no new work after two seconds.
+	listInterval = 700 * time.Millisecond
+	listTimeout  = 600 * time.Millisecond
+	retryTime    = 150 * time.Millisecond
+	// membersInterval is the time between two readings of the members; heartbeats tell of new ones earlier.
+	membersInterval = 10 * time.Second
+	storeTimeout    = time.Second
+)
+
+// watchConfig keeps the configuration up to date.
+func (n *Node) watchConfig(ctx context.Context) {
+	cursor := int64(0)
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, configTimeout)
+		c, next, err := n.platform.Config(limited, cursor, configWait)
+		cancel()
+		n.control.Post(func() { n.depends("configuration", err) })
+		if err != nil {
+			sleep(ctx, retryTime)
+			continue
+		}
+		cursor = next
+		if c != nil {
+			n.control.Post(func() { n.configured(c) })
+			continue
+		}
+		sleep(ctx, retryTime)
+	}
+}
+
+// configured puts a configuration in force; versions never go back.
+func (n *Node) configured(c *fleet.Config) {
+	old := n.config.Load()
+	if old != nil && c.Version() <= old.Version() {
+		return
+	}
+	n.config.Store(c)
+	engines := make(map[string]*fleet.Engine)
+	for name, s := range c.Services() {
+		if s.Engine != nil {
+			engines[name] = s.Engine
+		}
+	}
+	n.placing.Configure(engines)
+	n.placing.Upstreams(time.Now(), n.list.Current(time.Now()))
+	n.updateReady()
+	n.log("node").Info("configuration in force", "event", eventConfig, "version", c.Version(), "routes", c.Routes())
+}
+
+// watchList keeps the list of upstreams up to date.
+func (n *Node) watchList(ctx context.Context) {
+	cursor := int64(0)
+	for ctx.Err() == nil {
+		began := time.Now()
+		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		changes, err := n.platform.Upstreams(limited, cursor)
+		cancel()
+		n.control.Post(func() {
+			n.depends("list", err)
+			if err != nil {
+				n.list.Down()
+				return
+			}
+			n.listChanged(changes)
+		})
+		if err != nil {
+			sleep(ctx, retryTime)
+			continue
+		}
+		cursor = changes.Cursor
+		sleep(ctx, listInterval-time.Since(began))
+	}
+}
+
+func (n *Node) listChanged(c Changes) {
+	now := time.Now()
+	n.list.Up(now)
+	for _, s := range c.Skipped {
+		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
+	}
+	before := n.list.Current(now)
+	if c.Whole {
+		n.list.Reset(now, c.Put)
+	} else {
+		for _, u := range c.Put {
+			n.list.Put(u)
+		}
+	}
+	for _, id := range c.Removed {
+		n.list.Remove(now, id)
+	}
+	current := n.list.Current(now)
+	n.logList(before, current)
+	n.listed = true
+	n.table.Replace(current)
+	n.placing.Upstreams(now, current)
+	n.updateReady()
+	n.plan()
+}
+
+// logList logs what the host believes of upstreams that appear, leave or disappear.
+func (n *Node) logList(before, after map[string]fleet.Upstream) {
+	for id, u := range after {
+		if old, ok := before[id]; !ok || old.Leaving != u.Leaving || old.Born != u.Born {
+			n.log("list").Info("upstream", "event", eventUpstream, "upstream", id, "service", u.Service, "leaving", u.Leaving, "timeLeft", u.TimeLeft)
+		}
+	}
+	for id, u := range before {
+		if _, ok := after[id]; !ok {
+			n.pool.Drop(u.Address)
+			n.log("list").Info("upstream gone", "event", eventUpstreamGone, "upstream", id)
+		}
+	}
+}
--- a/internal/telem/logs.go
+++ b/internal/telem/logs.go
@@ -29,6 +29,13 @@
 	return &Logs{level: level, handler: h.WithAttrs([]slog.Attr{slog.String("host", host)})}
 }
 
+// NewJSONLogs returns loggers that write a JSON object a line to the writer.
+func NewJSONLogs(w io.Writer, host string) *Logs {
+	level := new(slog.LevelVar)
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shortError})
+	return &Logs{level: level, handler: h.WithAttrs([]slog.Attr{slog.String("host", host)})}
+}
+
 // shortError logs the message of an error only; the errors library would add a stack trace of many lines.
 func shortError(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
--- /dev/null
+++ b/pkg/fleet/config.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+)
+
+// The kinds of a route tell what may be repeated.
+const (
+	// Safe requests may run more than once.
+	Safe Kind = iota
+	// Unsafe requests may run at most once.
+	Unsafe
+	// Stream requests are answered by a series of events and may be repeated only where the route is resumable.
+	Stream
+)
+
+type (
+	// Kind is the kind of a route.
+	Kind int
+
+	// Target is a service to which a route sends a share of its requests.
+	Target struct {
+		Service string
+		Weight  int // Weight is relative to the other targets of the route.
+	}
+
+	// Route tells where requests of a host and path prefix go and within which limits.
+	Route struct {
+		Name        string
+		Host        string
+		Prefix      string // Prefix begins and ends with a slash.
+		Kind        Kind
+		Timeout     time.Duration // Timeout is the longest time until the final answer.
+		Objective   time.Duration // Objective is the time within which an answer is worth most.
+		MaxPause    time.Duration // MaxPause is the longest pause between events that is still on time.
+		Priority    int           // Priority is a rank; zero is the most urgent.
+		Targets     []Target
+		MaxAttempts int // MaxAttempts limits the upstreams to which one request may be sent.
+		Resumable   bool
+		Sessions    bool // Sessions tells that requests share prompt parts, so that an upstream that cached them is faster.
+	}
+
+	// Model is a set of weights that an engine can load.
+	Model struct {
+		Name       string
+		WeightMB   float64
+		AdapterMB  float64
+		Adapters   int
+		FromStore  time.Duration // FromStore is the load time from the weight store at full speed.
+		FromDisk   time.Duration // FromDisk is the load time from the upstream's disk; zero means no such tier.
+		FromMemory time.Duration // FromMemory is the load time from the upstream's host memory; zero means no such tier.
+	}
+
+	// Engine describes the upstreams of a service that run models.
+	Engine struct {
+		Slots          int // Slots is the number of requests that run at once.
+		KVTokens       int // KVTokens is the size of the KV cache.
+		MemoryMB       float64
+		AdapterSlots   int
+		LoadsPerSecond float64 // LoadsPerSecond limits the loads from the weight store over all upstreams.
+		Models         map[string]Model
+	}
+
+	// Service is a set of equal upstreams.
+	Service struct {
+		Name     string
+		MaxConns int     // MaxConns limits the connections to one upstream from all hosts together.
+		Engine   *Engine // Engine is nil for a service without models.
+	}
+
+	// Limits bound what a caller may send; zero means no limit.
+	Limits struct {
+		HeaderBytes   int
+		BodyBytes     int64
+		HeaderTimeout time.Duration
+		IdleTimeout   time.Duration
+	}
+
+	// Config is one version of the operator's configuration.
+	Config struct {
+		version  int64
+		routes   map[string][]Route
+		services map[string]Service
+		limits   Limits
+	}
+)
+
+// NewConfig returns the configuration, or a BadRecord error that names the first field at fault.
+func NewConfig(version int64, routes []Route, services []Service, l Limits) (*Config, error) {
+	c := &Config{version: version, routes: make(map[string][]Route), services: make(map[string]Service), limits: l}
+	for _, s := range services {
+		if s.Name == "" {
+			return nil, codes.New(codes.BadRecord, "must not be empty").WithField("services.name")
+		}
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		if err := c.check(r); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c, nil
+}
+
+func (c *Config) check(r Route) error {
+	fault := func(field, detail string) error {
+		return codes.Newf(codes.BadRecord, "route %s: %s", r.Name, detail).WithField(field)
+	}
+	switch {
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fault("prefix", "must begin and end with a slash")
+	case r.Timeout <= 0:
+		return fault("timeout", "must be positive")
+	case len(r.Targets) == 0:
+		return fault("targets", "must not be empty")
+	}
+	for _, t := range r.Targets {
+		if _, ok := c.services[t.Service]; !ok {
+			return fault("targets", "unknown service "+t.Service)
+		}
+	}
+	return nil
+}
+
+// Version returns the version number, which grows with each change.
+func (c *Config) Version() int64 { return c.version }
+
+// Limits returns the bounds on what callers send.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Service returns the service with the name.
+func (c *Config) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns all services by name; the map must not be changed.
+func (c *Config) Services() map[string]Service { return c.services }
+
+// Routes returns the number of routes.
+func (c *Config) Routes() int {
+	n := 0
+	for _, list := range c.routes {
+		n += len(list)
+	}
+	return n
+}
+
+// Match returns the route with the longest prefix of the path; the host may carry a port.
+func (c *Config) Match(host, path string) (Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
+
+// Pick returns the service for a request; x is a random number from 0 to 1.
+func (r Route) Pick(x float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := x * float64(total)
+	for _, t := range r.Targets {
+		if point -= float64(t.Weight); point < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,196 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fireflycleat/fireflycleat/pkg/lease"
+)
+
+// log is a log with compare-and-append.
+type log struct{ records []lease.Record }
+
+func (l *log) newest() lease.Newest {
+	n := lease.Newest{End: int64(len(l.records))}
+	if n.End > 0 {
+		n.Offset, n.Record = n.End-1, l.records[n.End-1]
+	}
+	return n
+}
+
+func (l *log) append(a lease.Action) (int64, bool) {
+	if a.At != int64(len(l.records)) {
+		return 0, false
+	}
+	l.records = append(l.records, a.Record)
+	return a.At, true
+}
+
+// run carries out what the host asks for at once.
+func (l *log) run(now time.Time, h *lease.Lease) {
+	switch a := h.Step(now); a.Kind {
+	case lease.Read:
+		h.Confirmed(now, l.newest())
+	case lease.Append:
+		if o, ok := l.append(a); ok {
+			h.Appended(now, a, o)
+		} else {
+			h.Refused()
+		}
+	}
+}
+
+var start = time.Unix(1000, 0)
+
+func host(name string, rank int) *lease.Lease {
+	h := lease.New(lease.DefaultSettings(), name, name+".1")
+	h.SetRank(rank)
+	return h
+}
+
+// TestSilentHolderStopsBeforeTakeOver guards against two holders at a time when the holder can no longer reach the log.
+func TestSilentHolderStopsBeforeTakeOver(t *testing.T) {
+	l, a, b := &log{}, host("a", 0), host("b", 1)
+	ended, began := time.Duration(0), time.Duration(0)
+	for at := time.Duration(0); at < 12*time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		if at < 3*time.Second {
+			l.run(now, a)
+		}
+		l.run(now, b)
+		_, heldA := a.Held(now)
+		_, heldB := b.Held(now)
+		qt.Assert(t, heldA && heldB, qt.IsFalse, qt.Commentf("both hold at %v", at))
+		if heldA {
+			ended = at
+		}
+		if heldB && began == 0 {
+			began = at
+		}
+	}
+	qt.Assert(t, began > ended+time.Second, qt.IsTrue, qt.Commentf("ended %v, began %v", ended, began))
+	fence, _ := b.Held(start.Add(11900 * time.Millisecond))
+	qt.Assert(t, fence > a.Fence(), qt.IsTrue)
+}
+
+// TestRestartedHolderTakesItsOwnLeaseAtOnce guards against seconds without a holder after a process was killed.
+func TestRestartedHolderTakesItsOwnLeaseAtOnce(t *testing.T) {
+	l, a := &log{}, host("a", 0)
+	l.run(start, a)
+	l.run(start, a)
+	first, held := a.Held(start)
+	qt.Assert(t, held, qt.IsTrue)
+	again := lease.New(lease.DefaultSettings(), "a", "a.2")
+	l.run(start, again)
+	l.run(start, again)
+	fence, held := again.Held(start)
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, fence > first, qt.IsTrue)
+}
+
+// TestLostAnswerIsFoundByReading guards against a holder that gives up, or counts twice, an append that took effect.
+func TestLostAnswerIsFoundByReading(t *testing.T) {
+	l, a := &log{}, host("a", 0)
+	l.run(start, a)
+	act := a.Step(start)
+	_, ok := l.append(act)
+	qt.Assert(t, ok, qt.IsTrue)
+	a.Failed(start)
+	now := start.Add(time.Second)
+	l.run(now, a) // read
+	l.run(now.Add(time.Second), a)
+	fence, held := a.Held(now.Add(time.Second))
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, fence, qt.Equals, int64(1))
+	qt.Assert(t, l.records, qt.HasLen, 2)
+}
+
+// TestReleasedLeaseIsFree guards against a wait for a holder that has stopped as planned.
+func TestReleasedLeaseIsFree(t *testing.T) {
+	l, a, b := &log{}, host("a", 0), host("b", 0)
+	l.run(start, a)
+	l.run(start, a)
+	act := a.Release(start)
+	qt.Assert(t, act.Kind, qt.Equals, lease.Append)
+	o, _ := l.append(act)
+	a.Appended(start, act, o)
+	_, held := a.Held(start)
+	qt.Assert(t, held, qt.IsFalse)
+	l.run(start, b)
+	l.run(start, b)
+	_, held = b.Held(start)
+	qt.Assert(t, held, qt.IsTrue)
+	l.run(start.Add(10*time.Second), a)
+	_, held = a.Held(start.Add(10 * time.Second))
+	qt.Assert(t, held, qt.IsFalse, qt.Commentf("a host that stops takes the lease again"))
+}
+
+// TestOneHolder guards against two holders under lost and late answers, pauses and restarts in any order.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &log{}
+		type late struct {
+			at time.Duration
+			a  lease.Action
+		}
+		hosts := []*lease.Lease{host("a", 0), host("b", 1), host("c", 2)}
+		paused := make([]time.Duration, len(hosts))
+		var pending []late
+		owner := map[int64]string{}
+		for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			for i, p := range pending {
+				if p.at == at {
+					l.append(pending[i].a)
+				}
+			}
+			holders := 0
+			for i, h := range hosts {
+				name := string(rune('a' + i))
+				if at < paused[i] {
+					continue
+				}
+				fate := rapid.IntRange(0, 60).Draw(t, "fate")
+				switch fate {
+				case 0:
+					paused[i] = at + time.Duration(rapid.IntRange(1, 60).Draw(t, "pause"))*100*time.Millisecond
+					continue
+				case 1:
+					hosts[i] = lease.New(lease.DefaultSettings(), name, fmt.Sprint(name, at))
+					hosts[i].SetRank(i)
+					h = hosts[i]
+				}
+				switch a := h.Step(now); {
+				case a.Kind == lease.Append && fate == 2:
+					pending = append(pending, late{at + time.Duration(rapid.IntRange(1, 40).Draw(t, "late"))*100*time.Millisecond, a})
+					h.Failed(now)
+				case a.Kind == lease.Append && fate == 3:
+					l.append(a)
+					h.Failed(now)
+				case a.Kind == lease.Append:
+					if o, ok := l.append(a); ok {
+						h.Appended(now, a, o)
+					} else {
+						h.Refused()
+					}
+				case a.Kind == lease.Read:
+					h.Confirmed(now, l.newest())
+				}
+				if fence, ok := h.Held(now); ok {
+					holders++
+					if was, known := owner[fence]; known && was != name {
+						t.Fatalf("fence %d was held by %s and %s", fence, was, name)
+					}
+					owner[fence] = name
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders at %v", holders, at)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/place/controller.go
@@ -0,0 +1,438 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+type (
+	// Controller plans the orders of a deployment; it is not safe for concurrent use.
+	Controller struct {
+		settings  Settings
+		engines   map[string]*fleet.Engine
+		upstreams map[string]*upstream
+		wants     map[string]*waiting
+		uses      map[useKey]int
+		rates     map[string]*rate
+		stats     Stats
+		settled   time.Time // settled is when the orders of an earlier controller can no longer be under way unnoticed.
+	}
+
+	waiting struct {
+		Want
+		until time.Time // until is when the want ends unless it is repeated.
+	}
+)
+
+// New returns a controller that knows nothing yet.
+func New(s Settings) *Controller {
+	return &Controller{
+		settings: s, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
+		wants: make(map[string]*waiting), uses: make(map[useKey]int), rates: make(map[string]*rate),
+	}
+}
+
+// Begin starts a tenure: what other controllers ordered meanwhile is read from the upstreams.
+func (c *Controller) Begin(now time.Time) {
+	for _, u := range c.upstreams {
+		u.known, u.order, u.doubt, u.intent = false, nil, false, ""
+		u.reportAt = now
+		u.load = nil
+		u.adopt(u.entry.Held)
+	}
+}
+
+// Configure replaces the engines of the services.
+func (c *Controller) Configure(engines map[string]*fleet.Engine) { c.engines = engines }
+
+// Upstreams takes over the published state of all upstreams; those that are missing are gone.
+func (c *Controller) Upstreams(now time.Time, list map[string]fleet.Upstream) {
+	for id := range c.upstreams {
+		if _, ok := list[id]; !ok {
+			delete(c.upstreams, id)
+		}
+	}
+	for id, e := range list {
+		if c.engines[e.Service] == nil {
+			continue
+		}
+		u, ok := c.upstreams[id]
+		if !ok || u.entry.Born != e.Born || u.entry.Address != e.Address {
+			u = newUpstream(e)
+			u.reportAt = now
+			c.upstreams[id] = u
+			continue
+		}
+		c.update(now, u, e)
+	}
+}
+
+func (c *Controller) update(now time.Time, u *upstream, e fleet.Upstream) {
+	fresh := e.Beat != u.entry.Beat
+	u.entry = e
+	if !fresh {
+		return
+	}
+	u.copies(e.InMemory, e.OnDisk)
+	if u.load != nil && now.Sub(u.load.accepted) > c.settings.ReportLag && slices.Contains(heldNames(e.Held), u.load.model) {
+		c.loaded(now, u)
+	}
+	if u.order == nil && u.load == nil && !u.doubt && now.Sub(u.ordered) > c.settings.Settle {
+		u.adopt(e.Held)
+	}
+}
+
+// Report takes over the report that was asked for at the given time.
+func (c *Controller) Report(now, asked time.Time, id string, r Report) {
+	u, ok := c.upstreams[id]
+	if !ok || r.Born != 0 && u.entry.Born != 0 && r.Born != u.entry.Born {
+		return
+	}
+	u.asked = time.Time{}
+	if u.order != nil {
+		return
+	}
+	old := asked.Sub(u.ordered) < c.settings.ReportLag
+	switch {
+	case u.known && r.Accepted < u.accepted:
+		u.reportAt = now.Add(reportRetry) // The content is older than the last order.
+		return
+	case u.known && r.Accepted > u.accepted:
+		// An order whose answer was lost has been accepted.
+		u.accepted, u.doubt = r.Accepted, false
+		if u.load != nil && !r.Busy {
+			u.load = nil
+		}
+	case old:
+		u.reportAt = now.Add(reportRetry)
+		return
+	}
+	u.known, u.accepted, u.doubt = true, r.Accepted, false
+	u.copies(r.InMemory, r.OnDisk)
+	c.compare(now, u, r)
+}
+
+// compare takes over what the report says of loads and of what is held.
+func (c *Controller) compare(now time.Time, u *upstream, r Report) {
+	held := heldNames(r.Held)
+	if u.load != nil {
+		switch {
+		case slices.Contains(held, u.load.model):
+			c.loaded(now, u)
+		case !r.Busy && now.Sub(u.load.accepted) > 2*c.settings.ReportLag:
+			u.load = nil
+			u.failed = now
+		default:
+			u.reportAt = now.Add(reportRetry)
+		}
+	}
+	if u.load == nil {
+		u.adopt(r.Held)
+	}
+	if r.Busy && u.load == nil {
+		u.reportAt = now.Add(reportRetry)
+		u.notBefore = now.Add(reportRetry)
+	}
+}
+
+func (c *Controller) loaded(now time.Time, u *upstream) {
+	if _, ok := u.replicas[u.load.model]; !ok {
+		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
+	}
+	u.disk[u.load.model] = true
+	u.load = nil
+}
+
+// NoReport takes over that no report came.
+func (c *Controller) NoReport(now time.Time, id string) {
+	if u, ok := c.upstreams[id]; ok {
+		u.asked = time.Time{}
+		u.reportAt = now.Add(2 * reportRetry)
+	}
+}
+
+// Want takes over that a request waits, and returns where it can run or when. A want counts for the hold time, or for
+// WantLife if that is longer, without being repeated.
+func (c *Controller) Want(now time.Time, w Want, hold time.Duration) Forecast {
+	x, ok := c.wants[w.Request]
+	if !ok {
+		x = new(waiting)
+		c.wants[w.Request] = x
+	}
+	x.Want, x.until = w, now.Add(max(hold, c.settings.WantLife))
+	return c.Find(now, w)
+}
+
+// Done takes over that a request waits no longer.
+func (c *Controller) Done(request string) { delete(c.wants, request) }
+
+// Find returns where a request can run now, or when it can.
+func (c *Controller) Find(now time.Time, w Want) Forecast {
+	best, least := "", 0.0
+	for id, u := range c.upstreams {
+		if u.entry.Service != w.Service || !u.ready(now, w.Key) {
+			continue
+		}
+		cost := float64(c.running(id)) / float64(max(u.entry.Slots, 1))
+		if u.entry.DataCentre != w.DataCentre {
+			cost += 0.05
+		}
+		if best == "" || cost < least || cost == least && id < best {
+			best, least = id, cost
+		}
+	}
+	if best != "" {
+		return Forecast{Upstream: best}
+	}
+	return Forecast{ReadyAt: c.forecast(now, w)}
+}
+
+func (c *Controller) forecast(now time.Time, w Want) time.Time {
+	first := time.Time{}
+	earlier := func(t time.Time) {
+		if first.IsZero() || t.Before(first) {
+			first = t
+		}
+	}
+	for _, u := range c.upstreams {
+		if u.entry.Service != w.Service || u.entry.Leaving {
+			continue
+		}
+		if r, ok := u.replicas[w.Key.Model]; ok {
+			if at, ok := r.adapters[w.Key.Adapter]; ok {
+				earlier(at)
+			} else {
+				earlier(now.Add(c.settings.AdapterTime))
+			}
+		}
+		if u.load != nil && u.load.model == w.Key.Model {
+			earlier(u.load.due)
+		}
+	}
+	if first.IsZero() {
+		if e := c.engines[w.Service]; e != nil {
+			if t, ok := c.target(now, w.Service, e, w.Key.Model, true); ok {
+				return now.Add(t.wait + t.time + c.queue(w))
+			}
+		}
+	}
+	return first
+}
+
+// queue returns the time that loads from the weight store for other waiting requests take.
+func (c *Controller) queue(w Want) time.Duration {
+	e := c.engines[w.Service]
+	models := make(map[string]bool)
+	for _, x := range c.wants {
+		if x.Key.Model != w.Key.Model && x.Deadline.Before(w.Deadline) && !c.anyCopy(x.Key.Model) {
+			models[x.Key.Model] = true
+		}
+	}
+	return time.Duration(len(models)/max(c.settings.StoreSlots, 1)) * e.Models[w.Key.Model].FromStore
+}
+
+// Use replaces what a host has in progress.
+func (c *Controller) Use(now time.Time, host string, uses []Use) {
+	for k := range c.uses {
+		if k.host == host {
+			delete(c.uses, k)
+		}
+	}
+	for _, x := range uses {
+		if x.Running > 0 {
+			c.uses[useKey{host, x.Upstream, x.Key}] = x.Running
+		}
+		if x.Started > 0 {
+			c.rate(x.Key.Model).add(now, x.Started, c.settings.RateTime)
+		}
+		if u, ok := c.upstreams[x.Upstream]; ok {
+			if r, ok := u.replicas[x.Key.Model]; ok {
+				r.used = now
+			}
+		}
+	}
+}
+
+// Forget drops what a host had in progress, because it ended.
+func (c *Controller) Forget(host string) {
+	for k := range c.uses {
+		if k.host == host {
+			delete(c.uses, k)
+		}
+	}
+}
+
+func (c *Controller) rate(model string) *rate {
+	r, ok := c.rates[model]
+	if !ok {
+		r = new(rate)
+		c.rates[model] = r
+	}
+	return r
+}
+
+// running returns the number of requests in progress at an upstream.
+func (c *Controller) running(id string) int {
+	n := 0
+	for k, x := range c.uses {
+		if k.upstream == id {
+			n += x
+		}
+	}
+	return n
+}
+
+func (c *Controller) modelRunning(model, id string) int {
+	n := 0
+	for k, x := range c.uses {
+		if k.key.Model == model && (id == "" || k.upstream == id) {
+			n += x
+		}
+	}
+	return n
+}
+
+func (c *Controller) adapterRunning(k Key, id string) int {
+	n := 0
+	for x, running := range c.uses {
+		if x.key == k && x.upstream == id {
+			n += running
+		}
+	}
+	return n
+}
+
+// Answered takes over the answer to an order.
+func (c *Controller) Answered(now time.Time, o Order, a Answer) {
+	u, ok := c.upstreams[o.Upstream]
+	if !ok || u.entry.Born != o.Born || u.order == nil || *u.order != o {
+		return
+	}
+	u.order = nil
+	u.ordered = now
+	if a != Conflict {
+		u.conflicts = 0
+	}
+	switch a {
+	case Accepted:
+		u.accepted++
+		c.apply(now, u, o)
+	case Holds:
+		c.apply(now, u, o)
+	case Conflict:
+		u.conflicts++
+		u.notBefore = now.Add(conflictWait)
+		if u.conflicts >= maxConflicts {
+			u.conflicts = 0
+			u.known = false
+			u.reportAt = now.Add(c.settings.ReportLag)
+		}
+	case NoAnswer:
+		u.doubt = true
+		u.reportAt = now.Add(c.settings.ReportLag)
+	case Fenced, Rejected, Replaced:
+		u.failed = now
+		u.known = false
+		u.reportAt = now.Add(c.settings.FailureTime)
+	}
+}
+
+func (c *Controller) apply(now time.Time, u *upstream, o Order) {
+	k := o.Key
+	switch {
+	case o.Op == Load && k.Adapter == "":
+		m := c.engines[u.entry.Service].Models[k.Model]
+		d, store := u.loadTime(m)
+		if store {
+			d = c.stretched(d)
+		}
+		u.load = &load{model: k.Model, store: store, accepted: now, due: now.Add(d), wanted: c.wanted(k.Model)}
+		u.reportAt = now.Add(d + 10*time.Millisecond)
+		u.intent = ""
+		c.stats.Loads++
+	case o.Op == Load:
+		if r, ok := u.replicas[k.Model]; ok {
+			r.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
+		}
+	case k.Adapter == "":
+		delete(u.replicas, k.Model)
+		c.stats.Unloads++
+	default:
+		if r, ok := u.replicas[k.Model]; ok {
+			delete(r.adapters, k.Adapter)
+		}
+	}
+}
+
+func (c *Controller) wanted(model string) bool {
+	for _, w := range c.wants {
+		if w.Key.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// storeLoads returns the number of loads from the weight store that are in progress or ordered.
+func (c *Controller) storeLoads() int {
+	n := 0
+	for _, u := range c.upstreams {
+		if u.load != nil && u.load.store {
+			n++
+		}
+		if o := u.order; o != nil && o.Op == Load && o.Key.Adapter == "" {
+			if _, store := u.loadTime(c.engines[u.entry.Service].Models[o.Key.Model]); store {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// stretched returns the time of a load from the weight store when one more starts now.
+func (c *Controller) stretched(d time.Duration) time.Duration {
+	n := c.storeLoads() + 1
+	if n <= c.settings.StoreSlots {
+		return d
+	}
+	return d * time.Duration(n) / time.Duration(c.settings.StoreSlots)
+}
+
+// Missing takes over that an upstream refused a request because it does not hold the model or adapter.
+func (c *Controller) Missing(now time.Time, id string, k Key) {
+	u, ok := c.upstreams[id]
+	if !ok {
+		return
+	}
+	if r, held := u.replicas[k.Model]; held {
+		if k.Adapter != "" {
+			delete(r.adapters, k.Adapter)
+		}
+		u.reportAt = now
+	}
+}
+
+// Stats returns the present figures.
+func (c *Controller) Stats() Stats {
+	s := c.stats
+	s.Upstreams, s.Waiting, s.StoreLoads = len(c.upstreams), len(c.wants), c.storeLoads()
+	copied := make(map[string]bool)
+	for _, u := range c.upstreams {
+		if u.load != nil {
+			s.Loading++
+		}
+		if u.doubt {
+			s.InDoubt++
+		}
+		for m := range u.disk {
+			copied[m] = true
+		}
+		for m := range u.replicas {
+			copied[m] = true
+		}
+	}
+	s.Copied = len(copied)
+	return s
+}
--- /dev/null
+++ b/pkg/place/plan.go
@@ -0,0 +1,427 @@
+package place
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+const (
+	unloadTime = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
+	lossWeight = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
+	gainRatio  = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
+	noLoss     = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
+)
+
+type (
+	// target is an upstream on which a model can be loaded.
+	target struct {
+		upstream *upstream
+		wait     time.Duration // wait is the time until the upstream takes the order.
+		time     time.Duration // time is that of unloads and the load.
+		store    bool
+		victims  []string
+		loss     float64 // loss is the expected cost, in seconds of later loads, of what is unloaded.
+	}
+)
+
+// Plan returns the orders to give now and the reports that are wanted.
+func (c *Controller) Plan(now time.Time) []Action {
+	c.expire(now)
+	var actions []Action
+	actions = c.planWanted(now, actions)
+	actions = c.planReplicas(now, actions)
+	actions = c.planCopies(now, actions)
+	return c.planReports(now, actions)
+}
+
+// Next returns when Plan is due at the latest; without a change of state it does nothing earlier.
+func (c *Controller) Next(now time.Time) time.Time {
+	next := now.Add(time.Second)
+	for _, u := range c.upstreams {
+		for _, t := range []time.Time{u.reportAt, u.notBefore} {
+			if t.After(now) && t.Before(next) {
+				next = t
+			}
+		}
+	}
+	return next
+}
+
+func (c *Controller) expire(now time.Time) {
+	for id, w := range c.wants {
+		if now.After(w.until) {
+			delete(c.wants, id)
+		}
+	}
+	for _, u := range c.upstreams {
+		if u.intent != "" && now.After(u.intentEnd) {
+			u.intent = ""
+		}
+	}
+}
+
+// planWanted orders what waiting requests need: the model that can be ready first per waiting request goes first.
+func (c *Controller) planWanted(now time.Time, actions []Action) []Action {
+	type need struct {
+		service string
+		key     Key
+		count   int
+		first   time.Time
+	}
+	needs := make(map[Key]*need)
+	for _, id := range slices.Sorted(maps.Keys(c.wants)) {
+		w := c.wants[id]
+		n, ok := needs[w.Key]
+		if !ok {
+			n = &need{service: w.Service, key: w.Key, first: w.Deadline}
+			needs[w.Key] = n
+		}
+		n.count++
+		if w.Deadline.Before(n.first) {
+			n.first = w.Deadline
+		}
+	}
+	order := slices.SortedFunc(maps.Values(needs), func(a, b *need) int {
+		return cmp.Or(cmp.Compare(b.count, a.count), a.first.Compare(b.first), cmp.Compare(a.key.Model, b.key.Model), cmp.Compare(a.key.Adapter, b.key.Adapter))
+	})
+	for _, n := range order {
+		e := c.engines[n.service]
+		if e == nil {
+			continue
+		}
+		if _, ok := e.Models[n.key.Model]; !ok {
+			continue
+		}
+		holders := c.holders(n.service, n.key.Model)
+		switch {
+		case len(holders) == 0:
+			if !c.coming(n.key.Model) {
+				actions = c.start(now, n.service, e, n.key.Model, true, actions)
+			}
+		case n.key.Adapter != "":
+			actions = c.adapter(now, e, n.key, holders, actions)
+		}
+	}
+	return actions
+}
+
+// holders returns the upstreams that hold the model and stay, the least loaded first.
+func (c *Controller) holders(service, model string) []*upstream {
+	var list []*upstream
+	for _, u := range c.upstreams {
+		if _, ok := u.replicas[model]; ok && u.entry.Service == service && !u.entry.Leaving {
+			list = append(list, u)
+		}
+	}
+	load := make(map[string]int, len(list))
+	for _, u := range list {
+		load[u.entry.ID] = c.running(u.entry.ID)
+	}
+	slices.SortFunc(list, func(a, b *upstream) int {
+		return cmp.Or(cmp.Compare(load[a.entry.ID], load[b.entry.ID]), cmp.Compare(a.entry.ID, b.entry.ID))
+	})
+	return list
+}
+
+// coming reports whether a load of the model is under way, ordered or prepared.
+func (c *Controller) coming(model string) bool {
+	for _, u := range c.upstreams {
+		if u.load != nil && u.load.model == model {
+			return true
+		}
+		if o := u.order; o != nil && o.Op == Load && o.Key == (Key{Model: model}) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) anyCopy(model string) bool {
+	for _, u := range c.upstreams {
+		if _, held := u.replicas[model]; held || u.disk[model] || u.memory[model] || u.load != nil && u.load.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// adapter orders the adapter at one of the holders of its model, unless it is there or on its way.
+func (c *Controller) adapter(now time.Time, e *fleet.Engine, k Key, holders []*upstream, actions []Action) []Action {
+	for _, u := range holders {
+		if _, ok := u.replicas[k.Model].adapters[k.Adapter]; ok || u.order != nil && u.order.Op == Load && u.order.Key == k {
+			return actions
+		}
+	}
+	for _, u := range holders {
+		if !c.free(now, u) || u.load != nil {
+			continue
+		}
+		if u.adapterCount() < e.AdapterSlots {
+			return c.give(now, u, Load, k, actions)
+		}
+		if victim, ok := c.idleAdapter(u, k.Model); ok {
+			return c.give(now, u, Unload, victim, actions)
+		}
+	}
+	return actions
+}
+
+// idleAdapter returns an adapter that no request uses or waits for.
+func (c *Controller) idleAdapter(u *upstream, model string) (Key, bool) {
+	best, found := Key{}, false
+	oldest := time.Time{}
+	for m, r := range u.replicas {
+		for a, at := range r.adapters {
+			k := Key{m, a}
+			if c.adapterRunning(k, u.entry.ID) > 0 || c.keyWanted(k) {
+				continue
+			}
+			if !found || at.Before(oldest) || at.Equal(oldest) && k.Adapter < best.Adapter {
+				best, oldest, found = k, at, true
+			}
+		}
+	}
+	_ = model
+	return best, found
+}
+
+func (c *Controller) keyWanted(k Key) bool {
+	for _, w := range c.wants {
+		if w.Key == k {
+			return true
+		}
+	}
+	return false
+}
+
+// free reports whether the upstream takes an order now.
+func (c *Controller) free(now time.Time, u *upstream) bool {
+	return u.known && u.order == nil && !u.doubt && !u.entry.Leaving && !now.Before(u.notBefore)
+}
+
+func (c *Controller) give(now time.Time, u *upstream, op Op, k Key, actions []Action) []Action {
+	o := &Order{Upstream: u.entry.ID, Born: u.entry.Born, Op: op, Key: k, Expect: u.accepted}
+	u.order, u.ordered = o, now
+	return append(actions, Action{Order: o})
+}
+
+// start orders a load of the model, or the unload that makes room for it.
+func (c *Controller) start(now time.Time, service string, e *fleet.Engine, model string, wanted bool, actions []Action) []Action {
+	t, ok := c.target(now, service, e, model, wanted)
+	if !ok || t.wait > 0 {
+		return actions
+	}
+	if t.store {
+		limit := c.settings.Background
+		if wanted {
+			limit = c.settings.StoreSlots + c.settings.StoreExtra
+		}
+		if c.storeLoads() >= limit {
+			return actions
+		}
+	}
+	return c.carry(now, t, model, actions)
+}
+
+func (c *Controller) carry(now time.Time, t target, model string, actions []Action) []Action {
+	u := t.upstream
+	u.intent, u.intentEnd = model, now.Add(intentLife)
+	if len(t.victims) > 0 {
+		return c.give(now, u, Unload, Key{Model: t.victims[0]}, actions)
+	}
+	return c.give(now, u, Load, Key{Model: model}, actions)
+}
+
+// target returns the upstream on which the model can be ready first, with the loss of what is unloaded taken into account.
+func (c *Controller) target(now time.Time, service string, e *fleet.Engine, model string, wanted bool) (target, bool) {
+	m := e.Models[model]
+	best, least := target{}, math.Inf(1)
+	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+		u := c.upstreams[id]
+		t, ok := c.room(now, u, service, e, m)
+		if !ok || !wanted && t.wait > 0 {
+			continue
+		}
+		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + 0.2*float64(c.running(id))/float64(max(u.entry.Slots, 1))
+		if u.intent == model {
+			cost -= 1
+		}
+		if cost < least {
+			best, least = t, cost
+		}
+	}
+	return best, !math.IsInf(least, 1)
+}
+
+// room returns what it takes to load the model on the upstream.
+func (c *Controller) room(now time.Time, u *upstream, service string, e *fleet.Engine, m fleet.Model) (target, bool) {
+	if u.entry.Service != service || u.entry.Leaving || now.Sub(u.failed) < c.settings.FailureTime && !u.failed.IsZero() {
+		return target{}, false
+	}
+	if _, held := u.replicas[m.Name]; held || u.intent != "" && u.intent != m.Name {
+		return target{}, false
+	}
+	t := target{upstream: u}
+	t.time, t.store = u.loadTime(m)
+	if t.store {
+		t.time = c.stretched(t.time)
+	}
+	switch {
+	case u.load != nil:
+		t.wait = max(u.load.due.Sub(now), 50*time.Millisecond)
+	case !c.free(now, u):
+		t.wait = conflictWait
+	}
+	missing := u.used(e) + m.WeightMB - capacity(e)
+	if missing <= 0 {
+		return t, true
+	}
+	victims := c.victims(now, u, e)
+	for _, v := range victims {
+		t.victims = append(t.victims, v.model)
+		t.loss += v.value
+		t.time += unloadTime
+		if missing -= e.Models[v.model].WeightMB; missing <= 0 {
+			return t, true
+		}
+	}
+	return target{}, false
+}
+
+type victim struct {
+	model string
+	value float64
+	used  time.Time
+}
+
+// victims returns the models that may be unloaded from the upstream, the least valuable first.
+func (c *Controller) victims(now time.Time, u *upstream, e *fleet.Engine) []victim {
+	var list []victim
+	for m, r := range u.replicas {
+		if c.modelRunning(m, u.entry.ID) > 0 || c.wanted(m) && c.replicas(u.entry.Service, m) <= 1 {
+			continue
+		}
+		list = append(list, victim{m, c.value(now, u, e, m), r.used})
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.value, b.value), a.used.Compare(b.used), cmp.Compare(a.model, b.model))
+	})
+	return list
+}
+
+// value returns the expected cost of unloading the model from the upstream, in seconds of load time a second.
+func (c *Controller) value(now time.Time, u *upstream, e *fleet.Engine, model string) float64 {
+	r := c.rate(model)
+	r.decay(now, c.settings.RateTime)
+	others := c.replicas(u.entry.Service, model) - 1
+	if others >= c.needed(now, e, model) {
+		return noLoss * (1 + r.value/float64(others+1))
+	}
+	m := e.Models[model]
+	reload, _ := u.loadTime(m)
+	if others > 0 {
+		reload /= 2
+	}
+	return max(r.value, c.settings.RareRate) * reload.Seconds()
+}
+
+// replicas returns the number of upstreams that hold or load the model and stay.
+func (c *Controller) replicas(service, model string) int {
+	n := 0
+	for _, u := range c.upstreams {
+		if u.entry.Service != service || u.entry.Leaving {
+			continue
+		}
+		if _, held := u.replicas[model]; held || u.load != nil && u.load.model == model {
+			n++
+		}
+	}
+	return n
+}
+
+// needed returns the number of replicas that the present load of a model asks for.
+func (c *Controller) needed(now time.Time, e *fleet.Engine, model string) int {
+	r := c.rate(model)
+	r.decay(now, c.settings.RateTime)
+	n := 1
+	if r.value > 1 {
+		n = 2 // A model in steady use survives the loss of one upstream.
+	}
+	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
+	running := float64(c.modelRunning(model, ""))
+	return max(n, int(math.Ceil(running/(c.settings.ReplicaShare*float64(max(e.Slots, 1))))))
+}
+
+// planReplicas orders further replicas of models whose replicas are too few for their load.
+func (c *Controller) planReplicas(now time.Time, actions []Action) []Action {
+	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
+		e := c.engines[service]
+		for _, model := range slices.Sorted(maps.Keys(c.rates)) {
+			if _, ok := e.Models[model]; !ok || c.coming(model) {
+				continue
+			}
+			have := c.replicas(service, model)
+			if have == 0 || have >= c.needed(now, e, model) {
+				continue
+			}
+			t, ok := c.target(now, service, e, model, false)
+			gain := c.rate(model).value
+			if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && c.storeLoads() >= c.settings.StoreSlots {
+				continue
+			}
+			actions = c.carry(now, t, model, actions)
+		}
+	}
+	return actions
+}
+
+// planCopies orders loads of models of which no upstream keeps a copy, while the weight store has room.
+func (c *Controller) planCopies(now time.Time, actions []Action) []Action {
+	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
+		e := c.engines[service]
+		for _, model := range slices.Sorted(maps.Keys(e.Models)) {
+			if c.storeLoads() >= c.settings.Background {
+				return actions
+			}
+			if c.anyCopy(model) || c.coming(model) || c.prepared(model) {
+				continue
+			}
+			t, ok := c.target(now, service, e, model, false)
+			gain := c.settings.RareRate * e.Models[model].FromStore.Seconds()
+			if !ok || t.wait > 0 || gain < gainRatio*t.loss {
+				continue
+			}
+			actions = c.carry(now, t, model, actions)
+		}
+	}
+	return actions
+}
+
+// prepared reports whether an upstream is making room for the model.
+func (c *Controller) prepared(model string) bool {
+	for _, u := range c.upstreams {
+		if u.intent == model && u.order != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// planReports asks for the reports that are due.
+func (c *Controller) planReports(now time.Time, actions []Action) []Action {
+	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+		u := c.upstreams[id]
+		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.asked.IsZero() || u.order != nil {
+			continue
+		}
+		u.reportAt = time.Time{}
+		u.asked = now
+		actions = append(actions, Action{Report: id})
+	}
+	return actions
+}
--- /dev/null
+++ b/pkg/place/state.go
@@ -0,0 +1,176 @@
+package place
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+const (
+	conflictWait = 60 * time.Millisecond  // conflictWait is the pause after a conflict; an unload without runs takes a few milliseconds.
+	maxConflicts = 3                      // maxConflicts in a row make a report necessary.
+	reportRetry  = 250 * time.Millisecond // reportRetry is the time between two reports of one upstream.
+	intentLife   = 3 * time.Second        // intentLife is how long an upstream is kept free for a load that needs an unload first.
+)
+
+type (
+	// upstream is what the controller believes of one upstream.
+	upstream struct {
+		entry     fleet.Upstream
+		accepted  int64 // accepted is the number of orders accepted, if known.
+		known     bool
+		replicas  map[string]*replica
+		memory    map[string]bool
+		disk      map[string]bool
+		order     *Order
+		ordered   time.Time // ordered is when the last order was sent or answered.
+		doubt     bool      // doubt tells that an order has no answer, so that a report is needed.
+		load      *load
+		intent    string // intent is the model for which room is being made.
+		intentEnd time.Time
+		conflicts int
+		notBefore time.Time // notBefore is the earliest time of the next order.
+		reportAt  time.Time // reportAt is when the next report is due; zero means none.
+		asked     time.Time
+		failed    time.Time // failed is when the last load failed.
+	}
+
+	replica struct {
+		adapters map[string]time.Time // adapters maps each adapter to the time from which it can be used.
+		used     time.Time
+	}
+
+	load struct {
+		model    string
+		store    bool
+		accepted time.Time
+		due      time.Time
+		wanted   bool
+	}
+
+	rate struct {
+		value float64
+		at    time.Time
+	}
+
+	useKey struct {
+		host     string
+		upstream string
+		key      Key
+	}
+)
+
+func newUpstream(e fleet.Upstream) *upstream {
+	u := &upstream{entry: e}
+	u.adopt(e.Held)
+	u.copies(e.InMemory, e.OnDisk)
+	return u
+}
+
+// adopt replaces what the upstream is believed to hold.
+func (u *upstream) adopt(held []fleet.Held) {
+	old := u.replicas
+	u.replicas = make(map[string]*replica, len(held))
+	for _, h := range held {
+		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
+		if was, ok := old[h.Model]; ok {
+			r.used = was.used
+		}
+		for _, a := range h.Adapters {
+			r.adapters[a] = time.Time{}
+		}
+		u.replicas[h.Model] = r
+	}
+}
+
+func (u *upstream) copies(memory, disk []string) {
+	u.memory, u.disk = setOf(memory), setOf(disk)
+}
+
+func setOf(names []string) map[string]bool {
+	m := make(map[string]bool, len(names))
+	for _, n := range names {
+		m[n] = true
+	}
+	return m
+}
+
+// ready reports whether the upstream serves the model and adapter now.
+func (u *upstream) ready(now time.Time, k Key) bool {
+	r, ok := u.replicas[k.Model]
+	if !ok || u.entry.Leaving {
+		return false
+	}
+	if k.Adapter == "" {
+		return true
+	}
+	at, ok := r.adapters[k.Adapter]
+	return ok && !now.Before(at)
+}
+
+func (u *upstream) adapterCount() int {
+	n := 0
+	for _, r := range u.replicas {
+		n += len(r.adapters)
+	}
+	return n
+}
+
+// used returns the memory that is taken or reserved, without adapters.
+func (u *upstream) used(e *fleet.Engine) float64 {
+	sum := 0.0
+	for m := range u.replicas {
+		sum += e.Models[m].WeightMB
+	}
+	if u.load != nil {
+		if _, held := u.replicas[u.load.model]; !held {
+			sum += e.Models[u.load.model].WeightMB
+		}
+	}
+	return sum
+}
+
+// capacity returns the memory for weights. The rest is kept for as many adapters as the upstream has places for.
+func capacity(e *fleet.Engine) float64 {
+	largest := 0.0
+	for _, m := range e.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	return e.MemoryMB - largest*float64(e.AdapterSlots)
+}
+
+// loadTime returns the expected time of a load at full speed and whether it uses the weight store.
+func (u *upstream) loadTime(m fleet.Model) (d time.Duration, store bool) {
+	switch {
+	case u.memory[m.Name] && m.FromMemory > 0:
+		return m.FromMemory, false
+	case u.disk[m.Name] && m.FromDisk > 0:
+		return m.FromDisk, false
+	}
+	return m.FromStore, true
+}
+
+func (r *rate) add(now time.Time, n int, window time.Duration) {
+	r.decay(now, window)
+	r.value += float64(n) / window.Seconds()
+}
+
+func (r *rate) decay(now time.Time, window time.Duration) {
+	if d := now.Sub(r.at); d > 0 {
+		r.value *= math.Exp(-d.Seconds() / window.Seconds())
+		r.at = now
+	}
+}
+
+func heldNames(held []fleet.Held) []string {
+	names := make([]string, len(held))
+	for i, h := range held {
+		names[i] = h.Model
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/pkg/retry/window.go
@@ -0,0 +1,64 @@
+package retry
+
+import "time"
+
+const steps = 20 // steps is the number of parts into which a window is divided.
+
+type (
+	// Window limits the repeats of one host to a share of the requests in a sliding window and its part of a fixed number
+	// that all hosts share.
+	Window struct {
+		length   time.Duration
+		ratio    float64
+		extra    float64
+		requests [steps]int
+		repeats  [steps]int
+		step     int64
+	}
+)
+
+// NewWindow returns a limit of ratio times the requests in the window, and of extra divided among the hosts.
+func NewWindow(length time.Duration, ratio, extra float64) *Window {
+	return &Window{length: length, ratio: ratio, extra: extra}
+}
+
+// Request counts a request.
+func (w *Window) Request(now time.Time) {
+	w.advance(now)
+	w.requests[w.step%steps]++
+}
+
+// Take counts a repeat, or reports false if the limit is reached; hosts is the number of hosts that may be at work.
+func (w *Window) Take(now time.Time, hosts int) bool {
+	w.advance(now)
+	if float64(w.Repeats()+1) > w.Limit(hosts) {
+		return false
+	}
+	w.repeats[w.step%steps]++
+	return true
+}
+
+// Limit returns the number of repeats that the present window allows this host.
+func (w *Window) Limit(hosts int) float64 {
+	return w.ratio*float64(sum(w.requests)) + w.extra/float64(max(hosts, 1))
+}
+
+// Repeats returns the number of repeats in the window.
+func (w *Window) Repeats() int { return sum(w.repeats) }
+
+func (w *Window) advance(now time.Time) {
+	step := now.UnixNano() / int64(w.length/(steps-1)) // One more part than the window needs, so that no repeat is dropped too early.
+	for range min(step-w.step, steps) {
+		w.step++
+		w.requests[w.step%steps], w.repeats[w.step%steps] = 0, 0
+	}
+	w.step = max(step, w.step)
+}
+
+func sum(list [steps]int) int {
+	n := 0
+	for _, x := range list {
+		n += x
+	}
+	return n
+}
