fix: one load of an earlier controller, repeats after restarts, stale placement

Cause: reports do not list a model that is being loaded, so that a new controller ordered a second load (LIMIT); a restarted process had its whole fixed part of the repeats again (BUDGET); hosts sent requests for models whose unload was ordered. Change: an upstream that is busy for another controller gets no order; the fixed part grows over the first window and 15% stay unused; the controller tells hosts of loads and unloads at once; an adapter that is unloaded counts as an order.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -22,6 +22,8 @@
 	firstEventTime = 250 * time.Millisecond
 	// tokenTime is the expected time of a token, for the least time that an answer takes.
 	tokenTime = 11 * time.Millisecond
+	// repeatMargin is the share of the allowed repeats that is used; hosts that start or end make the sum over all inexact.
+	repeatMargin = 0.85
 	// promiseMargin is added to the predicted time of readiness in a refusal.
 	promiseMargin = 200 * time.Millisecond
 )
@@ -135,7 +137,7 @@
 	w, ok := n.windows[service]
 	if !ok {
 		l := n.settings.Limits
-		w = retry.NewWindow(seconds(l.RepeatWindowS), l.RepeatRatio, l.RepeatExtra)
+		w = retry.NewWindow(seconds(l.RepeatWindowS), repeatMargin*l.RepeatRatio, repeatMargin*l.RepeatExtra)
 		n.windows[service] = w
 	}
 	return w
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -29,6 +29,13 @@
 		Missing string        // Missing names an upstream that said that it does not hold the model or adapter.
 	}
 
+	// Placed tells that an upstream holds a model from now on, or not any more.
+	Placed struct {
+		Upstream string
+		Key      place.Key
+		Holds    bool
+	}
+
 	// WantReply answers WantArgs.
 	WantReply struct {
 		Upstream string
@@ -116,6 +123,9 @@
 	}
 	now := time.Now()
 	current := n.list.Current(now)
+	for _, r := range n.placing.Loaded() {
+		n.tell(Placed{r.Upstream, r.Key, true})
+	}
 	for _, a := range n.placing.Plan(now) {
 		switch {
 		case a.Order != nil:
@@ -129,8 +139,35 @@
 	n.changed = make(chan struct{})
 }
 
+// tell sends what has changed to all other hosts, so that they need not wait for the list.
+func (n *Node) tell(p Placed) {
+	now := time.Now()
+	n.table.Learn(now, p.Upstream, p.Key, p.Holds)
+	for _, m := range n.members {
+		if !m.alive(now) {
+			continue
+		}
+		address := m.Peers
+		n.background(func(ctx context.Context) {
+			// A host that misses the news learns it from the list.
+			if err := n.peerClient.CallWithin(ctx, beatTimeout, address, peers.ServiceName+".Placed", &p, &struct{}{}); err != nil {
+				n.log("place").Debug("host was not told", "peers", address, "err", err)
+			}
+		})
+	}
+}
+
+// Placed takes over what another host tells of an upstream.
+func (s *service) Placed(p *Placed, _ *struct{}) error {
+	s.n.control.Post(func() { s.n.table.Learn(time.Now(), p.Upstream, p.Key, p.Holds) })
+	return nil
+}
+
 func (n *Node) order(o place.Order, address string) {
 	fence := n.tenure
+	if o.Op == place.Unload && o.Key.Adapter == "" {
+		n.tell(Placed{o.Upstream, o.Key, false})
+	}
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -17,7 +17,13 @@
 		uses      map[useKey]int
 		rates     map[string]*rate
 		stats     Stats
-		settled   time.Time // settled is when the orders of an earlier controller can no longer be under way unnoticed.
+		news      []Ready
+	}
+
+	// Ready is a model that has become ready on an upstream.
+	Ready struct {
+		Upstream string
+		Key      Key
 	}
 
 	waiting struct {
@@ -132,8 +138,9 @@
 		u.adopt(r.Held)
 	}
 	if r.Busy && u.load == nil {
+		// Another controller ordered a load. Its model is not listed before it is ready, so that the memory is not known.
+		u.known = false
 		u.reportAt = now.Add(reportRetry)
-		u.notBefore = now.Add(reportRetry)
 	}
 }
 
@@ -142,9 +149,17 @@
 		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
 	}
 	u.disk[u.load.model] = true
+	c.news = append(c.news, Ready{u.entry.ID, Key{Model: u.load.model}})
 	u.load = nil
 }
 
+// Loaded returns the models that have become ready since the last call.
+func (c *Controller) Loaded() []Ready {
+	list := c.news
+	c.news = nil
+	return list
+}
+
 // NoReport takes over that no report came.
 func (c *Controller) NoReport(now time.Time, id string) {
 	if u, ok := c.upstreams[id]; ok {
@@ -320,6 +335,9 @@
 		u.accepted++
 		c.apply(now, u, o)
 	case Holds:
+		if o.Op == Unload {
+			u.accepted++ // An adapter is unloaded at once, which counts as an order.
+		}
 		c.apply(now, u, o)
 	case Conflict:
 		u.conflicts++
--- /dev/null
+++ b/pkg/place/place_test.go
@@ -0,0 +1,90 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+)
+
+var start = time.Unix(1000, 0)
+
+func engine(models int) *fleet.Engine {
+	e := &fleet.Engine{Slots: 8, MemoryMB: 100, AdapterSlots: 2, LoadsPerSecond: 4, Models: make(map[string]fleet.Model)}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		e.Models[name] = fleet.Model{Name: name, WeightMB: 45, AdapterMB: 1, Adapters: 4, FromStore: 6 * time.Second, FromDisk: time.Second, FromMemory: time.Second}
+	}
+	return e
+}
+
+func controller(e *fleet.Engine, now time.Time, list map[string]fleet.Upstream) *place.Controller {
+	c := place.New(place.DefaultSettings())
+	c.Configure(map[string]*fleet.Engine{"s": e})
+	c.Upstreams(now, list)
+	c.Begin(now)
+	return c
+}
+
+func upstream(id string, held ...string) fleet.Upstream {
+	u := fleet.Upstream{ID: id, Born: 1, Beat: 1, Service: "s", Address: id + ":1", DataCentre: "a", Slots: 8}
+	for _, m := range held {
+		u.Held = append(u.Held, fleet.Held{Model: m})
+	}
+	return u
+}
+
+func orders(actions []place.Action) (list []place.Order) {
+	for _, a := range actions {
+		if a.Order != nil {
+			list = append(list, *a.Order)
+		}
+	}
+	return list
+}
+
+func want(c *place.Controller, now time.Time, model, adapter string) place.Forecast {
+	return c.Want(now, place.Want{Request: model + adapter, Service: "s", DataCentre: "a", Key: place.Key{Model: model, Adapter: adapter}, Deadline: now.Add(time.Minute)}, 0)
+}
+
+// TestLoadOfAnotherControllerBlocksOrders guards against an overcommitted upstream: a load that an earlier controller ordered
+// takes memory that no report lists before it ends.
+func TestLoadOfAnotherControllerBlocksOrders(t *testing.T) {
+	c := controller(engine(3), start, map[string]fleet.Upstream{"u": upstream("u", "m0")})
+	want(c, start, "m2", "")
+	qt.Assert(t, orders(c.Plan(start)), qt.HasLen, 0)
+	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 3, Busy: true, Held: []fleet.Held{{Model: "m0"}}})
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		want(c, start.Add(at), "m2", "")
+		qt.Assert(t, orders(c.Plan(start.Add(at))), qt.HasLen, 0, qt.Commentf("at %v", at))
+	}
+	now := start.Add(3 * time.Second)
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 3, Held: []fleet.Held{{Model: "m0"}, {Model: "m1"}}})
+	want(c, now, "m2", "")
+	list := orders(c.Plan(now))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+	qt.Assert(t, list[0].Expect, qt.Equals, int64(3))
+}
+
+// TestUnloadedAdapterCountsAsOrder guards against orders that conflict because the number of accepted orders is too low.
+func TestUnloadedAdapterCountsAsOrder(t *testing.T) {
+	u := upstream("u")
+	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 7, Held: u.Held})
+	want(c, start, "m0", "a3")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+	c.Answered(start, list[0], place.Holds)
+	list = orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Key.Adapter, qt.Equals, "a3")
+	qt.Assert(t, list[0].Expect, qt.Equals, int64(8))
+}
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -14,6 +14,7 @@
 		requests [steps]int
 		repeats  [steps]int
 		step     int64
+		began    time.Time
 	}
 )
 
@@ -31,22 +32,27 @@
 // Take counts a repeat, or reports false if the limit is reached; hosts is the number of hosts that may be at work.
 func (w *Window) Take(now time.Time, hosts int) bool {
 	w.advance(now)
-	if float64(w.Repeats()+1) > w.Limit(hosts) {
+	if float64(w.Repeats()+1) > w.Limit(now, hosts) {
 		return false
 	}
 	w.repeats[w.step%steps]++
 	return true
 }
 
-// Limit returns the number of repeats that the present window allows this host.
-func (w *Window) Limit(hosts int) float64 {
-	return w.ratio*float64(sum(w.requests)) + w.extra/float64(max(hosts, 1))
+// Limit returns the number of repeats that the present window allows this host. The fixed part grows during the first
+// window, because an earlier process of the host may have used it.
+func (w *Window) Limit(now time.Time, hosts int) float64 {
+	grown := min(now.Sub(w.began).Seconds()/w.length.Seconds(), 1)
+	return w.ratio*float64(sum(w.requests)) + grown*w.extra/float64(max(hosts, 1))
 }
 
 // Repeats returns the number of repeats in the window.
 func (w *Window) Repeats() int { return sum(w.repeats) }
 
 func (w *Window) advance(now time.Time) {
+	if w.began.IsZero() {
+		w.began = now
+	}
 	step := now.UnixNano() / int64(w.length/(steps-1)) // One more part than the window needs, so that no repeat is dropped too early.
 	for range min(step-w.step, steps) {
 		w.step++
