--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -85,8 +85,12 @@
 	if u.load != nil && now.Sub(u.load.accepted) > c.settings.ReportLag && slices.Contains(heldNames(e.Held), u.load.model) {
 		c.loaded(now, u)
 	}
-	if u.order == nil && u.load == nil && !u.doubt && now.Sub(u.ordered) > c.settings.Settle {
+	switch quiet := u.order == nil && u.load == nil && !u.doubt && now.Sub(u.ordered) > c.settings.Settle; {
+	case !u.known:
 		u.adopt(e.Held)
+	case quiet && u.differs(e.Held) && u.reportAt.IsZero():
+		// The published state has no time and may be older than the last report, so that it only gives cause for a new one.
+		u.reportAt = now
 	}
 }
 
--- /dev/null
+++ b/pkg/place/model_test.go
@@ -0,0 +1,216 @@
+package place_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+)
+
+type (
+	// server is a stand-in for an engine that takes one order at a time and fails when it is overcommitted.
+	server struct {
+		born     int64
+		accepted int64
+		held     map[string]bool
+		adapters map[string]bool
+		loading  string
+		done     time.Duration
+		disk     map[string]bool
+		past     []snapshot
+	}
+
+	snapshot struct {
+		at     time.Duration
+		report place.Report
+	}
+
+	delayed struct {
+		at    time.Duration
+		order place.Order
+	}
+
+	world struct {
+		t       *rapid.T
+		engine  *fleet.Engine
+		servers map[string]*server
+		late    []delayed
+		beats   int64
+	}
+)
+
+func (s *server) report() place.Report {
+	r := place.Report{Born: s.born, Accepted: s.accepted, Busy: s.loading != ""}
+	for _, m := range slices.Sorted(maps.Keys(s.held)) {
+		h := fleet.Held{Model: m}
+		for _, a := range slices.Sorted(maps.Keys(s.adapters)) {
+			if a[:len(m)] == m {
+				h.Adapters = append(h.Adapters, a[len(m)+1:])
+			}
+		}
+		r.Held = append(r.Held, h)
+	}
+	r.OnDisk = slices.Sorted(maps.Keys(s.disk))
+	return r
+}
+
+func (w *world) step(at time.Duration) {
+	for _, s := range w.servers {
+		if s.loading != "" && at >= s.done {
+			s.held[s.loading], s.disk[s.loading] = true, true
+			s.loading = ""
+		}
+		s.past = append(s.past, snapshot{at, s.report()})
+	}
+	keep := w.late[:0]
+	for _, d := range w.late {
+		if at < d.at {
+			keep = append(keep, d)
+			continue
+		}
+		w.apply(at, d.order)
+	}
+	w.late = keep
+}
+
+// apply carries an order out as an engine does.
+func (w *world) apply(at time.Duration, o place.Order) place.Answer {
+	s := w.servers[o.Upstream]
+	if s.born != o.Born {
+		return place.Replaced
+	}
+	if s.loading != "" || s.accepted != o.Expect {
+		return place.Conflict
+	}
+	name := o.Key.Model + "/" + o.Key.Adapter
+	switch {
+	case o.Op == place.Load && o.Key.Adapter == "":
+		if s.held[o.Key.Model] {
+			return place.Holds
+		}
+		s.loading = o.Key.Model
+		m := w.engine.Models[o.Key.Model]
+		s.done = at + m.FromStore
+		if s.disk[o.Key.Model] {
+			s.done = at + m.FromDisk
+		}
+	case o.Op == place.Load:
+		if s.adapters[name] {
+			return place.Holds
+		}
+		if !s.held[o.Key.Model] {
+			return place.Rejected
+		}
+		s.adapters[name] = true
+	case o.Key.Adapter == "":
+		delete(s.held, o.Key.Model)
+		for a := range s.adapters {
+			if a[:len(o.Key.Model)] == o.Key.Model {
+				delete(s.adapters, a)
+			}
+		}
+	default:
+		delete(s.adapters, name)
+		s.accepted++
+		return place.Holds
+	}
+	s.accepted++
+	used := float64(len(s.adapters))
+	for m := range s.held {
+		used += w.engine.Models[m].WeightMB
+	}
+	if s.loading != "" {
+		used += w.engine.Models[s.loading].WeightMB
+	}
+	if used > w.engine.MemoryMB || len(s.adapters) > w.engine.AdapterSlots {
+		w.t.Fatalf("%s is overcommitted at %v by %+v: holds %v, loads %q, adapters %v", o.Upstream, at, o, s.held, s.loading, s.adapters)
+	}
+	return place.Accepted
+}
+
+func (w *world) list() map[string]fleet.Upstream {
+	list := make(map[string]fleet.Upstream)
+	for id, s := range w.servers {
+		// An entry may be as old as an outage of the list is long.
+		past := s.past[rapid.IntRange(max(0, len(s.past)-60), len(s.past)-1).Draw(w.t, "age")]
+		w.beats++
+		list[id] = fleet.Upstream{
+			ID: id, Born: s.born, Beat: w.beats, Service: "s", Address: id + ":1", DataCentre: "a", Slots: 8,
+			Held: past.report.Held, OnDisk: past.report.OnDisk,
+		}
+	}
+	return list
+}
+
+// TestNeverOvercommitted guards against an upstream that is ordered to load more than it holds, when answers to orders are
+// lost, orders are carried out late, reports and entries are old, upstreams restart and controllers follow each other.
+func TestNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, engine: engine(5), servers: make(map[string]*server)}
+		for i := range 2 {
+			w.servers[fmt.Sprintf("u%d", i)] = &server{born: 1, held: map[string]bool{"m0": true}, adapters: map[string]bool{}, disk: map[string]bool{}}
+		}
+		w.step(0)
+		var c *place.Controller
+		for at := time.Duration(0); at < 25*time.Second; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			w.step(at)
+			chance := rapid.IntRange(0, 100).Draw(t, "chance")
+			if c == nil || chance == 0 {
+				c = controller(w.engine, now, w.list())
+			}
+			if chance == 1 {
+				s := w.servers["u1"]
+				*s = server{born: s.born + 1, held: map[string]bool{}, adapters: map[string]bool{}, disk: s.disk}
+				w.step(at)
+				c.Upstreams(now, w.list())
+			}
+			if chance > 80 {
+				c.Upstreams(now, w.list())
+			}
+			model := fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(t, "model"))
+			adapter := ""
+			if chance%3 == 0 {
+				adapter = fmt.Sprintf("a%d", chance%4)
+			}
+			want(c, now, model, adapter)
+			w.carry(c, at)
+		}
+	})
+}
+
+// carry plans and carries out until nothing is planned any more.
+func (w *world) carry(c *place.Controller, at time.Duration) {
+	now := start.Add(at)
+	for range 20 {
+		actions := c.Plan(now)
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			if a.Order == nil {
+				s := w.servers[a.Report]
+				old := rapid.IntRange(0, 4).Draw(w.t, "lag")
+				c.Report(now, now, a.Report, s.past[max(0, len(s.past)-1-old)].report)
+				continue
+			}
+			o := *a.Order
+			switch rapid.IntRange(0, 9).Draw(w.t, "fate") {
+			case 0:
+				w.apply(at, o)
+				c.Answered(now, o, place.NoAnswer)
+			case 1:
+				w.late = append(w.late, delayed{at + time.Duration(rapid.IntRange(1, 100).Draw(w.t, "delay"))*100*time.Millisecond, o})
+				c.Answered(now, o, place.NoAnswer)
+			default:
+				c.Answered(now, o, w.apply(at, o))
+			}
+		}
+	}
+}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -88,3 +88,19 @@
 	qt.Assert(t, list[0].Key.Adapter, qt.Equals, "a3")
 	qt.Assert(t, list[0].Expect, qt.Equals, int64(8))
 }
+
+// TestPublishedStateDoesNotReplaceAReport guards against an overcommitted upstream: after an outage of the list its entries
+// are older than the reports that a new controller has read.
+func TestPublishedStateDoesNotReplaceAReport(t *testing.T) {
+	u := upstream("u", "m0")
+	c := controller(engine(3), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 4, Held: []fleet.Held{{Model: "m0"}, {Model: "m1"}}})
+	now := start.Add(5 * time.Second)
+	u.Beat = 2
+	c.Upstreams(now, map[string]fleet.Upstream{"u": u})
+	want(c, now, "m2", "")
+	for _, o := range orders(c.Plan(now)) {
+		qt.Assert(t, o.Op, qt.Equals, place.Unload)
+	}
+}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -85,6 +85,25 @@
 	}
 }
 
+// differs reports whether the upstream says that it holds something else than it is believed to hold.
+func (u *upstream) differs(held []fleet.Held) bool {
+	if len(held) != len(u.replicas) {
+		return true
+	}
+	for _, h := range held {
+		r, ok := u.replicas[h.Model]
+		if !ok || len(r.adapters) != len(h.Adapters) {
+			return true
+		}
+		for _, a := range h.Adapters {
+			if _, ok := r.adapters[a]; !ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (u *upstream) copies(memory, disk []string) {
 	u.memory, u.disk = setOf(memory), setOf(disk)
 }
