fix(node): a host that stops refuses requests that wait for a load

Change: while a host stops, a request whose model is not ready within the time in which new requests are taken is refused with a true time, and another host takes it.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -24,6 +24,8 @@
 	tokenTime = 11 * time.Millisecond
 	// repeatMargin is the share of the allowed repeats that is used; hosts that start or end make the sum over all inexact.
 	repeatMargin = 0.85
+	// stopRetry is when a caller may come back after a refusal by a host that stops; another host takes the request at once.
+	stopRetry = 50 * time.Millisecond
 	// promiseMargin is added to the predicted time of readiness in a refusal.
 	promiseMargin = 200 * time.Millisecond
 )
@@ -83,6 +85,10 @@
 		if c.Patience.Before(latest) {
 			latest = c.Patience
 		}
+		until, stopping := n.stop.state()
+		if stopping && until.Before(latest) {
+			latest = until
+		}
 		args := WantArgs{
 			Want:    place.Want{Request: c.ID, Service: c.Service, DataCentre: n.self.DataCentre, Key: c.Key},
 			Left:    time.Until(latest) - firstEventTime,
@@ -93,6 +99,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return "", ctx.Err()
+		case stopping && reply.Upstream == "" && (!time.Now().Before(latest) || reply.ReadyIn > args.Left):
+			return "", codes.New(codes.Draining, "the model is not loaded before the host stops").
+				WithRetryAfter(max(reply.ReadyIn, stopRetry))
 		case err != nil:
 			if time.Now().Add(noControllerPause).After(latest) {
 				return "", codes.New(codes.NoTimeToLoad, err.Error()).WithRetryAfter(noUpstreamRetry)
