--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,162 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/conns"
+)
+
+// serve answers each request on each connection with the raw bytes that answer returns; nil closes the connection.
+func serve(t *testing.T, answer func(n int64) []byte) (address string, accepted *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	accepted = new(atomic.Int64)
+	var requests atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					raw := answer(requests.Add(1))
+					if raw == nil {
+						return
+					}
+					if _, err := c.Write(raw); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+func pool(t *testing.T) *conns.Pool {
+	p := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
+	t.Cleanup(p.Close)
+	return p
+}
+
+func request(address string) *conns.Request {
+	return &conns.Request{
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("b"),
+		Framed: true, MaxIdle: time.Minute, Echo: "Id",
+	}
+}
+
+func get(t *testing.T, p *conns.Pool, address string) (string, error) {
+	r, err := p.Do(t.Context(), request(address))
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	b, err := io.ReadAll(r)
+	return string(b), err
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+
+// TestSurplusBytesCloseTheConnection guards against bytes after an answer that are taken for the answer to the next request.
+func TestSurplusBytesCloseTheConnection(t *testing.T) {
+	address, accepted := serve(t, func(n int64) []byte {
+		if n == 1 {
+			return []byte(whole + "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nbad")
+		}
+		return []byte(whole)
+	})
+	p := pool(t)
+	for range 3 {
+		body, err := get(t, p, address)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "ok")
+	}
+	qt.Assert(t, accepted.Load(), qt.Equals, int64(2))
+}
+
+// TestLateSurplusIsFoundBeforeReuse guards against an extra answer that arrives while the connection is idle.
+func TestLateSurplusIsFoundBeforeReuse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for {
+					q, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					_, _ = io.WriteString(c, whole)
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nbad")
+				}
+			}()
+		}
+	}()
+	p := pool(t)
+	for range 3 {
+		body, err := get(t, p, l.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "ok")
+		time.Sleep(60 * time.Millisecond)
+	}
+	opened, _ := p.Opened()
+	qt.Assert(t, opened, qt.Equals, int64(3))
+}
+
+// TestFailureTellsWhetherSomethingWasSent guards against a request that is called "not run" although it may have run.
+func TestFailureTellsWhetherSomethingWasSent(t *testing.T) {
+	address, _ := serve(t, func(int64) []byte { return nil })
+	p := pool(t)
+	_, err := get(t, p, address)
+	var f *conns.Failure
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.Sent, qt.IsTrue)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l.Close()
+	_, err = get(t, p, l.Addr().String())
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.Sent, qt.IsFalse)
+}
+
+// TestContextClosesTheConnection guards against an upstream that goes on working after the caller has left.
+func TestContextClosesTheConnection(t *testing.T) {
+	address, _ := serve(t, func(int64) []byte { return []byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nab") })
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := pool(t).Do(ctx, request(address))
+	qt.Assert(t, err, qt.IsNil)
+	defer r.Close()
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err = io.ReadAll(r)
+	qt.Assert(t, err, qt.Not(qt.IsNil))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 		table     *pick.Table
 		list      *fleet.List
 		listed    bool
+		upstreams map[string]fleet.Upstream // upstreams is the list as it was last taken over.
 		members   map[string]*member
 		lease     *lease.Lease
 		clock     bootClock
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -92,7 +92,6 @@
 	for _, s := range c.Skipped {
 		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
 	}
-	before := n.list.Current(now)
 	if c.Whole {
 		n.list.Reset(now, c.Put)
 	} else {
@@ -104,8 +103,8 @@
 		n.list.Remove(now, id)
 	}
 	current := n.list.Current(now)
-	n.logList(before, current)
-	n.listed = true
+	n.logList(n.upstreams, current)
+	n.upstreams, n.listed = current, true
 	n.table.Replace(current)
 	n.placing.Upstreams(now, current)
 	n.updateReady()
--- /dev/null
+++ b/pkg/pick/pick_test.go
@@ -0,0 +1,103 @@
+package pick_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+)
+
+var start = time.Unix(1000, 0)
+
+func table(list ...fleet.Upstream) *pick.Table {
+	t := pick.New("a")
+	all := make(map[string]fleet.Upstream)
+	for _, u := range list {
+		u.Service, u.Slots, u.Born = "s", 48, 1
+		all[u.ID] = u
+	}
+	t.Replace(all)
+	return t
+}
+
+func choose(t *testing.T, x *pick.Table, now time.Time, q pick.Query) string {
+	t.Helper()
+	q.Service = "s"
+	c, _ := x.Choose(now, q)
+	return c.Upstream
+}
+
+// TestNearAndIdleFirst guards against work that crosses data centres or queues while a near upstream is idle.
+func TestNearAndIdleFirst(t *testing.T) {
+	x := table(fleet.Upstream{ID: "far", DataCentre: "b"}, fleet.Upstream{ID: "near", DataCentre: "a"})
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, "near")
+	x.Others("h2", map[string]int{"near": 12})
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, "far")
+	x.Others("h2", nil)
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, "near")
+}
+
+// TestLeavingAndGoneGetNothing guards against new work for an upstream that stops.
+func TestLeavingAndGoneGetNothing(t *testing.T) {
+	x := table(fleet.Upstream{ID: "u", DataCentre: "a", Leaving: true})
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, "")
+	qt.Assert(t, x.Knows("s"), qt.Equals, 0)
+	x.Replace(nil)
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, "")
+}
+
+// TestSilentUpstreamIsAvoided guards the pattern "one upstream goes dark": requests that wait there without an event keep
+// further ones away before any time-out has passed.
+func TestSilentUpstreamIsAvoided(t *testing.T) {
+	x := table(fleet.Upstream{ID: "dark", DataCentre: "a"}, fleet.Upstream{ID: "far", DataCentre: "b"})
+	c, _ := x.Choose(start, pick.Query{Service: "s"})
+	qt.Assert(t, c.Upstream, qt.Equals, "dark")
+	x.Begin(start, c, pick.Query{})
+	qt.Assert(t, choose(t, x, start.Add(time.Second), pick.Query{}), qt.Equals, "dark")
+	qt.Assert(t, choose(t, x, start.Add(2*time.Second), pick.Query{}), qt.Equals, "far")
+}
+
+// TestFailingUpstreamIsAvoided guards the pattern "one upstream fails a part of its requests": its share falls, and it is
+// tried again when it serves.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	x := table(fleet.Upstream{ID: "u1", DataCentre: "a"}, fleet.Upstream{ID: "u2", DataCentre: "a"})
+	c, _ := x.Choose(start, pick.Query{Service: "s"})
+	x.End(start, x.Begin(start, c, pick.Query{}), pick.Errored)
+	other := choose(t, x, start, pick.Query{})
+	qt.Assert(t, other, qt.Not(qt.Equals), c.Upstream)
+	o, _ := x.Choose(start, pick.Query{Service: "s"})
+	x.End(start, x.Begin(start, o, pick.Query{}), pick.Broken)
+	qt.Assert(t, choose(t, x, start, pick.Query{}), qt.Equals, c.Upstream)
+	qt.Assert(t, choose(t, x, start, pick.Query{Exclude: map[string]bool{c.Upstream: true}}), qt.Equals, o.Upstream)
+}
+
+// TestLearnedPlacement guards against requests for a model whose unload was ordered, and against a wait for the list after a load.
+func TestLearnedPlacement(t *testing.T) {
+	k := place.Key{Model: "m"}
+	x := table(fleet.Upstream{ID: "u1", DataCentre: "a", Held: []fleet.Held{{Model: "m", Adapters: []string{"a1"}}}}, fleet.Upstream{ID: "u2", DataCentre: "b"})
+	qt.Assert(t, choose(t, x, start, pick.Query{Key: k}), qt.Equals, "u1")
+	qt.Assert(t, choose(t, x, start, pick.Query{Key: place.Key{Model: "m", Adapter: "a1"}}), qt.Equals, "u1")
+	x.Learn(start, "u1", k, false)
+	x.Learn(start, "u2", k, true)
+	qt.Assert(t, choose(t, x, start, pick.Query{Key: k}), qt.Equals, "u2")
+	qt.Assert(t, choose(t, x, start, pick.Query{Key: place.Key{Model: "m", Adapter: "a1"}}), qt.Equals, "")
+	x.Expire(start.Add(time.Minute))
+	qt.Assert(t, choose(t, x, start.Add(time.Minute), pick.Query{Key: k}), qt.Equals, "u1")
+}
+
+// TestUsesCountEachRequestOnce guards against a demand that the controller counts twice.
+func TestUsesCountEachRequestOnce(t *testing.T) {
+	x := table(fleet.Upstream{ID: "u", DataCentre: "a"})
+	c, _ := x.Choose(start, pick.Query{Service: "s"})
+	f := x.Begin(start, c, pick.Query{})
+	uses := x.Uses()
+	qt.Assert(t, uses, qt.HasLen, 1)
+	qt.Assert(t, uses[0].Running, qt.Equals, 1)
+	qt.Assert(t, uses[0].Started, qt.Equals, 1)
+	x.End(start, f, pick.Served)
+	qt.Assert(t, x.Uses(), qt.HasLen, 0)
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -249,7 +249,7 @@
 		}
 		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + 0.2*float64(c.running(id))/float64(max(u.entry.Slots, 1))
 		if u.intent == model {
-			cost -= 1
+			cost--
 		}
 		if cost < least {
 			best, least = t, cost
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -2,7 +2,11 @@
 
 import "time"
 
-const steps = 20 // steps is the number of parts into which a window is divided.
+const (
+	steps = 20 // steps is the number of parts into which a window is divided.
+	// firstShare is the share of the fixed part that a new process may use at once.
+	firstShare = 0.15
+)
 
 type (
 	// Window limits the repeats of one host to a share of the requests in a sliding window and its part of a fixed number
@@ -42,7 +46,7 @@
 // Limit returns the number of repeats that the present window allows this host. The fixed part grows during the first
 // window, because an earlier process of the host may have used it.
 func (w *Window) Limit(now time.Time, hosts int) float64 {
-	grown := min(now.Sub(w.began).Seconds()/w.length.Seconds(), 1)
+	grown := min(firstShare+now.Sub(w.began).Seconds()/w.length.Seconds(), 1)
 	return w.ratio*float64(sum(w.requests)) + grown*w.extra/float64(max(hosts, 1))
 }
 
