perf(place): one target for each replica, several replicas at once

Change: preparations count as replicas and are continued first; missing replicas are ordered together; a model in use of half a request a second has two; loads avoid upstreams that run much.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -158,6 +158,6 @@
 	level := n.log("request").Info
 	level("ended", "event", eventRequest, "id", e.Call.ID, "route", e.Call.Route.Name, "service", e.Call.Service,
 		"model", e.Call.Key.Model, "adapter", e.Call.Key.Adapter, "code", int(e.Code), "outcome", e.Outcome.String(), "status", e.Status,
-		"attempts", e.Attempts, "resumed", e.Resumed, "upstream", e.Upstream, "events", e.Events, "first", e.First.Milliseconds(),
+		"attempts", e.Attempts, "resumed", e.Resumed, "upstream", e.Upstream, "events", e.Events, "waited", e.Waited.Milliseconds(), "first", e.First.Milliseconds(), "pause", e.Pause.Milliseconds(),
 		"took", time.Since(e.Call.Arrived).Milliseconds(), "retryAfter", e.Retry.Milliseconds(), "version", e.Call.Version, "detail", e.Detail)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,7 @@
 		ran    bool // ran tells that an upstream may have run the request.
 		sent   int  // sent counts the attempts that may have run.
 		events events
+		passed time.Time // passed is when the last piece of a stream was sent.
 		end    Ended
 	}
 
@@ -71,7 +72,9 @@
 		x.relay.control.End(t, pick.Left)
 		return false, x.late()
 	}
-	x.end.Attempts++
+	if x.end.Attempts++; x.end.Attempts == 1 {
+		x.end.Waited = time.Since(x.call.Arrived)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &try{exchange: x, ticket: t, cancel: cancel, ctx: ctx}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -131,6 +132,11 @@
 	if err == nil {
 		err = flush()
 	}
+	now := time.Now()
+	if !a.passed.IsZero() {
+		a.end.Pause = max(a.end.Pause, now.Sub(a.passed))
+	}
+	a.passed = now
 	a.end.Events = a.events.count
 	if err != nil {
 		a.relay.control.End(a.ticket, pick.Left)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -107,7 +107,9 @@
 		Resumed  int
 		Upstream string // Upstream is the last one that was tried.
 		Events   int
+		Waited   time.Duration // Waited is the time to the first attempt.
 		First    time.Duration // First is the time to the first byte of the answer; zero means none.
+		Pause    time.Duration // Pause is the longest time between two pieces of a stream.
 		Retry    time.Duration
 		Detail   string
 	}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -104,3 +104,27 @@
 		qt.Assert(t, o.Op, qt.Equals, place.Unload)
 	}
 }
+
+// TestOneTargetForEachReplica guards against a cascade: while one upstream makes room for a model, plans at each further event
+// must not choose another upstream for the same replica and unload there too.
+func TestOneTargetForEachReplica(t *testing.T) {
+	list := make(map[string]fleet.Upstream)
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		list[id] = upstream(id, "m0", "m1")
+	}
+	list["u1"] = upstream("u1", "m0", "m2")
+	c := controller(engine(3), start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Accepted: 0, Held: u.Held, OnDisk: []string{"m2"}})
+	}
+	c.Use(start, "h", []place.Use{{Upstream: "u1", Key: place.Key{Model: "m2"}, Running: 1, Started: 5}})
+	unloads := 0
+	for i := range 5 {
+		for _, o := range orders(c.Plan(start.Add(time.Duration(i) * time.Millisecond))) {
+			qt.Assert(t, o.Op, qt.Equals, place.Unload)
+			unloads++
+		}
+	}
+	qt.Assert(t, unloads, qt.Equals, 1)
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	unloadTime = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
-	lossWeight = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
-	gainRatio  = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
-	noLoss     = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
+	unloadTime  = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
+	lossWeight  = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
+	gainRatio   = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
+	runningCost = 0.1                    // runningCost is the cost, in seconds of load time, of each request that runs on an upstream that gets a further model.
+	noLoss      = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
 )
 
 type (
@@ -33,6 +34,7 @@
 func (c *Controller) Plan(now time.Time) []Action {
 	c.expire(now)
 	var actions []Action
+	actions = c.planPrepared(now, actions)
 	actions = c.planWanted(now, actions)
 	actions = c.planReplicas(now, actions)
 	actions = c.planCopies(now, actions)
@@ -65,6 +67,24 @@
 	}
 }
 
+// planPrepared goes on where an unload was ordered to make room for a model.
+func (c *Controller) planPrepared(now time.Time, actions []Action) []Action {
+	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
+		u := c.upstreams[id]
+		e := c.engines[u.entry.Service]
+		if u.intent == "" || u.load != nil || e == nil || !c.free(now, u) {
+			continue
+		}
+		t, ok := c.room(now, u, u.entry.Service, e, e.Models[u.intent])
+		if !ok {
+			u.intent = ""
+			continue
+		}
+		actions = c.carry(now, t, u.intent, actions)
+	}
+	return actions
+}
+
 // planWanted orders what waiting requests need: the model that can be ready first per waiting request goes first.
 func (c *Controller) planWanted(now time.Time, actions []Action) []Action {
 	type need struct {
@@ -100,7 +120,7 @@
 		holders := c.holders(n.service, n.key.Model)
 		switch {
 		case len(holders) == 0:
-			if !c.coming(n.key.Model) {
+			if c.coming(n.key.Model) == 0 {
 				actions = c.start(now, n.service, e, n.key.Model, true, actions)
 			}
 		case n.key.Adapter != "":
@@ -128,17 +148,15 @@
 	return list
 }
 
-// coming reports whether a load of the model is under way, ordered or prepared.
-func (c *Controller) coming(model string) bool {
+// coming returns the number of loads of the model that are under way, ordered or prepared.
+func (c *Controller) coming(model string) int {
+	n := 0
 	for _, u := range c.upstreams {
-		if u.load != nil && u.load.model == model {
-			return true
-		}
-		if o := u.order; o != nil && o.Op == Load && o.Key == (Key{Model: model}) {
-			return true
+		if u.load != nil && u.load.model == model || u.intent == model {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 func (c *Controller) anyCopy(model string) bool {
@@ -247,10 +265,7 @@
 		if !ok || !wanted && t.wait > 0 {
 			continue
 		}
-		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + 0.2*float64(c.running(id))/float64(max(u.entry.Slots, 1))
-		if u.intent == model {
-			cost--
-		}
+		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + runningCost*float64(c.running(id))
 		if cost < least {
 			best, least = t, cost
 		}
@@ -263,7 +278,8 @@
 	if u.entry.Service != service || u.entry.Leaving || now.Sub(u.failed) < c.settings.FailureTime && !u.failed.IsZero() {
 		return target{}, false
 	}
-	if _, held := u.replicas[m.Name]; held || u.intent != "" && u.intent != m.Name {
+	_, held := u.replicas[m.Name]
+	if held || u.load != nil && u.load.model == m.Name || u.intent != "" && u.intent != m.Name {
 		return target{}, false
 	}
 	t := target{upstream: u}
@@ -349,8 +365,8 @@
 	r := c.rate(model)
 	r.decay(now, c.settings.RateTime)
 	n := 1
-	if r.value > 1 {
-		n = 2 // A model in steady use survives the loss of one upstream.
+	if r.value > c.settings.BusyRate {
+		n = 2 // A model in steady use survives the loss of one upstream, and its load may go on growing.
 	}
 	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
 	running := float64(c.modelRunning(model, ""))
@@ -362,19 +378,18 @@
 	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[service]
 		for _, model := range slices.Sorted(maps.Keys(c.rates)) {
-			if _, ok := e.Models[model]; !ok || c.coming(model) {
+			if _, ok := e.Models[model]; !ok || len(c.holders(service, model)) == 0 {
 				continue
 			}
-			have := c.replicas(service, model)
-			if have == 0 || have >= c.needed(now, e, model) {
-				continue
-			}
-			t, ok := c.target(now, service, e, model, false)
-			gain := c.rate(model).value
-			if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && c.storeLoads() >= c.settings.StoreSlots {
-				continue
+			have := len(c.holders(service, model)) + c.coming(model)
+			for ; have < c.needed(now, e, model); have++ {
+				t, ok := c.target(now, service, e, model, false)
+				gain := c.rate(model).value
+				if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && c.storeLoads() >= c.settings.StoreSlots {
+					break
+				}
+				actions = c.carry(now, t, model, actions)
 			}
-			actions = c.carry(now, t, model, actions)
 		}
 	}
 	return actions
@@ -388,7 +403,7 @@
 			if c.storeLoads() >= c.settings.Background {
 				return actions
 			}
-			if c.anyCopy(model) || c.coming(model) || c.prepared(model) {
+			if c.anyCopy(model) || c.coming(model) > 0 {
 				continue
 			}
 			t, ok := c.target(now, service, e, model, false)
@@ -402,16 +417,6 @@
 	return actions
 }
 
-// prepared reports whether an upstream is making room for the model.
-func (c *Controller) prepared(model string) bool {
-	for _, u := range c.upstreams {
-		if u.intent == model && u.order != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // planReports asks for the reports that are due.
 func (c *Controller) planReports(now time.Time, actions []Action) []Action {
 	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -113,6 +113,8 @@
 		ReplicaRate float64
 		// ReplicaShare is the share of the slots of a replica that is to be in use.
 		ReplicaShare float64
+		// BusyRate is the rate from which on a model has two replicas, in requests a second.
+		BusyRate float64
 		// RareRate is the assumed rate of a model that is not asked for, in requests a second.
 		RareRate float64
 		// FailureTime is how long an upstream gets no load after one failed.
@@ -142,9 +144,10 @@
 		ReportLag:    500 * time.Millisecond,
 		Settle:       3 * time.Second,
 		WantLife:     2 * time.Second,
-		RateTime:     6 * time.Second,
-		ReplicaRate:  4, // a prompt of 1,500 tokens takes 80 ms of an engine
-		ReplicaShare: 0.35,
+		RateTime:     3 * time.Second,
+		ReplicaRate:  2, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
+		ReplicaShare: 0.25,
+		BusyRate:     0.5, // two requests within the time constant
 		RareRate:     0.02,
 		FailureTime:  5 * time.Second,
 	}
