perf(node): a fenced controller goes on during an outage of the store

Change: where engines check fences, the holder keeps the lease until it learns of a newer record, was suspended or was stopped; the first questions wait 0.4 s, each third one 1.6 s; a host without a configuration asks callers to come back after 2 s.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -142,7 +142,7 @@
 }
 
 func (n *Node) leaseNews() LeaseNews {
-	now, _ := n.clock.now()
+	now := n.now()
 	newest, age, ok := n.lease.Newest(now)
 	return LeaseNews{ok, newest, age}
 }
@@ -192,7 +192,7 @@
 	now := time.Now()
 	m.heard, m.ready, m.stopping, m.missed = now, b.Ready, b.Stopping, 0
 	if b.Lease.Known {
-		boot, _ := n.clock.now()
+		boot := n.now()
 		n.lease.Saw(boot, b.Lease.Newest, b.Lease.Age)
 	}
 	if len(b.Uses) == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,9 @@
 		placing: place.New(place.DefaultSettings()), changed: make(chan struct{}), windows: make(map[string]*retry.Window),
 		dependent: make(map[string]bool), reload: make(chan os.Signal, 1),
 	}
-	n.lease = lease.New(lease.DefaultSettings(), s.Host.Name, incarnation)
+	times := lease.DefaultSettings()
+	times.Fenced = s.Limits.RequireFence
+	n.lease = lease.New(times, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // The address was checked with the settings.
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -46,13 +46,19 @@
 
 var errNotController = errors.New("host does not hold the lease")
 
-// stepLease makes the next call for the lease, if one is due.
-func (n *Node) stepLease() {
+// now returns the time of the lease. After a suspension another host may hold it.
+func (n *Node) now() time.Time {
 	now, suspended := n.clock.now()
 	if suspended {
-		n.log("lease").Warn("the machine was suspended", "event", eventSuspended)
+		n.log("lease").Warn("the machine was suspended or the process stopped", "event", eventSuspended)
 		n.lease.Doubt()
 	}
+	return now
+}
+
+// stepLease makes the next call for the lease, if one is due.
+func (n *Node) stepLease() {
+	now := n.now()
 	if _, stopping := n.stop.state(); !stopping {
 		n.callLease(n.lease.Step(now))
 	}
@@ -61,7 +67,7 @@
 
 // tend begins or ends the tenure of this host as controller.
 func (n *Node) tend() {
-	now, _ := n.clock.now()
+	now := n.now()
 	fence, held := n.lease.Held(now)
 	switch {
 	case held && fence != n.tenure:
@@ -83,7 +89,7 @@
 			defer cancel()
 			newest, err := n.platform.Lease(ctx)
 			n.control.Post(func() {
-				now, _ := n.clock.now()
+				now := n.now()
 				if err != nil {
 					n.lease.Failed(now)
 				} else {
@@ -98,7 +104,7 @@
 			defer cancel()
 			offset, ok, err := n.platform.Renew(ctx, a)
 			n.control.Post(func() {
-				now, _ := n.clock.now()
+				now := n.now()
 				switch {
 				case err != nil:
 					n.lease.Failed(now)
@@ -117,7 +123,7 @@
 
 // plan carries out what the controller decides, if this host holds the lease.
 func (n *Node) plan() {
-	boot, _ := n.clock.now()
+	boot := n.now()
 	if _, held := n.lease.Held(boot); !held || n.tenure == 0 {
 		return
 	}
@@ -210,7 +216,7 @@
 	var holder Member
 	local := false
 	n.control.Ask(func() {
-		boot, _ := n.clock.now()
+		boot := n.now()
 		_, local = n.lease.Held(boot)
 		if m, ok := n.members[n.lease.Holder()]; ok {
 			holder = m.Member
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
 
@@ -59,12 +60,15 @@
 	if n.stop.server == nil {
 		return nil
 	}
-	return n.stop.server.Shutdown(ctx)
+	if err := n.stop.server.Shutdown(ctx); err != nil {
+		return codes.Newf(codes.DeadlineMissed, "%d requests are cut off at the end of the grace", n.stop.active.Load())
+	}
+	return nil
 }
 
 // release gives the lease up, so that another host need not wait for its end.
 func (n *Node) release() {
-	now, _ := n.clock.now()
+	now := n.now()
 	a := n.lease.Release(now)
 	n.tend()
 	if a.Kind == lease.Append {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -12,28 +12,37 @@
 	// if the connection on which the question waits has gone silent.
 	configWait    = 1200 * time.Millisecond
 	configTimeout = configWait + 400*time.Millisecond
+	// firstTimeout limits the first questions: a host without a configuration serves nobody, and a silent store may be back.
+	firstTimeout = 400 * time.Millisecond
+	// patientEvery is how often the first question is given the whole time, for a store that is slow.
+	patientEvery = 3
 	// listInterval is the time between two readings of the list; a leaving upstream must get no new work after two seconds.
 	listInterval = 700 * time.Millisecond
 	listTimeout  = 600 * time.Millisecond
 	retryTime    = 150 * time.Millisecond
 	// membersInterval is the time between two readings of the members; heartbeats tell of new ones earlier.
 	membersInterval = 10 * time.Second
-	storeTimeout    = time.Second
+	storeTimeout    = 600 * time.Millisecond
 )
 
 // watchConfig keeps the configuration up to date.
 func (n *Node) watchConfig(ctx context.Context) {
 	cursor := int64(0)
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, configTimeout)
+	for failed := 0; ctx.Err() == nil; {
+		timeout := configTimeout
+		if cursor == 0 && failed%patientEvery != patientEvery-1 {
+			timeout = firstTimeout
+		}
+		limited, cancel := context.WithTimeout(ctx, timeout)
 		c, next, err := n.platform.Config(limited, cursor, configWait)
 		cancel()
 		n.control.Post(func() { n.depends("configuration", err) })
 		if err != nil {
+			failed++
 			sleep(ctx, retryTime)
 			continue
 		}
-		cursor = next
+		cursor, failed = next, 0
 		if c != nil {
 			n.control.Post(func() { n.configured(c) })
 			continue
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// notReadyRetry is when a caller may come back to a host without a configuration.
-	notReadyRetry = 500 * time.Millisecond
+	// notReadyRetry is when a caller may come back if this host has no configuration; outages of the store last seconds.
+	notReadyRetry = 2 * time.Second
 	// defaultBody bounds a request body until a configuration says otherwise.
 	defaultBody = 4 << 20
 	// patienceFloor, patienceRatio and pauseRatio give the time after which callers give up a stream without an event.
--- a/pkg/lease/doc.go
+++ b/pkg/lease/doc.go
@@ -6,5 +6,6 @@
 //
 // Time passes in two ways. The holder stops using the lease HoldTime after it sent the last renewal that was confirmed.
 // Another host takes the lease over only after it has seen no new record for TakeTime, which is longer. Times are given by
-// a clock that counts a suspension of the machine.
+// a clock that counts a suspension of the machine. Where orders are fenced, the holder goes on during an outage of the log
+// until it learns of a newer record.
 package lease
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -45,6 +45,9 @@
 		TakeTime time.Duration // TakeTime is how long without a new record another host waits before it takes over.
 		Stagger  time.Duration // Stagger is added to TakeTime for each rank, so that hosts do not try at once.
 		Retry    time.Duration // Retry is the time between two calls after one failed.
+		// Fenced tells that whoever is ordered to do something refuses an older fence than it has seen. A holder that cannot
+		// reach the log then goes on until it learns of another one, because nobody can take over during an outage of the log.
+		Fenced bool
 	}
 
 	// Lease is the view that one host has of the lease.
@@ -53,6 +56,7 @@
 		self      Record
 		rank      int
 		known     bool
+		verify    bool // verify tells that the newest record must be read again.
 		newest    Newest
 		seen      time.Time // seen is when the newest record was first known to exist.
 		sent      time.Time // sent is when the last append was sent.
@@ -84,7 +88,7 @@
 
 // Held returns the fence if this host may use the lease now.
 func (l *Lease) Held(now time.Time) (int64, bool) {
-	return l.Fence(), l.mine() && now.Before(l.heldUntil)
+	return l.Fence(), l.mine() && !l.released && (now.Before(l.heldUntil) || l.settings.Fenced && !l.heldUntil.IsZero())
 }
 
 // Fence returns the fence of the newest known tenure; zero means that none is known.
@@ -130,7 +134,7 @@
 
 func (l *Lease) next(now time.Time) Action {
 	switch {
-	case !l.known:
+	case !l.known || l.verify:
 		return Action{Kind: Read}
 	case l.released:
 		return Action{}
@@ -195,13 +199,13 @@
 
 // Confirmed takes over the answer to a Read; a record of this process that is found proves the append that was in doubt.
 func (l *Lease) Confirmed(now time.Time, n Newest) {
-	l.calling = false
+	l.calling, l.verify = false, false
 	l.Saw(now, n, 0)
 }
 
 // Appended takes over that the append took effect at the offset.
 func (l *Lease) Appended(now time.Time, a Action, offset int64) {
-	l.calling = false
+	l.calling, l.verify = false, false
 	l.Saw(now, Newest{Record: a.Record, Offset: offset, End: offset + 1}, 0)
 	if l.mine() {
 		l.heldUntil = l.sent.Add(l.settings.HoldTime)
@@ -216,8 +220,7 @@
 
 // Failed takes over that a call has no answer or was refused, so that an append is in doubt.
 func (l *Lease) Failed(now time.Time) {
-	l.calling = false
-	l.known = false
+	l.calling, l.verify = false, true
 	l.notBefore = now.Add(l.settings.Retry)
 }
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -194,3 +194,30 @@
 		}
 	})
 }
+
+// TestFencedHolderGoesOnInAnOutage guards against an outage of the log that ends all orders although nobody can take over, and
+// against a holder that goes on after it has heard of another one or was suspended.
+func TestFencedHolderGoesOnInAnOutage(t *testing.T) {
+	s := lease.DefaultSettings()
+	s.Fenced = true
+	l, a := &log{}, lease.New(s, "a", "a.1")
+	l.run(start, a)
+	l.run(start, a)
+	for at := time.Second; at < 10*time.Second; at += 100 * time.Millisecond {
+		if a.Step(start.Add(at)).Kind != lease.Nothing {
+			a.Failed(start.Add(at))
+		}
+		_, held := a.Held(start.Add(at))
+		qt.Assert(t, held, qt.IsTrue, qt.Commentf("at %v", at))
+	}
+	now := start.Add(11 * time.Second)
+	b := lease.New(s, "a", "a.1")
+	*b = *a
+	b.Doubt()
+	_, held := b.Held(now)
+	qt.Assert(t, held, qt.IsFalse)
+	other := lease.Record{Holder: "b", Incarnation: "b.1"}
+	a.Saw(now, lease.Newest{Record: other, Offset: 1, End: 2}, 0)
+	_, held = a.Held(now)
+	qt.Assert(t, held, qt.IsFalse)
+}
