perf(relay): streams move only away from dark upstreams or to ones that run less

Cause: on an overloaded upstream a stream without an event for 1.1 s was sent to a second one, which doubled the load. Change: a stream moves if its upstream shows no sign of life to any request of the host, or if it is late by the upstream's own measure and another holder runs less.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -131,6 +131,15 @@
 	n.control.Post(func() { n.table.End(time.Now(), t.Flight, r) })
 }
 
+// stuck reports whether a request had better be moved to another upstream.
+func (n *Node) stuck(t relay.Ticket, c *relay.Call) bool {
+	stuck := false
+	n.control.Ask(func() {
+		stuck = n.table.Stuck(time.Now(), t.Flight, pick.Query{Service: c.Service, Key: c.Key, Session: c.Session})
+	})
+	return stuck
+}
+
 // repeat takes one repeat from the limit of the service.
 func (n *Node) repeat(service string) bool {
 	ok := false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // The address was checked with the settings.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Choose: n.choose, First: n.first, End: n.end, Repeat: n.repeat, Count: n.count,
+		Config: n.config.Load, Choose: n.choose, First: n.first, End: n.end, Stuck: n.stuck, Repeat: n.repeat, Count: n.count,
 		Stopping: n.stop.state, Ended: n.ended,
 	}, pool)
 	return n
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -24,12 +24,14 @@
 	safeIdle   = 30 * time.Second
 	// minBudget is the least time with which a request is sent.
 	minBudget = 5 * time.Millisecond
-	// firstFloor, firstRatio, pauseFloor and silentPauses give the time without an event after which a stream that may be
-	// resumed is moved to another upstream.
+	// firstFloor, firstRatio, pauseFloor and silentPauses give the time without an event after which it is asked whether a
+	// stream that may be resumed is stuck.
 	firstFloor   = 1100 * time.Millisecond
 	firstRatio   = 2
 	pauseFloor   = 1200 * time.Millisecond
 	silentPauses = 4
+	// stuckInterval is the time between two looks at a stream without an event.
+	stuckInterval = 250 * time.Millisecond
 )
 
 var (
@@ -114,13 +116,20 @@
 	}
 }
 
-// watch ends the attempt at a stream that may be resumed when no event comes in time.
+// watch ends the attempt at a stream that may be resumed when it is stuck at its upstream.
 func (a *try) watch() (stop func()) {
 	route := a.call.Route
 	if route.Kind != fleet.Stream || !route.Resumable || a.sent+1 >= route.MaxAttempts {
 		return func() {}
 	}
-	timer := time.AfterFunc(max(firstFloor, firstRatio*route.Objective), func() { a.cancel(errSilent) })
+	var timer *time.Timer
+	timer = time.AfterFunc(max(firstFloor, firstRatio*route.Objective), func() {
+		if a.relay.control.Stuck(a.ticket, a.call) {
+			a.cancel(errSilent)
+			return
+		}
+		timer.Reset(stuckInterval)
+	})
 	a.events.onEvent = func() { timer.Reset(max(pauseFloor, silentPauses*route.MaxPause)) }
 	return func() {
 		timer.Stop()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -133,6 +133,7 @@
 		err = flush()
 	}
 	now := time.Now()
+	a.ticket.Flight.Touch(now)
 	if !a.passed.IsZero() {
 		a.end.Pause = max(a.end.Pause, now.Sub(a.passed))
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -70,6 +70,8 @@
 		First func(t Ticket)
 		// End records the end of an attempt.
 		End func(t Ticket, r pick.Result)
+		// Stuck reports whether the request had better be moved to another upstream.
+		Stuck func(t Ticket, c *Call) bool
 		// Repeat asks for leave to send the request once more.
 		Repeat func(service string) bool
 		// Count records a request to a service.
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -101,3 +101,21 @@
 	x.End(start, f, pick.Served)
 	qt.Assert(t, x.Uses(), qt.HasLen, 0)
 }
+
+// TestStuck guards the pattern "all upstreams of a model are overloaded": a request that moves adds load, so that it moves only
+// away from an upstream that is dark, or to one that runs less.
+func TestStuck(t *testing.T) {
+	x := table(fleet.Upstream{ID: "u1", DataCentre: "a"}, fleet.Upstream{ID: "u2", DataCentre: "b"})
+	q := pick.Query{Service: "s"}
+	c, _ := x.Choose(start, q)
+	f, g := x.Begin(start, c, q), x.Begin(start, c, q)
+	qt.Assert(t, x.Stuck(start.Add(time.Second), f, q), qt.IsFalse)
+	now := start.Add(2 * time.Second)
+	qt.Assert(t, x.Stuck(now, f, q), qt.IsTrue, qt.Commentf("the upstream is dark"))
+	g.Touch(now)
+	qt.Assert(t, x.Stuck(now, f, q), qt.IsTrue, qt.Commentf("the other one runs less"))
+	x.Others("h2", map[string]int{"u2": 5})
+	qt.Assert(t, x.Stuck(now, f, q), qt.IsFalse, qt.Commentf("the other one runs more"))
+	x.Replace(map[string]fleet.Upstream{"u1": {ID: "u1", Born: 1, Service: "s", DataCentre: "a", Slots: 48}})
+	qt.Assert(t, x.Stuck(now.Add(time.Minute), f, q), qt.IsFalse, qt.Commentf("there is no other one"))
+}
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
@@ -36,6 +37,7 @@
 	shunMax        = 5 * time.Second
 	overdue        = 1200 * time.Millisecond // overdue is the time without a first event after which an upstream counts as silent.
 	learnedLife    = 4 * time.Second         // learnedLife is how long knowledge of a load goes before the published list.
+	lateRatio      = 4                       // lateRatio is the ratio to the mean time to the first event from which on an attempt counts as late.
 	refusedPenalty = 0.5
 	refusedLife    = 500 * time.Millisecond
 )
@@ -66,10 +68,12 @@
 
 	// Flight is an attempt in flight.
 	Flight struct {
-		choice Choice
-		key    place.Key
-		began  time.Time
-		first  bool
+		choice   Choice
+		key      place.Key
+		began    time.Time
+		first    bool
+		last     atomic.Int64  // last is the time of the last event in Unix nanoseconds; zero means none.
+		activity *atomic.Int64 // activity is the time of the last event of any request at the upstream.
 	}
 
 	// Table holds the upstreams as one host sees them; it is not safe for concurrent use.
@@ -91,6 +95,7 @@
 		strikes int
 		shunned time.Time
 		refused time.Time
+		active  *atomic.Int64
 	}
 
 	learned struct {
@@ -130,7 +135,9 @@
 	for id, e := range list {
 		s, ok := t.upstreams[id]
 		if !ok || s.entry.Born != e.Born {
-			s = &state{flights: make(map[*Flight]bool), started: make(map[place.Key]int), learned: make(map[place.Key]learned)}
+			s = &state{
+				flights: make(map[*Flight]bool), started: make(map[place.Key]int), learned: make(map[place.Key]learned), active: new(atomic.Int64),
+			}
 			t.upstreams[id] = s
 		}
 		s.entry, s.gone = e, false
@@ -289,8 +296,9 @@
 
 // Begin records an attempt at the chosen upstream.
 func (t *Table) Begin(now time.Time, c Choice, q Query) *Flight {
-	f := &Flight{choice: c, key: q.Key, began: now}
+	f := &Flight{choice: c, key: q.Key, began: now, activity: new(atomic.Int64)}
 	if s, ok := t.upstreams[c.Upstream]; ok {
+		f.activity = s.active
 		s.flights[f] = true
 		s.started[q.Key]++
 	}
@@ -300,6 +308,35 @@
 	return f
 }
 
+// Touch records an event of the attempt; it may be called from any goroutine.
+func (f *Flight) Touch(now time.Time) {
+	f.last.Store(now.UnixNano())
+	f.activity.Store(now.UnixNano())
+}
+
+// Stuck reports whether another upstream would probably answer the request earlier: the present one shows no sign of life to
+// any request of this host, or it is late by its own measure and another one that holds the model runs less.
+func (t *Table) Stuck(now time.Time, f *Flight, q Query) bool {
+	quiet := now.Sub(f.began)
+	if last := f.last.Load(); last != 0 {
+		quiet = now.Sub(time.Unix(0, last))
+	}
+	q.Exclude = map[string]bool{f.choice.Upstream: true}
+	other, ok := t.Choose(now, q)
+	if !ok {
+		return false
+	}
+	if now.Sub(time.Unix(0, f.activity.Load())) > overdue && quiet > overdue {
+		return true
+	}
+	s, known := t.upstreams[f.choice.Upstream]
+	usual := 0.0
+	if known {
+		usual = s.time
+	}
+	return quiet.Seconds() > max(overdue.Seconds(), lateRatio*usual) && other.Running < t.running(f.choice.Upstream)
+}
+
 // First records the first event of an attempt.
 func (t *Table) First(now time.Time, f *Flight) {
 	f.first = true
@@ -330,9 +367,11 @@
 		s.errors = errorDecay*s.errors + (1 - errorDecay)
 	case Refused:
 		s.refused = now
-	case Missing:
-		t.Learn(now, f.choice.Upstream, f.key, false)
-	case Broken, Silent:
+	case Broken, Silent, Missing:
+		if r == Missing && f.key.Model != "" {
+			t.Learn(now, f.choice.Upstream, f.key, false)
+			break
+		}
 		s.errors = errorDecay*s.errors + (1 - errorDecay)
 		s.shunned = now.Add(min(shunMin<<min(s.strikes, 8), shunMax))
 		s.strikes++
