perf(place): faster doubt, waiting requests count as demand, fewer replicas

Cause: an order without an answer blocked its upstream for 1.3 s and more although the expected number of orders makes a second one safe; requests that wait were not counted as demand; upstreams that prepared for one waiter were closed to a model with many. Change: an order may follow one without an answer at once; waiters count; a model with three times as many waiters takes a prepared upstream; 5 requests a second for each replica.

--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	orderTimeout  = 800 * time.Millisecond
+	// orderTimeout is long against the few milliseconds of an answer; an order without one may be repeated at once.
+	orderTimeout  = 300 * time.Millisecond
 	reportTimeout = 800 * time.Millisecond
 	// wantWait is how long a question for an upstream waits at the controller before it is asked again.
 	wantWait    = 800 * time.Millisecond
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -179,6 +179,7 @@
 	if !ok {
 		x = new(waiting)
 		c.wants[w.Request] = x
+		c.rate(w.Key.Model).add(now, 1, c.settings.RateTime)
 	}
 	x.Want, x.until = w, now.Add(max(hold, c.settings.WantLife))
 	return c.Find(now, w)
@@ -245,7 +246,7 @@
 	e := c.engines[w.Service]
 	models := make(map[string]bool)
 	for _, x := range c.wants {
-		if x.Key.Model != w.Key.Model && x.Deadline.Before(w.Deadline) && !c.anyCopy(x.Key.Model) {
+		if x.Key.Model != w.Key.Model && x.Deadline.Before(w.Deadline) && c.copied(x.Key.Model) == 0 {
 			models[x.Key.Model] = true
 		}
 	}
@@ -331,8 +332,8 @@
 	}
 	u.order = nil
 	u.ordered = now
-	if a != Conflict {
-		u.conflicts = 0
+	if a == Accepted || a == Holds {
+		u.conflicts, u.doubt = 0, false
 	}
 	switch a {
 	case Accepted:
@@ -346,14 +347,14 @@
 	case Conflict:
 		u.conflicts++
 		u.notBefore = now.Add(conflictWait)
-		if u.conflicts >= maxConflicts {
-			u.conflicts = 0
+		if u.conflicts >= maxConflicts || u.doubt {
+			u.conflicts, u.doubt = 0, false
 			u.known = false
 			u.reportAt = now.Add(c.settings.ReportLag)
 		}
 	case NoAnswer:
+		// Another order may follow at once: both expect the same number of accepted orders, so that only one takes effect.
 		u.doubt = true
-		u.reportAt = now.Add(c.settings.ReportLag)
 	case Fenced, Rejected, Replaced:
 		u.failed = now
 		u.known = false
@@ -388,13 +389,17 @@
 	}
 }
 
-func (c *Controller) wanted(model string) bool {
+func (c *Controller) wanted(model string) bool { return c.waiters(model) > 0 }
+
+// waiters returns the number of requests that wait for the model or an adapter of it.
+func (c *Controller) waiters(model string) int {
+	n := 0
 	for _, w := range c.wants {
 		if w.Key.Model == model {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // storeLoads returns the number of loads from the weight store that are in progress or ordered.
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -11,11 +11,13 @@
 )
 
 const (
-	unloadTime  = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
-	lossWeight  = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
-	gainRatio   = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
-	runningCost = 0.1                    // runningCost is the cost, in seconds of load time, of each request that runs on an upstream that gets a further model.
-	noLoss      = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
+	unloadTime   = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
+	lossWeight   = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
+	runningCost  = 0.1                    // runningCost is the cost, in seconds of load time, of each request that runs on an upstream that gets a further model.
+	gainRatio    = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
+	intentRatio  = 3                      // intentRatio is how many times as many requests must wait for a model that takes an upstream from another one.
+	busyReplicas = 2                      // busyReplicas are for a model in steady use, which survives the loss of one upstream.
+	noLoss       = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
 )
 
 type (
@@ -159,15 +161,6 @@
 	return n
 }
 
-func (c *Controller) anyCopy(model string) bool {
-	for _, u := range c.upstreams {
-		if _, held := u.replicas[model]; held || u.disk[model] || u.memory[model] || u.load != nil && u.load.model == model {
-			return true
-		}
-	}
-	return false
-}
-
 // adapter orders the adapter at one of the holders of its model, unless it is there or on its way.
 func (c *Controller) adapter(now time.Time, e *fleet.Engine, k Key, holders []*upstream, actions []Action) []Action {
 	for _, u := range holders {
@@ -219,7 +212,7 @@
 
 // free reports whether the upstream takes an order now.
 func (c *Controller) free(now time.Time, u *upstream) bool {
-	return u.known && u.order == nil && !u.doubt && !u.entry.Leaving && !now.Before(u.notBefore)
+	return u.known && u.order == nil && !u.entry.Leaving && !now.Before(u.notBefore)
 }
 
 func (c *Controller) give(now time.Time, u *upstream, op Op, k Key, actions []Action) []Action {
@@ -273,13 +266,18 @@
 	return best, !math.IsInf(least, 1)
 }
 
+// reserved reports whether room is being made on the upstream for another model that is not much less in demand.
+func (c *Controller) reserved(u *upstream, model string) bool {
+	return u.intent != "" && u.intent != model && c.waiters(model) < intentRatio*max(c.waiters(u.intent), 1)
+}
+
 // room returns what it takes to load the model on the upstream.
 func (c *Controller) room(now time.Time, u *upstream, service string, e *fleet.Engine, m fleet.Model) (target, bool) {
 	if u.entry.Service != service || u.entry.Leaving || now.Sub(u.failed) < c.settings.FailureTime && !u.failed.IsZero() {
 		return target{}, false
 	}
 	_, held := u.replicas[m.Name]
-	if held || u.load != nil && u.load.model == m.Name || u.intent != "" && u.intent != m.Name {
+	if held || u.load != nil && u.load.model == m.Name || c.reserved(u, m.Name) {
 		return target{}, false
 	}
 	t := target{upstream: u}
@@ -343,7 +341,23 @@
 	if others > 0 {
 		reload /= 2
 	}
-	return max(r.value, c.settings.RareRate) * reload.Seconds()
+	return max(r.value, c.prior(m)) * reload.Seconds()
+}
+
+// prior returns the assumed rate of a model that is not asked for. Adapters tell for how many teams it was set up.
+func (c *Controller) prior(m fleet.Model) float64 {
+	return c.settings.RareRate * (1 + math.Sqrt(float64(m.Adapters)))
+}
+
+// copied returns the number of upstreams that hold, load or keep a copy of the model.
+func (c *Controller) copied(model string) int {
+	n := 0
+	for _, u := range c.upstreams {
+		if _, held := u.replicas[model]; held || u.disk[model] || u.memory[model] || u.load != nil && u.load.model == model || u.intent == model {
+			n++
+		}
+	}
+	return n
 }
 
 // replicas returns the number of upstreams that hold or load the model and stay.
@@ -366,10 +380,10 @@
 	r.decay(now, c.settings.RateTime)
 	n := 1
 	if r.value > c.settings.BusyRate {
-		n = 2 // A model in steady use survives the loss of one upstream, and its load may go on growing.
+		n = busyReplicas
 	}
 	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
-	running := float64(c.modelRunning(model, ""))
+	running := float64(c.modelRunning(model, "") + c.waiters(model))
 	return max(n, int(math.Ceil(running/(c.settings.ReplicaShare*float64(max(e.Slots, 1))))))
 }
 
@@ -378,10 +392,10 @@
 	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[service]
 		for _, model := range slices.Sorted(maps.Keys(c.rates)) {
-			if _, ok := e.Models[model]; !ok || len(c.holders(service, model)) == 0 {
+			have := len(c.holders(service, model)) + c.coming(model)
+			if _, ok := e.Models[model]; !ok || have == 0 {
 				continue
 			}
-			have := len(c.holders(service, model)) + c.coming(model)
 			for ; have < c.needed(now, e, model); have++ {
 				t, ok := c.target(now, service, e, model, false)
 				gain := c.rate(model).value
@@ -403,11 +417,12 @@
 			if c.storeLoads() >= c.settings.Background {
 				return actions
 			}
-			if c.anyCopy(model) || c.coming(model) > 0 {
+			m := e.Models[model]
+			if c.copied(model) > 0 {
 				continue
 			}
 			t, ok := c.target(now, service, e, model, false)
-			gain := c.settings.RareRate * e.Models[model].FromStore.Seconds()
+			gain := c.prior(m) * m.FromStore.Seconds()
 			if !ok || t.wait > 0 || gain < gainRatio*t.loss {
 				continue
 			}
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -145,9 +145,9 @@
 		Settle:       3 * time.Second,
 		WantLife:     2 * time.Second,
 		RateTime:     3 * time.Second,
-		ReplicaRate:  2, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
+		ReplicaRate:  5, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
 		ReplicaShare: 0.25,
-		BusyRate:     0.5, // two requests within the time constant
+		BusyRate:     1,
 		RareRate:     0.02,
 		FailureTime:  5 * time.Second,
 	}
