--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -145,7 +145,7 @@
 		Settle:       3 * time.Second,
 		WantLife:     2 * time.Second,
 		RateTime:     3 * time.Second,
-		ReplicaRate:  5, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
+		ReplicaRate:  7, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
 		ReplicaShare: 0.25,
 		BusyRate:     1,
 		RareRate:     0.02,
