perf(pick): the load of an engine counts against the requests that it runs easily, not against its slots

Change: an engine is full at 16 requests for the choice, and one replica is enough for 12 in progress.

--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -37,6 +37,7 @@
 	shunMax        = 5 * time.Second
 	overdue        = 1200 * time.Millisecond // overdue is the time without a first event after which an upstream counts as silent.
 	learnedLife    = 4 * time.Second         // learnedLife is how long knowledge of a load goes before the published list.
+	easyRunning    = 16                      // easyRunning is the number of requests beyond which an engine delays tokens clearly, whatever its slots are.
 	lateRatio      = 4                       // lateRatio is the ratio to the mean time to the first event from which on an attempt counts as late.
 	refusedPenalty = 0.5
 	refusedLife    = 500 * time.Millisecond
@@ -185,7 +186,11 @@
 			continue
 		}
 		shunned := now.Before(s.shunned) || s.silent(now)
-		cost := s.cost(now, t.dataCentre, t.running(id), reference)
+		slots := s.entry.Slots
+		if q.Key.Model != "" {
+			slots = min(slots, easyRunning)
+		}
+		cost := s.cost(now, t.dataCentre, float64(t.running(id))/float64(max(slots, 1)), reference)
 		switch id {
 		case q.Prefer:
 			cost -= 0.5
@@ -241,8 +246,8 @@
 	return sum / float64(n)
 }
 
-func (s *state) cost(now time.Time, dataCentre string, running int, reference float64) float64 {
-	cost := float64(running)/float64(max(s.entry.Slots, 1)) + errorPenalty*s.errors
+func (s *state) cost(now time.Time, dataCentre string, load, reference float64) float64 {
+	cost := load + errorPenalty*s.errors
 	if s.entry.DataCentre != dataCentre {
 		cost += centrePenalty
 	}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -384,7 +384,7 @@
 	}
 	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
 	running := float64(c.modelRunning(model, "") + c.waiters(model))
-	return max(n, int(math.Ceil(running/(c.settings.ReplicaShare*float64(max(e.Slots, 1))))))
+	return max(n, int(math.Ceil(running/min(c.settings.ReplicaShare*float64(max(e.Slots, 1)), c.settings.ReplicaRunning))))
 }
 
 // planReplicas orders further replicas of models whose replicas are too few for their load.
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -113,6 +113,8 @@
 		ReplicaRate float64
 		// ReplicaShare is the share of the slots of a replica that is to be in use.
 		ReplicaShare float64
+		// ReplicaRunning is the number of requests in progress for which one replica is enough, whatever its slots are.
+		ReplicaRunning float64
 		// BusyRate is the rate from which on a model has two replicas, in requests a second.
 		BusyRate float64
 		// RareRate is the assumed rate of a model that is not asked for, in requests a second.
@@ -137,18 +139,19 @@
 // DefaultSettings returns the settings for the deployments described in docs/platform.md.
 func DefaultSettings() Settings {
 	return Settings{
-		StoreSlots:   4, // the weight store's sheet: 4 at once at full speed
-		StoreExtra:   2,
-		Background:   3, // leaves one slot at full speed to a waiting request
-		AdapterTime:  25 * time.Millisecond,
-		ReportLag:    500 * time.Millisecond,
-		Settle:       3 * time.Second,
-		WantLife:     2 * time.Second,
-		RateTime:     3 * time.Second,
-		ReplicaRate:  7, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
-		ReplicaShare: 0.25,
-		BusyRate:     1,
-		RareRate:     0.02,
-		FailureTime:  5 * time.Second,
+		StoreSlots:     4, // the weight store's sheet: 4 at once at full speed
+		StoreExtra:     2,
+		Background:     3, // leaves one slot at full speed to a waiting request
+		AdapterTime:    25 * time.Millisecond,
+		ReportLag:      500 * time.Millisecond,
+		Settle:         3 * time.Second,
+		WantLife:       2 * time.Second,
+		RateTime:       3 * time.Second,
+		ReplicaRate:    7, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
+		ReplicaShare:   0.25,
+		ReplicaRunning: 12,
+		BusyRate:       1,
+		RareRate:       0.02,
+		FailureTime:    5 * time.Second,
 	}
 }
