feat: explain a failed request from its id; bounded logs by event

Cause: on-call engineers have only logs and metrics, and a request's causes were spread over lines of several hosts. Change: numbered events with the decisive inputs (forecast, time left, attempts, upstream, version), one line for each request at its end, one for each failed attempt and wait; at most 100 lines a second of an event with a count of the rest; fireflycleat explain finds a request in the logs of several hosts, or counts the causes of failed ones.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 	}
 	c.SetFlagErrorFunc(badUsage)
-	c.AddCommand(newDev(), newServe(), newHost(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
+	c.AddCommand(newDev(), newServe(), newHost(), newExplain(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(), newDecisions(), newStop(), newLogLevel(),
 		newAsk(), newStandin(), newBench())
 	c.InitDefaultHelpCmd()
 	c.InitDefaultCompletionCmd()
--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/relay"
@@ -79,7 +81,7 @@
 
 // await waits until the controller names an upstream. It refuses the request as soon as it is known that it cannot be served.
 func (n *Node) await(ctx context.Context, c *relay.Call, missing string) (string, error) {
-	for {
+	for waits := false; ; {
 		// The last moment at which an answer can begin is also bounded by the time that the answer takes.
 		latest := c.Deadline.Add(-time.Duration(c.Output) * tokenTime)
 		if c.Patience.Before(latest) {
@@ -96,6 +98,11 @@
 		}
 		missing = ""
 		reply, err := n.want(ctx, args)
+		if !waits && err == nil && reply.Upstream == "" {
+			waits = true
+			n.log("request").Info("waits for a load", "event", eventWait, "id", c.ID, "model", c.Key.Model, "adapter", c.Key.Adapter,
+				"forecast", reply.Known, "readyMS", reply.ReadyIn.Milliseconds(), "leftMS", args.Left.Milliseconds())
+		}
 		switch {
 		case ctx.Err() != nil:
 			return "", ctx.Err()
@@ -164,9 +171,24 @@
 // ended logs and counts the end of a request.
 func (n *Node) ended(e relay.Ended) {
 	n.metrics.Request("traffic", e.Code)
-	level := n.log("request").Info
-	level("ended", "event", eventRequest, "id", e.Call.ID, "route", e.Call.Route.Name, "service", e.Call.Service,
-		"model", e.Call.Key.Model, "adapter", e.Call.Key.Adapter, "code", int(e.Code), "outcome", e.Outcome.String(), "status", e.Status,
-		"attempts", e.Attempts, "resumed", e.Resumed, "upstream", e.Upstream, "events", e.Events, "waited", e.Waited.Milliseconds(), "first", e.First.Milliseconds(), "pause", e.Pause.Milliseconds(),
-		"took", time.Since(e.Call.Arrived).Milliseconds(), "retryAfter", e.Retry.Milliseconds(), "version", e.Call.Version, "detail", e.Detail)
+	if e.First > 0 {
+		n.metrics.FirstToken(strconv.Itoa(e.Call.Route.Priority), e.First)
+	}
+	event, level := eventServed, slog.LevelInfo
+	if e.Code != codes.OK {
+		event, level = eventFailed, slog.LevelWarn
+	}
+	n.log("request").Log(n.life, level, "ended", "event", event, "id", e.Call.ID, "route", e.Call.Route.Name, "service", e.Call.Service,
+		"model", e.Call.Key.Model, "adapter", e.Call.Key.Adapter, "code", int(e.Code), "reason", e.Code.Title(), "outcome", e.Outcome.String(),
+		"status", e.Status, "attempts", e.Attempts, "resumed", e.Resumed, "upstream", e.Upstream, "events", e.Events,
+		"waitedMS", e.Waited.Milliseconds(), "firstMS", e.First.Milliseconds(), "pauseMS", e.Pause.Milliseconds(),
+		"tookMS", time.Since(e.Call.Arrived).Milliseconds(), "limitMS", e.Call.Deadline.Sub(e.Call.Arrived).Milliseconds(),
+		"retryAfterMS", e.Retry.Milliseconds(), "version", e.Call.Version, "detail", e.Detail)
+}
+
+// retried logs an attempt after which the request is sent once more.
+func (n *Node) retried(c *relay.Call, t relay.Ticket, err error) {
+	n.metrics.Attempt("retried")
+	n.log("request").Info("attempt failed", "event", eventAttempt, "id", c.ID, "upstream", t.Choice.Upstream, "running", t.Choice.Running,
+		"code", int(codes.From(err).Code()), "detail", err.Error())
 }
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -9,7 +9,10 @@
 	eventLost         = 104 // eventLost and eventBack tell of a dependency that does not answer and of its return.
 	eventBack         = 105
 	eventSuspended    = 106
-	eventRequest      = 200
+	eventServed       = 200
+	eventFailed       = 201
+	eventAttempt      = 202 // eventAttempt tells of an attempt after which the request was sent once more.
+	eventWait         = 203 // eventWait tells that a request waits for a load, and the forecast on which that was decided.
 	eventConfig       = 300
 	eventSkipped      = 301
 	eventUpstream     = 302
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
 		Config: n.config.Load, Choose: n.choose, First: n.first, End: n.end, Stuck: n.stuck, Repeat: n.repeat, Count: n.count,
-		Stopping: n.stop.state, Ended: n.ended,
+		Stopping: n.stop.state, Retried: n.retried, Ended: n.ended,
 	}, pool)
 	return n
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,7 @@
 		if !x.relay.control.Repeat(x.call.Service) {
 			return x.exhausted(err)
 		}
+		x.relay.control.Retried(x.call, t, err)
 	}
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -78,6 +78,8 @@
 		Count func(service string)
 		// Stopping returns the time after which no request can be finished any more, and whether a stop has begun.
 		Stopping func() (until time.Time, stopping bool)
+		// Retried reports an attempt after which the request is sent once more.
+		Retried func(c *Call, t Ticket, err error)
 		// Ended reports the end of a request.
 		Ended func(e Ended)
 	}
--- a/internal/telem/queue.go
+++ b/internal/telem/queue.go
@@ -16,12 +16,13 @@
 
 // Queue writes log lines in a goroutine of its own and drops lines rather than wait for a slow reader.
 type Queue struct {
-	lines   chan []byte
-	out     io.Writer
-	dropped atomic.Int64
-	closing chan struct{}
-	done    chan struct{}
-	once    sync.Once
+	lines    chan []byte
+	out      io.Writer
+	dropped  atomic.Int64
+	reported int64 // reported is used by the writing goroutine only.
+	closing  chan struct{}
+	done     chan struct{}
+	once     sync.Once
 }
 
 // NewQueue returns a queue that writes to the writer until Close.
@@ -55,23 +56,32 @@
 
 func (q *Queue) run() {
 	defer close(q.done)
-	reported := int64(0)
 	for {
 		select {
 		case line := <-q.lines:
 			q.flush(line)
 		case <-q.closing:
 			q.drain()
+			q.report()
 			return
 		}
-		if n := q.dropped.Load(); n > reported && len(q.lines) < queuedLines/2 {
-			// A reader that fails gets no line about its own failure.
-			_, _ = fmt.Fprintf(q.out, "{\"level\":\"WARN\",\"msg\":\"logs: lines were dropped\",\"event\":1,\"count\":%d}\n", n-reported)
-			reported = n
+		if len(q.lines) < queuedLines/2 {
+			q.report()
 		}
 	}
 }
 
+// report writes how many lines were dropped since the last report.
+func (q *Queue) report() {
+	n := q.dropped.Load()
+	if n == q.reported {
+		return
+	}
+	// A reader that fails gets no line about its own failure.
+	_, _ = fmt.Fprintf(q.out, "{\"level\":\"WARN\",\"msg\":\"logs: lines were dropped\",\"event\":1,\"count\":%d}\n", n-q.reported)
+	q.reported = n
+}
+
 // flush writes the line and those that wait behind it in one call.
 func (q *Queue) flush(batch []byte) {
 	for len(batch) < batchBytes {
--- a/internal/telem/queue_test.go
+++ b/internal/telem/queue_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -43,3 +44,19 @@
 	defer w.mu.Unlock()
 	qt.Assert(t, strings.Contains(w.b.String(), "lines were dropped"), qt.IsTrue)
 }
+
+// TestLimitedLogs guards against a log that grows with the load, and against lines that vanish without a word.
+func TestLimitedLogs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b bytes.Buffer
+		log := telem.NewJSONLogs(&b, "h").Limited().For("x")
+		for range 500 {
+			log.Info("often", "event", 200)
+		}
+		log.Info("seldom", "event", 201)
+		qt.Assert(t, strings.Count(b.String(), "\n"), qt.Equals, 101)
+		time.Sleep(time.Second)
+		log.Info("often", "event", 200)
+		qt.Assert(t, strings.Contains(b.String(), `"of":200,"count":400`), qt.IsTrue)
+	})
+}
