test: two guards that no test missed

Change: TestBackupNeedsAllChunks and TestQueueReviewSparesSecondAttempts; both fail with their guard removed and pass with it.

--- a/pkg/entry/late_test.go
+++ b/pkg/entry/late_test.go
@@ -106,3 +106,24 @@
 	c.Assert(l.out, qt.HasLen, 1)
 	c.Check(l.out[0].(Send).ResumeFrom, qt.Equals, 10)
 }
+
+// Guards against a call that is refused for a long queue at one upstream while a second attempt of it is under way at another.
+func TestQueueReviewSparesSecondAttempts(t *testing.T) {
+	c := qt.New(t)
+	slow := Findings{Notices: []route.Notice{{Upstream: "u0", Slow: true, Token: 5}}}
+	for _, attempts := range []int{2, 1} {
+		var before []Event
+		if attempts == 2 {
+			before = []Event{slow}
+		}
+		l := newLateCall(true, before...)
+		c.Assert(l.out, qt.HasLen, attempts)
+		first := l.out[0].(Send)
+		l.step(10*time.Millisecond, Report{Upstream: first.Upstream, Model: "m0", Running: 4, Waiting: 4000, Slots: 4, At: l.now})
+		refused := slices.ContainsFunc(l.out, func(a Action) bool {
+			_, ok := a.(Refuse)
+			return ok
+		})
+		c.Check(refused, qt.Equals, attempts == 1, qt.Commentf("%d attempts: %+v", attempts, l.out))
+	}
+}
--- a/pkg/idemp/host_test.go
+++ b/pkg/idemp/host_test.go
@@ -272,3 +272,30 @@
 		})
 	}
 }
+
+// Guards against a new key that runs although the backup has only a part of the table: after the loss of the holder the backup
+// would not know the keys of the other chunks and would run them again.
+func TestBackupNeedsAllChunks(t *testing.T) {
+	c := qt.New(t)
+	h := alone(c, Config{MaxKeys: 5000}, Assignment{})
+	for i := range chunkEntries + 10 {
+		r, ok := first[Run](h.Handle(start, Begin{ID: fmt.Sprint(i), Key: fmt.Sprint("k", i)}))
+		c.Assert(ok, qt.IsTrue)
+		h.Handle(start, Outcome{Attempt: r.Attempt, Result: codes.Ran, Stored: Stored{Status: 201}})
+	}
+	var chunks []Transfer
+	for _, a := range h.Handle(start, Assignment{Epoch: 8, Base: 7, Holder: "a", Backup: "b"}) {
+		if s, ok := a.(Send); ok {
+			if x, ok := s.Message.(Transfer); ok {
+				chunks = append(chunks, x)
+			}
+		}
+	}
+	c.Assert(len(chunks) > 1, qt.IsTrue)
+	for i, x := range chunks {
+		_, ran := first[Run](h.Handle(start, Begin{ID: fmt.Sprint("new", i), Key: fmt.Sprint("new", i)}))
+		c.Assert(ran, qt.IsFalse, qt.Commentf("%d of %d chunks are acknowledged", i, len(chunks)))
+		h.Handle(start, TransferAck{From: "b", Range: x.Range, Epoch: 8, Chunk: x.Chunk})
+	}
+	c.Assert(h.Ready(), qt.Equals, 1)
+}
