--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -117,12 +117,13 @@
 		case reply.Upstream != "":
 			return reply.Upstream, nil
 		case reply.Known && reply.ReadyIn > args.Left:
+			left := args.Left
 			args.Hold = reply.ReadyIn + time.Second
 			args.Left = args.Hold
 			if _, err := n.want(ctx, args); err != nil {
 				n.log("choose").Debug("promise not kept by the controller", "request", c.ID, "err", err)
 			}
-			return "", codes.Newf(codes.NoTimeToLoad, "ready in %v, %v left", reply.ReadyIn, args.Left).
+			return "", codes.Newf(codes.NoTimeToLoad, "ready in %v, %v left", reply.ReadyIn.Round(time.Millisecond), left.Round(time.Millisecond)).
 				WithRetryAfter(reply.ReadyIn + promiseMargin)
 		case time.Now().After(latest):
 			return "", codes.New(codes.DeadlineMissed, "while waiting for a load").WithRetryAfter(noUpstreamRetry)
@@ -178,11 +179,15 @@
 	if e.Code != codes.OK {
 		event, level = eventFailed, slog.LevelWarn
 	}
+	limit := time.Duration(0)
+	if !e.Call.Deadline.IsZero() {
+		limit = e.Call.Deadline.Sub(e.Call.Arrived)
+	}
 	n.log("request").Log(n.life, level, "ended", "event", event, "id", e.Call.ID, "route", e.Call.Route.Name, "service", e.Call.Service,
 		"model", e.Call.Key.Model, "adapter", e.Call.Key.Adapter, "code", int(e.Code), "reason", e.Code.Title(), "outcome", e.Outcome.String(),
 		"status", e.Status, "attempts", e.Attempts, "resumed", e.Resumed, "upstream", e.Upstream, "events", e.Events,
 		"waitedMS", e.Waited.Milliseconds(), "firstMS", e.First.Milliseconds(), "pauseMS", e.Pause.Milliseconds(),
-		"tookMS", time.Since(e.Call.Arrived).Milliseconds(), "limitMS", e.Call.Deadline.Sub(e.Call.Arrived).Milliseconds(),
+		"tookMS", time.Since(e.Call.Arrived).Milliseconds(), "limitMS", limit.Milliseconds(),
 		"retryAfterMS", e.Retry.Milliseconds(), "version", e.Call.Version, "detail", e.Detail)
 }
 
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -181,8 +181,8 @@
 		began := time.Now()
 		answer := n.platform.Order(ctx, address, o, n.self.Name, fence)
 		n.control.Post(func() {
-			n.log("place").Info("order", "event", eventOrder, "upstream", o.Upstream, "op", o.Op, "model", o.Key.Model,
-				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer, "took", time.Since(began))
+			n.log("place").Info("order", "event", eventOrder, "upstream", o.Upstream, "op", o.Op.String(), "model", o.Key.Model,
+				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer.String(), "tookMS", time.Since(began).Milliseconds())
 			n.placing.Answered(time.Now(), o, answer)
 			if answer == place.Fenced {
 				n.lease.Doubt()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,7 @@
 	arrived := time.Now()
 	x := &exchange{relay: r, writer: w, query: q, end: Ended{Code: codes.OK, Outcome: codes.Ran}}
 	x.call = &Call{Arrived: arrived}
+	x.call.ID = q.Header.Get(r.dialect.Echo)
 	err := x.prepare()
 	if err == nil {
 		err = x.run()
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -155,3 +155,11 @@
 		FailureTime:    5 * time.Second,
 	}
 }
+
+// String returns the operation as it appears in logs.
+func (o Op) String() string { return [...]string{"load", "unload"}[o] }
+
+// String returns the answer as it appears in logs.
+func (a Answer) String() string {
+	return [...]string{"accepted", "holds", "conflict", "fenced", "rejected", "replaced", "noAnswer"}[a]
+}
