fix(place): loads from the weight store keep to the stated rate over changes of the controller

Change: a controller orders at half of the stated rate in each window; the lease's take-over time follows limits.leaseMS.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = time.Minute // idleTimeout is longer than callers keep an idle connection.
 	tickTime      = 100 * time.Millisecond
+	// leaseMargin is added to the time within which holders of the lease must not alternate.
+	leaseMargin = 200 * time.Millisecond
 )
 
 type (
@@ -89,11 +91,15 @@
 			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
 		},
 		table: pick.New(s.Host.DataCentre), list: fleet.NewList(), members: make(map[string]*member),
-		placing: place.New(place.DefaultSettings()), changed: make(chan struct{}), windows: make(map[string]*retry.Window),
+		changed: make(chan struct{}), windows: make(map[string]*retry.Window),
 		dependent: make(map[string]bool), reload: make(chan os.Signal, 1),
 	}
 	times := lease.DefaultSettings()
 	times.Fenced = s.Limits.RequireFence
+	times.TakeTime = max(times.TakeTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
+	loads := place.DefaultSettings()
+	loads.LoadWindow = seconds(s.Limits.LoadWindowS)
+	n.placing = place.New(loads)
 	n.lease = lease.New(times, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -45,15 +45,14 @@
 
 	// LimitSettings are the bounds that the operator sets for the system.
 	LimitSettings struct {
-		GraceS             float64 `toml:"graceS"`             // GraceS is the time from SIGTERM to SIGKILL, in seconds.
-		LeaseMS            int     `toml:"leaseMS"`            // LeaseMS is the time within which holders of a lease must not alternate, in milliseconds.
-		RepeatRatio        float64 `toml:"repeatRatio"`        // RepeatRatio is the share of requests that may be sent once more.
-		RepeatWindowS      float64 `toml:"repeatWindowS"`      // RepeatWindowS is the window of RepeatRatio, in seconds.
-		RepeatExtra        float64 `toml:"repeatExtra"`        // RepeatExtra is the number of repeats in a window beyond RepeatRatio, over all hosts.
-		AddressLifetimeS   float64 `toml:"addressLifetimeS"`   // AddressLifetimeS is how long callers keep the addresses they were given, in seconds.
-		RequireFence       bool    `toml:"requireFence"`       // RequireFence tells that engines refuse an order with an old fence.
-		LoadWindowS        float64 `toml:"loadWindowS"`        // LoadWindowS is the window of the limit on loads from the weight store, in seconds.
-		UpstreamHeartbeatS float64 `toml:"upstreamHeartbeatS"` // UpstreamHeartbeatS is the time between two messages of an upstream, in seconds.
+		GraceS           float64 `toml:"graceS"`           // GraceS is the time from SIGTERM to SIGKILL, in seconds.
+		LeaseMS          int     `toml:"leaseMS"`          // LeaseMS is the time within which holders of a lease must not alternate, in milliseconds.
+		RepeatRatio      float64 `toml:"repeatRatio"`      // RepeatRatio is the share of requests that may be sent once more.
+		RepeatWindowS    float64 `toml:"repeatWindowS"`    // RepeatWindowS is the window of RepeatRatio, in seconds.
+		RepeatExtra      float64 `toml:"repeatExtra"`      // RepeatExtra is the number of repeats in a window beyond RepeatRatio, over all hosts.
+		AddressLifetimeS float64 `toml:"addressLifetimeS"` // AddressLifetimeS is how long callers keep the addresses they were given, in seconds.
+		RequireFence     bool    `toml:"requireFence"`     // RequireFence tells that engines refuse an order with an old fence.
+		LoadWindowS      float64 `toml:"loadWindowS"`      // LoadWindowS is the window of the limit on loads from the weight store, in seconds.
 	}
 )
 
@@ -73,7 +72,7 @@
 func ParseSettings(data []byte) (Settings, error) {
 	s := Settings{Limits: LimitSettings{
 		GraceS: 8, LeaseMS: 3000, RepeatRatio: 0.1, RepeatWindowS: 10, RepeatExtra: 10, AddressLifetimeS: 2, RequireFence: true,
-		LoadWindowS: 5, UpstreamHeartbeatS: 1,
+		LoadWindowS: 5,
 	}}
 	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -139,7 +138,6 @@
 		{"limits.repeatExtra", s.Limits.RepeatExtra, 0},
 		{"limits.addressLifetimeS", s.Limits.AddressLifetimeS, 0.1},
 		{"limits.loadWindowS", s.Limits.LoadWindowS, 0.1},
-		{"limits.upstreamHeartbeatS", s.Limits.UpstreamHeartbeatS, 0.01},
 	} {
 		if !(n.value >= n.min) {
 			return fault(n.key, "is too small")
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -40,15 +40,18 @@
 	began := time.Now()
 	n.stop.begun.Store(began.UnixNano())
 	n.log("node").Info("stopping", "event", eventStopping, "requests", n.stop.active.Load())
-	n.control.Ask(n.updateReady)
-	n.control.Ask(n.release)
 	var beat Beat
 	var to []Member
-	n.control.Ask(func() { beat, to = n.beat(0) })
+	end := began
+	n.control.Ask(func() {
+		n.updateReady()
+		n.release()
+		beat, to = n.beat(0)
+		end = began.Add(seconds(n.settings.Limits.GraceS) - stopMargin)
+	})
 	for _, m := range to {
 		n.background(func(ctx context.Context) { n.call(ctx, m, &beat) })
 	}
-	end := began.Add(seconds(n.settings.Limits.GraceS) - stopMargin)
 	for time.Now().Before(end) {
 		if time.Since(began) > stopAccept && n.stop.active.Load() == 0 {
 			break
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -18,6 +18,7 @@
 		rates     map[string]*rate
 		stats     Stats
 		news      []Ready
+		started   []time.Time // started holds the times of the last orders for loads from the weight store.
 	}
 
 	// Ready is a model that has become ready on an upstream.
@@ -418,6 +419,14 @@
 	return n
 }
 
+// mayLoad reports whether one more load from the weight store may be ordered. Half of the rate is used, because an earlier
+// controller may have ordered as much within the window.
+func (c *Controller) mayLoad(now time.Time, e *fleet.Engine, atOnce int) bool {
+	c.started = slices.DeleteFunc(c.started, func(t time.Time) bool { return now.Sub(t) > c.settings.LoadWindow })
+	limit := max(e.LoadsPerSecond*c.settings.LoadWindow.Seconds()/2, 1)
+	return c.storeLoads() < atOnce && float64(len(c.started)+1) <= limit
+}
+
 // stretched returns the time of a load from the weight store when one more starts now.
 func (c *Controller) stretched(d time.Duration) time.Duration {
 	n := c.storeLoads() + 1
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -128,3 +128,35 @@
 	}
 	qt.Assert(t, unloads, qt.Equals, 1)
 }
+
+// TestLoadRate guards against more loads from the weight store within a window than its rate allows, also if a controller that
+// was replaced ordered as many just before.
+func TestLoadRate(t *testing.T) {
+	e := engine(40)
+	e.LoadsPerSecond = 0.8
+	list := make(map[string]fleet.Upstream)
+	for i := range 20 {
+		id := fmt.Sprintf("u%02d", i)
+		list[id] = upstream(id)
+	}
+	c := controller(e, start, list)
+	c.Plan(start)
+	for id := range list {
+		c.Report(start, start, id, place.Report{Born: 1})
+	}
+	var loads []time.Duration
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		for i := range 10 {
+			want(c, now, fmt.Sprintf("m%d", (int(at/time.Second)*3+i)%40), "")
+		}
+		for _, o := range orders(c.Plan(now)) {
+			loads = append(loads, at)
+			c.Answered(now, o, place.Accepted)
+		}
+	}
+	qt.Assert(t, len(loads) > 4, qt.IsTrue)
+	for i := 2; i < len(loads); i++ {
+		qt.Assert(t, loads[i]-loads[i-2] > 5*time.Second, qt.IsTrue, qt.Commentf("loads at %v", loads))
+	}
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -82,6 +82,9 @@
 			u.intent = ""
 			continue
 		}
+		if t.store && len(t.victims) == 0 && !c.mayLoad(now, e, c.settings.StoreSlots+c.settings.StoreExtra) {
+			continue
+		}
 		actions = c.carry(now, t, u.intent, actions)
 	}
 	return actions
@@ -232,7 +235,7 @@
 		if wanted {
 			limit = c.settings.StoreSlots + c.settings.StoreExtra
 		}
-		if c.storeLoads() >= limit {
+		if !c.mayLoad(now, e, limit) {
 			return actions
 		}
 	}
@@ -245,6 +248,9 @@
 	if len(t.victims) > 0 {
 		return c.give(now, u, Unload, Key{Model: t.victims[0]}, actions)
 	}
+	if t.store {
+		c.started = append(c.started, now)
+	}
 	return c.give(now, u, Load, Key{Model: model}, actions)
 }
 
@@ -399,7 +405,7 @@
 			for ; have < c.needed(now, e, model); have++ {
 				t, ok := c.target(now, service, e, model, false)
 				gain := c.rate(model).value
-				if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && c.storeLoads() >= c.settings.StoreSlots {
+				if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && !c.mayLoad(now, e, c.settings.StoreSlots) {
 					break
 				}
 				actions = c.carry(now, t, model, actions)
@@ -414,7 +420,7 @@
 	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[service]
 		for _, model := range slices.Sorted(maps.Keys(e.Models)) {
-			if c.storeLoads() >= c.settings.Background {
+			if !c.mayLoad(now, e, c.settings.Background) {
 				return actions
 			}
 			m := e.Models[model]
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -97,6 +97,8 @@
 		StoreSlots int
 		// StoreExtra is how many loads beyond StoreSlots waiting requests may start.
 		StoreExtra int
+		// LoadWindow is the window of the limit on loads from the weight store, of which each engine service states the rate.
+		LoadWindow time.Duration
 		// Background is the number of loads that may run without a waiting request.
 		Background int
 		// AdapterTime is the expected time of an adapter load.
@@ -141,6 +143,7 @@
 	return Settings{
 		StoreSlots:     4, // the weight store's sheet: 4 at once at full speed
 		StoreExtra:     2,
+		LoadWindow:     5 * time.Second,
 		Background:     3, // leaves one slot at full speed to a waiting request
 		AdapterTime:    25 * time.Millisecond,
 		ReportLag:      500 * time.Millisecond,
