--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -54,7 +54,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(log))
 	f.Add([]byte(`{"time":5,"event":"x"}`))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		lines, _, err := trail.Read(bytes.NewReader(data))
 		if err != nil {
 			return
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -33,8 +33,8 @@
 	maxSlow        = 4
 	errorDecay     = 0.8 // errorDecay is the weight of the past in the share of failed requests.
 	timeDecay      = 0.8 // timeDecay is the weight of the past in the mean time to the first event.
-	shunMin        = 400 * time.Millisecond
-	shunMax        = 5 * time.Second
+	firstShun      = 400 * time.Millisecond
+	longestShun    = 5 * time.Second
 	overdue        = 1200 * time.Millisecond // overdue is the time without a first event after which an upstream counts as silent.
 	learnedLife    = 4 * time.Second         // learnedLife is how long knowledge of a load goes before the published list.
 	easyRunning    = 16                      // easyRunning is the number of requests beyond which an engine delays tokens clearly, whatever its slots are.
@@ -378,7 +378,7 @@
 			break
 		}
 		s.errors = errorDecay*s.errors + (1 - errorDecay)
-		s.shunned = now.Add(min(shunMin<<min(s.strikes, 8), shunMax))
+		s.shunned = now.Add(min(firstShun<<min(s.strikes, 8), longestShun))
 		s.strikes++
 	case Left:
 	}
