feat(node): hubs read the store for their data centre

Change: three hosts of each data centre are hubs, those with most processor time first; the others send their heartbeat to one hub and get configuration, list, signs of life and requests in flight in its answer; a host whose hub is silent or has old news reads the store itself.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -18,6 +18,7 @@
 	eventUpstream     = 302
 	eventUpstreamGone = 303
 	eventMember       = 304
+	eventSource       = 305 // eventSource tells whether the host reads the store itself or depends on a hub.
 	eventLease        = 400
 	eventLeaseLost    = 401
 	eventOrder        = 402
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/pkg/hubs"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
 )
@@ -13,11 +14,19 @@
 const (
 	beatInterval = 600 * time.Millisecond
 	beatTimeout  = 500 * time.Millisecond
+	// firstReads is the number of readings of the members after a start, when other hosts start too, and firstInterval the
+	// time between them.
+	firstReads    = 2
+	firstInterval = time.Second
 	// heardLife is how long a member counts as alive after its last sign of life.
-	heardLife = 1800 * time.Millisecond
+	heardLife = 2400 * time.Millisecond // three heartbeats, one of them passed on by a hub
+	// usesLife is how long what a host told of its requests counts.
+	usesLife = 3 * time.Second
 	// quietBeats is the number of beats after which a silent member is asked less often, and quietEvery how often then.
 	quietBeats = 6
-	quietEvery = 5
+	// unusableBeats is the number of missed heartbeats from which on a host is no hub.
+	unusableBeats = 2
+	quietEvery    = 5
 	// nearEnough is the number of hosts in the caller's data centre from which on no others are named to it.
 	nearEnough = 2
 	maxNamed   = 64
@@ -31,6 +40,9 @@
 		ready    bool
 		stopping bool
 		missed   int
+		usesAt   time.Time   // usesAt is when the host last told of its requests.
+		childAt  time.Time   // childAt is when the host last asked this one for a feed.
+		uses     []place.Use // uses are those of a host that depends on this one.
 	}
 
 	// service holds the methods that other hosts call.
@@ -43,6 +55,9 @@
 		Stopping bool
 		Uses     []place.Use
 		Lease    LeaseNews
+		Children []Sign     // Children are the hosts that depend on a hub.
+		Query    *FeedQuery // Query asks a hub for what is new; it is nil in heartbeats between hubs.
+		Feed     *Feed      // Feed answers a Query.
 	}
 
 	// LeaseNews is the newest lease record that a host knows.
@@ -50,6 +65,7 @@
 		Known  bool
 		Newest lease.Newest
 		Age    time.Duration // Age is the time for which the record has been known to exist.
+		Holder Member        // Holder is the host that holds the lease, if it is known.
 	}
 )
 
@@ -65,7 +81,11 @@
 		n.control.Post(func() { n.depends("members", err) })
 		sleep(ctx, retryTime)
 	}
-	for ctx.Err() == nil {
+	for reads := 0; ctx.Err() == nil; reads++ {
+		if reads >= firstReads && !n.direct.Load() {
+			sleep(ctx, membersInterval)
+			continue
+		}
 		limited, cancel := context.WithTimeout(ctx, storeTimeout)
 		list, err := n.platform.Members(limited)
 		cancel()
@@ -75,11 +95,14 @@
 				n.meet(m)
 			}
 		})
-		if err != nil {
+		switch {
+		case err != nil:
 			sleep(ctx, 2*retryTime)
-			continue
+		case reads < firstReads:
+			sleep(ctx, firstInterval)
+		default:
+			sleep(ctx, membersInterval)
 		}
-		sleep(ctx, membersInterval)
 	}
 }
 
@@ -97,25 +120,12 @@
 	if x.Incarnation != m.Incarnation {
 		x.Member, x.missed = m, 0
 	}
-	n.rank()
 	return x
 }
 
-// rank orders the hosts that may take the lease over by their names.
-func (n *Node) rank() {
-	rank := 0
-	now := time.Now()
-	for name, m := range n.members {
-		if name < n.self.Name && m.alive(now) {
-			rank++
-		}
-	}
-	n.lease.SetRank(rank)
-}
-
 func (m *member) alive(now time.Time) bool { return now.Sub(m.heard) < heardLife && !m.stopping }
 
-// beats sends heartbeats to all members.
+// beats sends heartbeats: between hubs to all others, and from the other hosts to one hub.
 func (n *Node) beats(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
 		var beat Beat
@@ -128,23 +138,113 @@
 	}
 }
 
+// candidates returns all known hosts for the choice of hubs; with patient, those that missed heartbeats too.
+func (n *Node) candidates(patient bool) []hubs.Host {
+	_, stopping := n.stop.state()
+	list := []hubs.Host{{Name: n.self.Name, DataCentre: n.self.DataCentre, Capacity: n.self.Capacity, Usable: !stopping}}
+	for name, m := range n.members {
+		list = append(list, hubs.Host{
+			Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity, Usable: patient || m.missed < unusableBeats && !m.stopping,
+		})
+	}
+	return list
+}
+
+// beat returns the heartbeat and those that get it.
 func (n *Node) beat(round int) (Beat, []Member) {
-	uses := n.table.Uses()
-	n.placing.Use(time.Now(), n.self.Name, uses)
+	now := time.Now()
+	uses := n.merged(now)
+	n.placing.Use(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
-	var to []Member
-	for _, m := range n.members {
-		if m.missed < quietBeats || round%quietEvery == 0 {
+	b := Beat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseNews()}
+	near := hubs.Choose(n.candidates(false), n.self.DataCentre)
+	parent := hubs.Parent(near, n.self.Name)
+	_, holds := n.lease.Held(n.now())
+	hub := parent == "" || holds
+	n.setDirect(hub || now.Sub(n.listAt) > feedLife+beatInterval)
+	if !hub {
+		b.Query = &FeedQuery{From: n.fedBy, Generation: n.fedTo}
+		if c := n.config.Load(); c != nil {
+			b.Query.Version = c.Version()
+		}
+		return b, []Member{n.members[parent].Member}
+	}
+	b.Children = n.children(now)
+	n.hubs = n.chooseHubs(false)
+	rank, to := 0, []Member(nil)
+	for name := range n.hubs {
+		if m := n.members[name]; m != nil && name < n.self.Name && m.alive(now) {
+			rank++
+		}
+	}
+	n.lease.SetRank(rank)
+	for name := range n.chooseHubs(round%quietEvery == 0) {
+		if m, ok := n.members[name]; ok {
 			to = append(to, m.Member)
 		}
 	}
-	return Beat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseNews()}, to
+	return b, to
+}
+
+// chooseHubs returns the hubs of all data centres; with patient, hosts that missed heartbeats may be among them.
+func (n *Node) chooseHubs(patient bool) map[string]bool {
+	all := n.candidates(patient)
+	chosen, centres := make(map[string]bool), make(map[string]bool)
+	for _, h := range all {
+		if centres[h.DataCentre] {
+			continue
+		}
+		centres[h.DataCentre] = true
+		for _, name := range hubs.Choose(all, h.DataCentre) {
+			chosen[name] = true
+		}
+	}
+	return chosen
+}
+
+// expireUses drops what hosts told of their requests long ago, because they ended or report to another host now.
+func (n *Node) expireUses(now time.Time) {
+	for name, m := range n.members {
+		if !m.usesAt.IsZero() && now.Sub(m.usesAt) > usesLife {
+			m.usesAt = time.Time{}
+			n.table.Others(name, nil)
+			n.placing.Forget(name)
+		}
+	}
+}
+
+// setDirect makes this host read the store itself, or stop doing so.
+func (n *Node) setDirect(direct bool) {
+	if n.direct.Swap(direct) == direct {
+		return
+	}
+	n.log("members").Info("source of configuration and list", "event", eventSource, "store", direct)
+	if !direct {
+		n.list.Down() // Entries that lapse until the store is read again are not known to be gone.
+	}
+}
+
+// children returns the signs of life of the hosts that depend on this one.
+func (n *Node) children(now time.Time) []Sign {
+	var list []Sign
+	for name, m := range n.members {
+		if now.Sub(m.childAt) < heardLife {
+			list = append(list, Sign{name, m.Incarnation, now.Sub(m.heard), m.ready, m.stopping})
+		}
+	}
+	return list
 }
 
 func (n *Node) leaseNews() LeaseNews {
-	now := n.now()
-	newest, age, ok := n.lease.Newest(now)
-	return LeaseNews{ok, newest, age}
+	newest, age, ok := n.lease.Newest(n.now())
+	news := LeaseNews{Known: ok, Newest: newest, Age: age}
+	switch holder := n.lease.Holder(); {
+	case holder == n.self.Name:
+		news.Holder = n.self
+	case n.members[holder] != nil:
+		news.Holder = n.members[holder].Member
+	}
+	return news
 }
 
 // call sends a heartbeat to a member.
@@ -154,8 +254,14 @@
 	n.control.Post(func() {
 		if err == nil {
 			n.heard(reply)
+			if reply.Feed != nil && !n.fed(reply.From, reply.Feed) {
+				n.setDirect(true)
+			}
 			return
 		}
+		if b.Query != nil {
+			n.setDirect(true)
+		}
 		x, ok := n.members[m.Name]
 		if !ok || x.Incarnation != m.Incarnation {
 			return
@@ -177,6 +283,14 @@
 		s.n.heard(b)
 		_, stopping := s.n.stop.state()
 		*reply = Beat{From: s.n.self, Ready: s.n.ready.Load(), Stopping: stopping, Lease: s.n.leaseNews()}
+		if m, ok := s.n.members[b.From.Name]; ok && b.Query != nil {
+			if now := time.Now(); now.Sub(m.childAt) > heardLife {
+				s.n.placing.Forget(b.From.Name) // From now on its requests are among those of this host.
+			}
+			m.childAt, m.uses = time.Now(), b.Uses
+			f := s.n.feedFor(b.From.Name, *b.Query)
+			reply.Feed = &f
+		}
 	}) {
 		return context.Canceled
 	}
@@ -195,15 +309,24 @@
 		boot := n.now()
 		n.lease.Saw(boot, b.Lease.Newest, b.Lease.Age)
 	}
-	if len(b.Uses) == 0 {
+	for _, c := range b.Children {
+		n.sign(now, c)
+	}
+	if b.Lease.Holder.Name != "" {
+		n.meet(b.Lease.Holder)
+	}
+	if b.Feed != nil || len(b.Uses) == 0 {
 		return
 	}
+	m.usesAt = now
 	running := make(map[string]int, len(b.Uses))
 	for _, u := range b.Uses {
 		running[u.Upstream] += u.Running
 	}
 	n.table.Others(m.Name, running)
-	n.placing.Use(now, m.Name, b.Uses)
+	if b.Query == nil {
+		n.placing.Use(now, m.Name, b.Uses)
+	}
 }
 
 // hosts returns the number of hosts that may be at work.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = time.Minute // idleTimeout is longer than callers keep an idle connection.
 	tickTime      = 100 * time.Millisecond
+	thousand      = 1000
 	// leaseMargin is added to the time within which holders of the lease must not alternate.
 	leaseMargin = 200 * time.Millisecond
 )
@@ -60,6 +61,7 @@
 		endLife     context.CancelFunc
 		tasks       sync.WaitGroup
 		requests    sync.WaitGroup
+		direct      atomic.Bool // direct tells that this host reads the store itself.
 		reload      chan os.Signal
 		settingFile string
 
@@ -69,7 +71,14 @@
 		list      *fleet.List
 		listed    bool
 		upstreams map[string]fleet.Upstream // upstreams is the list as it was last taken over.
+		record    []byte                    // record is that of the configuration in force.
+		configAt  time.Time                 // configAt and listAt are when the store was asked last for what is known of each.
+		listAt    time.Time
+		feed      feedLog
+		fedBy     string // fedBy is the incarnation of the hub whose list was taken over last.
+		fedTo     int64  // fedTo is the generation of that list.
 		members   map[string]*member
+		hubs      map[string]bool // hubs are the hubs of all data centres, as this host believes.
 		lease     *lease.Lease
 		clock     bootClock
 		placing   *place.Controller
@@ -89,6 +98,7 @@
 		settings: s, platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
 		self: Member{
 			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
+			Capacity: int(s.Host.Cores * s.Host.CoreSpeed * thousand),
 		},
 		table: pick.New(s.Host.DataCentre), list: fleet.NewList(), members: make(map[string]*member),
 		changed: make(chan struct{}), windows: make(map[string]*retry.Window),
@@ -100,6 +110,7 @@
 	loads := place.DefaultSettings()
 	loads.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(loads)
+	n.direct.Store(true)
 	n.lease = lease.New(times, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
@@ -244,7 +255,9 @@
 
 func (n *Node) tick() {
 	n.stepLease()
-	n.table.Expire(time.Now())
+	now := time.Now()
+	n.table.Expire(now)
+	n.expireUses(now)
 	n.updateReady()
 }
 
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -35,6 +35,7 @@
 		Upstream string
 		Key      place.Key
 		Holds    bool
+		Passed   bool // Passed tells that a hub passes the news on to the hosts that depend on it.
 	}
 
 	// WantReply answers WantArgs.
@@ -60,7 +61,8 @@
 // stepLease makes the next call for the lease, if one is due.
 func (n *Node) stepLease() {
 	now := n.now()
-	if _, stopping := n.stop.state(); !stopping {
+	_, mine := n.lease.Held(now)
+	if _, stopping := n.stop.state(); !stopping && (mine || n.direct.Load()) {
 		n.callLease(n.lease.Step(now))
 	}
 	n.tend()
@@ -129,9 +131,9 @@
 		return
 	}
 	now := time.Now()
-	current := n.list.Current(now)
+	current := n.upstreams
 	for _, r := range n.placing.Loaded() {
-		n.tell(Placed{r.Upstream, r.Key, true})
+		n.tell(Placed{Upstream: r.Upstream, Key: r.Key, Holds: true})
 	}
 	for _, a := range n.placing.Plan(now) {
 		switch {
@@ -146,15 +148,26 @@
 	n.changed = make(chan struct{})
 }
 
-// tell sends what has changed to all other hosts, so that they need not wait for the list.
+// tell sends what has changed to the other hosts, so that they need not wait for the list: to all hubs, and as a hub to the
+// hosts that depend on this one.
 func (n *Node) tell(p Placed) {
 	now := time.Now()
 	n.table.Learn(now, p.Upstream, p.Key, p.Holds)
-	for _, m := range n.members {
+	passOn := p
+	passOn.Passed = true
+	for name, m := range n.members {
 		if !m.alive(now) {
 			continue
 		}
+		child := now.Sub(m.childAt) < heardLife
+		if !child && (p.Passed || !n.hubs[name]) {
+			continue
+		}
 		address := m.Peers
+		p := passOn
+		if !child {
+			p.Passed = false
+		}
 		n.background(func(ctx context.Context) {
 			// A host that misses the news learns it from the list.
 			if err := n.peerClient.CallWithin(ctx, beatTimeout, address, peers.ServiceName+".Placed", &p, &struct{}{}); err != nil {
@@ -166,14 +179,17 @@
 
 // Placed takes over what another host tells of an upstream.
 func (s *service) Placed(p *Placed, _ *struct{}) error {
-	s.n.control.Post(func() { s.n.table.Learn(time.Now(), p.Upstream, p.Key, p.Holds) })
+	s.n.control.Post(func() {
+		p.Passed = true // Only the controller tells other hubs.
+		s.n.tell(*p)
+	})
 	return nil
 }
 
 func (n *Node) order(o place.Order, address string) {
 	fence := n.tenure
 	if o.Op == place.Unload && o.Key.Adapter == "" {
-		n.tell(Placed{o.Upstream, o.Key, false})
+		n.tell(Placed{Upstream: o.Upstream, Key: o.Key})
 	}
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -14,9 +14,11 @@
 type (
 	// Platform is what a node needs of the platform it runs on. All functions may be called from any goroutine.
 	Platform struct {
-		// Config returns the configuration that is newer than the cursor, waiting for one up to the given time; a nil
-		// configuration means that there is none. A zero cursor returns the present one.
-		Config func(ctx context.Context, cursor int64, wait time.Duration) (*fleet.Config, int64, error)
+		// Config returns the record of the configuration that is newer than the cursor, waiting for one up to the given time;
+		// an empty record means that there is none. A zero cursor returns the present one.
+		Config func(ctx context.Context, cursor int64, wait time.Duration) ([]byte, int64, error)
+		// DecodeConfig decodes a record of the configuration.
+		DecodeConfig func(record []byte) (*fleet.Config, error)
 		// Upstreams returns the changes of the list after the cursor; a zero cursor returns the whole list.
 		Upstreams func(ctx context.Context, cursor int64) (Changes, error)
 		// Lease returns the newest lease record.
@@ -50,7 +52,8 @@
 		Name        string `json:"name"`
 		Incarnation string `json:"incarnation"`
 		DataCentre  string `json:"dataCentre"`
-		Traffic     string `json:"traffic"` // Traffic is the address for callers.
-		Peers       string `json:"peers"`   // Peers is the address for other hosts.
+		Traffic     string `json:"traffic"`  // Traffic is the address for callers.
+		Peers       string `json:"peers"`    // Peers is the address for other hosts.
+		Capacity    int    `json:"capacity"` // Capacity is the processor share in thousandths of a core.
 	}
 )
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -23,10 +23,11 @@
 
 	// HostSettings name the host.
 	HostSettings struct {
-		Name        string   `toml:"name"`
-		DataCentre  string   `toml:"dataCentre"`
-		DataCentres []string `toml:"dataCentres"`
-		MemoryMB    float64  `toml:"memoryMB"` // MemoryMB is the memory that the process may use, in megabytes.
+		Name       string  `toml:"name"`
+		DataCentre string  `toml:"dataCentre"`
+		Cores      float64 `toml:"cores"`     // Cores is the processor share in cores.
+		CoreSpeed  float64 `toml:"coreSpeed"` // CoreSpeed is the number of cores that the share counts as.
+		MemoryMB   float64 `toml:"memoryMB"`  // MemoryMB is the memory that the process may use, in megabytes.
 	}
 
 	// ListenSettings are the addresses, as IP:PORT, on which the process listens.
@@ -70,7 +71,7 @@
 
 // ParseSettings checks settings in TOML; a fault is a BadSettings error that names the key.
 func ParseSettings(data []byte) (Settings, error) {
-	s := Settings{Limits: LimitSettings{
+	s := Settings{Host: HostSettings{Cores: 1, CoreSpeed: 1}, Limits: LimitSettings{
 		GraceS: 8, LeaseMS: 3000, RepeatRatio: 0.1, RepeatWindowS: 10, RepeatExtra: 10, AddressLifetimeS: 2, RequireFence: true,
 		LoadWindowS: 5,
 	}}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -20,6 +20,8 @@
 	listInterval = 700 * time.Millisecond
 	listTimeout  = 600 * time.Millisecond
 	retryTime    = 150 * time.Millisecond
+	// idleInterval is the time between two looks whether this host has to read the store itself.
+	idleInterval = 50 * time.Millisecond
 	// membersInterval is the time between two readings of the members; heartbeats tell of new ones earlier.
 	membersInterval = 10 * time.Second
 	storeTimeout    = 600 * time.Millisecond
@@ -29,28 +31,52 @@
 func (n *Node) watchConfig(ctx context.Context) {
 	cursor := int64(0)
 	for failed := 0; ctx.Err() == nil; {
+		if !n.direct.Load() {
+			cursor = 0
+			sleep(ctx, idleInterval)
+			continue
+		}
 		timeout := configTimeout
 		if cursor == 0 && failed%patientEvery != patientEvery-1 {
 			timeout = firstTimeout
 		}
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		c, next, err := n.platform.Config(limited, cursor, configWait)
+		began := time.Now()
+		record, next, err := n.platform.Config(limited, cursor, configWait)
 		cancel()
-		n.control.Post(func() { n.depends("configuration", err) })
+		n.control.Post(func() {
+			n.depends("configuration", err)
+			if err == nil {
+				n.configAt = began
+			}
+		})
 		if err != nil {
 			failed++
 			sleep(ctx, retryTime)
 			continue
 		}
 		cursor, failed = next, 0
-		if c != nil {
-			n.control.Post(func() { n.configured(c) })
+		if len(record) > 0 {
+			n.control.Post(func() { n.takeConfig(record) })
 			continue
 		}
 		sleep(ctx, retryTime)
 	}
 }
 
+// takeConfig puts the record of a configuration in force; one that cannot be read changes nothing.
+func (n *Node) takeConfig(record []byte) {
+	c, err := n.platform.DecodeConfig(record)
+	if err != nil {
+		n.log("node").Warn("configuration cannot be read and is not used", "event", eventSkipped, "entry", "configuration", "err", err)
+		return
+	}
+	if old := n.config.Load(); old == nil || c.Version() > old.Version() {
+		n.record = record
+	}
+	n.configured(c)
+}
+
 // configured puts a configuration in force; versions never go back.
 func (n *Node) configured(c *fleet.Config) {
 	old := n.config.Load()
@@ -65,7 +91,7 @@
 		}
 	}
 	n.placing.Configure(engines)
-	n.placing.Upstreams(time.Now(), n.list.Current(time.Now()))
+	n.placing.Upstreams(time.Now(), n.upstreams)
 	n.updateReady()
 	n.log("node").Info("configuration in force", "event", eventConfig, "version", c.Version(), "routes", c.Routes())
 }
@@ -74,6 +100,11 @@
 func (n *Node) watchList(ctx context.Context) {
 	cursor := int64(0)
 	for ctx.Err() == nil {
+		if !n.direct.Load() {
+			cursor = 0
+			sleep(ctx, idleInterval)
+			continue
+		}
 		began := time.Now()
 		limited, cancel := context.WithTimeout(ctx, listTimeout)
 		changes, err := n.platform.Upstreams(limited, cursor)
@@ -84,6 +115,7 @@
 				n.list.Down()
 				return
 			}
+			n.listAt = began
 			n.listChanged(changes)
 		})
 		if err != nil {
@@ -111,8 +143,13 @@
 	for _, id := range c.Removed {
 		n.list.Remove(now, id)
 	}
-	current := n.list.Current(now)
+	n.takeList(now, n.list.Current(now))
+}
+
+// takeList takes over the list of all upstreams that count.
+func (n *Node) takeList(now time.Time, current map[string]fleet.Upstream) {
 	n.logList(n.upstreams, current)
+	n.feed.note(n.upstreams, current)
 	n.upstreams, n.listed = current, true
 	n.table.Replace(current)
 	n.placing.Upstreams(now, current)
--- /dev/null
+++ b/pkg/fleet/same.go
@@ -0,0 +1,14 @@
+package fleet
+
+import "slices"
+
+// Same reports whether two messages about an upstream differ in their count at the most.
+func (u Upstream) Same(o Upstream) bool {
+	return u.ID == o.ID && u.Born == o.Born && u.Service == o.Service && u.Address == o.Address && u.DataCentre == o.DataCentre &&
+		u.Slots == o.Slots && u.Leaving == o.Leaving && u.TimeLeft == o.TimeLeft && u.ColdLeft == o.ColdLeft &&
+		slices.EqualFunc(u.Held, o.Held, Held.same) && slices.Equal(u.InMemory, o.InMemory) && slices.Equal(u.OnDisk, o.OnDisk)
+}
+
+func (h Held) same(o Held) bool {
+	return h.Model == o.Model && h.Version == o.Version && slices.Equal(h.Adapters, o.Adapters)
+}
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -154,6 +154,25 @@
 	t.others[host] = running
 }
 
+// Running returns the number of requests in flight at each upstream, without those of one host.
+func (t *Table) Running(without string) map[string]int {
+	sums := make(map[string]int)
+	for id, s := range t.upstreams {
+		if n := len(s.flights); n > 0 {
+			sums[id] += n
+		}
+	}
+	for host, m := range t.others {
+		if host == without {
+			continue
+		}
+		for id, n := range m {
+			sums[id] += n
+		}
+	}
+	return sums
+}
+
 // Learn takes over that an upstream holds a model or adapter, or does not, before the published list says so.
 func (t *Table) Learn(now time.Time, upstream string, k place.Key, holds bool) {
 	if s, ok := t.upstreams[upstream]; ok {
