--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -11,8 +11,8 @@
 const (
 	// feedLife is the age of what a hub passes on above which a host reads the store itself.
 	feedLife = 1300 * time.Millisecond
-	// feedConfigLife is that of the configuration, for which a hub waits longer at the store.
-	feedConfigLife = 2 * time.Second
+	// feedConfigLife is that of the configuration, for which a hub waits at the store.
+	feedConfigLife = configWait + 400*time.Millisecond
 	// keptRemovals is how long a hub remembers that an upstream has gone; a host that asks later gets the whole list.
 	keptRemovals = 30 * time.Second
 )
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -10,7 +10,7 @@
 const (
 	// configWait is how long a question for a newer configuration waits; a change must be in force within two seconds, also
 	// if the connection on which the question waits has gone silent.
-	configWait    = 1200 * time.Millisecond
+	configWait    = 900 * time.Millisecond
 	configTimeout = configWait + 400*time.Millisecond
 	// firstTimeout limits the first questions: a host without a configuration serves nobody, and a silent store may be back.
 	firstTimeout = 400 * time.Millisecond
@@ -41,13 +41,12 @@
 			timeout = firstTimeout
 		}
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		began := time.Now()
 		record, next, err := n.platform.Config(limited, cursor, configWait)
 		cancel()
 		n.control.Post(func() {
 			n.depends("configuration", err)
 			if err == nil {
-				n.configAt = began
+				n.configAt = time.Now() // Up to its answer the store had no newer version.
 			}
 		})
 		if err != nil {
