fix(node): a host leaves a hub that has nothing fresh

Change: such a hub is passed over for 5 s and the store is read for 1.5 s; an attempt begins only while its caller is there.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -24,6 +24,10 @@
 	usesLife = 3 * time.Second
 	// quietBeats is the number of beats after which a silent member is asked less often, and quietEvery how often then.
 	quietBeats = 6
+	// directTime is how long a host reads the store itself after its hub had nothing fresh, and staleTime how long it does not
+	// turn to that hub.
+	directTime = 1500 * time.Millisecond
+	staleTime  = 5 * time.Second
 	// unusableBeats is the number of missed heartbeats from which on a host is no hub.
 	unusableBeats = 2
 	quietEvery    = 5
@@ -41,6 +45,7 @@
 		stopping bool
 		missed   int
 		usesAt   time.Time   // usesAt is when the host last told of its requests.
+		staleAt  time.Time   // staleAt is when the host, as a hub, had nothing fresh to pass on.
 		childAt  time.Time   // childAt is when the host last asked this one for a feed.
 		uses     []place.Use // uses are those of a host that depends on this one.
 	}
@@ -140,11 +145,13 @@
 
 // candidates returns all known hosts for the choice of hubs; with patient, those that missed heartbeats too.
 func (n *Node) candidates(patient bool) []hubs.Host {
+	now := time.Now()
 	_, stopping := n.stop.state()
 	list := []hubs.Host{{Name: n.self.Name, DataCentre: n.self.DataCentre, Capacity: n.self.Capacity, Usable: !stopping}}
 	for name, m := range n.members {
 		list = append(list, hubs.Host{
-			Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity, Usable: patient || m.missed < unusableBeats && !m.stopping,
+			Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
+			Usable: patient || m.missed < unusableBeats && !m.stopping && now.Sub(m.staleAt) > staleTime,
 		})
 	}
 	return list
@@ -161,7 +168,7 @@
 	parent := hubs.Parent(near, n.self.Name)
 	_, holds := n.lease.Held(n.now())
 	hub := parent == "" || holds
-	n.setDirect(hub || now.Sub(n.listAt) > feedLife+beatInterval)
+	n.setDirect(hub || now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > feedLife+beatInterval)
 	if !hub {
 		b.Query = &FeedQuery{From: n.fedBy, Generation: n.fedTo}
 		if c := n.config.Load(); c != nil {
@@ -213,6 +220,16 @@
 	}
 }
 
+// stale takes over that a hub is silent or has nothing fresh: this host reads the store for a while, and turns to another hub.
+func (n *Node) stale(hub string) {
+	now := time.Now()
+	n.staleAt = now
+	if m, ok := n.members[hub]; ok {
+		m.staleAt = now
+	}
+	n.setDirect(true)
+}
+
 // setDirect makes this host read the store itself, or stop doing so.
 func (n *Node) setDirect(direct bool) {
 	if n.direct.Swap(direct) == direct {
@@ -255,12 +272,12 @@
 		if err == nil {
 			n.heard(reply)
 			if reply.Feed != nil && !n.fed(reply.From, reply.Feed) {
-				n.setDirect(true)
+				n.stale(reply.From.Name)
 			}
 			return
 		}
 		if b.Query != nil {
-			n.setDirect(true)
+			n.stale(m.Name)
 		}
 		x, ok := n.members[m.Name]
 		if !ok || x.Incarnation != m.Incarnation {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,8 +75,9 @@
 		configAt  time.Time                 // configAt and listAt are when the store was asked last for what is known of each.
 		listAt    time.Time
 		feed      feedLog
-		fedBy     string // fedBy is the incarnation of the hub whose list was taken over last.
-		fedTo     int64  // fedTo is the generation of that list.
+		fedBy     string    // fedBy is the incarnation of the hub whose list was taken over last.
+		fedTo     int64     // fedTo is the generation of that list.
+		staleAt   time.Time // staleAt is when a hub had nothing fresh for this host.
 		members   map[string]*member
 		hubs      map[string]bool // hubs are the hubs of all data centres, as this host believes.
 		lease     *lease.Lease
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -69,6 +69,10 @@
 // attempt sends the request to an upstream and passes the answer on. If again is true, the request may be sent to another
 // one, and the error says why.
 func (x *exchange) attempt(ctx context.Context, t Ticket) (again bool, err error) {
+	if x.query.Context().Err() != nil {
+		x.relay.control.End(t, pick.Left)
+		return false, codes.New(codes.CallerLeft, "before an attempt")
+	}
 	left := time.Until(x.call.Deadline)
 	if left < minBudget {
 		x.relay.control.End(t, pick.Left)
