--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 		lease     *lease.Lease
 		clock     bootClock
 		placing   *place.Controller
+		planning  bool  // planning tells that a plan is due in a few milliseconds.
 		tenure    int64 // tenure is the fence under which the placement was begun; zero means none.
 		changed   chan struct{}
 		windows   map[string]*retry.Window
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -14,6 +14,8 @@
 
 const (
 	// orderTimeout is long against the few milliseconds of an answer; an order without one may be repeated at once.
+	// planDelay collects the events for which the controller plans; it is short against the time of a load.
+	planDelay     = 4 * time.Millisecond
 	orderTimeout  = 300 * time.Millisecond
 	reportTimeout = 800 * time.Millisecond
 	// wantWait is how long a question for an upstream waits at the controller before it is asked again.
@@ -124,8 +126,18 @@
 	}
 }
 
+// planSoon plans once for all events of the next few milliseconds.
+func (n *Node) planSoon() {
+	if n.tenure == 0 || n.planning {
+		return
+	}
+	n.planning = true
+	time.AfterFunc(planDelay, func() { n.control.Post(n.plan) })
+}
+
 // plan carries out what the controller decides, if this host holds the lease.
 func (n *Node) plan() {
+	n.planning = false
 	boot := n.now()
 	if _, held := n.lease.Held(boot); !held || n.tenure == 0 {
 		return
@@ -204,7 +216,7 @@
 				n.lease.Doubt()
 				n.tend()
 			}
-			n.plan()
+			n.planSoon()
 		})
 	})
 }
@@ -223,7 +235,7 @@
 			} else {
 				n.placing.Report(now, asked, id, r)
 			}
-			n.plan()
+			n.planSoon()
 		})
 	})
 }
@@ -279,8 +291,7 @@
 			w.Deadline = deadline
 			f = n.placing.Want(now, w, a.Hold)
 			if f.Upstream == "" && first {
-				n.plan()
-				f = n.placing.Find(now, w)
+				n.planSoon()
 			}
 			changed = n.changed
 		}) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -153,7 +153,7 @@
 	n.table.Replace(current)
 	n.placing.Upstreams(now, current)
 	n.updateReady()
-	n.plan()
+	n.planSoon()
 }
 
 // logList logs what the host believes of upstreams that appear, leave or disappear.
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -14,7 +14,11 @@
 		engines   map[string]*fleet.Engine
 		upstreams map[string]*upstream
 		wants     map[string]*waiting
-		uses      map[useKey]int
+		uses      map[string][]Use // uses holds what each host has in progress; running sums it up.
+		running   sums
+		capacity  map[*fleet.Engine]float64
+		round     round
+		waiting   map[string]int // waiting counts the wants of each model.
 		rates     map[string]*rate
 		stats     Stats
 		news      []Ready
@@ -37,7 +41,7 @@
 func New(s Settings) *Controller {
 	return &Controller{
 		settings: s, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
-		wants: make(map[string]*waiting), uses: make(map[useKey]int), rates: make(map[string]*rate),
+		wants: make(map[string]*waiting), uses: make(map[string][]Use), running: newSums(), waiting: make(map[string]int), rates: make(map[string]*rate),
 	}
 }
 
@@ -52,7 +56,13 @@
 }
 
 // Configure replaces the engines of the services.
-func (c *Controller) Configure(engines map[string]*fleet.Engine) { c.engines = engines }
+func (c *Controller) Configure(engines map[string]*fleet.Engine) {
+	c.engines = engines
+	c.capacity = make(map[*fleet.Engine]float64, len(engines))
+	for _, e := range engines {
+		c.capacity[e] = capacity(e)
+	}
+}
 
 // Upstreams takes over the published state of all upstreams; those that are missing are gone.
 func (c *Controller) Upstreams(now time.Time, list map[string]fleet.Upstream) {
@@ -180,6 +190,7 @@
 	if !ok {
 		x = new(waiting)
 		c.wants[w.Request] = x
+		c.waiting[w.Key.Model]++
 		c.rate(w.Key.Model).add(now, 1, c.settings.RateTime)
 	}
 	x.Want, x.until = w, now.Add(max(hold, c.settings.WantLife))
@@ -187,7 +198,16 @@
 }
 
 // Done takes over that a request waits no longer.
-func (c *Controller) Done(request string) { delete(c.wants, request) }
+func (c *Controller) Done(request string) {
+	w, ok := c.wants[request]
+	if !ok {
+		return
+	}
+	delete(c.wants, request)
+	if c.waiting[w.Key.Model]--; c.waiting[w.Key.Model] == 0 {
+		delete(c.waiting, w.Key.Model)
+	}
+}
 
 // Find returns where a request can run now, or when it can.
 func (c *Controller) Find(now time.Time, w Want) Forecast {
@@ -196,7 +216,7 @@
 		if u.entry.Service != w.Service || !u.ready(now, w.Key) {
 			continue
 		}
-		cost := float64(c.running(id)) / float64(max(u.entry.Slots, 1))
+		cost := float64(c.running.upstream[id]) / float64(max(u.entry.Slots, 1))
 		if u.entry.DataCentre != w.DataCentre {
 			cost += 0.05
 		}
@@ -233,6 +253,9 @@
 		}
 	}
 	if first.IsZero() {
+		if c.round.replicas == nil {
+			c.begin()
+		}
 		if e := c.engines[w.Service]; e != nil {
 			if t, ok := c.target(now, w.Service, e, w.Key.Model, true); ok {
 				return now.Add(t.wait + t.time + c.queue(w))
@@ -256,15 +279,10 @@
 
 // Use replaces what a host has in progress.
 func (c *Controller) Use(now time.Time, host string, uses []Use) {
-	for k := range c.uses {
-		if k.host == host {
-			delete(c.uses, k)
-		}
-	}
+	c.Forget(host)
+	c.uses[host] = uses
+	c.running.add(uses, 1)
 	for _, x := range uses {
-		if x.Running > 0 {
-			c.uses[useKey{host, x.Upstream, x.Key}] = x.Running
-		}
 		if x.Started > 0 {
 			c.rate(x.Key.Model).add(now, x.Started, c.settings.RateTime)
 		}
@@ -278,11 +296,8 @@
 
 // Forget drops what a host had in progress, because it ended.
 func (c *Controller) Forget(host string) {
-	for k := range c.uses {
-		if k.host == host {
-			delete(c.uses, k)
-		}
-	}
+	c.running.add(c.uses[host], -1)
+	delete(c.uses, host)
 }
 
 func (c *Controller) rate(model string) *rate {
@@ -294,37 +309,6 @@
 	return r
 }
 
-// running returns the number of requests in progress at an upstream.
-func (c *Controller) running(id string) int {
-	n := 0
-	for k, x := range c.uses {
-		if k.upstream == id {
-			n += x
-		}
-	}
-	return n
-}
-
-func (c *Controller) modelRunning(model, id string) int {
-	n := 0
-	for k, x := range c.uses {
-		if k.key.Model == model && (id == "" || k.upstream == id) {
-			n += x
-		}
-	}
-	return n
-}
-
-func (c *Controller) adapterRunning(k Key, id string) int {
-	n := 0
-	for x, running := range c.uses {
-		if x.key == k && x.upstream == id {
-			n += running
-		}
-	}
-	return n
-}
-
 // Answered takes over the answer to an order.
 func (c *Controller) Answered(now time.Time, o Order, a Answer) {
 	u, ok := c.upstreams[o.Upstream]
@@ -370,6 +354,7 @@
 		m := c.engines[u.entry.Service].Models[k.Model]
 		d, store := u.loadTime(m)
 		if store {
+			c.round.store = c.countStoreLoads()
 			d = c.stretched(d)
 		}
 		u.load = &load{model: k.Model, store: store, accepted: now, due: now.Add(d), wanted: c.wanted(k.Model)}
@@ -393,18 +378,10 @@
 func (c *Controller) wanted(model string) bool { return c.waiters(model) > 0 }
 
 // waiters returns the number of requests that wait for the model or an adapter of it.
-func (c *Controller) waiters(model string) int {
-	n := 0
-	for _, w := range c.wants {
-		if w.Key.Model == model {
-			n++
-		}
-	}
-	return n
-}
+func (c *Controller) waiters(model string) int { return c.waiting[model] }
 
-// storeLoads returns the number of loads from the weight store that are in progress or ordered.
-func (c *Controller) storeLoads() int {
+// countStoreLoads returns the number of loads from the weight store that are in progress or ordered.
+func (c *Controller) countStoreLoads() int {
 	n := 0
 	for _, u := range c.upstreams {
 		if u.load != nil && u.load.store {
@@ -424,12 +401,12 @@
 func (c *Controller) mayLoad(now time.Time, e *fleet.Engine, atOnce int) bool {
 	c.started = slices.DeleteFunc(c.started, func(t time.Time) bool { return now.Sub(t) > c.settings.LoadWindow })
 	limit := max(e.LoadsPerSecond*c.settings.LoadWindow.Seconds()/2, 1)
-	return c.storeLoads() < atOnce && float64(len(c.started)+1) <= limit
+	return c.round.store < atOnce && float64(len(c.started)+1) <= limit
 }
 
 // stretched returns the time of a load from the weight store when one more starts now.
 func (c *Controller) stretched(d time.Duration) time.Duration {
-	n := c.storeLoads() + 1
+	n := c.round.store + 1
 	if n <= c.settings.StoreSlots {
 		return d
 	}
@@ -453,7 +430,7 @@
 // Stats returns the present figures.
 func (c *Controller) Stats() Stats {
 	s := c.stats
-	s.Upstreams, s.Waiting, s.StoreLoads = len(c.upstreams), len(c.wants), c.storeLoads()
+	s.Upstreams, s.Waiting, s.StoreLoads = len(c.upstreams), len(c.wants), c.countStoreLoads()
 	copied := make(map[string]bool)
 	for _, u := range c.upstreams {
 		if u.load != nil {
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -35,6 +35,7 @@
 // Plan returns the orders to give now and the reports that are wanted.
 func (c *Controller) Plan(now time.Time) []Action {
 	c.expire(now)
+	c.begin()
 	var actions []Action
 	actions = c.planPrepared(now, actions)
 	actions = c.planWanted(now, actions)
@@ -43,6 +44,29 @@
 	return c.planReports(now, actions)
 }
 
+// begin computes what a plan needs more than once.
+func (c *Controller) begin() {
+	r := round{
+		ids: slices.Sorted(maps.Keys(c.upstreams)), store: c.countStoreLoads(),
+		replicas: make(map[string]int), copied: make(map[string]int), victims: make(map[*upstream][]victim),
+	}
+	for _, u := range c.upstreams {
+		u.countCopies(r.copied)
+		if u.entry.Leaving {
+			continue
+		}
+		for m := range u.replicas {
+			r.replicas[m]++
+		}
+		if u.load != nil {
+			if _, held := u.replicas[u.load.model]; !held {
+				r.replicas[u.load.model]++
+			}
+		}
+	}
+	c.round = r
+}
+
 // Next returns when Plan is due at the latest; without a change of state it does nothing earlier.
 func (c *Controller) Next(now time.Time) time.Time {
 	next := now.Add(time.Second)
@@ -59,7 +83,7 @@
 func (c *Controller) expire(now time.Time) {
 	for id, w := range c.wants {
 		if now.After(w.until) {
-			delete(c.wants, id)
+			c.Done(id)
 		}
 	}
 	for _, u := range c.upstreams {
@@ -145,7 +169,7 @@
 	}
 	load := make(map[string]int, len(list))
 	for _, u := range list {
-		load[u.entry.ID] = c.running(u.entry.ID)
+		load[u.entry.ID] = c.running.upstream[u.entry.ID]
 	}
 	slices.SortFunc(list, func(a, b *upstream) int {
 		return cmp.Or(cmp.Compare(load[a.entry.ID], load[b.entry.ID]), cmp.Compare(a.entry.ID, b.entry.ID))
@@ -178,7 +202,7 @@
 		if u.adapterCount() < e.AdapterSlots {
 			return c.give(now, u, Load, k, actions)
 		}
-		if victim, ok := c.idleAdapter(u, k.Model); ok {
+		if victim, ok := c.idleAdapter(u); ok {
 			return c.give(now, u, Unload, victim, actions)
 		}
 	}
@@ -186,13 +210,13 @@
 }
 
 // idleAdapter returns an adapter that no request uses or waits for.
-func (c *Controller) idleAdapter(u *upstream, model string) (Key, bool) {
+func (c *Controller) idleAdapter(u *upstream) (Key, bool) {
 	best, found := Key{}, false
 	oldest := time.Time{}
 	for m, r := range u.replicas {
 		for a, at := range r.adapters {
 			k := Key{m, a}
-			if c.adapterRunning(k, u.entry.ID) > 0 || c.keyWanted(k) {
+			if c.running.adapter[site{u.entry.ID, k}] > 0 || c.keyWanted(k) {
 				continue
 			}
 			if !found || at.Before(oldest) || at.Equal(oldest) && k.Adapter < best.Adapter {
@@ -200,7 +224,6 @@
 			}
 		}
 	}
-	_ = model
 	return best, found
 }
 
@@ -245,10 +268,12 @@
 func (c *Controller) carry(now time.Time, t target, model string, actions []Action) []Action {
 	u := t.upstream
 	u.intent, u.intentEnd = model, now.Add(intentLife)
+	c.round.copied[model]++
 	if len(t.victims) > 0 {
 		return c.give(now, u, Unload, Key{Model: t.victims[0]}, actions)
 	}
 	if t.store {
+		c.round.store++
 		c.started = append(c.started, now)
 	}
 	return c.give(now, u, Load, Key{Model: model}, actions)
@@ -258,13 +283,16 @@
 func (c *Controller) target(now time.Time, service string, e *fleet.Engine, model string, wanted bool) (target, bool) {
 	m := e.Models[model]
 	best, least := target{}, math.Inf(1)
-	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
-		u := c.upstreams[id]
+	for _, id := range c.round.ids {
+		u, ok := c.upstreams[id]
+		if !ok {
+			continue // It has gone since the last plan.
+		}
 		t, ok := c.room(now, u, service, e, m)
 		if !ok || !wanted && t.wait > 0 {
 			continue
 		}
-		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + runningCost*float64(c.running(id))
+		cost := (t.wait + t.time).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[id])
 		if cost < least {
 			best, least = t, cost
 		}
@@ -297,11 +325,15 @@
 	case !c.free(now, u):
 		t.wait = conflictWait
 	}
-	missing := u.used(e) + m.WeightMB - capacity(e)
+	missing := u.used(e) + m.WeightMB - c.capacity[e]
 	if missing <= 0 {
 		return t, true
 	}
-	victims := c.victims(now, u, e)
+	victims, ok := c.round.victims[u]
+	if !ok {
+		victims = c.victims(now, u, e)
+		c.round.victims[u] = victims
+	}
 	for _, v := range victims {
 		t.victims = append(t.victims, v.model)
 		t.loss += v.value
@@ -323,7 +355,7 @@
 func (c *Controller) victims(now time.Time, u *upstream, e *fleet.Engine) []victim {
 	var list []victim
 	for m, r := range u.replicas {
-		if c.modelRunning(m, u.entry.ID) > 0 || c.wanted(m) && c.replicas(u.entry.Service, m) <= 1 {
+		if c.running.replica[site{u.entry.ID, Key{Model: m}}] > 0 || c.wanted(m) && c.round.replicas[m] <= 1 {
 			continue
 		}
 		list = append(list, victim{m, c.value(now, u, e, m), r.used})
@@ -338,7 +370,7 @@
 func (c *Controller) value(now time.Time, u *upstream, e *fleet.Engine, model string) float64 {
 	r := c.rate(model)
 	r.decay(now, c.settings.RateTime)
-	others := c.replicas(u.entry.Service, model) - 1
+	others := c.round.replicas[model] - 1
 	if others >= c.needed(now, e, model) {
 		return noLoss * (1 + r.value/float64(others+1))
 	}
@@ -355,30 +387,8 @@
 	return c.settings.RareRate * (1 + math.Sqrt(float64(m.Adapters)))
 }
 
-// copied returns the number of upstreams that hold, load or keep a copy of the model.
-func (c *Controller) copied(model string) int {
-	n := 0
-	for _, u := range c.upstreams {
-		if _, held := u.replicas[model]; held || u.disk[model] || u.memory[model] || u.load != nil && u.load.model == model || u.intent == model {
-			n++
-		}
-	}
-	return n
-}
-
-// replicas returns the number of upstreams that hold or load the model and stay.
-func (c *Controller) replicas(service, model string) int {
-	n := 0
-	for _, u := range c.upstreams {
-		if u.entry.Service != service || u.entry.Leaving {
-			continue
-		}
-		if _, held := u.replicas[model]; held || u.load != nil && u.load.model == model {
-			n++
-		}
-	}
-	return n
-}
+// copied returns the number of upstreams that hold, load or keep a copy of the model, as of the last plan.
+func (c *Controller) copied(model string) int { return c.round.copied[model] }
 
 // needed returns the number of replicas that the present load of a model asks for.
 func (c *Controller) needed(now time.Time, e *fleet.Engine, model string) int {
@@ -389,7 +399,7 @@
 		n = busyReplicas
 	}
 	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
-	running := float64(c.modelRunning(model, "") + c.waiters(model))
+	running := float64(c.running.model[model] + c.waiters(model))
 	return max(n, int(math.Ceil(running/min(c.settings.ReplicaShare*float64(max(e.Slots, 1)), c.settings.ReplicaRunning))))
 }
 
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -55,13 +55,44 @@
 		at    time.Time
 	}
 
-	useKey struct {
-		host     string
+	// round holds what is computed once for a plan: with many models that wait, each looks at all upstreams.
+	round struct {
+		ids      []string // ids are those of all upstreams in order.
+		store    int      // store counts the loads from the weight store.
+		replicas map[string]int
+		copied   map[string]int // copied counts the upstreams that hold, load or keep a copy of a model.
+		victims  map[*upstream][]victim
+	}
+
+	// sums are the requests in progress by upstream, by model, and by both.
+	sums struct {
+		upstream map[string]int
+		model    map[string]int
+		replica  map[site]int
+		adapter  map[site]int
+	}
+
+	site struct {
 		upstream string
 		key      Key
 	}
 )
 
+func newSums() sums {
+	return sums{make(map[string]int), make(map[string]int), make(map[site]int), make(map[site]int)}
+}
+
+// add counts uses with a sign.
+func (s *sums) add(uses []Use, sign int) {
+	for _, u := range uses {
+		n := sign * u.Running
+		s.upstream[u.Upstream] += n
+		s.model[u.Key.Model] += n
+		s.replica[site{u.Upstream, Key{Model: u.Key.Model}}] += n
+		s.adapter[site{u.Upstream, u.Key}] += n
+	}
+}
+
 func newUpstream(e fleet.Upstream) *upstream {
 	u := &upstream{entry: e}
 	u.adopt(e.Held)
@@ -193,3 +224,22 @@
 	slices.Sort(names)
 	return names
 }
+
+// countCopies counts the models that the upstream holds, loads or keeps a copy of.
+func (u *upstream) countCopies(counts map[string]int) {
+	for m := range u.replicas {
+		counts[m]++
+	}
+	for m := range u.disk {
+		counts[m]++
+	}
+	for m := range u.memory {
+		counts[m]++
+	}
+	if u.load != nil {
+		counts[u.load.model]++
+	}
+	if u.intent != "" {
+		counts[u.intent]++
+	}
+}
