--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = time.Minute // idleTimeout is longer than callers keep an idle connection.
 	tickTime      = 100 * time.Millisecond
+	measureEvery  = 20 // measureEvery is the number of ticks between two records of the gauges.
 	thousand      = 1000
 	// leaseMargin is added to the time within which holders of the lease must not alternate.
 	leaseMargin = 200 * time.Millisecond
@@ -83,6 +84,7 @@
 		lease     *lease.Lease
 		clock     bootClock
 		placing   *place.Controller
+		ticked    int
 		planning  bool  // planning tells that a plan is due in a few milliseconds.
 		tenure    int64 // tenure is the fence under which the placement was begun; zero means none.
 		changed   chan struct{}
@@ -261,6 +263,38 @@
 	n.table.Expire(now)
 	n.expireUses(now)
 	n.updateReady()
+	if n.ticked++; n.ticked%measureEvery == 0 {
+		n.measure(now)
+	}
+}
+
+// measure records the gauges.
+func (n *Node) measure(now time.Time) {
+	m := n.metrics
+	version := int64(0)
+	if c := n.config.Load(); c != nil {
+		version = c.Version()
+	}
+	m.Version(version)
+	m.State(n.lease.Fence(), n.ready.Load())
+	m.Load(0, int(n.stop.active.Load()))
+	m.Believed("upstreams", float64(len(n.upstreams)))
+	m.Believed("hosts", float64(n.hosts()))
+	m.Believed("listAge", now.Sub(n.listAt).Seconds())
+	m.Believed("configurationAge", now.Sub(n.configAt).Seconds())
+	opened, reused := n.pool.Opened()
+	m.Believed("connectionsOpened", float64(opened))
+	m.Believed("connectionsReused", float64(reused))
+	if n.tenure == 0 {
+		return
+	}
+	s := n.placing.Stats()
+	for kind, value := range map[string]int{
+		"loading": s.Loading, "storeLoads": s.StoreLoads, "inDoubt": s.InDoubt, "waiting": s.Waiting, "loads": s.Loads, "unloads": s.Unloads,
+		"copied": s.Copied,
+	} {
+		m.Placement(kind, value)
+	}
 }
 
 func (n *Node) updateReady() {
