fix(relay): a refusal after a run is not called not run

Cause: a repeatable request whose first attempt may have run, and that other upstreams or the stopping host refused afterwards, got a 503, which promises that it has not run; refused requests could use up all repeats of their host. Change: such a request ends as unknown; a stop is looked at before the first attempt only; at most four refusals for a request.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,12 @@
 const (
 	// notReadyRetry is when a caller may come back if this host has no configuration; outages of the store last seconds.
 	notReadyRetry = 2 * time.Second
+	// stoppingRetry is when a caller may come back after a refusal by a host that stops; another host takes the request.
+	stoppingRetry = 50 * time.Millisecond
+	// exhaustedRetry is when a caller may come back after upstreams refused it; their queues last about as long.
+	exhaustedRetry = time.Second
+	// maxRefusals is the number of upstreams that may refuse a request before it is refused itself.
+	maxRefusals = 4
 	// defaultBody bounds a request body until a configuration says otherwise.
 	defaultBody = 4 << 20
 	// patienceFloor, patienceRatio and pauseRatio give the time after which callers give up a stream without an event.
@@ -103,11 +109,11 @@
 func (x *exchange) run() error {
 	ctx, cancel := context.WithDeadline(x.query.Context(), x.call.Deadline)
 	defer cancel()
+	if err := x.stopping(); err != nil {
+		return err
+	}
 	exclude := make(map[string]bool)
-	for {
-		if err := x.stopping(); err != nil {
-			return err
-		}
+	for refusals := 0; ; {
 		t, err := x.relay.control.Choose(ctx, x.call, exclude)
 		if err != nil {
 			return x.unserved(ctx, err)
@@ -118,7 +124,10 @@
 			return err
 		}
 		exclude[t.Choice.Upstream] = true
-		if !x.relay.control.Repeat(x.call.Service) {
+		if codes.Is(err, codes.UpstreamRefused) {
+			refusals++
+		}
+		if refusals > maxRefusals || !x.relay.control.Repeat(x.call.Service) {
 			return x.exhausted(err)
 		}
 		x.relay.control.Retried(x.call, t, err)
@@ -135,7 +144,7 @@
 	if time.Now().Before(until) {
 		return nil
 	}
-	return codes.New(codes.Draining, "the host stops").WithRetryAfter(50 * time.Millisecond)
+	return codes.New(codes.Draining, "the host stops").WithRetryAfter(stoppingRetry)
 }
 
 // unserved returns the error of a request for which no upstream was found.
@@ -155,9 +164,9 @@
 // exhausted returns the error of a request that may not be repeated once more.
 func (x *exchange) exhausted(err error) error {
 	if x.ran {
-		return err
+		return codes.New(codes.UpstreamUnknown, err.Error())
 	}
-	return codes.New(codes.OverCapacity, "repeats are used up: "+err.Error()).WithRetryAfter(time.Second)
+	return codes.New(codes.OverCapacity, "repeats are used up: "+err.Error()).WithRetryAfter(exhaustedRetry)
 }
 
 // finish sends the final answer of a request that has none yet, and reports the end.
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -150,7 +150,7 @@
 		switch {
 		case len(holders) == 0:
 			if c.coming(n.key.Model) == 0 {
-				actions = c.start(now, n.service, e, n.key.Model, true, actions)
+				actions = c.start(now, n.service, e, n.key.Model, actions)
 			}
 		case n.key.Adapter != "":
 			actions = c.adapter(now, e, n.key, holders, actions)
@@ -247,21 +247,12 @@
 	return append(actions, Action{Order: o})
 }
 
-// start orders a load of the model, or the unload that makes room for it.
-func (c *Controller) start(now time.Time, service string, e *fleet.Engine, model string, wanted bool, actions []Action) []Action {
-	t, ok := c.target(now, service, e, model, wanted)
-	if !ok || t.wait > 0 {
+// start orders a load of a model for which requests wait, or the unload that makes room for it.
+func (c *Controller) start(now time.Time, service string, e *fleet.Engine, model string, actions []Action) []Action {
+	t, ok := c.target(now, service, e, model, true)
+	if !ok || t.wait > 0 || t.store && !c.mayLoad(now, e, c.settings.StoreSlots+c.settings.StoreExtra) {
 		return actions
 	}
-	if t.store {
-		limit := c.settings.Background
-		if wanted {
-			limit = c.settings.StoreSlots + c.settings.StoreExtra
-		}
-		if !c.mayLoad(now, e, limit) {
-			return actions
-		}
-	}
 	return c.carry(now, t, model, actions)
 }
 
