fix(telem): the product's daemon shows its own gauges only

Change: the version is a kind of the gauge 'believed', which a daemon without values does not show. Result: tests of internal/front, internal/telem and internal/cmds pass with -race.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -275,7 +275,7 @@
 	if c := n.config.Load(); c != nil {
 		version = c.Version()
 	}
-	m.Version(version)
+	m.Believed("configurationVersion", float64(version))
 	m.State(n.lease.Fence(), n.ready.Load())
 	m.Load(0, int(n.stop.active.Load()))
 	m.Believed("upstreams", float64(len(n.upstreams)))
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -28,7 +28,6 @@
 	inFlight     prometheus.Gauge
 	offset       prometheus.Gauge
 	ready        prometheus.Gauge
-	version      prometheus.Gauge
 	placement    *prometheus.GaugeVec
 	sources      *prometheus.GaugeVec
 }
@@ -62,16 +61,15 @@
 		inFlight: gauge("in_flight_requests", "Calls to models and services in progress."),
 		offset:   gauge("log_offset", "Offset of the last log record applied."),
 		ready:    gauge("ready", "1 when the host is ready to serve, else 0."),
-		version:  gauge("configuration_version", "Version of the configuration in force on the users' platform."),
 		placement: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "placement", Help: "What the controller of the users' platform believes, by kind.",
 		}, []string{"kind"}),
 		sources: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "believed", Help: "Upstreams and hosts that a host of the users' platform knows, and ages in seconds.",
+			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
 	}
 	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.control, m.models, m.inFlight,
-		m.offset, m.ready, m.version, m.placement, m.sources, collectors.NewGoCollector(),
+		m.offset, m.ready, m.placement, m.sources, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -119,13 +117,10 @@
 	m.ready.Set(value)
 }
 
-// Version records the version of the configuration in force.
-func (m *Metrics) Version(version int64) { m.version.Set(float64(version)) }
-
 // Placement records a figure of the controller.
 func (m *Metrics) Placement(kind string, value int) {
 	m.placement.WithLabelValues(kind).Set(float64(value))
 }
 
-// Believed records a number or an age, in seconds, of what the host knows of others.
+// Believed records a number, a version or an age, in seconds, of what the host knows.
 func (m *Metrics) Believed(kind string, value float64) { m.sources.WithLabelValues(kind).Set(value) }
