fix: hubs tell a controller that is no hub, and moved streams are not given up

Change: the holder of the lease gets the heartbeats of hubs; hosts that are no hub take the lease last; a stream moves only to an upstream with free places, and waits for its turn once it may have run; the window of repeats begins with the process and survives a reload; a server's error is passed on if no repeat is allowed. Event 404 tells how long a load took. Tests fail without the change.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -163,7 +163,7 @@
 	w, ok := n.windows[service]
 	if !ok {
 		l := n.settings.Limits
-		w = retry.NewWindow(seconds(l.RepeatWindowS), repeatMargin*l.RepeatRatio, repeatMargin*l.RepeatExtra)
+		w = retry.NewWindow(n.began, seconds(l.RepeatWindowS), repeatMargin*l.RepeatRatio, repeatMargin*l.RepeatExtra)
 		n.windows[service] = w
 	}
 	return w
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -23,4 +23,5 @@
 	eventLeaseLost    = 401
 	eventOrder        = 402
 	eventReport       = 403
+	eventLoaded       = 404
 )
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -170,6 +170,7 @@
 	hub := parent == "" || holds
 	n.setDirect(hub || now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > feedLife+beatInterval)
 	if !hub {
+		n.lease.SetRank(len(n.chooseHubs(false))) // Hubs hear of all requests already and have more processor time.
 		b.Query = &FeedQuery{From: n.fedBy, Generation: n.fedTo}
 		if c := n.config.Load(); c != nil {
 			b.Query.Version = c.Version()
@@ -185,7 +186,11 @@
 		}
 	}
 	n.lease.SetRank(rank)
-	for name := range n.chooseHubs(round%quietEvery == 0) {
+	chosen := n.chooseHubs(round%quietEvery == 0)
+	if holder := n.lease.Holder(); holder != "" {
+		chosen[holder] = true // The controller needs the uses of all hosts, also where it is no hub.
+	}
+	for name := range chosen {
 		if m, ok := n.members[name]; ok {
 			to = append(to, m.Member)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	// Node is one entry host. The fields after control belong to the control thread.
 	Node struct {
 		settings    Settings
+		began       time.Time // began is the start of the process.
 		platform    Platform
 		self        Member
 		logs        *telem.Logs
@@ -99,7 +100,7 @@
 	m := telem.NewMetrics()
 	incarnation := s.Host.Name + "." + uuid.NewString()[:8]
 	n := &Node{
-		settings: s, platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
+		settings: s, began: time.Now(), platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
 		self: Member{
 			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
 			Capacity: int(s.Host.Cores * s.Host.CoreSpeed * thousand),
@@ -351,6 +352,8 @@
 func (n *Node) reloaded(s Settings) {
 	changed := n.settings.Limits != s.Limits
 	n.settings.Limits = s.Limits
-	clear(n.windows)
+	for _, w := range n.windows {
+		w.Adjust(time.Now(), seconds(s.Limits.RepeatWindowS), repeatMargin*s.Limits.RepeatRatio, repeatMargin*s.Limits.RepeatExtra)
+	}
 	n.log("node").Info("settings read again", "event", eventReloaded, "changed", changed)
 }
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -145,6 +145,8 @@
 	now := time.Now()
 	current := n.upstreams
 	for _, r := range n.placing.Loaded() {
+		n.log("place").Info("loaded", "event", eventLoaded, "upstream", r.Upstream, "model", r.Key.Model, "store", r.Store,
+			"tookMS", r.Took.Milliseconds(), "expectedMS", r.Expected.Milliseconds())
 		n.tell(Placed{Upstream: r.Upstream, Key: r.Key, Holds: true})
 	}
 	for _, a := range n.placing.Plan(now) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -51,9 +51,11 @@
 		begun  bool // begun tells that the head of the answer was sent.
 		ran    bool // ran tells that an upstream may have run the request.
 		sent   int  // sent counts the attempts that may have run.
-		events events
-		passed time.Time // passed is when the last piece of a stream was sent.
-		end    Ended
+		// granted tells that leave to repeat the request was taken during the attempt.
+		granted bool
+		events  events
+		passed  time.Time // passed is when the last piece of a stream was sent.
+		end     Ended
 	}
 
 	// try is one attempt.
@@ -217,7 +219,8 @@
 	if verdict == Garbled {
 		return a.broken(errGarbled)
 	}
-	if verdict == Failing && a.mayRepeat() {
+	if verdict == Failing && a.mayRepeat() && a.relay.control.Repeat(a.call.Service) {
+		a.granted = true
 		a.relay.control.End(a.ticket, pick.Errored)
 		return true, codes.New(codes.UpstreamFailed, "status "+strconv.Itoa(r.Status))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,8 @@
 	stoppingRetry = 50 * time.Millisecond
 	// exhaustedRetry is when a caller may come back after upstreams refused it; their queues last about as long.
 	exhaustedRetry = time.Second
+	// repeatPause is the wait before a request that may have run asks again for leave to be repeated.
+	repeatPause = 150 * time.Millisecond
 	// maxRefusals is the number of upstreams that may refuse a request before it is refused itself.
 	maxRefusals = 4
 	// defaultBody bounds a request body until a configuration says otherwise.
@@ -114,6 +116,7 @@
 	}
 	exclude := make(map[string]bool)
 	for refusals := 0; ; {
+		x.granted = false
 		t, err := x.relay.control.Choose(ctx, x.call, exclude)
 		if err != nil {
 			return x.unserved(ctx, err)
@@ -127,13 +130,32 @@
 		if codes.Is(err, codes.UpstreamRefused) {
 			refusals++
 		}
-		if refusals > maxRefusals || !x.relay.control.Repeat(x.call.Service) {
+		if !x.granted && !x.awaitRepeat(ctx, refusals) {
 			return x.exhausted(err)
 		}
 		x.relay.control.Retried(x.call, t, err)
 	}
 }
 
+// awaitRepeat reports whether the request may be sent once more. One that may have run cannot be refused any more, so that it
+// waits for its turn as long as its caller does.
+func (x *exchange) awaitRepeat(ctx context.Context, refusals int) bool {
+	for {
+		if refusals <= maxRefusals && x.relay.control.Repeat(x.call.Service) {
+			return true
+		}
+		if !x.ran || time.Now().After(x.call.Patience) {
+			return false
+		}
+		refusals = 0
+		select {
+		case <-time.After(repeatPause):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // stopping refuses a request that cannot end before the process does.
 func (x *exchange) stopping() error {
 	until, stopping := x.relay.control.Stopping()
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -119,3 +119,16 @@
 	x.Replace(map[string]fleet.Upstream{"u1": {ID: "u1", Born: 1, Service: "s", DataCentre: "a", Slots: 48}})
 	qt.Assert(t, x.Stuck(now.Add(time.Minute), f, q), qt.IsFalse, qt.Commentf("there is no other one"))
 }
+
+// TestStuckAmongFullUpstreams guards the pattern "every replica of a model is full": a host with one request at an upstream takes
+// its silence for darkness, moves the request to a full one that refuses it, and ends an answer that would have come.
+func TestStuckAmongFullUpstreams(t *testing.T) {
+	x := table(fleet.Upstream{ID: "u1", DataCentre: "a"}, fleet.Upstream{ID: "u2", DataCentre: "a"})
+	q := pick.Query{Service: "s"}
+	c, _ := x.Choose(start, q)
+	f := x.Begin(start, c, q)
+	x.Others("h2", map[string]int{"u1": 60, "u2": 50})
+	qt.Assert(t, x.Stuck(start.Add(3*time.Second), f, q), qt.IsFalse)
+	x.Others("h2", map[string]int{"u1": 60, "u2": 2})
+	qt.Assert(t, x.Stuck(start.Add(3*time.Second), f, q), qt.IsTrue)
+}
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -227,6 +227,15 @@
 	return Choice{e.ID, e.Born, e.Address, e.DataCentre, t.running(e.ID)}, true
 }
 
+// easySlots returns the number of requests that the upstream of a model runs without delaying their tokens clearly.
+func (t *Table) easySlots(id string) int {
+	s, ok := t.upstreams[id]
+	if !ok {
+		return 0
+	}
+	return min(s.entry.Slots, easyRunning)
+}
+
 // session returns the upstream that served the session last and may still cache its prompt.
 func (t *Table) session(now time.Time, q Query) string {
 	if q.Session == 0 {
@@ -338,8 +347,8 @@
 	f.activity.Store(now.UnixNano())
 }
 
-// Stuck reports whether another upstream would probably answer the request earlier: the present one shows no sign of life to
-// any request of this host, or it is late by its own measure and another one that holds the model runs less.
+// Stuck reports whether another upstream would probably answer the request earlier: one that holds the model has places left,
+// while the present one shows no sign of life to any request of this host, or is late by its own measure and runs more.
 func (t *Table) Stuck(now time.Time, f *Flight, q Query) bool {
 	quiet := now.Sub(f.began)
 	if last := f.last.Load(); last != 0 {
@@ -347,8 +356,8 @@
 	}
 	q.Exclude = map[string]bool{f.choice.Upstream: true}
 	other, ok := t.Choose(now, q)
-	if !ok {
-		return false
+	if !ok || other.Running >= t.easySlots(other.Upstream) {
+		return false // An upstream that runs much would refuse the request or serve it no earlier.
 	}
 	if now.Sub(time.Unix(0, f.activity.Load())) > overdue && quiet > overdue {
 		return true
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -29,6 +29,9 @@
 	Ready struct {
 		Upstream string
 		Key      Key
+		Store    bool          // Store tells that the weights came from the weight store.
+		Took     time.Duration // Took is the time since the order was accepted.
+		Expected time.Duration // Expected is the predicted time.
 	}
 
 	waiting struct {
@@ -164,7 +167,7 @@
 		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
 	}
 	u.disk[u.load.model] = true
-	c.news = append(c.news, Ready{u.entry.ID, Key{Model: u.load.model}})
+	c.news = append(c.news, Ready{u.entry.ID, Key{Model: u.load.model}, u.load.store, now.Sub(u.load.accepted), u.load.due.Sub(u.load.accepted)})
 	u.load = nil
 }
 
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -22,9 +22,25 @@
 	}
 )
 
-// NewWindow returns a limit of ratio times the requests in the window, and of extra divided among the hosts.
-func NewWindow(length time.Duration, ratio, extra float64) *Window {
-	return &Window{length: length, ratio: ratio, extra: extra}
+// NewWindow returns a limit of ratio times the requests in the window, and of extra divided among the hosts. The process that
+// keeps it began at the given time.
+func NewWindow(began time.Time, length time.Duration, ratio, extra float64) *Window {
+	return &Window{began: began, length: length, ratio: ratio, extra: extra}
+}
+
+// Adjust changes the limit; what was counted stays.
+func (w *Window) Adjust(now time.Time, length time.Duration, ratio, extra float64) {
+	w.advance(now)
+	w.ratio, w.extra = ratio, extra
+	if w.length == length {
+		return
+	}
+	// What was counted moves to the newest part of the new window, which errs on the side of fewer repeats.
+	requests, repeats := sum(w.requests), sum(w.repeats)
+	w.requests, w.repeats = [steps]int{}, [steps]int{}
+	w.length = length
+	w.step = w.stepAt(now)
+	w.requests[w.step%steps], w.repeats[w.step%steps] = requests, repeats
 }
 
 // Request counts a request.
@@ -53,11 +69,11 @@
 // Repeats returns the number of repeats in the window.
 func (w *Window) Repeats() int { return sum(w.repeats) }
 
+// stepAt numbers the parts of windows; there is one more part than the window needs, so that no repeat is dropped too early.
+func (w *Window) stepAt(now time.Time) int64 { return now.UnixNano() / int64(w.length/(steps-1)) }
+
 func (w *Window) advance(now time.Time) {
-	if w.began.IsZero() {
-		w.began = now
-	}
-	step := now.UnixNano() / int64(w.length/(steps-1)) // One more part than the window needs, so that no repeat is dropped too early.
+	step := w.stepAt(now)
 	for range min(step-w.step, steps) {
 		w.step++
 		w.requests[w.step%steps], w.repeats[w.step%steps] = 0, 0
--- a/pkg/retry/window_test.go
+++ b/pkg/retry/window_test.go
@@ -12,8 +12,8 @@
 // TestWindowOfRestartedHost guards against a sum over all hosts above the limit: a process that starts anew must not use the
 // fixed part again that its predecessor may have used within the same window.
 func TestWindowOfRestartedHost(t *testing.T) {
-	w := retry.NewWindow(10*time.Second, 0, 14)
 	now := time.Unix(1000, 0)
+	w := retry.NewWindow(now, 10*time.Second, 0, 14)
 	qt.Assert(t, w.Take(now, 7), qt.IsFalse) // 15% of two are less than one.
 	taken := 0
 	for range 100 {
@@ -27,8 +27,8 @@
 
 // TestWindowSlides guards against repeats that are forgotten before the window has passed, and against a limit that stays used.
 func TestWindowSlides(t *testing.T) {
-	w := retry.NewWindow(10*time.Second, 0.2, 0)
 	now := time.Unix(1000, 0)
+	w := retry.NewWindow(now, 10*time.Second, 0.2, 0)
 	for range 10 {
 		w.Request(now)
 	}
@@ -44,3 +44,29 @@
 	qt.Assert(t, w.Take(now, 1), qt.IsTrue)
 	qt.Assert(t, w.Take(now, 1), qt.IsFalse)
 }
+
+// TestWindowBeginsWithTheProcess guards against hosts with few requests that refuse the first repeats although their process
+// has run for longer than a window.
+func TestWindowBeginsWithTheProcess(t *testing.T) {
+	began := time.Unix(1000, 0)
+	w := retry.NewWindow(began, 10*time.Second, 0, 14)
+	now := began.Add(time.Minute)
+	qt.Assert(t, w.Take(now, 7), qt.IsTrue)
+	qt.Assert(t, w.Take(now, 7), qt.IsTrue)
+	qt.Assert(t, w.Take(now, 7), qt.IsFalse)
+}
+
+// TestAdjustedWindowRemembers guards against settings that are read again and give leave for the same repeats a second time.
+func TestAdjustedWindowRemembers(t *testing.T) {
+	began := time.Unix(1000, 0)
+	w := retry.NewWindow(began, 10*time.Second, 0, 14)
+	now := began.Add(time.Minute)
+	qt.Assert(t, w.Take(now, 7), qt.IsTrue)
+	w.Adjust(now, 10*time.Second, 0, 14)
+	qt.Assert(t, w.Repeats(), qt.Equals, 1)
+	w.Adjust(now, 5*time.Second, 0, 14)
+	qt.Assert(t, w.Repeats(), qt.Equals, 1)
+	qt.Assert(t, w.Take(now.Add(4*time.Second), 7), qt.IsTrue)
+	qt.Assert(t, w.Take(now.Add(4*time.Second), 7), qt.IsFalse)
+	qt.Assert(t, w.Take(now.Add(7*time.Second), 7), qt.IsTrue)
+}
