fix(fleet): a missing entry is kept only after an outage that upstreams shared

The store turned some hosts away for 7 s and served the others. A hub that was turned away took that for an outage of the list, kept the entry of a server that had left for 2.2 s more, and passed it on. Change: the number of entries written meanwhile tells whether upstreams had an outage too. Ruled out: counts in the entries themselves, which grow during an outage as well.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -128,7 +128,7 @@
 
 func (n *Node) listChanged(c Changes) {
 	now := time.Now()
-	n.list.Up(now)
+	n.list.Up(now, c.Cursor)
 	for _, s := range c.Skipped {
 		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
 	}
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// lapseTime is how long after an outage of the platform's list an entry that lapsed meanwhile may still come back.
-const lapseTime = 2200 * time.Millisecond
+const (
+	// lapseTime is how long after an outage of the platform's list an entry that lapsed meanwhile may still come back.
+	lapseTime = 2200 * time.Millisecond
+	// servedShare is the share of the usual number of entries above which the list was served to upstreams while this host
+	// could not read it.
+	servedShare = 0.5
+	// paceDecay is the weight of the past in the number of entries written a second.
+	paceDecay = 0.8
+)
 
 type (
 	// List is the published list of upstreams as one host has read it. An entry that disappears around an outage of the
@@ -16,6 +23,10 @@
 		lapsed map[string]Upstream
 		down   bool
 		back   time.Time // back is when the list could be read again after the last outage.
+
+		position int64     // position is the number of entries ever written, as of the last reading.
+		readAt   time.Time // readAt is when the list was read last; zero means never.
+		pace     float64   // pace is the number of entries written a second; zero means unknown.
 	}
 )
 
@@ -27,13 +38,20 @@
 // Down takes over that the list cannot be read.
 func (l *List) Down() { l.down = true }
 
-// Up takes over that the list can be read, and reports whether it could not before.
-func (l *List) Up(now time.Time) bool {
-	was := l.down
-	if was {
-		l.down, l.back = false, now
+// Up takes over that the list was read up to the position, which is the number of entries ever written. Upstreams that went on
+// writing while this host could not read had no outage, so that entries which are missing now have not lapsed for one.
+func (l *List) Up(now time.Time, position int64) {
+	elapsed := now.Sub(l.readAt).Seconds()
+	written := float64(position - l.position)
+	switch known := !l.readAt.IsZero() && elapsed > 0; {
+	case l.down && (!known || l.pace == 0 || written < servedShare*l.pace*elapsed):
+		l.back = now
+	case !l.down && known && l.pace == 0:
+		l.pace = written / elapsed
+	case !l.down && known:
+		l.pace = paceDecay*l.pace + (1-paceDecay)*written/elapsed
 	}
-	return was
+	l.down, l.position, l.readAt = false, position, now
 }
 
 // Put takes over an entry, and reports whether it changed anything but its count of messages.
--- /dev/null
+++ b/pkg/fleet/list_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+// reading returns a list that was read once a second for a while, with ten entries written a second, and the time and position
+// of the last reading.
+func reading() (l *fleet.List, now time.Time, position int64) {
+	l, now, position = fleet.NewList(), time.Unix(1000, 0), 50
+	for range 10 {
+		l.Up(now, position)
+		now, position = now.Add(time.Second), position+10
+	}
+	l.Up(now, position)
+	for _, id := range []string{"u1", "u2"} {
+		l.Put(fleet.Upstream{ID: id, Beat: 1})
+	}
+	return l, now, position
+}
+
+// TestLapsedEntryStaysAfterAnOutage guards against a service without upstreams after an outage of the list during which nobody
+// could renew an entry, and against an entry that stays for good.
+func TestLapsedEntryStaysAfterAnOutage(t *testing.T) {
+	l, now, position := reading()
+	l.Down()
+	now = now.Add(6 * time.Second)
+	l.Up(now, position+5)
+	l.Remove(now, "u1")
+	qt.Assert(t, l.Current(now), qt.HasLen, 2)
+	now = now.Add(2 * time.Second)
+	qt.Assert(t, l.Current(now), qt.HasLen, 2)
+	qt.Assert(t, l.Current(now.Add(time.Second)), qt.HasLen, 1)
+}
+
+// TestMissingEntryIsGoneIfOnlyThisHostWasBlind guards against requests to an upstream that has left, by a host that alone could
+// not read the list and takes that for an outage.
+func TestMissingEntryIsGoneIfOnlyThisHostWasBlind(t *testing.T) {
+	l, now, position := reading()
+	l.Down()
+	now = now.Add(6 * time.Second)
+	l.Up(now, position+60)
+	l.Remove(now, "u1")
+	qt.Assert(t, l.Current(now), qt.HasLen, 1)
+}
