perf(place): the speed of the weight store is learnt, and the most overloaded models get replicas first

A model with 130 requests on two replicas waited 10 s for loads behind less needed ones. Change: place.storeSpeed learns from ended and overdue loads; shortages are ordered by load for each replica, and urgent ones go before requests that wait for rare models.

--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -43,7 +43,7 @@
 		Whole   bool // Whole tells that Put is the complete list.
 		Put     []fleet.Upstream
 		Removed []string
-		Cursor  int64 // Cursor grows by one with each entry ever written.
+		Cursor  int64    // Cursor grows by one with each entry ever written.
 		Skipped []string // Skipped describes entries that could not be read.
 	}
 
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -22,6 +22,7 @@
 		rates     map[string]*rate
 		stats     Stats
 		news      []Ready
+		speed     storeSpeed
 		started   []time.Time // started holds the times of the last orders for loads from the weight store.
 	}
 
@@ -43,7 +44,7 @@
 // New returns a controller that knows nothing yet.
 func New(s Settings) *Controller {
 	return &Controller{
-		settings: s, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
+		settings: s, speed: storeSpeed{s.StoreSlots}, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
 		wants: make(map[string]*waiting), uses: make(map[string][]Use), running: newSums(), waiting: make(map[string]int), rates: make(map[string]*rate),
 	}
 }
@@ -149,6 +150,7 @@
 			u.load = nil
 			u.failed = now
 		default:
+			c.slow(now, u.load)
 			u.reportAt = now.Add(reportRetry)
 		}
 	}
@@ -167,6 +169,10 @@
 		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
 	}
 	u.disk[u.load.model] = true
+	if l := u.load; l.store {
+		c.speed.finished(l.together, now.Sub(l.accepted), l.full)
+		c.forecastLoads()
+	}
 	c.news = append(c.news, Ready{u.entry.ID, Key{Model: u.load.model}, u.load.store, now.Sub(u.load.accepted), u.load.due.Sub(u.load.accepted)})
 	u.load = nil
 }
@@ -355,13 +361,14 @@
 	switch {
 	case o.Op == Load && k.Adapter == "":
 		m := c.engines[u.entry.Service].Models[k.Model]
-		d, store := u.loadTime(m)
+		full, store := u.loadTime(m)
+		u.load = &load{model: k.Model, store: store, accepted: now, full: full}
 		if store {
 			c.round.store = c.countStoreLoads()
-			d = c.stretched(d)
+			u.load.together = c.acceptedStoreLoads()
 		}
-		u.load = &load{model: k.Model, store: store, accepted: now, due: now.Add(d), wanted: c.wanted(k.Model)}
-		u.reportAt = now.Add(d + 10*time.Millisecond)
+		u.load.due = now.Add(c.speed.time(u.load))
+		u.reportAt = now.Add(full + 10*time.Millisecond)
 		u.intent = ""
 		c.stats.Loads++
 	case o.Op == Load:
@@ -385,11 +392,8 @@
 
 // countStoreLoads returns the number of loads from the weight store that are in progress or ordered.
 func (c *Controller) countStoreLoads() int {
-	n := 0
+	n := c.acceptedStoreLoads()
 	for _, u := range c.upstreams {
-		if u.load != nil && u.load.store {
-			n++
-		}
 		if o := u.order; o != nil && o.Op == Load && o.Key.Adapter == "" {
 			if _, store := u.loadTime(c.engines[u.entry.Service].Models[o.Key.Model]); store {
 				n++
@@ -399,6 +403,17 @@
 	return n
 }
 
+// acceptedStoreLoads returns the number of loads from the weight store that are in progress.
+func (c *Controller) acceptedStoreLoads() int {
+	n := 0
+	for _, u := range c.upstreams {
+		if u.load != nil && u.load.store {
+			n++
+		}
+	}
+	return n
+}
+
 // mayLoad reports whether one more load from the weight store may be ordered. Half of the rate is used, because an earlier
 // controller may have ordered as much within the window.
 func (c *Controller) mayLoad(now time.Time, e *fleet.Engine, atOnce int) bool {
@@ -409,11 +424,23 @@
 
 // stretched returns the time of a load from the weight store when one more starts now.
 func (c *Controller) stretched(d time.Duration) time.Duration {
-	n := c.round.store + 1
-	if n <= c.settings.StoreSlots {
-		return d
+	return c.speed.stretched(d, c.round.store+1)
+}
+
+// slow takes over that a load is still under way.
+func (c *Controller) slow(now time.Time, l *load) {
+	if l.store && c.speed.unfinished(l.together, now.Sub(l.accepted), l.full) {
+		c.forecastLoads()
+	}
+}
+
+// forecastLoads predicts the ends of all loads anew.
+func (c *Controller) forecastLoads() {
+	for _, u := range c.upstreams {
+		if u.load != nil {
+			u.load.due = u.load.accepted.Add(c.speed.time(u.load))
+		}
 	}
-	return d * time.Duration(n) / time.Duration(c.settings.StoreSlots)
 }
 
 // Missing takes over that an upstream refused a request because it does not hold the model or adapter.
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -17,6 +17,7 @@
 	gainRatio    = 1.5                    // gainRatio is how much more a load without a waiting request must gain than its unloads lose.
 	intentRatio  = 3                      // intentRatio is how many times as many requests must wait for a model that takes an upstream from another one.
 	busyReplicas = 2                      // busyReplicas are for a model in steady use, which survives the loss of one upstream.
+	urgentRatio  = 2                      // urgentRatio is the ratio of the needed replicas to the present ones from which on a shortage is urgent.
 	noLoss       = 1e-3                   // noLoss is the value of a replica beyond those that a model needs.
 )
 
@@ -38,8 +39,9 @@
 	c.begin()
 	var actions []Action
 	actions = c.planPrepared(now, actions)
+	actions = c.planReplicas(now, actions, true)
 	actions = c.planWanted(now, actions)
-	actions = c.planReplicas(now, actions)
+	actions = c.planReplicas(now, actions, false)
 	actions = c.planCopies(now, actions)
 	return c.planReports(now, actions)
 }
@@ -48,15 +50,22 @@
 func (c *Controller) begin() {
 	r := round{
 		ids: slices.Sorted(maps.Keys(c.upstreams)), store: c.countStoreLoads(),
-		replicas: make(map[string]int), copied: make(map[string]int), victims: make(map[*upstream][]victim),
+		replicas: make(map[string]int), held: make(map[string]int), coming: make(map[string]int), copied: make(map[string]int), victims: make(map[*upstream][]victim),
 	}
 	for _, u := range c.upstreams {
 		u.countCopies(r.copied)
+		if u.load != nil {
+			r.coming[u.load.model]++
+		}
+		if u.intent != "" && (u.load == nil || u.load.model != u.intent) {
+			r.coming[u.intent]++
+		}
 		if u.entry.Leaving {
 			continue
 		}
 		for m := range u.replicas {
 			r.replicas[m]++
+			r.held[m]++
 		}
 		if u.load != nil {
 			if _, held := u.replicas[u.load.model]; !held {
@@ -103,10 +112,11 @@
 		}
 		t, ok := c.room(now, u, u.entry.Service, e, e.Models[u.intent])
 		if !ok {
+			c.round.coming[u.intent]--
 			u.intent = ""
 			continue
 		}
-		if t.store && len(t.victims) == 0 && !c.mayLoad(now, e, c.settings.StoreSlots+c.settings.StoreExtra) {
+		if t.store && len(t.victims) == 0 && !c.mayLoad(now, e, c.speed.slots+c.settings.StoreExtra) {
 			continue
 		}
 		actions = c.carry(now, t, u.intent, actions)
@@ -149,7 +159,7 @@
 		holders := c.holders(n.service, n.key.Model)
 		switch {
 		case len(holders) == 0:
-			if c.coming(n.key.Model) == 0 {
+			if c.round.coming[n.key.Model] == 0 {
 				actions = c.start(now, n.service, e, n.key.Model, actions)
 			}
 		case n.key.Adapter != "":
@@ -177,17 +187,6 @@
 	return list
 }
 
-// coming returns the number of loads of the model that are under way, ordered or prepared.
-func (c *Controller) coming(model string) int {
-	n := 0
-	for _, u := range c.upstreams {
-		if u.load != nil && u.load.model == model || u.intent == model {
-			n++
-		}
-	}
-	return n
-}
-
 // adapter orders the adapter at one of the holders of its model, unless it is there or on its way.
 func (c *Controller) adapter(now time.Time, e *fleet.Engine, k Key, holders []*upstream, actions []Action) []Action {
 	for _, u := range holders {
@@ -250,7 +249,7 @@
 // start orders a load of a model for which requests wait, or the unload that makes room for it.
 func (c *Controller) start(now time.Time, service string, e *fleet.Engine, model string, actions []Action) []Action {
 	t, ok := c.target(now, service, e, model, true)
-	if !ok || t.wait > 0 || t.store && !c.mayLoad(now, e, c.settings.StoreSlots+c.settings.StoreExtra) {
+	if !ok || t.wait > 0 || t.store && !c.mayLoad(now, e, c.speed.slots+c.settings.StoreExtra) {
 		return actions
 	}
 	return c.carry(now, t, model, actions)
@@ -258,6 +257,9 @@
 
 func (c *Controller) carry(now time.Time, t target, model string, actions []Action) []Action {
 	u := t.upstream
+	if u.intent != model {
+		c.round.coming[model]++
+	}
 	u.intent, u.intentEnd = model, now.Add(intentLife)
 	c.round.copied[model]++
 	if len(t.victims) > 0 {
@@ -394,23 +396,56 @@
 	return max(n, int(math.Ceil(running/min(c.settings.ReplicaShare*float64(max(e.Slots, 1)), c.settings.ReplicaRunning))))
 }
 
-// planReplicas orders further replicas of models whose replicas are too few for their load.
-func (c *Controller) planReplicas(now time.Time, actions []Action) []Action {
-	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
-		e := c.engines[service]
-		for _, model := range slices.Sorted(maps.Keys(c.rates)) {
-			have := len(c.holders(service, model)) + c.coming(model)
-			if _, ok := e.Models[model]; !ok || have == 0 {
+// shortage is a model with fewer replicas than its load needs.
+type shortage struct {
+	service string
+	model   string
+	have    int // have counts the loads under way too.
+	needed  int
+}
+
+// urgent reports whether the replicas have more than twice the load that is meant for them.
+func (s shortage) urgent() bool { return s.have*urgentRatio < s.needed }
+
+// shortages returns the models with too few replicas, the most overloaded first.
+func (c *Controller) shortages(now time.Time) []shortage {
+	var list []shortage
+	for service, e := range c.engines {
+		for model := range c.rates {
+			if _, ok := e.Models[model]; !ok {
 				continue
 			}
-			for ; have < c.needed(now, e, model); have++ {
-				t, ok := c.target(now, service, e, model, false)
-				gain := c.rate(model).value
-				if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && !c.mayLoad(now, e, c.settings.StoreSlots) {
-					break
-				}
-				actions = c.carry(now, t, model, actions)
+			s := shortage{service, model, c.round.held[model] + c.round.coming[model], c.needed(now, e, model)}
+			if s.have > 0 && s.have < s.needed {
+				list = append(list, s)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b shortage) int {
+		return cmp.Or(cmp.Compare(b.needed*a.have, a.needed*b.have), cmp.Compare(b.needed, a.needed), cmp.Compare(a.model, b.model))
+	})
+	return list
+}
+
+// planReplicas orders further replicas of models whose replicas are too few for their load. Urgent ones go before requests that
+// wait for rare models: a load from the weight store ends too late for most of these.
+func (c *Controller) planReplicas(now time.Time, actions []Action, urgent bool) []Action {
+	atOnce := c.speed.slots
+	if urgent {
+		atOnce += c.settings.StoreExtra
+	}
+	for _, s := range c.shortages(now) {
+		if urgent && !s.urgent() {
+			continue
+		}
+		e := c.engines[s.service]
+		for ; s.have < s.needed && (!urgent || s.urgent()); s.have++ {
+			t, ok := c.target(now, s.service, e, s.model, false)
+			gain := c.rate(s.model).value
+			if !ok || t.wait > 0 || gain < gainRatio*t.loss || t.store && !c.mayLoad(now, e, atOnce) {
+				break
 			}
+			actions = c.carry(now, t, s.model, actions)
 		}
 	}
 	return actions
@@ -421,7 +456,7 @@
 	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[service]
 		for _, model := range slices.Sorted(maps.Keys(e.Models)) {
-			if !c.mayLoad(now, e, c.settings.Background) {
+			if !c.mayLoad(now, e, min(c.settings.Background, c.speed.slots)) {
 				return actions
 			}
 			m := e.Models[model]
--- /dev/null
+++ b/pkg/place/speed_test.go
@@ -0,0 +1,99 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
+)
+
+// idle returns a controller that knows the given number of empty upstreams.
+func idle(e *fleet.Engine, upstreams int) *place.Controller {
+	list := make(map[string]fleet.Upstream)
+	for i := range upstreams {
+		id := fmt.Sprintf("u%02d", i)
+		list[id] = upstream(id)
+	}
+	c := controller(e, start, list)
+	c.Plan(start)
+	for id := range list {
+		c.Report(start, start, id, place.Report{Born: 1})
+	}
+	return c
+}
+
+// TestForecastLearnsTheSpeedOfTheWeightStore guards the pattern "rare models are asked for at once while the weight store runs
+// fewer loads at full speed than assumed": requests wait to their end on a forecast that does not come true.
+func TestForecastLearnsTheSpeedOfTheWeightStore(t *testing.T) {
+	e := engine(10)
+	e.LoadsPerSecond = 10
+	c := idle(e, 10)
+	for i := range 4 {
+		want(c, start, fmt.Sprintf("m%d", i), "")
+	}
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 4)
+	for _, o := range list {
+		c.Answered(start, o, place.Accepted)
+	}
+	last := list[3]
+	before := want(c, start, last.Key.Model, "").ReadyAt
+	qt.Assert(t, before, qt.Equals, start.Add(6*time.Second))
+	// The store runs two at once at full speed: the third load takes half as long again, the fourth twice as long.
+	for i, o := range list[:3] {
+		took := 6 * time.Second * time.Duration(max(i+1, 2)) / 2
+		now := start.Add(took + 100*time.Millisecond)
+		c.Report(now, now, o.Upstream, place.Report{Born: 1, Accepted: 1, Held: []fleet.Held{{Model: o.Key.Model}}})
+	}
+	qt.Assert(t, want(c, start.Add(9200*time.Millisecond), last.Key.Model, "").ReadyAt, qt.Equals, start.Add(12*time.Second))
+}
+
+// TestLateLoadCorrectsTheForecast guards against a forecast that is kept until the load ends although it is overdue.
+func TestLateLoadCorrectsTheForecast(t *testing.T) {
+	e := engine(10)
+	e.LoadsPerSecond = 10
+	c := idle(e, 10)
+	for i := range 4 {
+		want(c, start, fmt.Sprintf("m%d", i), "")
+	}
+	list := orders(c.Plan(start))
+	for _, o := range list {
+		c.Answered(start, o, place.Accepted)
+	}
+	now := start.Add(7 * time.Second)
+	c.Report(now, now, list[3].Upstream, place.Report{Born: 1, Accepted: 1, Busy: true})
+	qt.Assert(t, want(c, now, list[3].Key.Model, "").ReadyAt, qt.Equals, start.Add(8*time.Second))
+}
+
+// TestMostOverloadedModelIsReplicatedFirst guards the pattern "demand moves to a model with few replicas": the weight store's
+// places go to models that need them less, or to rare models whose requests cannot be served in time.
+func TestMostOverloadedModelIsReplicatedFirst(t *testing.T) {
+	e := engine(30)
+	e.LoadsPerSecond = 10
+	list := map[string]fleet.Upstream{"hot": upstream("hot", "m9"), "warm": upstream("warm", "m1")}
+	for i := range 10 {
+		id := fmt.Sprintf("u%02d", i)
+		list[id] = upstream(id)
+	}
+	c := controller(e, start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held})
+	}
+	c.Use(start, "h", []place.Use{
+		{Upstream: "warm", Key: place.Key{Model: "m1"}, Running: 4, Started: 3},
+		{Upstream: "hot", Key: place.Key{Model: "m9"}, Running: 40, Started: 60},
+	})
+	for i := 10; i < 20; i++ {
+		want(c, start, fmt.Sprintf("m%d", i), "")
+	}
+	loads := orders(c.Plan(start))
+	qt.Assert(t, len(loads) >= 4, qt.IsTrue)
+	for _, o := range loads[:4] {
+		qt.Assert(t, o.Key.Model, qt.Equals, "m9", qt.Commentf("%v", loads))
+	}
+}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -47,7 +47,8 @@
 		store    bool
 		accepted time.Time
 		due      time.Time
-		wanted   bool
+		full     time.Duration // full is the time of the load at full speed.
+		together int           // together is the number of loads from the weight store at its start, itself included.
 	}
 
 	rate struct {
@@ -60,6 +61,8 @@
 		ids      []string // ids are those of all upstreams in order.
 		store    int      // store counts the loads from the weight store.
 		replicas map[string]int
+		held     map[string]int // held counts the upstreams that hold a model and stay.
+		coming   map[string]int // coming counts the loads of a model that are under way, ordered or prepared.
 		copied   map[string]int // copied counts the upstreams that hold, load or keep a copy of a model.
 		victims  map[*upstream][]victim
 	}
