perf(node): fewer calls to the store on large deployments

Nine hubs read at intervals meant for a bound of 2 s where the bound is 3 s, and refused calls were repeated each 150 ms.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// feedLife is the age of what a hub passes on above which a host reads the store itself.
-	feedLife = 1300 * time.Millisecond
-	// feedConfigLife is that of the configuration, for which a hub waits at the store.
-	feedConfigLife = configWait + 400*time.Millisecond
 	// keptRemovals is how long a hub remembers that an upstream has gone; a host that asks later gets the whole list.
 	keptRemovals = 30 * time.Second
 )
@@ -119,7 +115,7 @@
 	for _, s := range f.Alive {
 		n.sign(now, s)
 	}
-	if f.ListAge > feedLife || f.ConfigAge > feedConfigLife {
+	if f.ListAge > n.pace.listLife || f.ConfigAge > n.pace.configLife {
 		return false
 	}
 	n.configAt, n.listAt = now.Add(-f.ConfigAge), now.Add(-f.ListAge)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -168,7 +168,7 @@
 	parent := hubs.Parent(near, n.self.Name)
 	_, holds := n.lease.Held(n.now())
 	hub := parent == "" || holds
-	n.setDirect(hub || now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > feedLife+beatInterval)
+	n.setDirect(hub || now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > n.pace.listLife+beatInterval)
 	if !hub {
 		n.lease.SetRank(len(n.chooseHubs(false))) // Hubs hear of all requests already and have more processor time.
 		b.Query = &FeedQuery{From: n.fedBy, Generation: n.fedTo}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	Node struct {
 		settings    Settings
 		began       time.Time // began is the start of the process.
+		pace        pace
 		platform    Platform
 		self        Member
 		logs        *telem.Logs
@@ -100,7 +101,7 @@
 	m := telem.NewMetrics()
 	incarnation := s.Host.Name + "." + uuid.NewString()[:8]
 	n := &Node{
-		settings: s, began: time.Now(), platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
+		settings: s, began: time.Now(), pace: newPace(s.Limits), platform: p, logs: logs, metrics: m, pool: pool, life: life, endLife: end,
 		self: Member{
 			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
 			Capacity: int(s.Host.Cores * s.Host.CoreSpeed * thousand),
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -53,6 +53,8 @@
 		RepeatExtra      float64 `toml:"repeatExtra"`      // RepeatExtra is the number of repeats in a window beyond RepeatRatio, over all hosts.
 		AddressLifetimeS float64 `toml:"addressLifetimeS"` // AddressLifetimeS is how long callers keep the addresses they were given, in seconds.
 		RequireFence     bool    `toml:"requireFence"`     // RequireFence tells that engines refuse an order with an old fence.
+		ConfigMS         int     `toml:"configMS"`         // ConfigMS is the time within which a configuration must be in force, in milliseconds.
+		LeaveMS          int     `toml:"leaveMS"`          // LeaveMS is the time within which a leaving upstream must get no new work, in milliseconds.
 		LoadWindowS      float64 `toml:"loadWindowS"`      // LoadWindowS is the window of the limit on loads from the weight store, in seconds.
 	}
 )
@@ -73,7 +75,7 @@
 func ParseSettings(data []byte) (Settings, error) {
 	s := Settings{Host: HostSettings{Cores: 1, CoreSpeed: 1}, Limits: LimitSettings{
 		GraceS: 8, LeaseMS: 3000, RepeatRatio: 0.1, RepeatWindowS: 10, RepeatExtra: 10, AddressLifetimeS: 2, RequireFence: true,
-		LoadWindowS: 5,
+		ConfigMS: 2000, LeaveMS: 2000, LoadWindowS: 5,
 	}}
 	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -138,6 +140,8 @@
 		{"limits.repeatWindowS", s.Limits.RepeatWindowS, 0.1},
 		{"limits.repeatExtra", s.Limits.RepeatExtra, 0},
 		{"limits.addressLifetimeS", s.Limits.AddressLifetimeS, 0.1},
+		{"limits.configMS", float64(s.Limits.ConfigMS), 1},
+		{"limits.leaveMS", float64(s.Limits.LeaveMS), 1},
 		{"limits.loadWindowS", s.Limits.LoadWindowS, 0.1},
 	} {
 		if !(n.value >= n.min) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -8,18 +8,16 @@
 )
 
 const (
-	// configWait is how long a question for a newer configuration waits; a change must be in force within two seconds, also
-	// if the connection on which the question waits has gone silent.
-	configWait    = 900 * time.Millisecond
-	configTimeout = configWait + 400*time.Millisecond
+	// configMargin is added to the wait for a newer configuration; a connection may have gone silent.
+	configMargin = 400 * time.Millisecond
 	// firstTimeout limits the first questions: a host without a configuration serves nobody, and a silent store may be back.
 	firstTimeout = 400 * time.Millisecond
 	// patientEvery is how often the first question is given the whole time, for a store that is slow.
 	patientEvery = 3
-	// listInterval is the time between two readings of the list; a leaving upstream must get no new work after two seconds.
-	listInterval = 700 * time.Millisecond
 	listTimeout  = 600 * time.Millisecond
+	// retryTime is the wait after a first failed call, and longestRetry that after several: refused calls have a price too.
 	retryTime    = 150 * time.Millisecond
+	longestRetry = 600 * time.Millisecond
 	// idleInterval is the time between two looks whether this host has to read the store itself.
 	idleInterval = 50 * time.Millisecond
 	// membersInterval is the time between two readings of the members; heartbeats tell of new ones earlier.
@@ -36,12 +34,12 @@
 			sleep(ctx, idleInterval)
 			continue
 		}
-		timeout := configTimeout
+		timeout := n.pace.configWait + configMargin
 		if cursor == 0 && failed%patientEvery != patientEvery-1 {
 			timeout = firstTimeout
 		}
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		record, next, err := n.platform.Config(limited, cursor, configWait)
+		record, next, err := n.platform.Config(limited, cursor, n.pace.configWait)
 		cancel()
 		n.control.Post(func() {
 			n.depends("configuration", err)
@@ -50,8 +48,11 @@
 			}
 		})
 		if err != nil {
-			failed++
-			sleep(ctx, retryTime)
+			if failed++; n.config.Load() == nil {
+				sleep(ctx, retryTime)
+			} else {
+				sleep(ctx, backoff(failed))
+			}
 			continue
 		}
 		cursor, failed = next, 0
@@ -98,7 +99,7 @@
 // watchList keeps the list of upstreams up to date.
 func (n *Node) watchList(ctx context.Context) {
 	cursor := int64(0)
-	for ctx.Err() == nil {
+	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
 			cursor = 0
 			sleep(ctx, idleInterval)
@@ -118,14 +119,20 @@
 			n.listChanged(changes)
 		})
 		if err != nil {
-			sleep(ctx, retryTime)
+			failed++
+			sleep(ctx, backoff(failed))
 			continue
 		}
-		cursor = changes.Cursor
-		sleep(ctx, listInterval-time.Since(began))
+		cursor, failed = changes.Cursor, 0
+		sleep(ctx, n.pace.listInterval-time.Since(began))
 	}
 }
 
+// backoff returns the wait after a number of failed calls in a row.
+func backoff(failed int) time.Duration {
+	return min(retryTime<<min(max(failed-1, 0), 8), longestRetry)
+}
+
 func (n *Node) listChanged(c Changes) {
 	now := time.Now()
 	n.list.Up(now, c.Cursor)
--- a/pkg/hubs/hubs.go
+++ b/pkg/hubs/hubs.go
@@ -7,9 +7,12 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// PerCentre is the number of hubs of a data centre. With three, two may be lost at once, and a data centre of three hosts has
-// no host that depends on another one.
-const PerCentre = 3
+const (
+	// PerCentre is the number of hubs of a data centre, so that one may be lost; when both are, each host reads the store itself.
+	PerCentre = 2
+	// SmallCentre is the number of hosts up to which all hosts of a data centre are hubs.
+	SmallCentre = 3
+)
 
 // Host is an entry host as its peers see it.
 type Host struct {
@@ -30,8 +33,12 @@
 	slices.SortFunc(list, func(a, b Host) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Name, b.Name))
 	})
-	names := make([]string, 0, PerCentre)
-	for _, h := range list[:min(len(list), PerCentre)] {
+	count := PerCentre
+	if len(list) <= SmallCentre {
+		count = len(list)
+	}
+	names := make([]string, 0, count)
+	for _, h := range list[:count] {
 		names = append(names, h.Name)
 	}
 	return names
