perf: attempts that reached nobody use no repeats, and engines without a report are left out of placement

Change: an attempt of which no byte was sent takes nothing from the window of repeats. An engine whose report does not come counts neither as a holder nor as a target until it reports again; an order without an answer asks for a report at once.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -36,6 +36,9 @@
 func (n *Node) choose(ctx context.Context, c *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
 	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session}
 	missing := ""
+	for id := range exclude {
+		missing = id // The controller looks whether the upstream still holds the model and can be reached.
+	}
 	for {
 		t, knows := n.try(q)
 		if t.Flight != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -51,7 +51,7 @@
 		begun  bool // begun tells that the head of the answer was sent.
 		ran    bool // ran tells that an upstream may have run the request.
 		sent   int  // sent counts the attempts that may have run.
-		// granted tells that leave to repeat the request was taken during the attempt.
+		// granted tells that the next attempt needs no further leave to repeat the request.
 		granted bool
 		events  events
 		passed  time.Time // passed is when the last piece of a stream was sent.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,8 +127,11 @@
 			return err
 		}
 		exclude[t.Choice.Upstream] = true
-		if codes.Is(err, codes.UpstreamRefused) {
+		switch {
+		case codes.Is(err, codes.UpstreamRefused):
 			refusals++
+		case codes.Is(err, codes.NoUpstream):
+			x.granted = true // Nothing reached an upstream, so that the next attempt repeats nothing.
 		}
 		if !x.granted && !x.awaitRepeat(ctx, refusals) {
 			return x.exhausted(err)
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -116,6 +116,7 @@
 		return
 	}
 	u.asked = time.Time{}
+	u.dark = false
 	if u.order != nil {
 		return
 	}
@@ -188,6 +189,7 @@
 func (c *Controller) NoReport(now time.Time, id string) {
 	if u, ok := c.upstreams[id]; ok {
 		u.asked = time.Time{}
+		u.dark = true
 		u.reportAt = now.Add(2 * reportRetry)
 	}
 }
@@ -247,7 +249,7 @@
 		}
 	}
 	for _, u := range c.upstreams {
-		if u.entry.Service != w.Service || u.entry.Leaving {
+		if u.entry.Service != w.Service || !u.usable() {
 			continue
 		}
 		if r, ok := u.replicas[w.Key.Model]; ok {
@@ -349,6 +351,9 @@
 	case NoAnswer:
 		// Another order may follow at once: both expect the same number of accepted orders, so that only one takes effect.
 		u.doubt = true
+		if u.reportAt.IsZero() {
+			u.reportAt = now
+		}
 	case Fenced, Rejected, Replaced:
 		u.failed = now
 		u.known = false
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -160,3 +160,22 @@
 		qt.Assert(t, loads[i]-loads[i-2] > 5*time.Second, qt.IsTrue, qt.Commentf("loads at %v", loads))
 	}
 }
+
+// TestDarkUpstreamIsLeftOut guards the pattern "engines crash or fall silent while their entries last": no orders go to an upstream
+// that gave no report, and its models are loaded elsewhere until it answers again.
+func TestDarkUpstreamIsLeftOut(t *testing.T) {
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u1": upstream("u1", "m0"), "u2": upstream("u2")})
+	c.Plan(start)
+	c.Report(start, start, "u1", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
+	c.Report(start, start, "u2", place.Report{Born: 1})
+	qt.Assert(t, want(c, start, "m0", "").Upstream, qt.Equals, "u1")
+	c.Missing(start, "u1", place.Key{Model: "m0"})
+	c.Plan(start)
+	c.NoReport(start, "u1")
+	qt.Assert(t, want(c, start, "m0", "").Upstream, qt.Equals, "")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "u2")
+	c.Report(start, start, "u1", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
+	qt.Assert(t, want(c, start, "m0", "").Upstream, qt.Equals, "u1")
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -54,13 +54,16 @@
 	}
 	for _, u := range c.upstreams {
 		u.countCopies(r.copied)
+		if u.dark {
+			continue
+		}
 		if u.load != nil {
 			r.coming[u.load.model]++
 		}
 		if u.intent != "" && (u.load == nil || u.load.model != u.intent) {
 			r.coming[u.intent]++
 		}
-		if u.entry.Leaving {
+		if !u.usable() {
 			continue
 		}
 		for m := range u.replicas {
@@ -173,7 +176,7 @@
 func (c *Controller) holders(service, model string) []*upstream {
 	var list []*upstream
 	for _, u := range c.upstreams {
-		if _, ok := u.replicas[model]; ok && u.entry.Service == service && !u.entry.Leaving {
+		if _, ok := u.replicas[model]; ok && u.entry.Service == service && u.usable() {
 			list = append(list, u)
 		}
 	}
@@ -237,7 +240,7 @@
 
 // free reports whether the upstream takes an order now.
 func (c *Controller) free(now time.Time, u *upstream) bool {
-	return u.known && u.order == nil && !u.entry.Leaving && !now.Before(u.notBefore)
+	return u.known && u.order == nil && u.usable() && !now.Before(u.notBefore)
 }
 
 func (c *Controller) give(now time.Time, u *upstream, op Op, k Key, actions []Action) []Action {
@@ -300,7 +303,7 @@
 
 // room returns what it takes to load the model on the upstream.
 func (c *Controller) room(now time.Time, u *upstream, service string, e *fleet.Engine, m fleet.Model) (target, bool) {
-	if u.entry.Service != service || u.entry.Leaving || now.Sub(u.failed) < c.settings.FailureTime && !u.failed.IsZero() {
+	if u.entry.Service != service || !u.usable() || now.Sub(u.failed) < c.settings.FailureTime && !u.failed.IsZero() {
 		return target{}, false
 	}
 	_, held := u.replicas[m.Name]
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -27,6 +27,7 @@
 		order     *Order
 		ordered   time.Time // ordered is when the last order was sent or answered.
 		doubt     bool      // doubt tells that an order has no answer, so that a report is needed.
+		dark      bool      // dark tells that the last report did not come, so that what the upstream holds is of no use now.
 		load      *load
 		intent    string // intent is the model for which room is being made.
 		intentEnd time.Time
@@ -153,7 +154,7 @@
 // ready reports whether the upstream serves the model and adapter now.
 func (u *upstream) ready(now time.Time, k Key) bool {
 	r, ok := u.replicas[k.Model]
-	if !ok || u.entry.Leaving {
+	if !ok || !u.usable() {
 		return false
 	}
 	if k.Adapter == "" {
@@ -163,6 +164,9 @@
 	return ok && !now.Before(at)
 }
 
+// usable reports whether the upstream takes new work.
+func (u *upstream) usable() bool { return !u.entry.Leaving && !u.dark }
+
 func (u *upstream) adapterCount() int {
 	n := 0
 	for _, r := range u.replicas {
