fix(place): an adapter whose unload waits for requests keeps its place, and a silent engine gets few orders

The unload of an adapter was answered 202 and not 200: requests that the controller had not heard of still used it. Its place counted as free, two further adapters were loaded, and the engine crashed. After the crash some 30 orders a second went to it, each without an answer. Change: such an adapter counts until a report does not list it; after two orders in a row without an answer a report decides. Both tests fail without the change.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -158,6 +158,9 @@
 	if u.load == nil {
 		u.adopt(r.Held)
 	}
+	if u.unloads() {
+		u.reportAt = now.Add(reportRetry)
+	}
 	if r.Busy && u.load == nil {
 		// Another controller ordered a load. Its model is not listed before it is ready, so that the memory is not known.
 		u.known = false
@@ -253,7 +256,7 @@
 			continue
 		}
 		if r, ok := u.replicas[w.Key.Model]; ok {
-			if at, ok := r.adapters[w.Key.Adapter]; ok {
+			if at, ok := r.adapters[w.Key.Adapter]; ok && !at.Equal(unloading) {
 				earlier(at)
 			} else {
 				earlier(now.Add(c.settings.AdapterTime))
@@ -331,10 +334,20 @@
 	if a == Accepted || a == Holds {
 		u.conflicts, u.doubt = 0, false
 	}
+	if a != NoAnswer {
+		u.silent = 0
+	}
 	switch a {
 	case Accepted:
 		u.accepted++
 		c.apply(now, u, o)
+		if o.Op == Unload && o.Key.Adapter != "" {
+			// Requests that this controller did not know of still use the adapter.
+			if r, ok := u.replicas[o.Key.Model]; ok {
+				r.adapters[o.Key.Adapter] = unloading
+			}
+			u.reportAt = now.Add(c.settings.ReportLag)
+		}
 	case Holds:
 		if o.Op == Unload {
 			u.accepted++ // An adapter is unloaded at once, which counts as an order.
@@ -351,7 +364,8 @@
 	case NoAnswer:
 		// Another order may follow at once: both expect the same number of accepted orders, so that only one takes effect.
 		u.doubt = true
-		if u.reportAt.IsZero() {
+		if u.silent++; u.silent >= maxSilent {
+			u.silent, u.known = 0, false
 			u.reportAt = now
 		}
 	case Fenced, Rejected, Replaced:
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,3 +180,57 @@
 	c.Report(start, start, "u1", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
 	qt.Assert(t, want(c, start, "m0", "").Upstream, qt.Equals, "u1")
 }
+
+// TestAdapterInUseKeepsItsPlace guards the pattern "the demand for adapters changes faster than uses are told": an unload that waits
+// for requests frees no place, and a further load overcommits the upstream.
+func TestAdapterInUseKeepsItsPlace(t *testing.T) {
+	u := upstream("u")
+	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 7, Held: u.Held})
+	want(c, start, "m0", "a3")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+	c.Answered(start, list[0], place.Accepted)
+	now := start.Add(time.Second)
+	want(c, now, "m0", "a3")
+	for _, o := range orders(c.Plan(now)) {
+		qt.Assert(t, o.Op, qt.Equals, place.Unload)
+		c.Answered(now, o, place.Conflict)
+	}
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 8, Held: []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}})
+	now = now.Add(time.Second)
+	want(c, now, "m0", "a3")
+	for _, o := range orders(c.Plan(now)) {
+		qt.Assert(t, o.Op, qt.Equals, place.Unload)
+		c.Answered(now, o, place.Conflict)
+	}
+	left := []string{"a1", "a2"}
+	left = slices.DeleteFunc(left, func(a string) bool { return a == list[0].Key.Adapter })
+	now = now.Add(time.Second)
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 8, Held: []fleet.Held{{Model: "m0", Adapters: left}}})
+	want(c, now, "m0", "a3")
+	after := orders(c.Plan(now))
+	qt.Assert(t, after, qt.HasLen, 1)
+	qt.Assert(t, after[0].Key, qt.Equals, place.Key{Model: "m0", Adapter: "a3"})
+	qt.Assert(t, after[0].Op, qt.Equals, place.Load)
+}
+
+// TestSilentEngineGetsFewOrders guards the pattern "an engine crashes while orders wait for it": orders at the rate of the events.
+func TestSilentEngineGetsFewOrders(t *testing.T) {
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": upstream("u", "m0")})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
+	sent := 0
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		want(c, now, "m0", "a3")
+		for _, o := range orders(c.Plan(now)) {
+			sent++
+			c.Answered(now, o, place.NoAnswer)
+		}
+	}
+	qt.Assert(t, sent, qt.Equals, 2)
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -218,7 +218,7 @@
 	for m, r := range u.replicas {
 		for a, at := range r.adapters {
 			k := Key{m, a}
-			if c.running.adapter[site{u.entry.ID, k}] > 0 || c.keyWanted(k) {
+			if at.Equal(unloading) || c.running.adapter[site{u.entry.ID, k}] > 0 || c.keyWanted(k) {
 				continue
 			}
 			if !found || at.Before(oldest) || at.Equal(oldest) && k.Adapter < best.Adapter {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -12,9 +12,14 @@
 	conflictWait = 60 * time.Millisecond  // conflictWait is the pause after a conflict; an unload without runs takes a few milliseconds.
 	maxConflicts = 3                      // maxConflicts in a row make a report necessary.
 	reportRetry  = 250 * time.Millisecond // reportRetry is the time between two reports of one upstream.
+	maxSilent    = 2                      // maxSilent orders in a row without an answer make a report necessary.
 	intentLife   = 3 * time.Second        // intentLife is how long an upstream is kept free for a load that needs an unload first.
 )
 
+// unloading stands for the time of readiness of an adapter whose unload waits for its last requests. It takes its place until a
+// report does not list it any more.
+var unloading = time.Unix(math.MaxInt32, 0)
+
 type (
 	// upstream is what the controller believes of one upstream.
 	upstream struct {
@@ -32,6 +37,7 @@
 		intent    string // intent is the model for which room is being made.
 		intentEnd time.Time
 		conflicts int
+		silent    int       // silent counts the orders in a row that had no answer.
 		notBefore time.Time // notBefore is the earliest time of the next order.
 		reportAt  time.Time // reportAt is when the next report is due; zero means none.
 		asked     time.Time
@@ -110,11 +116,15 @@
 	u.replicas = make(map[string]*replica, len(held))
 	for _, h := range held {
 		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
-		if was, ok := old[h.Model]; ok {
+		was := old[h.Model]
+		if was != nil {
 			r.used = was.used
 		}
 		for _, a := range h.Adapters {
 			r.adapters[a] = time.Time{}
+			if was != nil && was.adapters[a].Equal(unloading) {
+				r.adapters[a] = unloading
+			}
 		}
 		u.replicas[h.Model] = r
 	}
@@ -167,6 +177,18 @@
 // usable reports whether the upstream takes new work.
 func (u *upstream) usable() bool { return !u.entry.Leaving && !u.dark }
 
+// unloads reports whether the unload of an adapter waits for its last requests.
+func (u *upstream) unloads() bool {
+	for _, r := range u.replicas {
+		for _, at := range r.adapters {
+			if at.Equal(unloading) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (u *upstream) adapterCount() int {
 	n := 0
 	for _, r := range u.replicas {
