feat(node): a host that starts in an outage of the store asks seeds for configuration and list

Change: peers listen at the address that the platform hands out as seeds; a host without a configuration 0.5 s after its start asks them, and takes an old list if it has none.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -115,9 +115,11 @@
 	for _, s := range f.Alive {
 		n.sign(now, s)
 	}
-	if f.ListAge > n.pace.listLife || f.ConfigAge > n.pace.configLife {
+	fresh := f.ListAge <= n.pace.listLife && f.ConfigAge <= n.pace.configLife
+	if !fresh && (n.listed || !f.Whole || len(f.Put) == 0) {
 		return false
 	}
+	// A host that has no list at all takes an old one: in an outage of the store nobody has a newer one.
 	n.configAt, n.listAt = now.Add(-f.ConfigAge), now.Add(-f.ListAge)
 	next := make(map[string]fleet.Upstream, len(f.Put))
 	if !f.Whole {
@@ -137,7 +139,7 @@
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
-	return true
+	return fresh
 }
 
 // signs returns the signs of life of the hosts of a data centre that this host knows at first hand, and its own.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -28,6 +28,8 @@
 	// turn to that hub.
 	directTime = 1500 * time.Millisecond
 	staleTime  = 5 * time.Second
+	// seedDelay is the age of the process from which on it asks seeds; a store that is up has answered by then.
+	seedDelay = 500 * time.Millisecond
 	// unusableBeats is the number of missed heartbeats from which on a host is no hub.
 	unusableBeats = 2
 	quietEvery    = 5
@@ -135,14 +137,37 @@
 	for round := 0; ctx.Err() == nil; round++ {
 		var beat Beat
 		var to []Member
-		n.control.Ask(func() { beat, to = n.beat(round) })
+		var seeds []Member
+		n.control.Ask(func() {
+			beat, to = n.beat(round)
+			seeds = n.seeds()
+		})
 		for _, m := range to {
 			n.background(func(ctx context.Context) { n.call(ctx, m, &beat) })
 		}
+		query := beat
+		query.Query = &FeedQuery{}
+		for _, m := range seeds {
+			n.background(func(ctx context.Context) { n.call(ctx, m, &query) })
+		}
 		sleep(ctx, beatInterval)
 	}
 }
 
+// seeds returns the hosts to ask for what the store did not tell soon after the start.
+func (n *Node) seeds() []Member {
+	if n.config.Load() != nil && n.listed || time.Since(n.began) < seedDelay {
+		return nil
+	}
+	var list []Member
+	for _, address := range n.settings.Platform.Seeds {
+		if address != n.self.Peers {
+			list = append(list, Member{Peers: address})
+		}
+	}
+	return list
+}
+
 // candidates returns all known hosts for the choice of hubs; with patient, those that missed heartbeats too.
 func (n *Node) candidates(patient bool) []hubs.Host {
 	now := time.Now()
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -42,6 +42,8 @@
 	// PlatformSettings name the platform's log service.
 	PlatformSettings struct {
 		Address string `toml:"address"`
+		// Seeds are the addresses for peers of some hosts, which a host without a configuration asks when the log service is silent.
+		Seeds []string `toml:"seeds"`
 	}
 
 	// LimitSettings are the bounds that the operator sets for the system.
@@ -130,6 +132,11 @@
 			return fault(a.key, "must be IP:PORT")
 		}
 	}
+	for _, a := range s.Platform.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fault("platform.seeds", "must be IP:PORT")
+		}
+	}
 	for _, n := range []struct {
 		key        string
 		value, min float64
