--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -158,6 +158,13 @@
 	if u.load == nil {
 		u.adopt(r.Held)
 	}
+	for _, k := range r.Coming {
+		if x, ok := u.replicas[k.Model]; ok {
+			if _, ok := x.adapters[k.Adapter]; !ok {
+				x.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
+			}
+		}
+	}
 	if u.unloads() {
 		u.reportAt = now.Add(reportRetry)
 	}
@@ -462,17 +469,20 @@
 	}
 }
 
-// Missing takes over that an upstream refused a request because it does not hold the model or adapter.
+// Missing takes over that an upstream refused a request, so that it may not hold the model or adapter. What it holds keeps its
+// place until a report tells otherwise: it may be full, or still load the adapter.
 func (c *Controller) Missing(now time.Time, id string, k Key) {
 	u, ok := c.upstreams[id]
 	if !ok {
 		return
 	}
 	if r, held := u.replicas[k.Model]; held {
-		if k.Adapter != "" {
-			delete(r.adapters, k.Adapter)
+		if at, ok := r.adapters[k.Adapter]; ok && !at.Equal(unloading) {
+			r.adapters[k.Adapter] = now.Add(c.settings.ReportLag)
+		}
+		if u.reportAt.IsZero() {
+			u.reportAt = now
 		}
-		u.reportAt = now
 	}
 }
 
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -234,3 +234,34 @@
 	}
 	qt.Assert(t, sent, qt.Equals, 2)
 }
+
+// TestAdapterOnItsWayKeepsItsPlace guards the pattern "many adapters are fetched at once": a report that does not list an adapter as
+// held yet frees no place.
+func TestAdapterOnItsWayKeepsItsPlace(t *testing.T) {
+	u := upstream("u")
+	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1"}}}
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{
+		Born: 1, Accepted: 7, Held: u.Held, Coming: []place.Key{{Model: "m0", Adapter: "a2"}},
+	})
+	want(c, start, "m0", "a3")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+}
+
+// TestRefusalFreesNoPlace guards the pattern "a full engine refuses requests for an adapter": a place that is counted as free although
+// the adapter is there.
+func TestRefusalFreesNoPlace(t *testing.T) {
+	u := upstream("u")
+	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 7, Held: u.Held})
+	c.Missing(start, "u", place.Key{Model: "m0", Adapter: "a2"})
+	want(c, start, "m0", "a3")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+}
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -64,6 +64,7 @@
 		Accepted int64 // Accepted is the number of orders accepted in this life.
 		Busy     bool
 		Held     []fleet.Held
+		Coming   []Key // Coming lists the adapters that are being loaded; they take their places already.
 		InMemory []string
 		OnDisk   []string
 	}
