--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -109,85 +109,6 @@
 	}
 }
 
-// Report takes over the report that was asked for at the given time.
-func (c *Controller) Report(now, asked time.Time, id string, r Report) {
-	u, ok := c.upstreams[id]
-	if !ok || r.Born != 0 && u.entry.Born != 0 && r.Born != u.entry.Born {
-		return
-	}
-	u.asked = time.Time{}
-	u.dark = false
-	if u.order != nil {
-		return
-	}
-	old := asked.Sub(u.ordered) < c.settings.ReportLag
-	switch {
-	case u.known && r.Accepted < u.accepted:
-		u.reportAt = now.Add(reportRetry) // The content is older than the last order.
-		return
-	case u.known && r.Accepted > u.accepted:
-		// An order whose answer was lost has been accepted.
-		u.accepted, u.doubt = r.Accepted, false
-		if u.load != nil && !r.Busy {
-			u.load = nil
-		}
-	case old:
-		u.reportAt = now.Add(reportRetry)
-		return
-	}
-	u.known, u.accepted, u.doubt = true, r.Accepted, false
-	u.copies(r.InMemory, r.OnDisk)
-	c.compare(now, u, r)
-}
-
-// compare takes over what the report says of loads and of what is held.
-func (c *Controller) compare(now time.Time, u *upstream, r Report) {
-	held := heldNames(r.Held)
-	if u.load != nil {
-		switch {
-		case slices.Contains(held, u.load.model):
-			c.loaded(now, u)
-		case !r.Busy && now.Sub(u.load.accepted) > 2*c.settings.ReportLag:
-			u.load = nil
-			u.failed = now
-		default:
-			c.slow(now, u.load)
-			u.reportAt = now.Add(reportRetry)
-		}
-	}
-	if u.load == nil {
-		u.adopt(r.Held)
-	}
-	for _, k := range r.Coming {
-		if x, ok := u.replicas[k.Model]; ok {
-			if _, ok := x.adapters[k.Adapter]; !ok {
-				x.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
-			}
-		}
-	}
-	if u.unloads() {
-		u.reportAt = now.Add(reportRetry)
-	}
-	if r.Busy && u.load == nil {
-		// Another controller ordered a load. Its model is not listed before it is ready, so that the memory is not known.
-		u.known = false
-		u.reportAt = now.Add(reportRetry)
-	}
-}
-
-func (c *Controller) loaded(now time.Time, u *upstream) {
-	if _, ok := u.replicas[u.load.model]; !ok {
-		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
-	}
-	u.disk[u.load.model] = true
-	if l := u.load; l.store {
-		c.speed.finished(l.together, now.Sub(l.accepted), l.full)
-		c.forecastLoads()
-	}
-	c.news = append(c.news, Ready{u.entry.ID, Key{Model: u.load.model}, u.load.store, now.Sub(u.load.accepted), u.load.due.Sub(u.load.accepted)})
-	u.load = nil
-}
-
 // Loaded returns the models that have become ready since the last call.
 func (c *Controller) Loaded() []Ready {
 	list := c.news
@@ -195,15 +116,6 @@
 	return list
 }
 
-// NoReport takes over that no report came.
-func (c *Controller) NoReport(now time.Time, id string) {
-	if u, ok := c.upstreams[id]; ok {
-		u.asked = time.Time{}
-		u.dark = true
-		u.reportAt = now.Add(2 * reportRetry)
-	}
-}
-
 // Want takes over that a request waits, and returns where it can run or when. A want counts for the hold time, or for
 // WantLife if that is longer, without being repeated.
 func (c *Controller) Want(now time.Time, w Want, hold time.Duration) Forecast {
@@ -330,87 +242,6 @@
 	return r
 }
 
-// Answered takes over the answer to an order.
-func (c *Controller) Answered(now time.Time, o Order, a Answer) {
-	u, ok := c.upstreams[o.Upstream]
-	if !ok || u.entry.Born != o.Born || u.order == nil || *u.order != o {
-		return
-	}
-	u.order = nil
-	u.ordered = now
-	if a == Accepted || a == Holds {
-		u.conflicts, u.doubt = 0, false
-	}
-	if a != NoAnswer {
-		u.silent = 0
-	}
-	switch a {
-	case Accepted:
-		u.accepted++
-		c.apply(now, u, o)
-		if o.Op == Unload && o.Key.Adapter != "" {
-			// Requests that this controller did not know of still use the adapter.
-			if r, ok := u.replicas[o.Key.Model]; ok {
-				r.adapters[o.Key.Adapter] = unloading
-			}
-			u.reportAt = now.Add(c.settings.ReportLag)
-		}
-	case Holds:
-		if o.Op == Unload {
-			u.accepted++ // An adapter is unloaded at once, which counts as an order.
-		}
-		c.apply(now, u, o)
-	case Conflict:
-		u.conflicts++
-		u.notBefore = now.Add(conflictWait)
-		if u.conflicts >= maxConflicts || u.doubt {
-			u.conflicts, u.doubt = 0, false
-			u.known = false
-			u.reportAt = now.Add(c.settings.ReportLag)
-		}
-	case NoAnswer:
-		// Another order may follow at once: both expect the same number of accepted orders, so that only one takes effect.
-		u.doubt = true
-		if u.silent++; u.silent >= maxSilent {
-			u.silent, u.known = 0, false
-			u.reportAt = now
-		}
-	case Fenced, Rejected, Replaced:
-		u.failed = now
-		u.known = false
-		u.reportAt = now.Add(c.settings.FailureTime)
-	}
-}
-
-func (c *Controller) apply(now time.Time, u *upstream, o Order) {
-	k := o.Key
-	switch {
-	case o.Op == Load && k.Adapter == "":
-		m := c.engines[u.entry.Service].Models[k.Model]
-		full, store := u.loadTime(m)
-		u.load = &load{model: k.Model, store: store, accepted: now, full: full}
-		if store {
-			c.round.store = c.countStoreLoads()
-			u.load.together = c.acceptedStoreLoads()
-		}
-		u.load.due = now.Add(c.speed.time(u.load))
-		u.reportAt = now.Add(full + 10*time.Millisecond)
-		u.intent = ""
-		c.stats.Loads++
-	case o.Op == Load:
-		if r, ok := u.replicas[k.Model]; ok {
-			r.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
-		}
-	case k.Adapter == "":
-		delete(u.replicas, k.Model)
-		c.stats.Unloads++
-	default:
-		if r, ok := u.replicas[k.Model]; ok {
-			delete(r.adapters, k.Adapter)
-		}
-	}
-}
-
 func (c *Controller) wanted(model string) bool { return c.waiters(model) > 0 }
 
 // waiters returns the number of requests that wait for the model or an adapter of it.
@@ -453,13 +284,6 @@
 	return c.speed.stretched(d, c.round.store+1)
 }
 
-// slow takes over that a load is still under way.
-func (c *Controller) slow(now time.Time, l *load) {
-	if l.store && c.speed.unfinished(l.together, now.Sub(l.accepted), l.full) {
-		c.forecastLoads()
-	}
-}
-
 // forecastLoads predicts the ends of all loads anew.
 func (c *Controller) forecastLoads() {
 	for _, u := range c.upstreams {
@@ -469,23 +293,6 @@
 	}
 }
 
-// Missing takes over that an upstream refused a request, so that it may not hold the model or adapter. What it holds keeps its
-// place until a report tells otherwise: it may be full, or still load the adapter.
-func (c *Controller) Missing(now time.Time, id string, k Key) {
-	u, ok := c.upstreams[id]
-	if !ok {
-		return
-	}
-	if r, held := u.replicas[k.Model]; held {
-		if at, ok := r.adapters[k.Adapter]; ok && !at.Equal(unloading) {
-			r.adapters[k.Adapter] = now.Add(c.settings.ReportLag)
-		}
-		if u.reportAt.IsZero() {
-			u.reportAt = now
-		}
-	}
-}
-
 // Stats returns the present figures.
 func (c *Controller) Stats() Stats {
 	s := c.stats
