fix(node): a service of which no upstream can be reached refuses soon

Cause: since attempts that reached nobody use no repeats, a booking was tried again until its deadline while all servers of its service refused connections. Change: after three rounds over all upstreams (0.3 s) it is refused with a time to return.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -16,6 +16,8 @@
 const (
 	// noUpstreamRetry is when a caller may come back if a service has no upstream; the list is read more often.
 	noUpstreamRetry = time.Second
+	// maxRounds is the number of times that all upstreams of a service without models are tried before a request is refused.
+	maxRounds = 3
 	// refusedPause is the wait before an upstream that refused is asked again because there is no other.
 	refusedPause = 100 * time.Millisecond
 	// noControllerPause is the wait before a controller is looked for again.
@@ -45,7 +47,7 @@
 			return t, nil
 		}
 		if q.Key.Model == "" {
-			if len(exclude) == 0 || knows == 0 {
+			if c.Rounds++; len(exclude) == 0 || knows == 0 || c.Rounds > maxRounds {
 				return t, codes.Newf(codes.NoUpstream, "%d upstreams of the service", knows).WithRetryAfter(noUpstreamRetry)
 			}
 			if !sleep(ctx, refusedPause) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -99,6 +99,7 @@
 		Deadline time.Time // Deadline is the latest time of the whole answer.
 		Patience time.Time // Patience is the time at which the caller gives up without a first event.
 		Version  int64     // Version is that of the configuration.
+		Rounds   int       // Rounds counts how often all upstreams of a service without models were tried in vain.
 	}
 
 	// Ended describes a request that ended.
