--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -4,14 +4,20 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflycleat/fireflycleat/internal/telem"
 )
 
-// ServiceName is the name under which a daemon's methods are called.
-const ServiceName = "Peer"
+const (
+	// ServiceName is the name under which a daemon's methods are called.
+	ServiceName = "Peer"
+	// acceptPause is the wait before connections are accepted again after a shortage of descriptors.
+	acceptPause = 100 * time.Millisecond
+)
 
 // Server accepts calls from other daemons.
 type Server struct {
@@ -39,10 +45,14 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve accepts connections until Close.
+// Serve accepts connections until Close. A shortage of descriptors ends no process: connections that wait are taken later.
 func (s *Server) Serve() error {
 	for {
 		conn, err := s.listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
