--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -37,7 +37,7 @@
 		Upstream string
 		Key      place.Key
 		Holds    bool
-		Passed   bool // Passed tells that a hub passes the news on to the hosts that depend on it.
+		Hops     int // Hops is 0 at the controller, 1 for a hub and 2 for a host that depends on one.
 	}
 
 	// WantReply answers WantArgs.
@@ -162,30 +162,38 @@
 	n.changed = make(chan struct{})
 }
 
-// tell sends what has changed to the other hosts, so that they need not wait for the list: to all hubs, and as a hub to the
-// hosts that depend on this one.
+// tell sends what has changed to the other hosts, so that they need not wait for the list.
 func (n *Node) tell(p Placed) {
 	now := time.Now()
 	n.table.Learn(now, p.Upstream, p.Key, p.Holds)
-	passOn := p
-	passOn.Passed = true
+	hubs, children := n.audience(now, p.Hops)
+	p.Hops = 1
+	n.send(hubs, p)
+	p.Hops = 2
+	n.send(children, p)
+}
+
+// audience returns the hubs and the dependent hosts to which this one passes news on. The number of hops ends it: for the
+// lifetime of a sign of life two hosts may count as dependent on each other, and news would go to and fro between them.
+func (n *Node) audience(now time.Time, hops int) (hubs, children []Member) {
 	for name, m := range n.members {
-		if !m.alive(now) {
-			continue
-		}
-		child := now.Sub(m.childAt) < heardLife
-		if !child && (p.Passed || !n.hubs[name]) {
-			continue
-		}
-		address := m.Peers
-		p := passOn
-		if !child {
-			p.Passed = false
+		switch {
+		case !m.alive(now):
+		case hops == 0 && n.hubs[name]:
+			hubs = append(hubs, m.Member)
+		case hops <= 1 && now.Sub(m.childAt) < heardLife:
+			children = append(children, m.Member)
 		}
+	}
+	return hubs, children
+}
+
+func (n *Node) send(to []Member, p Placed) {
+	for _, m := range to {
 		n.background(func(ctx context.Context) {
 			// A host that misses the news learns it from the list.
-			if err := n.peerClient.CallWithin(ctx, beatTimeout, address, peers.ServiceName+".Placed", &p, &struct{}{}); err != nil {
-				n.log("place").Debug("host was not told", "peers", address, "err", err)
+			if err := n.peerClient.CallWithin(ctx, beatTimeout, m.Peers, peers.ServiceName+".Placed", &p, &struct{}{}); err != nil {
+				n.log("place").Debug("host was not told", "peers", m.Peers, "err", err)
 			}
 		})
 	}
@@ -193,10 +201,7 @@
 
 // Placed takes over what another host tells of an upstream.
 func (s *service) Placed(p *Placed, _ *struct{}) error {
-	s.n.control.Post(func() {
-		p.Passed = true // Only the controller tells other hubs.
-		s.n.tell(*p)
-	})
+	s.n.control.Post(func() { s.n.tell(*p) })
 	return nil
 }
 
