perf(node): hosts that depend on a hub leave the store alone in an outage

Change: a host whose hub has nothing fresh and whose own two readings in a row failed believes in an outage: it keeps asking its hub, and reads the store again only after 3 s. Announcements and first readings wait longer between two tries.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -132,6 +132,9 @@
 		delete(next, id)
 	}
 	n.fedBy, n.fedTo = hub.Incarnation, f.Generation
+	if fresh {
+		n.outage.ended()
+	}
 	if f.Whole || len(f.Put)+len(f.Removed) > 0 || !n.listed {
 		n.takeList(now, next)
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -78,7 +78,7 @@
 
 // watchMembers publishes this host and reads who else was published.
 func (n *Node) watchMembers(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failed := 1; ctx.Err() == nil; failed++ {
 		limited, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := n.platform.Announce(limited, n.self)
 		cancel()
@@ -86,7 +86,7 @@
 			break
 		}
 		n.control.Post(func() { n.depends("members", err) })
-		sleep(ctx, retryTime)
+		sleep(ctx, backoff(failed))
 	}
 	for reads := 0; ctx.Err() == nil; reads++ {
 		if reads >= firstReads && !n.direct.Load() {
@@ -172,11 +172,12 @@
 func (n *Node) candidates(patient bool) []hubs.Host {
 	now := time.Now()
 	_, stopping := n.stop.state()
+	outage := n.outage.lasts(now)
 	list := []hubs.Host{{Name: n.self.Name, DataCentre: n.self.DataCentre, Capacity: n.self.Capacity, Usable: !stopping}}
 	for name, m := range n.members {
 		list = append(list, hubs.Host{
 			Name: name, DataCentre: m.DataCentre, Capacity: m.Capacity,
-			Usable: patient || m.missed < unusableBeats && !m.stopping && now.Sub(m.staleAt) > staleTime,
+			Usable: patient || m.missed < unusableBeats && !m.stopping && (outage || now.Sub(m.staleAt) > staleTime),
 		})
 	}
 	return list
@@ -190,17 +191,15 @@
 	_, stopping := n.stop.state()
 	b := Beat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseNews()}
 	near := hubs.Choose(n.candidates(false), n.self.DataCentre)
-	parent := hubs.Parent(near, n.self.Name)
-	_, holds := n.lease.Held(n.now())
-	hub := parent == "" || holds
-	n.setDirect(hub || now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > n.pace.listLife+beatInterval)
-	if !hub {
+	n.parent = hubs.Parent(near, n.self.Name)
+	n.chooseSource()
+	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
 		n.lease.SetRank(len(n.chooseHubs(false))) // Hubs hear of all requests already and have more processor time.
 		b.Query = &FeedQuery{From: n.fedBy, Generation: n.fedTo}
 		if c := n.config.Load(); c != nil {
 			b.Query.Version = c.Version()
 		}
-		return b, []Member{n.members[parent].Member}
+		return b, []Member{n.members[n.parent].Member}
 	}
 	b.Children = n.children(now)
 	n.hubs = n.chooseHubs(false)
@@ -254,10 +253,19 @@
 func (n *Node) stale(hub string) {
 	now := time.Now()
 	n.staleAt = now
-	if m, ok := n.members[hub]; ok {
+	if m, ok := n.members[hub]; ok && !n.outage.lasts(now) {
 		m.staleAt = now
 	}
-	n.setDirect(true)
+	n.chooseSource()
+}
+
+// chooseSource decides whether this host reads the store itself: as a hub or as the controller, or if what its hub told is old and
+// the store is not believed to answer nobody. In an outage the calls of all hosts would only load the store.
+func (n *Node) chooseSource() {
+	now := time.Now()
+	_, holds := n.lease.Held(n.now())
+	old := now.Sub(n.staleAt) < directTime || now.Sub(n.listAt) > n.pace.listLife+beatInterval
+	n.setDirect(n.parent == "" || holds || old && !n.outage.lasts(now))
 }
 
 // setDirect makes this host read the store itself, or stop doing so.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,8 @@
 		fedBy     string    // fedBy is the incarnation of the hub whose list was taken over last.
 		fedTo     int64     // fedTo is the generation of that list.
 		staleAt   time.Time // staleAt is when a hub had nothing fresh for this host.
+		parent    string    // parent is the hub on which this host depends; it is empty if there is none.
+		outage    outage
 		members   map[string]*member
 		hubs      map[string]bool // hubs are the hubs of all data centres, as this host believes.
 		lease     *lease.Lease
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -18,6 +18,8 @@
 	// retryTime is the wait after a first failed call, and longestRetry that after several: refused calls have a price too.
 	retryTime    = 150 * time.Millisecond
 	longestRetry = 600 * time.Millisecond
+	// firstRetry is the longest wait of a host without a configuration.
+	firstRetry = 300 * time.Millisecond
 	// idleInterval is the time between two looks whether this host has to read the store itself.
 	idleInterval = 50 * time.Millisecond
 	// membersInterval is the time between two readings of the members; heartbeats tell of new ones earlier.
@@ -48,11 +50,12 @@
 			}
 		})
 		if err != nil {
-			if failed++; n.config.Load() == nil {
-				sleep(ctx, retryTime)
-			} else {
-				sleep(ctx, backoff(failed))
+			failed++
+			wait := backoff(failed)
+			if n.config.Load() == nil {
+				wait = min(wait, firstRetry)
 			}
+			sleep(ctx, wait)
 			continue
 		}
 		cursor, failed = next, 0
@@ -113,8 +116,11 @@
 			n.depends("list", err)
 			if err != nil {
 				n.list.Down()
+				n.outage.failed(time.Now())
+				n.chooseSource()
 				return
 			}
+			n.outage.ended()
 			n.listAt = began
 			n.listChanged(changes)
 		})
