fix(lease): a renewal that nobody heard of does not cost a second waiting time

Its last renewal had reached nobody, so that the append of the next host was refused; before it read the log, heartbeats told it of the old record again, so that it tried the same append four times; after the read it waited for the whole time again. Change: after a refused append the log is read whatever others tell, and the lease counts as not held; the first two hosts in line read the log when a record is 1.8 s old. TestRenewalThatNobodyHeardOf (old code: no holder within 12 s) and TestRefusedHolderStops fail without the change.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -43,6 +43,9 @@
 		Renew    time.Duration // Renew is the time between two renewals.
 		HoldTime time.Duration // HoldTime is how long after a renewal was sent the holder may use the lease.
 		TakeTime time.Duration // TakeTime is how long without a new record another host waits before it takes over.
+		// CheckTime is how long without a new record the first of those that may take over read the log: the holder may have
+		// ended after a renewal of which it told nobody.
+		CheckTime time.Duration
 		Stagger  time.Duration // Stagger is added to TakeTime for each rank, so that hosts do not try at once.
 		Retry    time.Duration // Retry is the time between two calls after one failed.
 		// Fenced tells that whoever is ordered to do something refuses an older fence than it has seen. A holder that cannot
@@ -57,6 +60,7 @@
 		rank      int
 		known     bool
 		verify    bool // verify tells that the newest record must be read again.
+		checked   bool // checked tells that the log was read when a new record was overdue.
 		newest    Newest
 		seen      time.Time // seen is when the newest record was first known to exist.
 		sent      time.Time // sent is when the last append was sent.
@@ -67,14 +71,18 @@
 	}
 )
 
+// checkRanks is the number of hosts that read the log when a record is overdue.
+const checkRanks = 2
+
 // DefaultSettings returns times that keep at least one second between the end of one tenure and the start of the next.
 func DefaultSettings() Settings {
 	return Settings{
-		Renew:    time.Second,
-		HoldTime: 2 * time.Second,
-		TakeTime: 3200 * time.Millisecond,
-		Stagger:  150 * time.Millisecond,
-		Retry:    300 * time.Millisecond,
+		Renew:     time.Second,
+		HoldTime:  2 * time.Second,
+		TakeTime:  3200 * time.Millisecond,
+		CheckTime: 1800 * time.Millisecond, // a renewal, and a heartbeat between hubs that tells of it
+		Stagger:   150 * time.Millisecond,
+		Retry:     300 * time.Millisecond,
 	}
 }
 
@@ -144,6 +152,10 @@
 		}
 		return l.append(l.newest.fence(), false)
 	case now.Sub(l.seen) < l.wait():
+		if now.Sub(l.seen) >= l.settings.CheckTime && !l.checked && l.rank < checkRanks {
+			l.checked = true
+			return Action{Kind: Read}
+		}
 		return Action{}
 	}
 	return l.append(0, false)
@@ -191,7 +203,7 @@
 		if !l.known && n.End == l.newest.End && !l.seen.IsZero() {
 			seen = l.seen // The record is the one that was known before the doubt.
 		}
-		l.seen = seen
+		l.seen, l.checked = seen, false
 	}
 	l.known = true
 	l.newest = n
@@ -212,10 +224,11 @@
 	}
 }
 
-// Refused takes over that the log does not end where the append expected.
+// Refused takes over that the log does not end where the append expected. What other hosts tell may be as old as what this one
+// knew, so that the log itself is read.
 func (l *Lease) Refused() {
-	l.calling = false
-	l.known = false
+	l.calling, l.known, l.verify = false, false, true
+	l.heldUntil = time.Time{}
 }
 
 // Failed takes over that a call has no answer or was refused, so that an append is in doubt.
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -77,6 +77,55 @@
 	qt.Assert(t, fence > a.Fence(), qt.IsTrue)
 }
 
+// TestRenewalThatNobodyHeardOf guards against a second waiting time when the holder ended after a renewal of which the others do not
+// know, while they go on telling each other of the record before it.
+func TestRenewalThatNobodyHeardOf(t *testing.T) {
+	l, a, b, c := &log{}, host("a", 0), host("b", 0), host("c", 5)
+	last := 2100 * time.Millisecond
+	taken := time.Duration(0)
+	for at := time.Duration(0); at < 12*time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		if at <= last {
+			l.run(now, a)
+		}
+		if n, age, ok := a.Newest(now); ok && at <= 1500*time.Millisecond {
+			b.Saw(now, n, age)
+			c.Saw(now, n, age)
+		}
+		if n, age, ok := c.Newest(now); ok {
+			b.Saw(now, n, age)
+		}
+		if at >= time.Second {
+			l.run(now, b)
+		}
+		if _, held := b.Held(now); held && taken == 0 {
+			taken = at
+		}
+	}
+	s := lease.DefaultSettings()
+	qt.Assert(t, taken > last+s.TakeTime-100*time.Millisecond, qt.IsTrue, qt.Commentf("taken at %v", taken))
+	qt.Assert(t, taken < last+s.TakeTime+s.CheckTime, qt.IsTrue, qt.Commentf("taken at %v", taken))
+}
+
+// TestRefusedHolderStops guards against a holder whose renewal was refused and that goes on because others tell it of its old record.
+func TestRefusedHolderStops(t *testing.T) {
+	s := lease.DefaultSettings()
+	s.Fenced = true
+	l, a := &log{}, lease.New(s, "a", "a.1")
+	l.run(start, a)
+	l.run(start, a)
+	old, age, _ := a.Newest(start)
+	l.records = append(l.records, lease.Record{Holder: "b", Incarnation: "b.1"})
+	now := start.Add(s.Renew)
+	l.run(now, a)
+	a.Saw(now, old, age)
+	_, held := a.Held(now)
+	qt.Assert(t, held, qt.IsFalse)
+	l.run(now, a)
+	qt.Assert(t, a.Holder(), qt.Equals, "b")
+	qt.Assert(t, l.records, qt.HasLen, 2)
+}
+
 // TestRestartedHolderTakesItsOwnLeaseAtOnce guards against seconds without a holder after a process was killed.
 func TestRestartedHolderTakesItsOwnLeaseAtOnce(t *testing.T) {
 	l, a := &log{}, host("a", 0)
