perf(place): a loaded model stays until its requests reach it, and a load from disk counts as done at its time

And loads from an upstream's own disk took 1,380 ms where 1,100 were stated, because the report that tells of their end is up to half a second old. Change: a loaded model is no victim for 1.5 s unless a host told of a request at it; a load from disk counts as done 20 ms after its stated time, older reports do not count then, and a newer one corrects it. TestLoadedModelStays and TestLoadFromDiskIsReadyAtItsTime fail without the change.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -46,8 +46,8 @@
 		// CheckTime is how long without a new record the first of those that may take over read the log: the holder may have
 		// ended after a renewal of which it told nobody.
 		CheckTime time.Duration
-		Stagger  time.Duration // Stagger is added to TakeTime for each rank, so that hosts do not try at once.
-		Retry    time.Duration // Retry is the time between two calls after one failed.
+		Stagger   time.Duration // Stagger is added to TakeTime for each rank, so that hosts do not try at once.
+		Retry     time.Duration // Retry is the time between two calls after one failed.
 		// Fenced tells that whoever is ordered to do something refuses an older fence than it has seen. A holder that cannot
 		// reach the log then goes on until it learns of another one, because nobody can take over during an outage of the log.
 		Fenced bool
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -221,7 +221,7 @@
 		}
 		if u, ok := c.upstreams[x.Upstream]; ok {
 			if r, ok := u.replicas[x.Key.Model]; ok {
-				r.used = now
+				r.used, r.fresh = now, time.Time{}
 			}
 		}
 	}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -265,3 +265,62 @@
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
 }
+
+// TestLoadedModelStays guards against a model that is unloaded for another one before the requests for which it was loaded have
+// reached it.
+func TestLoadedModelStays(t *testing.T) {
+	u := upstream("u", "m0")
+	u.OnDisk = []string{"m1", "m2"}
+	c := controller(engine(3), start, map[string]fleet.Upstream{"u": u})
+	c.Report(start, start, "u", place.Report{Born: 1, Held: u.Held, OnDisk: u.OnDisk})
+	c.Use(start, "h", []place.Use{{Upstream: "u", Key: place.Key{Model: "m0"}, Running: 1}})
+	want(c, start, "m1", "")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	c.Answered(start, list[0], place.Accepted)
+	now := start.Add(1100 * time.Millisecond)
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 1, Held: []fleet.Held{{Model: "m0"}, {Model: "m1"}}, OnDisk: u.OnDisk})
+	qt.Assert(t, want(c, now, "m1", "").Upstream, qt.Equals, "u")
+	c.Done("m1") // The host sends its request; no heartbeat tells of it yet.
+	keep := place.DefaultSettings().KeepTime
+	for at := time.Duration(0); at < keep; at += 100 * time.Millisecond {
+		want(c, now.Add(at), "m2", "")
+		qt.Assert(t, orders(c.Plan(now.Add(at))), qt.HasLen, 0, qt.Commentf("after %v", at))
+	}
+	want(c, now.Add(keep), "m2", "")
+	list = orders(c.Plan(now.Add(keep)))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+	qt.Assert(t, list[0].Key.Model, qt.Equals, "m1")
+}
+
+// TestLoadFromDiskIsReadyAtItsTime guards against requests that wait for a report, half a second old, of a load that takes a known
+// time; a report that is newer than that corrects a wrong time.
+func TestLoadFromDiskIsReadyAtItsTime(t *testing.T) {
+	u := upstream("u")
+	u.OnDisk = []string{"m0", "m1"}
+	c := controller(engine(2), start, map[string]fleet.Upstream{"u": u})
+	c.Report(start, start, "u", place.Report{Born: 1, OnDisk: u.OnDisk})
+	f := want(c, start, "m1", "")
+	qt.Assert(t, f.ReadyAt, qt.Equals, start.Add(time.Second))
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	c.Answered(start, list[0], place.Accepted)
+	now := start.Add(900 * time.Millisecond)
+	c.Plan(now)
+	qt.Assert(t, want(c, now, "m1", "").Upstream, qt.Equals, "")
+	due := c.Next(now)
+	for c.Plan(due); want(c, due, "m1", "").Upstream == "" && due.Sub(start) < 1050*time.Millisecond; c.Plan(due) {
+		due = c.Next(due)
+	}
+	qt.Assert(t, want(c, due, "m1", "").Upstream, qt.Equals, "u", qt.Commentf("after %v", due.Sub(start)))
+	qt.Assert(t, c.Loaded(), qt.HasLen, 1)
+	busy := place.Report{Born: 1, Accepted: 1, Busy: true, OnDisk: u.OnDisk}
+	old := due.Add(100 * time.Millisecond)
+	c.Report(old, old, "u", busy)
+	qt.Assert(t, want(c, old, "m1", "").Upstream, qt.Equals, "u")
+	fresh := due.Add(place.DefaultSettings().ReportLag)
+	c.Report(fresh, fresh, "u", busy)
+	qt.Assert(t, want(c, fresh, "m1", "").Upstream, qt.Equals, "")
+	qt.Assert(t, orders(c.Plan(fresh)), qt.HasLen, 0)
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	diskMargin   = 20 * time.Millisecond  // diskMargin is added to the stated time of a load from an upstream's own copy, which depends on no other load.
 	unloadTime   = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
 	lossWeight   = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
 	runningCost  = 0.1                    // runningCost is the cost, in seconds of load time, of each request that runs on an upstream that gets a further model.
@@ -83,7 +84,11 @@
 func (c *Controller) Next(now time.Time) time.Time {
 	next := now.Add(time.Second)
 	for _, u := range c.upstreams {
-		for _, t := range []time.Time{u.reportAt, u.notBefore} {
+		due := time.Time{}
+		if u.load != nil && !u.load.store {
+			due = u.load.due.Add(diskMargin)
+		}
+		for _, t := range []time.Time{u.reportAt, u.notBefore, due} {
 			if t.After(now) && t.Before(next) {
 				next = t
 			}
@@ -102,6 +107,10 @@
 		if u.intent != "" && now.After(u.intentEnd) {
 			u.intent = ""
 		}
+		if u.load != nil && !u.load.store && !now.Before(u.load.due.Add(diskMargin)) {
+			c.loaded(now, u)
+			u.ordered, u.reportAt = now, now.Add(c.settings.ReportLag) // An older report does not count; the next one corrects a mistake.
+		}
 	}
 }
 
@@ -351,7 +360,7 @@
 func (c *Controller) victims(now time.Time, u *upstream, e *fleet.Engine) []victim {
 	var list []victim
 	for m, r := range u.replicas {
-		if c.running.replica[site{u.entry.ID, Key{Model: m}}] > 0 || c.wanted(m) && c.round.replicas[m] <= 1 {
+		if c.running.replica[site{u.entry.ID, Key{Model: m}}] > 0 || c.wanted(m) && c.round.replicas[m] <= 1 || now.Sub(r.fresh) < c.settings.KeepTime {
 			continue
 		}
 		list = append(list, victim{m, c.value(now, u, e, m), r.used})
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -73,7 +73,7 @@
 
 func (c *Controller) loaded(now time.Time, u *upstream) {
 	if _, ok := u.replicas[u.load.model]; !ok {
-		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now}
+		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), used: now, fresh: now}
 	}
 	u.disk[u.load.model] = true
 	if l := u.load; l.store {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -47,6 +47,7 @@
 	replica struct {
 		adapters map[string]time.Time // adapters maps each adapter to the time from which it can be used.
 		used     time.Time
+		fresh    time.Time // fresh is when the model was loaded; it is zero once a host has told of a request.
 	}
 
 	load struct {
@@ -118,7 +119,7 @@
 		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
 		was := old[h.Model]
 		if was != nil {
-			r.used = was.used
+			r.used, r.fresh = was.used, was.fresh
 		}
 		for _, a := range h.Adapters {
 			r.adapters[a] = time.Time{}
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -110,6 +110,9 @@
 		Settle time.Duration
 		// WantLife is how long a want counts without being repeated.
 		WantLife time.Duration
+		// KeepTime is how long a loaded model stays if no host tells of a request at it. The requests for which it was loaded need
+		// time to reach it, and hosts tell of them with their next heartbeats.
+		KeepTime time.Duration
 		// RateTime is the time constant of the request rates.
 		RateTime time.Duration
 		// ReplicaRate is the number of requests a second that one replica serves without long waits.
@@ -150,6 +153,7 @@
 		ReportLag:      500 * time.Millisecond,
 		Settle:         3 * time.Second,
 		WantLife:       2 * time.Second,
+		KeepTime:       1500 * time.Millisecond, // two heartbeats, the second one that of the hub, and a short wait for the host
 		RateTime:       3 * time.Second,
 		ReplicaRate:    7, // a prompt of 1,500 tokens takes 80 ms of an engine, and its chunks delay the tokens of the others
 		ReplicaShare:   0.25,
