fix: news of placement is taken in the order in which it was given

And an adapter that a host knew to be loaded counted as usable after its model was unloaded. Change: news bears the fence of the controller and a number; older news is ignored. An unload ends the adapters known before it. TestNewsThatOvertake and TestUnloadEndsAdapters fail without the change.

--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -9,6 +9,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
 )
 
@@ -37,7 +38,8 @@
 		Upstream string
 		Key      place.Key
 		Holds    bool
-		Hops     int // Hops is 0 at the controller, 1 for a hub and 2 for a host that depends on one.
+		Hops     int        // Hops is 0 at the controller, 1 for a hub and 2 for a host that depends on one.
+		Stamp    pick.Stamp // Stamp orders the news of all controllers, since each is a call of its own.
 	}
 
 	// WantReply answers WantArgs.
@@ -147,7 +149,7 @@
 	for _, r := range n.placing.Loaded() {
 		n.log("place").Info("loaded", "event", eventLoaded, "upstream", r.Upstream, "model", r.Key.Model, "store", r.Store,
 			"tookMS", r.Took.Milliseconds(), "expectedMS", r.Expected.Milliseconds())
-		n.tell(Placed{Upstream: r.Upstream, Key: r.Key, Holds: true})
+		n.announce(r.Upstream, r.Key, true)
 	}
 	for _, a := range n.placing.Plan(now) {
 		switch {
@@ -162,10 +164,16 @@
 	n.changed = make(chan struct{})
 }
 
+// announce tells all hosts that an upstream holds a model from now on, or not any more.
+func (n *Node) announce(upstream string, k place.Key, holds bool) {
+	n.told++
+	n.tell(Placed{Upstream: upstream, Key: k, Holds: holds, Stamp: pick.Stamp{Fence: n.tenure, Number: n.told}})
+}
+
 // tell sends what has changed to the other hosts, so that they need not wait for the list.
 func (n *Node) tell(p Placed) {
 	now := time.Now()
-	n.table.Learn(now, p.Upstream, p.Key, p.Holds)
+	n.table.Hear(now, p.Upstream, p.Key, p.Holds, p.Stamp)
 	hubs, children := n.audience(now, p.Hops)
 	p.Hops = 1
 	n.send(hubs, p)
@@ -208,7 +216,7 @@
 func (n *Node) order(o place.Order, address string) {
 	fence := n.tenure
 	if o.Op == place.Unload && o.Key.Adapter == "" {
-		n.tell(Placed{Upstream: o.Upstream, Key: o.Key})
+		n.announce(o.Upstream, o.Key, false)
 	}
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -102,6 +102,13 @@
 	learned struct {
 		holds bool
 		at    time.Time
+		stamp Stamp // stamp is that of the last news of a controller.
+	}
+
+	// Stamp orders the news of controllers.
+	Stamp struct {
+		Fence  int64 // Fence is that of the controller's tenure.
+		Number int64 // Number grows with each news of a controller.
 	}
 
 	sessionKey struct {
@@ -176,13 +183,30 @@
 // Learn takes over that an upstream holds a model or adapter, or does not, before the published list says so.
 func (t *Table) Learn(now time.Time, upstream string, k place.Key, holds bool) {
 	if s, ok := t.upstreams[upstream]; ok {
-		s.learned[k] = learned{holds, now}
+		s.learned[k] = learned{holds, now, s.learned[k].stamp}
 		if holds && k.Adapter != "" {
-			s.learned[place.Key{Model: k.Model}] = learned{true, now}
+			model := place.Key{Model: k.Model}
+			s.learned[model] = learned{true, now, s.learned[model].stamp}
 		}
 	}
 }
 
+// Hear is Learn for news of the controller, which may overtake each other; news with an older stamp than the last is ignored.
+func (t *Table) Hear(now time.Time, upstream string, k place.Key, holds bool, at Stamp) {
+	s, ok := t.upstreams[upstream]
+	if !ok || at.before(s.learned[k].stamp) {
+		return
+	}
+	t.Learn(now, upstream, k, holds)
+	l := s.learned[k]
+	l.stamp = at
+	s.learned[k] = l
+}
+
+func (s Stamp) before(o Stamp) bool {
+	return s.Fence < o.Fence || s.Fence == o.Fence && s.Number < o.Number
+}
+
 // Knows returns the number of upstreams of the service that take new work.
 func (t *Table) Knows(service string) int {
 	n := 0
@@ -293,14 +317,15 @@
 	if k.Model == "" {
 		return true
 	}
-	if l, ok := s.learned[k]; ok && now.Sub(l.at) < learnedLife {
-		return l.holds
-	}
+	l, ok := s.learned[k]
 	if k.Adapter != "" {
-		if l, ok := s.learned[place.Key{Model: k.Model}]; ok && now.Sub(l.at) < learnedLife && !l.holds {
-			return false
+		if m, ok := s.learned[place.Key{Model: k.Model}]; ok && now.Sub(m.at) < learnedLife && !m.holds && !m.at.Before(l.at) {
+			return false // The model was unloaded later than the adapter was loaded.
 		}
 	}
+	if ok && now.Sub(l.at) < learnedLife {
+		return l.holds
+	}
 	for _, h := range s.entry.Held {
 		if h.Model != k.Model {
 			continue
