perf(place): a model waits for the upstream that has a copy of it, and forecasts tell so

The upstream with a copy on its disk had no room in that moment, because its models were in use or room was being made for another one, and was left out. Change: such an upstream counts with 2 s until it has room; for 4 s the model is not loaded from the weight store elsewhere. The time that loads from the weight store wait for each other is not added to a load from disk.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -23,7 +23,9 @@
 		stats     Stats
 		news      []Ready
 		speed     storeSpeed
-		started   []time.Time // started holds the times of the last orders for loads from the weight store.
+		// blockedSince tells since when a model waits for an upstream that has a copy of it but no room.
+		blockedSince map[string]time.Time
+		started      []time.Time // started holds the times of the last orders for loads from the weight store.
 	}
 
 	// Ready is a model that has become ready on an upstream.
@@ -45,7 +47,7 @@
 func New(s Settings) *Controller {
 	return &Controller{
 		settings: s, speed: storeSpeed{s.StoreSlots}, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
-		wants: make(map[string]*waiting), uses: make(map[string][]Use), running: newSums(), waiting: make(map[string]int), rates: make(map[string]*rate),
+		wants: make(map[string]*waiting), uses: make(map[string][]Use), running: newSums(), waiting: make(map[string]int), rates: make(map[string]*rate), blockedSince: make(map[string]time.Time),
 	}
 }
 
@@ -191,7 +193,10 @@
 		}
 		if e := c.engines[w.Service]; e != nil {
 			if t, ok := c.target(now, w.Service, e, w.Key.Model, true); ok {
-				return now.Add(t.wait + t.time + c.queue(w))
+				if t.store {
+					t.wait += c.queue(w)
+				}
+				return now.Add(t.wait + t.time)
 			}
 		}
 	}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -324,3 +324,42 @@
 	qt.Assert(t, want(c, fresh, "m1", "").Upstream, qt.Equals, "")
 	qt.Assert(t, orders(c.Plan(fresh)), qt.HasLen, 0)
 }
+
+// TestCopyWithoutRoomIsWaitedFor guards against a forecast of a load from the weight store, and such a load, for a model of which an
+// upstream has a copy that only lacks room for a moment; and against a wait without end for it.
+func TestCopyWithoutRoomIsWaitedFor(t *testing.T) {
+	full, empty := upstream("full", "m0", "m1"), upstream("empty")
+	full.OnDisk = []string{"m2"}
+	c := controller(engine(3), start, map[string]fleet.Upstream{"full": full, "empty": empty})
+	c.Report(start, start, "full", place.Report{Born: 1, Held: full.Held, OnDisk: full.OnDisk})
+	c.Report(start, start, "empty", place.Report{Born: 1})
+	busy := []place.Use{{Upstream: "full", Key: place.Key{Model: "m0"}, Running: 1}, {Upstream: "full", Key: place.Key{Model: "m1"}, Running: 1}}
+	c.Use(start, "h", busy)
+	f := want(c, start, "m2", "")
+	qt.Assert(t, f.ReadyAt.Sub(start) <= 3500*time.Millisecond, qt.IsTrue, qt.Commentf("ready after %v", f.ReadyAt.Sub(start)))
+	qt.Assert(t, orders(c.Plan(start)), qt.HasLen, 0)
+
+	// With room on the upstream the model is loaded there.
+	now := start.Add(time.Second)
+	c.Use(now, "h", busy[:1])
+	want(c, now, "m2", "")
+	list := orders(c.Plan(now))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "full")
+	qt.Assert(t, list[0].Key.Model, qt.Equals, "m1")
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+
+	// Without it the model is loaded elsewhere in the end.
+	c = controller(engine(3), start, map[string]fleet.Upstream{"full": full, "empty": empty})
+	c.Report(start, start, "full", place.Report{Born: 1, Held: full.Held, OnDisk: full.OnDisk})
+	c.Report(start, start, "empty", place.Report{Born: 1})
+	c.Use(start, "h", busy)
+	list = nil
+	for at := time.Duration(0); len(list) == 0 && at < 6*time.Second; at += 200 * time.Millisecond {
+		want(c, start.Add(at), "m2", "")
+		list = orders(c.Plan(start.Add(at)))
+	}
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "empty")
+	qt.Assert(t, list[0].Op, qt.Equals, place.Load)
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -12,6 +12,8 @@
 
 const (
 	diskMargin   = 20 * time.Millisecond  // diskMargin is added to the stated time of a load from an upstream's own copy, which depends on no other load.
+	blockedWait  = 2 * time.Second        // blockedWait is the expected time until an upstream without room has some; most answers take less.
+	blockedLimit = 4 * time.Second        // blockedLimit is how long a model waits for an upstream with a copy before it is loaded elsewhere.
 	unloadTime   = 150 * time.Millisecond // unloadTime is the expected time of an unload without runs.
 	lossWeight   = 0.5                    // lossWeight is the weight of what an unload loses against the time that a waiting request gains.
 	runningCost  = 0.1                    // runningCost is the cost, in seconds of load time, of each request that runs on an upstream that gets a further model.
@@ -103,6 +105,11 @@
 			c.Done(id)
 		}
 	}
+	for m := range c.blockedSince {
+		if !c.wanted(m) {
+			delete(c.blockedSince, m)
+		}
+	}
 	for _, u := range c.upstreams {
 		if u.intent != "" && now.After(u.intentEnd) {
 			u.intent = ""
@@ -123,7 +130,7 @@
 			continue
 		}
 		t, ok := c.room(now, u, u.entry.Service, e, e.Models[u.intent])
-		if !ok {
+		if !ok || t.wait > 0 {
 			c.round.coming[u.intent]--
 			u.intent = ""
 			continue
@@ -261,6 +268,9 @@
 // start orders a load of a model for which requests wait, or the unload that makes room for it.
 func (c *Controller) start(now time.Time, service string, e *fleet.Engine, model string, actions []Action) []Action {
 	t, ok := c.target(now, service, e, model, true)
+	if _, since := c.blockedSince[model]; ok && t.wait >= blockedWait && !since {
+		c.blockedSince[model] = now
+	}
 	if !ok || t.wait > 0 || t.store && !c.mayLoad(now, e, c.speed.slots+c.settings.StoreExtra) {
 		return actions
 	}
@@ -273,6 +283,7 @@
 		c.round.coming[model]++
 	}
 	u.intent, u.intentEnd = model, now.Add(intentLife)
+	delete(c.blockedSince, model)
 	c.round.copied[model]++
 	if len(t.victims) > 0 {
 		return c.give(now, u, Unload, Key{Model: t.victims[0]}, actions)
@@ -316,7 +327,7 @@
 		return target{}, false
 	}
 	_, held := u.replicas[m.Name]
-	if held || u.load != nil && u.load.model == m.Name || c.reserved(u, m.Name) {
+	if held || u.load != nil && u.load.model == m.Name {
 		return target{}, false
 	}
 	t := target{upstream: u}
@@ -324,6 +335,9 @@
 	if t.store {
 		t.time = c.stretched(t.time)
 	}
+	if c.reserved(u, m.Name) {
+		return c.blocked(now, t, m.Name)
+	}
 	switch {
 	case u.load != nil:
 		t.wait = max(u.load.due.Sub(now), 50*time.Millisecond)
@@ -347,7 +361,19 @@
 			return t, true
 		}
 	}
-	return target{}, false
+	return c.blocked(now, t, m.Name)
+}
+
+// blocked returns what it takes to load the model on an upstream that has no room now. Only one with a copy of its own is worth the
+// wait, and only for a while: its requests may run long.
+func (c *Controller) blocked(now time.Time, t target, model string) (target, bool) {
+	since, ok := c.blockedSince[model]
+	if t.store || ok && now.Sub(since) > blockedLimit {
+		return target{}, false
+	}
+	t.wait = max(t.wait, blockedWait)
+	t.victims, t.loss = nil, 0
+	return t, true
 }
 
 type victim struct {
