--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -259,6 +259,13 @@
 	n.chooseSource()
 }
 
+// silent takes over that a hub does not answer. It would not tell this host of the end of an outage, so that the host reads the
+// store itself.
+func (n *Node) silent(hub string) {
+	n.outage.ended()
+	n.stale(hub)
+}
+
 // chooseSource decides whether this host reads the store itself: as a hub or as the controller, or if what its hub told is old and
 // the store is not believed to answer nobody. In an outage the calls of all hosts would only load the store.
 func (n *Node) chooseSource() {
@@ -315,7 +322,7 @@
 			return
 		}
 		if b.Query != nil {
-			n.stale(m.Name)
+			n.silent(m.Name)
 		}
 		x, ok := n.members[m.Name]
 		if !ok || x.Incarnation != m.Incarnation {
