fix(node): a host that turns to the store starts from the list that its hub told

The host's hub was suspended; when the host turned to the store, its own list, which nobody had kept up while the hub did, counted as blind until then, so that entries which disappeared were kept for 2.2 s as after an outage. Change: if the hub's list is less than 3 s old, the host's own list starts from it, and nothing is kept. TestAdoptedListIsNotBlind fails without the change.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -28,6 +28,9 @@
 	// turn to that hub.
 	directTime = 1500 * time.Millisecond
 	staleTime  = 5 * time.Second
+	// recentList is the age of a list from a hub up to which no outage is assumed; entries last longer than that without a sign of
+	// their upstream.
+	recentList = 3 * time.Second
 	// seedDelay is the age of the process from which on it asks seeds; a store that is up has answered by then.
 	seedDelay = 500 * time.Millisecond
 	// unusableBeats is the number of missed heartbeats from which on a host is no hub.
@@ -281,8 +284,11 @@
 		return
 	}
 	n.log("members").Info("source of configuration and list", "event", eventSource, "store", direct)
-	if !direct {
+	switch {
+	case !direct:
 		n.list.Down() // Entries that lapse until the store is read again are not known to be gone.
+	case n.listed && time.Since(n.listAt) < recentList:
+		n.list.Adopt(n.upstreams)
 	}
 }
 
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -54,6 +54,14 @@
 	l.down, l.position, l.readAt = false, position, now
 }
 
+// Adopt takes over the list that another host has read a moment ago. This host was not blind then, so that an entry which is missing
+// in its own next reading has not lapsed for an outage.
+func (l *List) Adopt(all map[string]Upstream) {
+	l.live = maps.Clone(all)
+	clear(l.lapsed)
+	l.down, l.back, l.readAt = false, time.Time{}, time.Time{}
+}
+
 // Put takes over an entry, and reports whether it changed anything but its count of messages.
 func (l *List) Put(u Upstream) bool {
 	old, ok := l.live[u.ID]
--- a/pkg/fleet/list_test.go
+++ b/pkg/fleet/list_test.go
@@ -48,3 +48,24 @@
 	l.Remove(now, "u1")
 	qt.Assert(t, l.Current(now), qt.HasLen, 1)
 }
+
+// TestAdoptedListIsNotBlind guards against requests to an upstream that has left, because a host that turns from its hub to the
+// store keeps entries as after an outage.
+func TestAdoptedListIsNotBlind(t *testing.T) {
+	u1, u2 := fleet.Upstream{ID: "u1", Born: 1}, fleet.Upstream{ID: "u2", Born: 1}
+	now := time.Unix(1000, 0)
+	l := fleet.NewList()
+	l.Up(now, 4)
+	l.Reset(now, []fleet.Upstream{u1})
+	l.Down() // From here on a hub reads the list.
+	now = now.Add(20 * time.Second)
+	l.Adopt(map[string]fleet.Upstream{"u1": u1, "u2": u2})
+	qt.Assert(t, l.Current(now), qt.HasLen, 2)
+	now = now.Add(200 * time.Millisecond)
+	l.Up(now, 90)
+	l.Reset(now, []fleet.Upstream{u1, u2})
+	now = now.Add(time.Second)
+	l.Up(now, 95)
+	l.Remove(now, "u2")
+	qt.Assert(t, l.Current(now), qt.HasLen, 1)
+}
