fix(ctrl): an alarm whose call is due does not swallow the next time

Set passed the new time over because the old one was earlier; the tick then found a wake in the future and asked for none. All three hosts lost their ticks, and nobody proposed holders again. Change: a time that has passed does not count as set.

--- a/internal/ctrl/ctrl.go
+++ b/internal/ctrl/ctrl.go
@@ -82,12 +82,13 @@
 // NewAlarm returns an alarm that calls ring on the control thread.
 func NewAlarm(c *Thread, ring func()) *Alarm { return &Alarm{control: c, ring: ring} }
 
-// Set asks for a call at the time, or earlier if an earlier one is already set. It is called on the control thread.
+// Set asks for a call at the time, or earlier if an earlier one is already set. It is called on the control thread. A call that is
+// due already and waits for the thread does not count, because what it does may depend on the one that is asked for now.
 func (a *Alarm) Set(at time.Time) {
-	if a.timer != nil && !a.at.After(at) {
-		return
-	}
-	if a.timer != nil {
+	if a.timer != nil && a.at.After(time.Now()) {
+		if !a.at.After(at) {
+			return
+		}
 		a.timer.Stop()
 	}
 	a.at = at
