--- a/pkg/fleet/list_test.go
+++ b/pkg/fleet/list_test.go
@@ -24,14 +24,21 @@
 	return l, now, position
 }
 
-// TestLapsedEntryStaysAfterAnOutage guards against a service without upstreams after an outage of the list during which nobody
-// could renew an entry, and against an entry that stays for good.
-func TestLapsedEntryStaysAfterAnOutage(t *testing.T) {
+// missingAfterAnOutage returns a list that could not be read for 6 s, in which the given number of entries was written and one
+// of two upstreams disappeared, and the time of its reading.
+func missingAfterAnOutage(written int64) (*fleet.List, time.Time) {
 	l, now, position := reading()
 	l.Down()
 	now = now.Add(6 * time.Second)
-	l.Up(now, position+5)
+	l.Up(now, position+written)
 	l.Remove(now, "u1")
+	return l, now
+}
+
+// TestLapsedEntryStaysAfterAnOutage guards against a service without upstreams after an outage of the list during which nobody
+// could renew an entry, and against an entry that stays for good.
+func TestLapsedEntryStaysAfterAnOutage(t *testing.T) {
+	l, now := missingAfterAnOutage(5)
 	qt.Assert(t, l.Current(now), qt.HasLen, 2)
 	now = now.Add(2 * time.Second)
 	qt.Assert(t, l.Current(now), qt.HasLen, 2)
@@ -41,11 +48,7 @@
 // TestMissingEntryIsGoneIfOnlyThisHostWasBlind guards against requests to an upstream that has left, by a host that alone could
 // not read the list and takes that for an outage.
 func TestMissingEntryIsGoneIfOnlyThisHostWasBlind(t *testing.T) {
-	l, now, position := reading()
-	l.Down()
-	now = now.Add(6 * time.Second)
-	l.Up(now, position+60)
-	l.Remove(now, "u1")
+	l, now := missingAfterAnOutage(60)
 	qt.Assert(t, l.Current(now), qt.HasLen, 1)
 }
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -52,6 +52,16 @@
 	return h
 }
 
+// fencedHolder returns a host that holds the lease of a log where fences are checked.
+func fencedHolder() (*log, *lease.Lease) {
+	s := lease.DefaultSettings()
+	s.Fenced = true
+	l, a := &log{}, lease.New(s, "a", "a.1")
+	l.run(start, a)
+	l.run(start, a)
+	return l, a
+}
+
 // TestSilentHolderStopsBeforeTakeOver guards against two holders at a time when the holder can no longer reach the log.
 func TestSilentHolderStopsBeforeTakeOver(t *testing.T) {
 	l, a, b := &log{}, host("a", 0), host("b", 1)
@@ -109,14 +119,10 @@
 
 // TestRefusedHolderStops guards against a holder whose renewal was refused and that goes on because others tell it of its old record.
 func TestRefusedHolderStops(t *testing.T) {
-	s := lease.DefaultSettings()
-	s.Fenced = true
-	l, a := &log{}, lease.New(s, "a", "a.1")
-	l.run(start, a)
-	l.run(start, a)
+	l, a := fencedHolder()
 	old, age, _ := a.Newest(start)
 	l.records = append(l.records, lease.Record{Holder: "b", Incarnation: "b.1"})
-	now := start.Add(s.Renew)
+	now := start.Add(lease.DefaultSettings().Renew)
 	l.run(now, a)
 	a.Saw(now, old, age)
 	_, held := a.Held(now)
@@ -247,11 +253,7 @@
 // TestFencedHolderGoesOnInAnOutage guards against an outage of the log that ends all orders although nobody can take over, and
 // against a holder that goes on after it has heard of another one or was suspended.
 func TestFencedHolderGoesOnInAnOutage(t *testing.T) {
-	s := lease.DefaultSettings()
-	s.Fenced = true
-	l, a := &log{}, lease.New(s, "a", "a.1")
-	l.run(start, a)
-	l.run(start, a)
+	_, a := fencedHolder()
 	for at := time.Second; at < 10*time.Second; at += 100 * time.Millisecond {
 		if a.Step(start.Add(at)).Kind != lease.Nothing {
 			a.Failed(start.Add(at))
@@ -260,7 +262,7 @@
 		qt.Assert(t, held, qt.IsTrue, qt.Commentf("at %v", at))
 	}
 	now := start.Add(11 * time.Second)
-	b := lease.New(s, "a", "a.1")
+	b := new(lease.Lease)
 	*b = *a
 	b.Doubt()
 	_, held := b.Held(now)
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -72,8 +72,9 @@
 	qt.Assert(t, list[0].Expect, qt.Equals, int64(3))
 }
 
-// TestUnloadedAdapterCountsAsOrder guards against orders that conflict because the number of accepted orders is too low.
-func TestUnloadedAdapterCountsAsOrder(t *testing.T) {
+// wantThirdAdapter returns a controller of an upstream with two places for adapters, both taken, and the unload that it orders for a
+// third one.
+func wantThirdAdapter(t *testing.T) (*place.Controller, place.Order) {
 	u := upstream("u")
 	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}
 	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
@@ -83,8 +84,14 @@
 	list := orders(c.Plan(start))
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
-	c.Answered(start, list[0], place.Holds)
-	list = orders(c.Plan(start))
+	return c, list[0]
+}
+
+// TestUnloadedAdapterCountsAsOrder guards against orders that conflict because the number of accepted orders is too low.
+func TestUnloadedAdapterCountsAsOrder(t *testing.T) {
+	c, unload := wantThirdAdapter(t)
+	c.Answered(start, unload, place.Holds)
+	list := orders(c.Plan(start))
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Key.Adapter, qt.Equals, "a3")
 	qt.Assert(t, list[0].Expect, qt.Equals, int64(8))
@@ -135,16 +142,7 @@
 func TestLoadRate(t *testing.T) {
 	e := engine(40)
 	e.LoadsPerSecond = 0.8
-	list := make(map[string]fleet.Upstream)
-	for i := range 20 {
-		id := fmt.Sprintf("u%02d", i)
-		list[id] = upstream(id)
-	}
-	c := controller(e, start, list)
-	c.Plan(start)
-	for id := range list {
-		c.Report(start, start, id, place.Report{Born: 1})
-	}
+	c := idle(e, 20)
 	var loads []time.Duration
 	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
 		now := start.Add(at)
@@ -184,16 +182,8 @@
 // TestAdapterInUseKeepsItsPlace guards the pattern "the demand for adapters changes faster than uses are told": an unload that waits
 // for requests frees no place, and a further load overcommits the upstream.
 func TestAdapterInUseKeepsItsPlace(t *testing.T) {
-	u := upstream("u")
-	u.Held = []fleet.Held{{Model: "m0", Adapters: []string{"a1", "a2"}}}
-	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u})
-	c.Plan(start)
-	c.Report(start, start, "u", place.Report{Born: 1, Accepted: 7, Held: u.Held})
-	want(c, start, "m0", "a3")
-	list := orders(c.Plan(start))
-	qt.Assert(t, list, qt.HasLen, 1)
-	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
-	c.Answered(start, list[0], place.Accepted)
+	c, unload := wantThirdAdapter(t)
+	c.Answered(start, unload, place.Accepted)
 	now := start.Add(time.Second)
 	want(c, now, "m0", "a3")
 	for _, o := range orders(c.Plan(now)) {
@@ -208,7 +198,7 @@
 		c.Answered(now, o, place.Conflict)
 	}
 	left := []string{"a1", "a2"}
-	left = slices.DeleteFunc(left, func(a string) bool { return a == list[0].Key.Adapter })
+	left = slices.DeleteFunc(left, func(a string) bool { return a == unload.Key.Adapter })
 	now = now.Add(time.Second)
 	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 8, Held: []fleet.Held{{Model: "m0", Adapters: left}}})
 	want(c, now, "m0", "a3")
--- a/pkg/place/speed_test.go
+++ b/pkg/place/speed_test.go
@@ -26,9 +26,8 @@
 	return c
 }
 
-// TestForecastLearnsTheSpeedOfTheWeightStore guards the pattern "rare models are asked for at once while the weight store runs
-// fewer loads at full speed than assumed": requests wait to their end on a forecast that does not come true.
-func TestForecastLearnsTheSpeedOfTheWeightStore(t *testing.T) {
+// fourLoads returns a controller and the four loads from the weight store that it has ordered at once.
+func fourLoads(t *testing.T) (*place.Controller, []place.Order) {
 	e := engine(10)
 	e.LoadsPerSecond = 10
 	c := idle(e, 10)
@@ -40,6 +39,13 @@
 	for _, o := range list {
 		c.Answered(start, o, place.Accepted)
 	}
+	return c, list
+}
+
+// TestForecastLearnsTheSpeedOfTheWeightStore guards the pattern "rare models are asked for at once while the weight store runs
+// fewer loads at full speed than assumed": requests wait to their end on a forecast that does not come true.
+func TestForecastLearnsTheSpeedOfTheWeightStore(t *testing.T) {
+	c, list := fourLoads(t)
 	last := list[3]
 	before := want(c, start, last.Key.Model, "").ReadyAt
 	qt.Assert(t, before, qt.Equals, start.Add(6*time.Second))
@@ -54,16 +60,7 @@
 
 // TestLateLoadCorrectsTheForecast guards against a forecast that is kept until the load ends although it is overdue.
 func TestLateLoadCorrectsTheForecast(t *testing.T) {
-	e := engine(10)
-	e.LoadsPerSecond = 10
-	c := idle(e, 10)
-	for i := range 4 {
-		want(c, start, fmt.Sprintf("m%d", i), "")
-	}
-	list := orders(c.Plan(start))
-	for _, o := range list {
-		c.Answered(start, o, place.Accepted)
-	}
+	c, list := fourLoads(t)
 	now := start.Add(7 * time.Second)
 	c.Report(now, now, list[3].Upstream, place.Report{Born: 1, Accepted: 1, Busy: true})
 	qt.Assert(t, want(c, now, list[3].Key.Model, "").ReadyAt, qt.Equals, start.Add(8*time.Second))
