perf(place,pick,node): planning uses an index of models and sums of requests

Cause: the controller scanned all upstreams for each pending model, for each forecast and for each requester that was woken, and all requesters were woken by each plan, every 4 ms.

Change: models are mapped to the upstreams that hold them or have a copy; targets in the weight store are visited in the order of a lower bound of their cost; requesters are woken only when their model may have become ready; the delay before a plan follows the duration of the last one. pick.Table keeps the sum of the requests of all peers. If no load from the weight store is allowed, a local copy is used even if a load from the store would cost less.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,10 +89,11 @@
 		clock            bootClock
 		placing          *place.Controller
 		tickCount        int
-		planScheduled    bool          // whether a plan is due within planDelay
-		term             int64         // fence of the lease under which this host is the controller; zero if it is not
-		updateCount      int64         // number of the last placement update that this host sent as the controller
-		planned          chan struct{} // closed and replaced after each plan
+		planScheduled    bool                     // whether a plan is due within maxPlanDelay
+		planTime         time.Duration            // duration of the last plan
+		term             int64                    // fence of the lease under which this host is the controller; zero if it is not
+		updateCount      int64                    // number of the last placement update that this host sent as the controller
+		waiting          map[string]chan struct{} // closed when a model may have become ready, by model
 		repeatWindows    map[string]*retry.Window
 		lostDependencies map[string]bool // names of the dependencies that don't answer
 	}
@@ -111,7 +112,7 @@
 			Capacity: int(s.Host.Cores * s.Host.CoreSpeed * millicoresPerCore),
 		},
 		table: pick.New(s.Host.DataCentre), list: fleet.NewList(), members: make(map[string]*member),
-		planned: make(chan struct{}), repeatWindows: make(map[string]*retry.Window),
+		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
 		lostDependencies: make(map[string]bool), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -14,8 +14,15 @@
 )
 
 const (
-	// planDelay is how long events are collected before the controller plans; it is short compared with a load.
-	planDelay = 4 * time.Millisecond
+	// minPlanDelay is how long events are collected before the controller plans; it is short compared with a load.
+	minPlanDelay = 4 * time.Millisecond
+	// maxPlanDelay limits how long a plan is delayed on a host on which plans take long.
+	maxPlanDelay = 200 * time.Millisecond
+	// planCostFactor is the ratio of the delay before a plan to the duration of the last plan. It leaves most of the control thread's
+	// time to heartbeats, the lease and requests.
+	planCostFactor = 4
+	// minForecastWait is the shortest time after which a pending request gets a new forecast, unless its model becomes ready.
+	minForecastWait = 50 * time.Millisecond
 	// orderTimeout is long compared with the few milliseconds that an answer takes; an order without an answer may be repeated
 	// at once.
 	orderTimeout  = 300 * time.Millisecond
@@ -136,7 +143,7 @@
 		return
 	}
 	n.planScheduled = true
-	time.AfterFunc(planDelay, func() { n.control.Post(n.plan) })
+	time.AfterFunc(min(max(minPlanDelay, planCostFactor*n.planTime), maxPlanDelay), func() { n.control.Post(n.plan) })
 }
 
 // plan carries out the decisions of the controller, if this host holds the lease.
@@ -147,6 +154,7 @@
 		return
 	}
 	now := time.Now()
+	defer func() { n.planTime = time.Since(now) }()
 	current := n.upstreams
 	for _, r := range n.placing.TakeReady() {
 		n.log("place").Info("model loaded", "event", eventLoaded, "upstream", r.Upstream, "model", r.Key.Model, "store", r.Store,
@@ -162,8 +170,22 @@
 		}
 	}
 	n.alarm.Set(n.placing.Next(now))
-	close(n.planned)
-	n.planned = make(chan struct{})
+	for _, m := range n.placing.TakeChanged() {
+		if w := n.waiting[m]; w != nil {
+			close(w)
+			delete(n.waiting, m)
+		}
+	}
+}
+
+// awaitChange returns a channel that is closed when the model may have become ready.
+func (n *Node) awaitChange(model string) chan struct{} {
+	w, ok := n.waiting[model]
+	if !ok {
+		w = make(chan struct{})
+		n.waiting[model] = w
+	}
+	return w
 }
 
 // announcePlacement notifies all hosts that an upstream now holds a model or no longer holds it.
@@ -296,7 +318,7 @@
 	deadline := time.Now().Add(a.Left)
 	for first := true; ; first = false {
 		var f place.Forecast
-		var planned chan struct{}
+		var changed chan struct{}
 		held := false
 		if !n.control.Ask(func() {
 			held = n.term != 0
@@ -310,7 +332,7 @@
 			if f.Upstream == "" && first {
 				n.schedulePlan()
 			}
-			planned = n.planned
+			changed = n.awaitChange(w.Key.Model)
 		}) {
 			return context.Canceled
 		}
@@ -323,9 +345,9 @@
 		if f.Upstream != "" || a.Hold > 0 || !now.Before(until) || first && reply.Known && now.Add(reply.ReadyIn).After(deadline) {
 			return nil
 		}
-		t := time.NewTimer(min(time.Until(until), max(time.Until(f.ReadyAt), 10*time.Millisecond)))
+		t := time.NewTimer(min(time.Until(until), max(time.Until(f.ReadyAt), minForecastWait)))
 		select {
-		case <-planned:
+		case <-changed:
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -49,6 +49,7 @@
 	NoMajority      Code = 4007
 	StaleLease      Code = 4008
 	AppendInDoubt   Code = 4009
+	EndlessResponse Code = 4010
 	Internal        Code = 5001
 )
 
@@ -122,6 +123,7 @@
 		{NoMajority, "too few hosts are in contact to accept a change", NotRun, http.StatusServiceUnavailable, 6},
 		{StaleLease, "lease has been taken over", NotRun, http.StatusConflict, 6},
 		{AppendInDoubt, "append may have taken effect", Unknown, http.StatusGatewayTimeout, 6},
+		{EndlessResponse, "response exceeds a size limit", Unknown, http.StatusBadGateway, 5},
 		{Internal, "internal error", Unknown, http.StatusInternalServerError, 1},
 	}
 	byCode = index(table)
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,7 @@
 		dataCentre string
 		upstreams  map[string]*upstreamState
 		peers      map[string]map[string]int // requests in flight by peer and upstream
+		peerTotals map[string]int            // sums of peers by upstream
 		sessions   map[sessionKey]session
 	}
 
@@ -124,7 +126,7 @@
 // New returns an empty table for a host in the data centre.
 func New(dataCentre string) *Table {
 	return &Table{
-		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]map[string]int),
+		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]map[string]int), peerTotals: make(map[string]int),
 		sessions: make(map[sessionKey]session),
 	}
 }
@@ -153,6 +155,14 @@
 
 // SetPeerRequests replaces the numbers of requests that a peer has in flight at each upstream.
 func (t *Table) SetPeerRequests(host string, running map[string]int) {
+	for id, n := range t.peers[host] {
+		if t.peerTotals[id] -= n; t.peerTotals[id] == 0 {
+			delete(t.peerTotals, id)
+		}
+	}
+	for id, n := range running {
+		t.peerTotals[id] += n
+	}
 	if len(running) == 0 {
 		delete(t.peers, host)
 		return
@@ -162,17 +172,14 @@
 
 // Running returns the number of requests in flight at each upstream, except those of one host.
 func (t *Table) Running(except string) map[string]int {
-	sums := make(map[string]int)
-	for id, s := range t.upstreams {
-		if n := len(s.inFlight); n > 0 {
-			sums[id] += n
+	sums := maps.Clone(t.peerTotals)
+	for id, n := range t.peers[except] {
+		if sums[id] -= n; sums[id] == 0 {
+			delete(sums, id)
 		}
 	}
-	for host, m := range t.peers {
-		if host == except {
-			continue
-		}
-		for id, n := range m {
+	for id, s := range t.upstreams {
+		if n := len(s.inFlight); n > 0 {
 			sums[id] += n
 		}
 	}
@@ -276,12 +283,9 @@
 }
 
 func (t *Table) running(id string) int {
-	n := 0
+	n := t.peerTotals[id]
 	if s, ok := t.upstreams[id]; ok {
-		n = len(s.inFlight)
-	}
-	for _, m := range t.peers {
-		n += m[id]
+		n += len(s.inFlight)
 	}
 	return n
 }
--- a/pkg/place/answers.go
+++ b/pkg/place/answers.go
@@ -73,9 +73,10 @@
 	case o.Op == Load:
 		if r, ok := u.replicas[k.Model]; ok {
 			r.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
+			c.changed[k.Model] = true
 		}
 	case k.Adapter == "":
-		delete(u.replicas, k.Model)
+		c.removeReplica(u, k.Model)
 		c.stats.Unloads++
 	default:
 		if r, ok := u.replicas[k.Model]; ok {
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -1,6 +1,9 @@
 package place
 
 import (
+	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -12,13 +15,19 @@
 	Controller struct {
 		settings       Settings
 		engines        map[string]*fleet.Engine
+		models         map[*fleet.Engine][]string // names of the models, sorted
+		smallest       map[*fleet.Engine]float64  // weights of the smallest model in MB
 		upstreams      map[string]*upstream
+		sorted         []*upstream // see sortedUpstreams
+		index          modelIndex
+		changed        map[string]bool // models that may have become ready since the last call of TakeChanged
 		pending        map[string]*trackedRequest
 		uses           map[string][]Use // requests in progress by host; running holds their sums
 		running        requestCounts
 		capacity       map[*fleet.Engine]float64 // memory for model weights in MB
 		plan           planState
 		pendingByModel map[string]int // number of pending requests of each model
+		pendingByKey   map[Key]int    // number of pending requests of each model or adapter
 		rates          map[string]*rate
 		stats          Stats
 		ready          []Ready
@@ -48,7 +57,8 @@
 	return &Controller{
 		settings: s, speed: storeSpeed{s.StoreSlots}, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
 		pending: make(map[string]*trackedRequest), uses: make(map[string][]Use), running: newRequestCounts(),
-		pendingByModel: make(map[string]int), rates: make(map[string]*rate), blockedSince: make(map[string]time.Time),
+		index: newModelIndex(), changed: make(map[string]bool),
+		pendingByModel: make(map[string]int), pendingByKey: make(map[Key]int), rates: make(map[string]*rate), blockedSince: make(map[string]time.Time),
 	}
 }
 
@@ -59,7 +69,7 @@
 		u.known, u.order, u.inDoubt, u.reservedFor = false, nil, false, ""
 		u.reportAt = now
 		u.load = nil
-		u.adopt(u.entry.Held)
+		c.adopt(u, u.entry.Held)
 	}
 }
 
@@ -67,16 +77,23 @@
 func (c *Controller) Configure(engines map[string]*fleet.Engine) {
 	c.engines = engines
 	c.capacity = make(map[*fleet.Engine]float64, len(engines))
+	c.models = make(map[*fleet.Engine][]string, len(engines))
+	c.smallest = make(map[*fleet.Engine]float64, len(engines))
 	for _, e := range engines {
 		c.capacity[e] = capacity(e)
+		c.models[e] = slices.Sorted(maps.Keys(e.Models))
+		c.smallest[e] = math.Inf(1)
+		for _, m := range e.Models {
+			c.smallest[e] = min(c.smallest[e], m.WeightMB)
+		}
 	}
 }
 
 // SetUpstreams applies the published state of all upstreams and drops those that are missing from the list.
 func (c *Controller) SetUpstreams(now time.Time, list map[string]fleet.Upstream) {
-	for id := range c.upstreams {
+	for id, u := range c.upstreams {
 		if _, ok := list[id]; !ok {
-			delete(c.upstreams, id)
+			c.removeUpstream(u)
 		}
 	}
 	for id, e := range list {
@@ -85,9 +102,10 @@
 		}
 		u, ok := c.upstreams[id]
 		if !ok || u.entry.Born != e.Born || u.entry.Address != e.Address {
-			u = newUpstream(e)
-			u.reportAt = now
-			c.upstreams[id] = u
+			if ok {
+				c.removeUpstream(u)
+			}
+			c.addUpstream(e).reportAt = now
 			continue
 		}
 		c.update(now, u, e)
@@ -100,13 +118,13 @@
 	if !updated {
 		return
 	}
-	u.setCopies(e.InMemory, e.OnDisk)
+	c.setCopies(u, e.InMemory, e.OnDisk)
 	if u.load != nil && now.Sub(u.load.acceptedAt) > c.settings.ReportLag && slices.Contains(heldModels(e.Held), u.load.model) {
 		c.finishLoad(now, u)
 	}
 	switch quiesced := u.order == nil && u.load == nil && !u.inDoubt && now.Sub(u.lastOrderAt) > c.settings.QuietTime; {
 	case !u.known:
-		u.adopt(e.Held)
+		c.adopt(u, e.Held)
 	case quiesced && u.differs(e.Held) && u.reportAt.IsZero():
 		// The published state has no timestamp and may be older than the last report, so it only triggers a new one.
 		u.reportAt = now
@@ -120,6 +138,16 @@
 	return list
 }
 
+// TakeChanged returns the models that may have become ready on an upstream since the last call.
+func (c *Controller) TakeChanged() []string {
+	if len(c.changed) == 0 {
+		return nil
+	}
+	list := slices.Sorted(maps.Keys(c.changed))
+	clear(c.changed)
+	return list
+}
+
 // AddRequest adds or renews a pending request, and returns where it can run now or when it can run. Unless it is repeated, the
 // request stays pending for the hold time or for Settings.RequestTTL, whichever is longer.
 func (c *Controller) AddRequest(now time.Time, p PendingRequest, hold time.Duration) Forecast {
@@ -128,6 +156,7 @@
 		tracked = new(trackedRequest)
 		c.pending[p.Request] = tracked
 		c.pendingByModel[p.Key.Model]++
+		c.pendingByKey[p.Key]++
 		c.rate(p.Key.Model).add(now, 1, c.settings.RateTimeConstant)
 	}
 	tracked.PendingRequest, tracked.expiresAt = p, now.Add(max(hold, c.settings.RequestTTL))
@@ -144,15 +173,19 @@
 	if c.pendingByModel[p.Key.Model]--; c.pendingByModel[p.Key.Model] == 0 {
 		delete(c.pendingByModel, p.Key.Model)
 	}
+	if c.pendingByKey[p.Key]--; c.pendingByKey[p.Key] == 0 {
+		delete(c.pendingByKey, p.Key)
+	}
 }
 
 // BestUpstream returns the least loaded upstream that can run the request now, or else the predicted time of readiness.
 func (c *Controller) BestUpstream(now time.Time, p PendingRequest) Forecast {
 	best, lowest := "", 0.0
-	for id, u := range c.upstreams {
+	for _, u := range c.index.holders[p.Key.Model] {
 		if u.entry.Service != p.Service || !u.ready(now, p.Key) {
 			continue
 		}
+		id := u.entry.ID
 		cost := float64(c.running.upstream[id]) / float64(max(u.entry.Slots, 1))
 		if u.entry.DataCentre != p.DataCentre {
 			cost += 0.05
@@ -174,27 +207,29 @@
 			earliest = t
 		}
 	}
-	for _, u := range c.upstreams {
+	for _, u := range c.index.holders[p.Key.Model] {
 		if u.entry.Service != p.Service || !u.usable() {
 			continue
 		}
-		if r, ok := u.replicas[p.Key.Model]; ok {
-			if at, ok := r.adapters[p.Key.Adapter]; ok && !at.Equal(unloading) {
-				consider(at)
-			} else {
-				consider(now.Add(c.settings.AdapterTime))
-			}
+		if at, ok := u.replicas[p.Key.Model].adapters[p.Key.Adapter]; ok && !at.Equal(unloading) {
+			consider(at)
+		} else {
+			consider(now.Add(c.settings.AdapterTime))
 		}
-		if u.load != nil && u.load.model == p.Key.Model {
-			consider(u.load.due)
+	}
+	if c.plan.loading == nil {
+		c.preparePlan()
+	}
+	if c.plan.copying[p.Key.Model] {
+		for _, u := range c.sortedUpstreams() {
+			if u.load != nil && u.load.model == p.Key.Model && u.entry.Service == p.Service && u.usable() {
+				consider(u.load.due)
+			}
 		}
 	}
 	if earliest.IsZero() {
-		if c.plan.replicas == nil {
-			c.preparePlan()
-		}
 		if e := c.engines[p.Service]; e != nil {
-			if t, ok := c.bestTarget(now, p.Service, e, p.Key.Model, true); ok {
+			if t, ok := c.bestTarget(now, p.Service, e, p.Key.Model, search{pending: true, fromStore: true}); ok {
 				if t.fromStore {
 					t.wait += c.storeQueueTime(p)
 				}
@@ -208,13 +243,37 @@
 // storeQueueTime returns the expected time of the loads from the weight store for pending requests with an earlier deadline.
 func (c *Controller) storeQueueTime(p PendingRequest) time.Duration {
 	e := c.engines[p.Service]
-	models := make(map[string]bool)
+	list, ok := c.plan.deadlines[p.Service]
+	if !ok {
+		list = c.uncopiedDeadlines(p.Service)
+		c.plan.deadlines[p.Service] = list
+	}
+	earlier, _ := slices.BinarySearchFunc(list, p.Deadline, func(d modelDeadline, at time.Time) int { return d.deadline.Compare(at) })
+	if slices.ContainsFunc(list[:earlier], func(d modelDeadline) bool { return d.model == p.Key.Model }) {
+		earlier--
+	}
+	return time.Duration(earlier/max(c.speed.slots, 1)) * e.Models[p.Key.Model].FromStore
+}
+
+// uncopiedDeadlines returns the earliest deadline of each pending model that no upstream has a copy of, in order.
+func (c *Controller) uncopiedDeadlines(service string) []modelDeadline {
+	earliest := make(map[string]time.Time)
 	for _, x := range c.pending {
-		if x.Key.Model != p.Key.Model && x.Deadline.Before(p.Deadline) && c.copyCount(x.Key.Model) == 0 {
-			models[x.Key.Model] = true
+		if x.Service != service || c.hasCopy(x.Key.Model) {
+			continue
 		}
+		if at, ok := earliest[x.Key.Model]; !ok || x.Deadline.Before(at) {
+			earliest[x.Key.Model] = x.Deadline
+		}
+	}
+	list := make([]modelDeadline, 0, len(earliest))
+	for m, at := range earliest {
+		list = append(list, modelDeadline{m, at})
 	}
-	return time.Duration(len(models)/max(c.settings.StoreSlots, 1)) * e.Models[p.Key.Model].FromStore
+	slices.SortFunc(list, func(a, b modelDeadline) int {
+		return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.model, b.model))
+	})
+	return list
 }
 
 // SetUses replaces a host's requests in progress.
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -21,6 +21,8 @@
 	preemptRatio   = 3                      // ratio of pending requests at which a model may take an upstream reserved for another
 	busyReplicas   = 2                      // minimum for a model in steady use, which then survives the loss of one upstream
 	urgentRatio    = 2                      // ratio of needed to existing replicas above which a shortage is urgent
+	minLoadWait    = 50 * time.Millisecond  // expected time until the end of a load that is overdue
+	boundTolerance = 1e-9                   // allows for rounding when a bound is compared with a cost, in seconds
 	surplusCost    = 1e-3                   // base cost of unloading a replica that its model does not need
 )
 
@@ -31,11 +33,17 @@
 		wait      time.Duration // expected time until the upstream accepts the order
 		duration  time.Duration // expected time of the unloads and the load
 		fromStore bool
-		victims   []string // models to unload first
+		victims   []victim // models to unload first
 		loss      float64  // cost of unloading the victims; see Controller.unloadCost
 	}
 )
 
+// search restricts the upstreams that bestTarget considers.
+type search struct {
+	pending   bool // also consider upstreams that don't accept an order at once
+	fromStore bool // also consider loads from the weight store
+}
+
 // Plan returns the orders to send and the reports to request now.
 func (c *Controller) Plan(now time.Time) []Action {
 	c.expire(now)
@@ -52,33 +60,29 @@
 // preparePlan computes the values that a plan needs more than once.
 func (c *Controller) preparePlan() {
 	plan := planState{
-		ids: slices.Sorted(maps.Keys(c.upstreams)), storeLoads: c.countStoreLoads(),
-		replicas: make(map[string]int), held: make(map[string]int), loading: make(map[string]int), copied: make(map[string]int),
-		victims: make(map[*upstream][]victim),
+		number: c.plan.number + 1, storeLoads: c.countStoreLoads(), loads: make(map[string]int), loading: make(map[string]int),
+		copying: make(map[string]bool), needed: make(map[string]int), candidates: make(map[string][]candidate),
+		deadlines: make(map[string][]modelDeadline),
 	}
 	for _, u := range c.upstreams {
-		u.countCopies(plan.copied)
+		if u.load != nil {
+			plan.copying[u.load.model] = true
+		}
+		if u.reservedFor != "" {
+			plan.copying[u.reservedFor] = true
+		}
 		if u.unreachable {
 			continue
 		}
 		if u.load != nil {
 			plan.loading[u.load.model]++
+			if _, held := u.replicas[u.load.model]; !held && u.usable() {
+				plan.loads[u.load.model]++
+			}
 		}
 		if u.reservedFor != "" && (u.load == nil || u.load.model != u.reservedFor) {
 			plan.loading[u.reservedFor]++
 		}
-		if !u.usable() {
-			continue
-		}
-		for m := range u.replicas {
-			plan.replicas[m]++
-			plan.held[m]++
-		}
-		if u.load != nil {
-			if _, held := u.replicas[u.load.model]; !held {
-				plan.replicas[u.load.model]++
-			}
-		}
 	}
 	c.plan = plan
 }
@@ -126,8 +130,7 @@
 // planReserved orders the next step, an unload or the load itself, on the upstreams that are reserved for a load. It ends a
 // reservation whose load cannot continue at once.
 func (c *Controller) planReserved(now time.Time, actions []Action) []Action {
-	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
-		u := c.upstreams[id]
+	for _, u := range c.sortedUpstreams() {
 		e := c.engines[u.entry.Service]
 		if u.reservedFor == "" || u.load != nil || e == nil || !c.acceptsOrder(now, u) {
 			continue
@@ -155,8 +158,7 @@
 		deadline time.Time
 	}
 	needs := make(map[Key]*need)
-	for _, id := range slices.Sorted(maps.Keys(c.pending)) {
-		p := c.pending[id]
+	for _, p := range c.pending {
 		n, ok := needs[p.Key]
 		if !ok {
 			n = &need{service: p.Service, key: p.Key, deadline: p.Deadline}
@@ -194,8 +196,8 @@
 // holders returns the usable upstreams that hold the model, the least loaded first.
 func (c *Controller) holders(service, model string) []*upstream {
 	var list []*upstream
-	for _, u := range c.upstreams {
-		if _, ok := u.replicas[model]; ok && u.entry.Service == service && u.usable() {
+	for _, u := range c.index.holders[model] {
+		if u.entry.Service == service && u.usable() {
 			list = append(list, u)
 		}
 	}
@@ -249,14 +251,7 @@
 	return best, found
 }
 
-func (c *Controller) keyPending(k Key) bool {
-	for _, p := range c.pending {
-		if p.Key == k {
-			return true
-		}
-	}
-	return false
-}
+func (c *Controller) keyPending(k Key) bool { return c.pendingByKey[k] > 0 }
 
 // acceptsOrder reports whether an order can be sent to the upstream now.
 func (c *Controller) acceptsOrder(now time.Time, u *upstream) bool {
@@ -271,11 +266,12 @@
 
 // planLoad orders a load of a model with pending requests, or an unload that frees memory for it.
 func (c *Controller) planLoad(now time.Time, service string, e *fleet.Engine, model string, actions []Action) []Action {
-	t, ok := c.bestTarget(now, service, e, model, true)
+	fromStore := c.storeLoadAllowed(now, e, c.speed.slots+c.settings.ExtraStoreLoads)
+	t, ok := c.bestTarget(now, service, e, model, search{pending: true, fromStore: fromStore})
 	if _, blocked := c.blockedSince[model]; ok && t.wait >= blockedWait && !blocked {
 		c.blockedSince[model] = now
 	}
-	if !ok || t.wait > 0 || t.fromStore && !c.storeLoadAllowed(now, e, c.speed.slots+c.settings.ExtraStoreLoads) {
+	if !ok || t.wait > 0 || t.fromStore && !fromStore {
 		return actions
 	}
 	return c.orderLoad(now, t, model, actions)
@@ -289,9 +285,9 @@
 	}
 	u.reservedFor, u.reservedUntil = model, now.Add(reservationTTL)
 	delete(c.blockedSince, model)
-	c.plan.copied[model]++
+	c.plan.copying[model] = true
 	if len(t.victims) > 0 {
-		return c.appendOrder(now, u, Unload, Key{Model: t.victims[0]}, actions)
+		return c.appendOrder(now, u, Unload, Key{Model: t.victims[0].model}, actions)
 	}
 	if t.fromStore {
 		c.plan.storeLoads++
@@ -301,28 +297,69 @@
 }
 
 // bestTarget returns the upstream with the lowest cost for a load of the model. The cost covers the time until the model is
-// ready, the unloads and the requests in progress. If pending is false, only upstreams that accept an order at once are
-// considered.
-func (c *Controller) bestTarget(now time.Time, service string, e *fleet.Engine, model string, pending bool) (target, bool) {
+// ready, the unloads and the requests in progress.
+func (c *Controller) bestTarget(now time.Time, service string, e *fleet.Engine, model string, s search) (target, bool) {
 	m := e.Models[model]
 	best, lowest := target{}, math.Inf(1)
-	for _, id := range c.plan.ids {
-		u, ok := c.upstreams[id]
-		if !ok {
-			continue // The upstream was removed since the last plan.
-		}
+	consider := func(u *upstream) {
 		t, ok := c.targetOn(now, u, service, e, m)
-		if !ok || !pending && t.wait > 0 {
-			continue
+		if !ok || !s.pending && t.wait > 0 {
+			return
 		}
-		cost := (t.wait + t.duration).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[id])
-		if cost < lowest {
+		cost := c.cost(t)
+		if cost < lowest || cost == lowest && compareIDs(u, best.upstream) < 0 {
 			best, lowest = t, cost
 		}
 	}
+	for _, u := range c.index.copies[model] {
+		consider(u)
+	}
+	if !s.fromStore {
+		return best, !math.IsInf(lowest, 1)
+	}
+	storeTime := c.storeLoadTime(m.FromStore).Seconds()
+	for _, x := range c.candidates(now, service, e) {
+		if x.bound+storeTime >= lowest-boundTolerance {
+			break // Among equal costs the first one is as good.
+		}
+		if u := x.upstream; (s.pending || x.ready) && !u.memory[model] && !u.disk[model] && c.upstreams[u.entry.ID] == u {
+			consider(u)
+		}
+	}
 	return best, !math.IsInf(lowest, 1)
 }
 
+// cost returns the cost of a load on the target in seconds.
+func (c *Controller) cost(t target) float64 {
+	return (t.wait + t.duration).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[t.upstream.entry.ID])
+}
+
+// candidates returns the upstreams that may load a model from the weight store, those with the lowest bound of the cost first.
+func (c *Controller) candidates(now time.Time, service string, e *fleet.Engine) []candidate {
+	if list, ok := c.plan.candidates[service]; ok {
+		return list
+	}
+	list := make([]candidate, 0, len(c.upstreams))
+	for _, u := range c.sortedUpstreams() {
+		if u.entry.Service != service || !u.usable() || c.hasFailed(now, u) {
+			continue
+		}
+		wait := c.waitTime(now, u)
+		bound := wait.Seconds() + runningCost*float64(c.running.upstream[u.entry.ID])
+		if u.usedMemory(e)+c.smallest[e] > c.capacity[e] {
+			victims := c.victimsOf(now, u, e)
+			if len(victims) == 0 {
+				continue
+			}
+			bound += unloadTime.Seconds() + lossWeight*victims[0].cost
+		}
+		list = append(list, candidate{u, bound, wait == 0})
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.bound, b.bound) })
+	c.plan.candidates[service] = list
+	return list
+}
+
 // reserved reports whether the upstream is reserved for another model, unless this model has far more pending requests.
 func (c *Controller) reserved(u *upstream, model string) bool {
 	return u.reservedFor != "" && u.reservedFor != model && c.pendingRequests(model) < preemptRatio*max(c.pendingRequests(u.reservedFor), 1)
@@ -330,7 +367,7 @@
 
 // targetOn returns the costs of loading the model on the upstream, or false if that is impossible.
 func (c *Controller) targetOn(now time.Time, u *upstream, service string, e *fleet.Engine, m fleet.Model) (target, bool) {
-	if u.entry.Service != service || !u.usable() || now.Sub(u.failedAt) < c.settings.FailureBackoff && !u.failedAt.IsZero() {
+	if u.entry.Service != service || !u.usable() || c.hasFailed(now, u) {
 		return target{}, false
 	}
 	_, held := u.replicas[m.Name]
@@ -345,23 +382,14 @@
 	if c.reserved(u, m.Name) {
 		return c.blockedTarget(now, t, m.Name)
 	}
-	switch {
-	case u.load != nil:
-		t.wait = max(u.load.due.Sub(now), 50*time.Millisecond)
-	case !c.acceptsOrder(now, u):
-		t.wait = conflictBackoff
-	}
+	t.wait = c.waitTime(now, u)
 	missing := u.usedMemory(e) + m.WeightMB - c.capacity[e]
 	if missing <= 0 {
 		return t, true
 	}
-	victims, ok := c.plan.victims[u]
-	if !ok {
-		victims = c.victims(now, u, e)
-		c.plan.victims[u] = victims
-	}
-	for _, v := range victims {
-		t.victims = append(t.victims, v.model)
+	victims := c.victimsOf(now, u, e)
+	for i, v := range victims {
+		t.victims = victims[:i+1]
 		t.loss += v.cost
 		t.duration += unloadTime
 		if missing -= e.Models[v.model].WeightMB; missing <= 0 {
@@ -371,6 +399,22 @@
 	return c.blockedTarget(now, t, m.Name)
 }
 
+// hasFailed reports whether the upstream gets no loads because it failed one recently.
+func (c *Controller) hasFailed(now time.Time, u *upstream) bool {
+	return !u.failedAt.IsZero() && now.Sub(u.failedAt) < c.settings.FailureBackoff
+}
+
+// waitTime returns the expected time until the upstream accepts an order.
+func (c *Controller) waitTime(now time.Time, u *upstream) time.Duration {
+	switch {
+	case u.load != nil:
+		return max(u.load.due.Sub(now), minLoadWait)
+	case !c.acceptsOrder(now, u):
+		return conflictBackoff
+	}
+	return 0
+}
+
 // blockedTarget returns the costs of loading the model on an upstream that is full or reserved. Only an upstream with a copy is
 // worth waiting for, and only for a limited time: its requests in progress may take long.
 func (c *Controller) blockedTarget(now time.Time, t target, model string) (target, bool) {
@@ -389,11 +433,19 @@
 	lastUsed time.Time
 }
 
+// victimsOf returns the result of victims, computed once per plan.
+func (c *Controller) victimsOf(now time.Time, u *upstream, e *fleet.Engine) []victim {
+	if u.victimsPlan != c.plan.number {
+		u.victims, u.victimsPlan = c.victims(now, u, e), c.plan.number
+	}
+	return u.victims
+}
+
 // victims returns the models that may be unloaded from the upstream, the cheapest first.
 func (c *Controller) victims(now time.Time, u *upstream, e *fleet.Engine) []victim {
 	var list []victim
 	for m, r := range u.replicas {
-		if c.running.replica[upstreamKey{u.entry.ID, Key{Model: m}}] > 0 || c.modelPending(m) && c.plan.replicas[m] <= 1 ||
+		if c.running.replica[upstreamKey{u.entry.ID, Key{Model: m}}] > 0 || c.modelPending(m) && c.replicaCount(m) <= 1 ||
 			now.Sub(r.loadedAt) < c.settings.MinResidency {
 			continue
 		}
@@ -409,7 +461,7 @@
 func (c *Controller) unloadCost(now time.Time, u *upstream, e *fleet.Engine, model string) float64 {
 	r := c.rate(model)
 	r.decay(now, c.settings.RateTimeConstant)
-	others := c.plan.replicas[model] - 1
+	others := c.replicaCount(model) - 1
 	if others >= c.neededReplicas(now, e, model) {
 		return surplusCost * (1 + r.value/float64(others+1))
 	}
@@ -428,14 +480,13 @@
 
 // planReports requests the reports that are due.
 func (c *Controller) planReports(now time.Time, actions []Action) []Action {
-	for _, id := range slices.Sorted(maps.Keys(c.upstreams)) {
-		u := c.upstreams[id]
+	for _, u := range c.sortedUpstreams() {
 		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.requestedAt.IsZero() || u.order != nil {
 			continue
 		}
 		u.reportAt = time.Time{}
 		u.requestedAt = now
-		actions = append(actions, Action{Report: id})
+		actions = append(actions, Action{Report: u.entry.ID})
 	}
 	return actions
 }
--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -10,11 +10,30 @@
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
-// copyCount returns the number of copies of the model that upstreams hold, load or have cached, as of the last plan.
-func (c *Controller) copyCount(model string) int { return c.plan.copied[model] }
+// hasCopy reports whether an upstream holds, loads or has cached the model.
+func (c *Controller) hasCopy(model string) bool {
+	return len(c.index.holders[model]) > 0 || len(c.index.copies[model]) > 0 || c.plan.copying[model]
+}
+
+// heldCount returns the number of usable upstreams that hold the model.
+func (c *Controller) heldCount(model string) int {
+	n := 0
+	for _, u := range c.index.holders[model] {
+		if u.usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// replicaCount returns the number of usable upstreams that hold or load the model.
+func (c *Controller) replicaCount(model string) int { return c.heldCount(model) + c.plan.loads[model] }
 
 // neededReplicas returns the number of replicas that the current load of the model requires.
 func (c *Controller) neededReplicas(now time.Time, e *fleet.Engine, model string) int {
+	if n, ok := c.plan.needed[model]; ok {
+		return n
+	}
 	r := c.rate(model)
 	r.decay(now, c.settings.RateTimeConstant)
 	n := 1
@@ -23,7 +42,9 @@
 	}
 	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
 	requests := float64(c.running.model[model] + c.pendingRequests(model))
-	return max(n, int(math.Ceil(requests/min(c.settings.ReplicaUtilisation*float64(max(e.Slots, 1)), c.settings.ReplicaRequests))))
+	n = max(n, int(math.Ceil(requests/min(c.settings.ReplicaUtilisation*float64(max(e.Slots, 1)), c.settings.ReplicaRequests))))
+	c.plan.needed[model] = n
+	return n
 }
 
 // shortage is a model with fewer replicas than its load requires.
@@ -45,7 +66,7 @@
 			if _, ok := e.Models[model]; !ok {
 				continue
 			}
-			s := shortage{service, model, c.plan.held[model] + c.plan.loading[model], c.neededReplicas(now, e, model)}
+			s := shortage{service, model, c.heldCount(model) + c.plan.loading[model], c.neededReplicas(now, e, model)}
 			if s.have > 0 && s.have < s.needed {
 				list = append(list, s)
 			}
@@ -70,9 +91,10 @@
 		}
 		e := c.engines[s.service]
 		for ; s.have < s.needed && (!urgent || s.urgent()); s.have++ {
-			t, ok := c.bestTarget(now, s.service, e, s.model, false)
+			fromStore := c.storeLoadAllowed(now, e, maxConcurrent)
+			t, ok := c.bestTarget(now, s.service, e, s.model, search{fromStore: fromStore})
 			gain := c.rate(s.model).value
-			if !ok || t.wait > 0 || gain < minGainRatio*t.loss || t.fromStore && !c.storeLoadAllowed(now, e, maxConcurrent) {
+			if !ok || t.wait > 0 || gain < minGainRatio*t.loss || t.fromStore && !fromStore {
 				break
 			}
 			actions = c.orderLoad(now, t, s.model, actions)
@@ -85,15 +107,15 @@
 func (c *Controller) planCopies(now time.Time, actions []Action) []Action {
 	for _, service := range slices.Sorted(maps.Keys(c.engines)) {
 		e := c.engines[service]
-		for _, model := range slices.Sorted(maps.Keys(e.Models)) {
+		for _, model := range c.models[e] {
 			if !c.storeLoadAllowed(now, e, min(c.settings.BackgroundLoads, c.speed.slots)) {
 				return actions
 			}
 			m := e.Models[model]
-			if c.copyCount(model) > 0 {
+			if c.hasCopy(model) {
 				continue
 			}
-			t, ok := c.bestTarget(now, service, e, model, false)
+			t, ok := c.bestTarget(now, service, e, model, search{fromStore: true})
 			gain := c.priorRate(m) * m.FromStore.Seconds()
 			if !ok || t.wait > 0 || gain < minGainRatio*t.loss {
 				continue
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -12,7 +12,12 @@
 		return
 	}
 	u.requestedAt = time.Time{}
-	u.unreachable = false
+	if u.unreachable {
+		u.unreachable = false
+		for m := range u.replicas {
+			c.changed[m] = true
+		}
+	}
 	if u.order != nil {
 		return
 	}
@@ -32,7 +37,7 @@
 		return
 	}
 	u.known, u.accepted, u.inDoubt = true, r.Accepted, false
-	u.setCopies(r.InMemory, r.OnDisk)
+	c.setCopies(u, r.InMemory, r.OnDisk)
 	c.reconcile(now, u, r)
 }
 
@@ -52,12 +57,13 @@
 		}
 	}
 	if u.load == nil {
-		u.adopt(r.Held)
+		c.adopt(u, r.Held)
 	}
 	for _, k := range r.LoadingAdapters {
 		if loaded, ok := u.replicas[k.Model]; ok {
 			if _, ok := loaded.adapters[k.Adapter]; !ok {
 				loaded.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
+				c.changed[k.Model] = true
 			}
 		}
 	}
@@ -73,9 +79,9 @@
 
 func (c *Controller) finishLoad(now time.Time, u *upstream) {
 	if _, ok := u.replicas[u.load.model]; !ok {
-		u.replicas[u.load.model] = &replica{adapters: make(map[string]time.Time), lastUsed: now, loadedAt: now}
+		c.addReplica(u, u.load.model, &replica{adapters: make(map[string]time.Time), lastUsed: now, loadedAt: now})
 	}
-	u.disk[u.load.model] = true
+	c.addDiskCopy(u, u.load.model)
 	if l := u.load; l.fromStore {
 		c.speed.recordFinished(l.concurrent, now.Sub(l.acceptedAt), l.fullSpeedTime)
 		c.updateForecasts()
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -42,6 +42,8 @@
 		reportAt      time.Time // when to request the next report; zero means none
 		requestedAt   time.Time // when the outstanding report was requested; zero means none
 		failedAt      time.Time // when a load last failed or an order was last refused
+		victims       []victim  // result of Controller.victims in the plan victimsPlan
+		victimsPlan   int
 	}
 
 	replica struct {
@@ -65,15 +67,29 @@
 		at    time.Time
 	}
 
-	// planState holds values that are computed once per plan, because each pending model is matched against all upstreams.
+	// planState holds values that are computed at most once per plan, because each pending model is matched against many upstreams.
 	planState struct {
-		ids        []string       // sorted IDs of all upstreams
-		storeLoads int            // number of loads from the weight store that are ordered or in progress
-		replicas   map[string]int // number of usable upstreams that hold or load a model
-		held       map[string]int // number of usable upstreams that hold a model
-		loading    map[string]int // number of loads of a model that are in progress, ordered or have an upstream reserved
-		copied     map[string]int // number of copies of a model that upstreams hold, load or have cached
-		victims    map[*upstream][]victim
+		number     int             // increases with each plan
+		storeLoads int             // number of loads from the weight store that are ordered or in progress
+		loads      map[string]int  // number of usable upstreams that load a model
+		loading    map[string]int  // number of loads of a model that are in progress, ordered or have an upstream reserved
+		copying    map[string]bool // models that some upstream loads or is reserved for
+		needed     map[string]int  // number of replicas that the load of a model requires
+		candidates map[string][]candidate
+		deadlines  map[string][]modelDeadline
+	}
+
+	// candidate is an upstream with a lower bound of the cost of a load from the weight store, without the time of the load.
+	candidate struct {
+		upstream *upstream
+		bound    float64
+		ready    bool // whether the upstream accepts an order at once
+	}
+
+	// modelDeadline is the earliest deadline of the pending requests for a model that no upstream has a copy of.
+	modelDeadline struct {
+		model    string
+		deadline time.Time
 	}
 
 	// requestCounts counts the requests in progress by upstream, by model, and by upstream and model or adapter.
@@ -105,33 +121,6 @@
 	}
 }
 
-func newUpstream(e fleet.Upstream) *upstream {
-	u := &upstream{entry: e}
-	u.adopt(e.Held)
-	u.setCopies(e.InMemory, e.OnDisk)
-	return u
-}
-
-// adopt replaces the upstream's replicas with those listed.
-func (u *upstream) adopt(held []fleet.Held) {
-	before := u.replicas
-	u.replicas = make(map[string]*replica, len(held))
-	for _, h := range held {
-		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
-		prev := before[h.Model]
-		if prev != nil {
-			r.lastUsed, r.loadedAt = prev.lastUsed, prev.loadedAt
-		}
-		for _, a := range h.Adapters {
-			r.adapters[a] = time.Time{}
-			if prev != nil && prev.adapters[a].Equal(unloading) {
-				r.adapters[a] = unloading
-			}
-		}
-		u.replicas[h.Model] = r
-	}
-}
-
 // differs reports whether the listed models and adapters differ from the upstream's replicas.
 func (u *upstream) differs(held []fleet.Held) bool {
 	if len(held) != len(u.replicas) {
@@ -151,10 +140,6 @@
 	return false
 }
 
-func (u *upstream) setCopies(memory, disk []string) {
-	u.memory, u.disk = setOf(memory), setOf(disk)
-}
-
 func setOf(names []string) map[string]bool {
 	m := make(map[string]bool, len(names))
 	for _, n := range names {
@@ -255,22 +240,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// countCopies adds one to counts for each copy of a model that the upstream holds, loads or has cached.
-func (u *upstream) countCopies(counts map[string]int) {
-	for m := range u.replicas {
-		counts[m]++
-	}
-	for m := range u.disk {
-		counts[m]++
-	}
-	for m := range u.memory {
-		counts[m]++
-	}
-	if u.load != nil {
-		counts[u.load.model]++
-	}
-	if u.reservedFor != "" {
-		counts[u.reservedFor]++
-	}
-}
