fix(conns,relay,platform): bytes without end from an upstream are limited

Cause: a head of a response had no limit, so that one upstream that sent header lines or interim responses without end filled the memory of the host until the deadline of the request.

A comment, a blank line or a repeated event id no longer counts as progress of a stream.

--- a/internal/conns/do.go
+++ b/internal/conns/do.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
 const (
@@ -17,6 +19,9 @@
 	maxMismatched = 2
 	// maxMismatchedBytes limits how much of the body of such a response is read.
 	maxMismatchedBytes = 1 << 20
+	// maxHeadBytes limits the bytes of a response before its body, interim (1xx) responses included. An upstream in trouble may send
+	// a head without end, which would otherwise fill the memory of the host.
+	maxHeadBytes = 64 << 10
 )
 
 type (
@@ -63,6 +68,8 @@
 var (
 	errMismatched   = errors.New("responses belong to other requests")
 	errTrailingData = errors.New("unexpected data after the response body")
+	errEndlessHead  = codes.Newf(codes.EndlessResponse, "head of the response exceeds %d bytes", maxHeadBytes)
+	errEndlessBody  = codes.Newf(codes.EndlessResponse, "body of a response to an earlier request exceeds %d bytes", maxMismatchedBytes)
 )
 
 // Error returns the message of the cause.
@@ -103,14 +110,21 @@
 		if mismatched == maxMismatched {
 			return fail(true, errMismatched)
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBytes)); err != nil || r.Close {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxMismatchedBytes))
+		if skipped == maxMismatchedBytes {
+			return fail(true, errEndlessBody)
+		}
+		if err != nil || r.Close {
 			return fail(true, errors.CombineErrors(errMismatched, err))
 		}
 	}
 }
 
-// readResponse reads the status line and headers of the next response and skips interim (1xx) ones.
+// readResponse reads the status line and headers of the next response and skips interim (1xx) ones. It fails with errEndlessHead if
+// they exceed maxHeadBytes.
 func (c *conn) readResponse(q *Request) (*http.Response, error) {
+	c.input.headBytes = maxHeadBytes
+	defer func() { c.input.headBytes = unlimited }()
 	for {
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
 		if err != nil {
@@ -140,6 +154,15 @@
 	return n, err
 }
 
+// ReadAll reads the whole body. It fails with an EndlessResponse error if the body has more than limit bytes.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = codes.Newf(codes.EndlessResponse, "body exceeds %d bytes", limit)
+	}
+	return data, err
+}
+
 // Close releases the response. The connection returns to the pool if the complete body was read, nothing follows it and the
 // context has not ended; otherwise it is closed.
 func (r *Response) Close() {
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -23,6 +23,8 @@
 	// defaultIdleLimit is how long an idle connection is kept if the response specifies no timeout.
 	defaultIdleLimit = 2 * time.Second
 	readBufferSize   = 4 << 10
+	// unlimited is the value of limitedInput.headBytes while a body is read.
+	unlimited = -1
 )
 
 type (
@@ -45,11 +47,17 @@
 
 	conn struct {
 		net.Conn
-		reader    *bufio.Reader
+		input     *limitedInput
+		reader    *bufio.Reader // reads from input
 		address   string
 		idleSince time.Time     // end of the last response
 		idleLimit time.Duration // how long the connection may stay idle
-		unused    bool
+	}
+
+	// limitedInput reads from a connection and fails when the head of a response is too long.
+	limitedInput struct {
+		source    net.Conn
+		headBytes int // bytes that the head may still have, or unlimited
 	}
 )
 
@@ -115,7 +123,6 @@
 			break
 		}
 		if time.Since(c.idleSince) < min(c.idleLimit, maxIdle) && c.inputEmpty() {
-			c.unused = false
 			p.reused.Add(1)
 			return c, nil
 		}
@@ -126,7 +133,21 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address, idleLimit: defaultIdleLimit, unused: true}, nil
+	input := &limitedInput{raw, unlimited}
+	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize), address: address, idleLimit: defaultIdleLimit}, nil
+}
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(b []byte) (int, error) {
+	if l.headBytes == unlimited {
+		return l.source.Read(b)
+	}
+	if l.headBytes == 0 {
+		return 0, errEndlessHead
+	}
+	n, err := l.source.Read(b[:min(len(b), l.headBytes)])
+	l.headBytes -= n
+	return n, err
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -19,6 +19,8 @@
 	// maxBufferedBody is the size up to which a response that is not a stream is read completely before it is sent to the
 	// caller.
 	maxBufferedBody = 256 << 10
+	// maxRelayedBody limits a response that is not a stream, beyond which its upstream counts as sending without end.
+	maxRelayedBody = 64 << 20
 	// maxIdleUnrepeatable and maxIdleRepeatable limit the idle time of a reused connection. An upstream may close a connection
 	// just as a request is sent; a request that must not be repeated is then lost.
 	maxIdleUnrepeatable = time.Second
@@ -40,6 +42,7 @@
 	errEventTimeout = errors.New("no event from the upstream in time")
 	errMalformed    = errors.New("response is malformed or incomplete")
 	errTruncated    = errors.New("response ended early")
+	errEndlessBody  = codes.Newf(codes.EndlessResponse, "body exceeds %d bytes", maxRelayedBody)
 )
 
 type (
@@ -164,11 +167,19 @@
 	case !sent:
 		return true, codes.New(codes.NoUpstream, err.Error())
 	case a.mayRepeat():
-		return true, codes.New(codes.UpstreamUnknown, err.Error())
+		return true, attemptError(codes.UpstreamUnknown, err)
 	case a.headSent:
-		return false, codes.New(codes.StreamBroken, err.Error())
+		return false, attemptError(codes.StreamBroken, err)
 	}
-	return false, codes.New(codes.UpstreamUnknown, err.Error())
+	return false, attemptError(codes.UpstreamUnknown, err)
+}
+
+// attemptError returns the error of a failed attempt with the given code, or with that of an endless response.
+func attemptError(c codes.Code, err error) error {
+	if codes.Is(err, codes.EndlessResponse) {
+		c = codes.EndlessResponse
+	}
+	return codes.New(c, err.Error())
 }
 
 // abandonedError ends the attempt and returns its error if the caller left or the deadline passed; otherwise it returns nil.
@@ -243,12 +254,12 @@
 	a.relay.control.EndAttempt(a.ticket, result)
 	if a.mayRepeat() {
 		a.summary.Resumed++
-		return true, codes.New(codes.StreamBroken, err.Error())
+		return true, attemptError(codes.StreamBroken, err)
 	}
 	if a.headSent {
-		return false, codes.New(codes.StreamBroken, err.Error())
+		return false, attemptError(codes.StreamBroken, err)
 	}
-	return false, codes.New(codes.UpstreamFailed, err.Error())
+	return false, attemptError(codes.UpstreamFailed, err)
 }
 
 // relayBuffered relays a response that is not a stream. Up to maxBufferedBody it is read completely first, so that the caller
@@ -267,7 +278,11 @@
 		return false, codes.New(codes.CallerLeft, err.Error())
 	}
 	if len(body) == maxBufferedBody {
-		if _, err := io.Copy(a.writer, r); err != nil {
+		rest, err := io.Copy(a.writer, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+		if err == nil && rest == maxRelayedBody-maxBufferedBody {
+			err = errEndlessBody
+		}
+		if err != nil {
 			return a.handleBroken(err)
 		}
 	}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -15,7 +15,7 @@
 
 const (
 	streamBufferSize = 4 << 10
-	maxEventSize     = 1 << 20
+	maxEventSize     = 256 << 10
 )
 
 // events splits a stream into complete events, so that a stream that breaks within an event can be resumed at another
@@ -25,11 +25,11 @@
 	lastID    string // id of the last complete event
 	count     int    // number of complete events
 	missingID bool   // whether an event without an id was sent to the caller; the stream cannot be resumed then
-	onEvent   func() // called for each chunk that completes an event; may be nil
+	onEvent   func() // called for each chunk that completes an event with a new id; may be nil
 }
 
 var (
-	errEventTooLong = errors.New("event exceeds the size limit")
+	errEventTooLong = codes.Newf(codes.EndlessResponse, "event exceeds %d bytes", maxEventSize)
 	idPrefix        = []byte("id:")
 	lineEnd         = []byte("\n")
 )
@@ -46,8 +46,10 @@
 	}
 	complete := bytes.Clone(e.partial[:end])
 	e.partial = append(e.partial[:0], e.partial[end:]...)
+	last, count := e.lastID, e.count
 	e.recordIDs(complete)
-	if e.onEvent != nil {
+	// Comments, blank lines and repeated ids are no progress: a stalled stream may consist of them.
+	if e.onEvent != nil && e.count > count && (e.lastID != last || e.missingID) {
 		e.onEvent()
 	}
 	return complete, nil
