perf(place,pick,node): a model with requests in progress makes room for a rarely used one

All upstreams with a copy of such a model held models with a trickle of requests, none of which could be unloaded, so that every request was refused with the time of a full upstream (2.8 s) or of the weight store (13 to 210 s). Requests for loaded models were refused because 11 ms per token, fitted to other engines, left no time. Up to six loads from the weight store ran at once where two run at full speed, and took up to 29 s.

Change: if requests wait for a model that no usable upstream holds, a model with requests in progress may be unloaded if another upstream holds it or it has a local copy; the upstream gets no order until a report shows the end of the unload, whose duration is learnt. The time per token is learnt from responses (pick.Durations). Loads beyond the number at full speed stop once that number was seen to be slow. An idle unload is followed by the load after 15 ms in place of a refused order and 60 ms.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -25,8 +25,6 @@
 	noControllerRetryDelay = 100 * time.Millisecond
 	// firstEventTime is the expected time from when a model is ready to the first event of a response.
 	firstEventTime = 250 * time.Millisecond
-	// tokenTime is the expected generation time of a token, used to estimate the shortest duration of a response.
-	tokenTime = 11 * time.Millisecond
 	// repeatShare is the share of the allowed repeats that hosts use; the rest is a reserve, because the sum over all hosts is
 	// inexact while hosts start or stop.
 	repeatShare = 0.85
@@ -94,7 +92,7 @@
 func (n *Node) awaitUpstream(ctx context.Context, c *relay.Call, missing string) (string, error) {
 	for waitLogged := false; ; {
 		// The response must start early enough to be complete before the deadline.
-		latest := c.Deadline.Add(-time.Duration(c.Output) * tokenTime)
+		latest := c.Deadline.Add(-n.expectedDuration(c))
 		if c.AbandonAt.Before(latest) {
 			latest = c.AbandonAt
 		}
@@ -142,6 +140,13 @@
 	}
 }
 
+// expectedDuration returns the expected time from the first event to the end of the response.
+func (n *Node) expectedDuration(c *relay.Call) time.Duration {
+	d := time.Duration(0)
+	n.control.Ask(func() { d = n.durations.Expected(c.Service, c.Output) })
+	return d
+}
+
 func (n *Node) recordFirstEvent(t relay.Ticket) {
 	n.control.Post(func() { n.table.RecordFirstEvent(time.Now(), t.Attempt) })
 }
@@ -194,6 +199,10 @@
 	if !s.Call.Deadline.IsZero() {
 		limit = s.Call.Deadline.Sub(s.Call.Arrived)
 	}
+	if s.Code == codes.OK && s.First > 0 && s.Resumed == 0 {
+		took := time.Since(s.Call.Arrived) - s.First
+		n.control.Post(func() { n.durations.Record(s.Call.Service, s.Call.Output, took) })
+	}
 	n.log("request").Log(n.baseCtx, level, "ended", "event", event, "id", s.Call.ID, "route", s.Call.Route.Name, "service", s.Call.Service,
 		"model", s.Call.Key.Model, "adapter", s.Call.Key.Adapter, "code", int(s.Code), "reason", s.Code.Title(), "outcome", s.Outcome.String(),
 		"status", s.Status, "attempts", s.Attempts, "resumed", s.Resumed, "upstream", s.Upstream, "events", s.Events,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 		control          *ctrl.Thread
 		alarm            *ctrl.Alarm
 		table            *pick.Table
+		durations        *pick.Durations
 		list             *fleet.List
 		hasList          bool
 		upstreams        map[string]fleet.Upstream // list that was applied last, by upstream ID
@@ -111,7 +112,7 @@
 			Name: s.Host.Name, Incarnation: incarnation, DataCentre: s.Host.DataCentre, Traffic: s.Listen.Traffic, Peers: s.Listen.Peers,
 			Capacity: int(s.Host.Cores * s.Host.CoreSpeed * millicoresPerCore),
 		},
-		table: pick.New(s.Host.DataCentre), list: fleet.NewList(), members: make(map[string]*member),
+		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
 		lostDependencies: make(map[string]bool), reload: make(chan os.Signal, 1),
 	}
--- a/pkg/place/answers.go
+++ b/pkg/place/answers.go
@@ -77,6 +77,12 @@
 		}
 	case k.Adapter == "":
 		c.removeReplica(u, k.Model)
+		if c.running.replica[upstreamKey{u.entry.ID, k}] > 0 {
+			// The upstream accepts no other order until its requests for the model have ended, which a report shows.
+			u.drainingSince, u.known, u.reportAt = now, false, now.Add(c.settings.ReportLag)
+		} else {
+			u.notBefore = now.Add(idleUnloadDelay)
+		}
 		c.stats.Unloads++
 	default:
 		if r, ok := u.replicas[k.Model]; ok {
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -32,6 +32,7 @@
 		stats          Stats
 		ready          []Ready
 		speed          storeSpeed
+		drainTime      time.Duration // expected time of an unload that waits for requests in progress
 		// blockedSince maps a model to the time when it began to wait for an upstream that has a copy of it but no free memory.
 		blockedSince     map[string]time.Time
 		recentStoreLoads []time.Time // times of the loads from the weight store that were ordered within Settings.LoadWindow
@@ -55,7 +56,7 @@
 // New returns a controller without configuration or upstreams.
 func New(s Settings) *Controller {
 	return &Controller{
-		settings: s, speed: storeSpeed{s.StoreSlots}, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
+		settings: s, speed: storeSpeed{slots: s.StoreSlots}, drainTime: s.DrainTime, engines: make(map[string]*fleet.Engine), upstreams: make(map[string]*upstream),
 		pending: make(map[string]*trackedRequest), uses: make(map[string][]Use), running: newRequestCounts(),
 		index: newModelIndex(), changed: make(map[string]bool),
 		pendingByModel: make(map[string]int), pendingByKey: make(map[Key]int), rates: make(map[string]*rate), blockedSince: make(map[string]time.Time),
@@ -66,7 +67,7 @@
 // because other controllers may have issued orders in between.
 func (c *Controller) BeginTerm(now time.Time) {
 	for _, u := range c.upstreams {
-		u.known, u.order, u.inDoubt, u.reservedFor = false, nil, false, ""
+		u.known, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, nil, false, "", time.Time{}
 		u.reportAt = now
 		u.load = nil
 		c.adopt(u, u.entry.Held)
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -88,7 +88,7 @@
 		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
 		prev := before[h.Model]
 		if prev != nil {
-			r.lastUsed, r.loadedAt = prev.lastUsed, prev.loadedAt
+			r.lastUsed, r.loadedAt, r.since = prev.lastUsed, prev.loadedAt, prev.since
 		}
 		for _, a := range h.Adapters {
 			r.adapters[a] = time.Time{}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -357,3 +357,42 @@
 	qt.Assert(t, list[0].Upstream, qt.Equals, "empty")
 	qt.Assert(t, list[0].Op, qt.Equals, place.Load)
 }
+
+// TestBusyModelMakesRoom guards against requests for a rarely used model that are refused for as long as all models of the only
+// upstreams with a copy of it have requests in progress. The load pattern is many models on few engines, each with a trickle of requests.
+func TestBusyModelMakesRoom(t *testing.T) {
+	full, busy := upstream("full", "m0", "m1"), upstream("busy", "m1")
+	full.OnDisk = []string{"m0", "m1", "m2"}
+	c := controller(engine(3), start, map[string]fleet.Upstream{"full": full, "busy": busy})
+	c.Report(start, start, "full", place.Report{Born: 1, Held: full.Held, OnDisk: full.OnDisk})
+	c.Report(start, start, "busy", place.Report{Born: 1, Held: busy.Held})
+	uses := func(model string) place.Use {
+		return place.Use{Upstream: "full", Key: place.Key{Model: model}, Running: 2, Started: 2}
+	}
+	c.SetUses(start, "h", []place.Use{uses("m0"), uses("m1")})
+	addRequest(c, start, "m2", "")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Unload)
+	qt.Assert(t, list[0].Key.Model, qt.Equals, "m1", qt.Commentf("the model with another replica gives way"))
+	c.ApplyAnswer(start, list[0], place.Accepted)
+
+	// The engine refuses orders until the requests in progress have ended, so none is sent before a report shows that.
+	for at := time.Duration(0); at < 2*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		addRequest(c, now, "m2", "")
+		for _, a := range c.Plan(now) {
+			qt.Assert(t, a.Order, qt.IsNil, qt.Commentf("after %v", at))
+			if a.Report != "" {
+				c.Report(now, now, a.Report, place.Report{Born: 1, Accepted: 1, Busy: true, Held: full.Held[:1], OnDisk: full.OnDisk})
+			}
+		}
+	}
+	now := start.Add(2 * time.Second)
+	c.Report(now, now, "full", place.Report{Born: 1, Accepted: 1, Held: full.Held[:1], OnDisk: full.OnDisk})
+	addRequest(c, now, "m2", "")
+	list = orders(c.Plan(now))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Op, qt.Equals, place.Load)
+	qt.Assert(t, list[0].Key.Model, qt.Equals, "m2")
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -22,6 +22,7 @@
 	busyReplicas   = 2                      // minimum for a model in steady use, which then survives the loss of one upstream
 	urgentRatio    = 2                      // ratio of needed to existing replicas above which a shortage is urgent
 	minLoadWait    = 50 * time.Millisecond  // expected time until the end of a load that is overdue
+	maxDrains      = 2                      // multiple of the expected drain time for which a reservation lasts longer
 	boundTolerance = 1e-9                   // allows for rounding when a bound is compared with a cost, in seconds
 	surplusCost    = 1e-3                   // base cost of unloading a replica that its model does not need
 )
@@ -141,7 +142,7 @@
 			u.reservedFor = ""
 			continue
 		}
-		if t.fromStore && len(t.victims) == 0 && !c.storeLoadAllowed(now, e, c.speed.slots+c.settings.ExtraStoreLoads) {
+		if t.fromStore && len(t.victims) == 0 && !c.storeLoadAllowed(now, e, c.speed.limit()) {
 			continue
 		}
 		actions = c.orderLoad(now, t, u.reservedFor, actions)
@@ -266,7 +267,7 @@
 
 // planLoad orders a load of a model with pending requests, or an unload that frees memory for it.
 func (c *Controller) planLoad(now time.Time, service string, e *fleet.Engine, model string, actions []Action) []Action {
-	fromStore := c.storeLoadAllowed(now, e, c.speed.slots+c.settings.ExtraStoreLoads)
+	fromStore := c.storeLoadAllowed(now, e, c.speed.limit())
 	t, ok := c.bestTarget(now, service, e, model, search{pending: true, fromStore: fromStore})
 	if _, blocked := c.blockedSince[model]; ok && t.wait >= blockedWait && !blocked {
 		c.blockedSince[model] = now
@@ -284,6 +285,9 @@
 		c.plan.loading[model]++
 	}
 	u.reservedFor, u.reservedUntil = model, now.Add(reservationTTL)
+	if slices.ContainsFunc(t.victims, func(v victim) bool { return v.busy }) {
+		u.reservedUntil = u.reservedUntil.Add(maxDrains * c.drainTime)
+	}
 	delete(c.blockedSince, model)
 	c.plan.copying[model] = true
 	if len(t.victims) > 0 {
@@ -389,6 +393,12 @@
 	}
 	victims := c.victimsOf(now, u, e)
 	for i, v := range victims {
+		if v.busy {
+			if !c.needsRoom(m.Name, t.loss+v.cost) {
+				break
+			}
+			t.duration += c.drainTime
+		}
 		t.victims = victims[:i+1]
 		t.loss += v.cost
 		t.duration += unloadTime
@@ -399,6 +409,13 @@
 	return c.blockedTarget(now, t, m.Name)
 }
 
+// needsRoom reports whether a model with requests in progress may be unloaded for this one: requests wait for it, no usable upstream
+// holds it, and they outweigh the loss.
+func (c *Controller) needsRoom(model string, loss float64) bool {
+	pending := c.pendingRequests(model)
+	return pending > 0 && float64(pending) > loss && c.heldCount(model) == 0
+}
+
 // hasFailed reports whether the upstream gets no loads because it failed one recently.
 func (c *Controller) hasFailed(now time.Time, u *upstream) bool {
 	return !u.failedAt.IsZero() && now.Sub(u.failedAt) < c.settings.FailureBackoff
@@ -409,6 +426,8 @@
 	switch {
 	case u.load != nil:
 		return max(u.load.due.Sub(now), minLoadWait)
+	case !u.drainingSince.IsZero():
+		return max(u.drainingSince.Add(c.drainTime).Sub(now), conflictBackoff)
 	case !c.acceptsOrder(now, u):
 		return conflictBackoff
 	}
@@ -431,6 +450,7 @@
 	model    string
 	cost     float64
 	lastUsed time.Time
+	busy     bool // whether requests are in progress, which an unload waits for
 }
 
 // victimsOf returns the result of victims, computed once per plan.
@@ -441,22 +461,43 @@
 	return u.victims
 }
 
-// victims returns the models that may be unloaded from the upstream, the cheapest first.
+// victims returns the models that may be unloaded from the upstream: first those without requests in progress, then the cheapest.
 func (c *Controller) victims(now time.Time, u *upstream, e *fleet.Engine) []victim {
 	var list []victim
 	for m, r := range u.replicas {
-		if c.running.replica[upstreamKey{u.entry.ID, Key{Model: m}}] > 0 || c.modelPending(m) && c.replicaCount(m) <= 1 ||
+		busy := c.running.replica[upstreamKey{u.entry.ID, Key{Model: m}}] > 0
+		if busy && !c.mayDrain(now, u, e, m) || c.modelPending(m) && c.replicaCount(m) <= 1 ||
 			now.Sub(r.loadedAt) < c.settings.MinResidency {
 			continue
 		}
-		list = append(list, victim{m, c.unloadCost(now, u, e, m), r.lastUsed})
+		list = append(list, victim{m, c.unloadCost(now, u, e, m), r.lastUsed, busy})
 	}
 	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), a.lastUsed.Compare(b.lastUsed), cmp.Compare(a.model, b.model))
+		return cmp.Or(compareBool(a.busy, b.busy), cmp.Compare(a.cost, b.cost), a.lastUsed.Compare(b.lastUsed), cmp.Compare(a.model, b.model))
 	})
 	return list
 }
 
+// mayDrain reports whether the model may be unloaded although it has requests in progress: it has been loaded for a while, and another
+// upstream holds it, or it can be loaded again from a local copy.
+func (c *Controller) mayDrain(now time.Time, u *upstream, e *fleet.Engine, model string) bool {
+	if now.Sub(u.replicas[model].since) < c.settings.BusyResidency {
+		return false
+	}
+	_, fromStore := u.loadTime(e.Models[model])
+	return !fromStore || c.replicaCount(model) > 1
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // unloadCost returns the expected cost of unloading the model from the upstream, in seconds of load time per second.
 func (c *Controller) unloadCost(now time.Time, u *upstream, e *fleet.Engine, model string) float64 {
 	r := c.rate(model)
--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -83,7 +83,7 @@
 func (c *Controller) planReplicas(now time.Time, actions []Action, urgent bool) []Action {
 	maxConcurrent := c.speed.slots
 	if urgent {
-		maxConcurrent += c.settings.ExtraStoreLoads
+		maxConcurrent = c.speed.limit()
 	}
 	for _, s := range c.shortages(now) {
 		if urgent && !s.urgent() {
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -70,6 +70,10 @@
 	if u.hasUnloadingAdapter() {
 		u.reportAt = now.Add(reportRetry)
 	}
+	if !r.Busy && !u.drainingSince.IsZero() {
+		c.drainTime += time.Duration(drainWeight * float64(now.Sub(u.drainingSince)-c.drainTime))
+		u.drainingSince = time.Time{}
+	}
 	if r.Busy && u.load == nil {
 		// Another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
 		u.known = false
@@ -79,7 +83,7 @@
 
 func (c *Controller) finishLoad(now time.Time, u *upstream) {
 	if _, ok := u.replicas[u.load.model]; !ok {
-		c.addReplica(u, u.load.model, &replica{adapters: make(map[string]time.Time), lastUsed: now, loadedAt: now})
+		c.addReplica(u, u.load.model, &replica{adapters: make(map[string]time.Time), lastUsed: now, loadedAt: now, since: now})
 	}
 	c.addDiskCopy(u, u.load.model)
 	if l := u.load; l.fromStore {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -9,7 +9,10 @@
 )
 
 const (
+	// idleUnloadDelay is the time from the acceptance of an unload without requests in progress to the next order.
+	idleUnloadDelay = 15 * time.Millisecond
 	conflictBackoff = 60 * time.Millisecond  // delay after a conflict; an unload of an idle model takes a few milliseconds
+	drainWeight     = 0.3                    // weight of the last unload in the expected drain time
 	maxConflicts    = 3                      // number of consecutive conflicts after which a report is requested
 	reportRetry     = 250 * time.Millisecond // interval between requests for a report from one upstream
 	maxUnanswered   = 2                      // number of consecutive unanswered orders after which a report is requested
@@ -42,6 +45,7 @@
 		reportAt      time.Time // when to request the next report; zero means none
 		requestedAt   time.Time // when the outstanding report was requested; zero means none
 		failedAt      time.Time // when a load last failed or an order was last refused
+		drainingSince time.Time // when an unload was accepted that waits for requests in progress; zero if there is none
 		victims       []victim  // result of Controller.victims in the plan victimsPlan
 		victimsPlan   int
 	}
@@ -50,6 +54,7 @@
 		adapters map[string]time.Time // time when each adapter becomes usable, or unloading
 		lastUsed time.Time
 		loadedAt time.Time // when the model was loaded; zero once a host has reported a request for it
+		since    time.Time // when the model was loaded; zero if it was loaded before this controller's term
 	}
 
 	load struct {
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -95,10 +95,9 @@
 
 	// Settings are the parameters of a Controller.
 	Settings struct {
-		// StoreSlots is the number of concurrent loads from the weight store that run at full speed.
+		// StoreSlots is the number of concurrent loads from the weight store that are assumed to run at full speed until loads
+		// have been observed.
 		StoreSlots int
-		// ExtraStoreLoads is how many loads beyond StoreSlots may run for pending requests and urgent shortages.
-		ExtraStoreLoads int
 		// LoadWindow is the time window of the limit on the rate of loads from the weight store, fleet.Engine.LoadsPerSecond.
 		LoadWindow time.Duration
 		// BackgroundLoads is the number of concurrent loads from the weight store below which models that no upstream has a copy
@@ -115,6 +114,10 @@
 		// MinResidency is how long a loaded model is kept before any host reports a request for it: the requests that it was
 		// loaded for need time to arrive, and hosts report them with their next heartbeats.
 		MinResidency time.Duration
+		// BusyResidency is how long a model is kept before it may be unloaded although it has requests in progress.
+		BusyResidency time.Duration
+		// DrainTime is the expected time of an unload that waits for requests in progress, until such unloads have been observed.
+		DrainTime time.Duration
 		// RateTimeConstant is the time constant of the moving average of the request rates.
 		RateTimeConstant time.Duration
 		// ReplicaRate is the number of requests per second that one replica serves without long queues.
@@ -148,8 +151,7 @@
 // DefaultSettings returns the settings for the deployments described in docs/platform.md.
 func DefaultSettings() Settings {
 	return Settings{
-		StoreSlots:         4, // the weight store's specification: 4 concurrent loads at full speed
-		ExtraStoreLoads:    2,
+		StoreSlots:         4,
 		LoadWindow:         5 * time.Second,
 		BackgroundLoads:    3, // leaves one slot at full speed to pending requests
 		AdapterTime:        25 * time.Millisecond,
@@ -157,6 +159,8 @@
 		QuietTime:          3 * time.Second,
 		RequestTTL:         2 * time.Second,
 		MinResidency:       1500 * time.Millisecond, // two heartbeats, from the host and from its hub, and a short delay at the host
+		BusyResidency:      4 * time.Second,         // a few responses, so that two models do not take turns faster than they serve
+		DrainTime:          2 * time.Second,
 		RateTimeConstant:   3 * time.Second,
 		ReplicaRate:        7, // A prompt of 1,500 tokens takes 80 ms of engine time, and its chunks delay other requests' tokens.
 		ReplicaUtilisation: 0.25,
