--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,8 +22,11 @@
 	controlTimeout   = 2 * time.Second
 	dialTimeout      = time.Second
 	maxResponseBytes = 4 << 20
-	maxIdlePerHost   = 256
-	contentTypeJSON  = "application/json"
+	// maxHeadBytes limits the head of a response, interim responses included; an upstream in trouble may send one without end. The
+	// default of net/http is 10 MB for each request in progress.
+	maxHeadBytes    = 64 << 10
+	maxIdlePerHost  = 256
+	contentTypeJSON = "application/json"
 )
 
 // Client sends orders, queries and requests to upstreams. It is safe for concurrent use.
@@ -40,11 +43,11 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := dialer.DialContext
 	return &Client{
-		control: &http.Client{Transport: &http.Transport{DialContext: controlLink.Dial(dialer), MaxIdleConnsPerHost: 4}},
-		traffic: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost}},
+		control: &http.Client{Transport: &http.Transport{DialContext: controlLink.Dial(dialer), MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}},
+		traffic: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, MaxResponseHeaderBytes: maxHeadBytes}},
 		// Connections to plain services are not reused: net/http retries a request with an Idempotency-Key header when a
 		// reused connection breaks, which could run a booking twice.
-		plain:       &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
+		plain:       &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
 		injectTrace: injectTrace,
 	}
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -182,3 +182,39 @@
 	c.Check(err, qt.IsNotNil)
 	c.Check(kept, qt.DeepEquals, third)
 }
+
+// TestEndlessHead guards against an upstream that sends the head of a response without end: each such request would take 10 MB of
+// the daemon's memory before it fails.
+func TestEndlessHead(t *testing.T) {
+	for name, unit := range map[string]string{"headers": "A: b\r\n", "interim": "\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var sent atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, _ := w.(http.Hijacker).Hijack()
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n")
+				for chunk := []byte(strings.Repeat(unit, 100)); ; {
+					n, err := conn.Write(chunk)
+					if sent.Add(int64(n)); err != nil {
+						return
+					}
+				}
+			}))
+			defer s.Close()
+			e := New(noTrace, telem.Link{})
+			address := strings.TrimPrefix(s.URL, "http://")
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := e.Open(ctx, Request{ID: "1", Address: address, Path: "/x"})
+			c.Assert(err, qt.IsNotNil)
+			_, err = e.CallPlain(ctx, PlainRequest{Address: address, Method: http.MethodPost, Path: "/x", Timeout: 10 * time.Second, MaxReplyBytes: 10})
+			c.Assert(codes.From(err).Outcome(), qt.Equals, codes.Unknown)
+			c.Assert(e.Cancel(ctx, address, "1"), qt.IsNotNil)
+			c.Assert(ctx.Err(), qt.IsNil)
+			s.CloseClientConnections()
+			// Sockets buffer up to a few megabytes on the way; three requests with the default limit read 30 MB.
+			c.Assert(sent.Load() < 24<<20, qt.IsTrue, qt.Commentf("%d bytes sent", sent.Load()))
+		})
+	}
+}
