perf(node): hosts start from their hub and leave the store alone in an outage

Hosts that depend on a hub never learnt of hosts that started after them, so that their directory left these out. Change: a host reads the members once, then gets configuration, list and new members from its hub; at the first start of all hosts it waits for them. A host whose hub is stale asks the other hub first. A hub says whether all hubs are without a current list. A request that waits for a load is refused when a changed forecast shows that it can't be served, not at the end of the poll. Tests: TestStaleHubIsReplacedByTheOther, TestHubReportsAnOutage, TestHubSendsMembers, TestHostWaitsForMembers.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -32,6 +32,9 @@
 		Version    int64  // version of the host's configuration
 		From       string // incarnation of the hub whose list the host applied last, up to Generation
 		Generation int64
+		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
+		MembersFrom       string
+		MembersGeneration int64
 	}
 
 	// Feed contains the updates that a hub sends to a dependent host.
@@ -45,6 +48,11 @@
 		Removed    []string
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
 		Alive      []HostStatus
+		// Members are the hosts that were added or restarted since the query's MembersGeneration.
+		Members           []Member
+		MembersGeneration int64
+		// Outage is set if neither the hub nor any other hub that it hears from has a current list: the store answers none of them.
+		Outage bool
 	}
 
 	// HostStatus is the state of a host as reported by another host.
@@ -103,18 +111,48 @@
 		}
 	}
 	f.Alive = n.hostStatuses(now, n.self.DataCentre)
+	f.Outage = n.allHubsStale(now)
+	f.MembersGeneration = n.memberGeneration
+	for name, m := range n.members {
+		if name != host && (q.MembersFrom != n.self.Incarnation || m.changed > q.MembersGeneration) {
+			f.Members = append(f.Members, m.Member)
+		}
+	}
 	return f
 }
 
+// allHubsStale reports whether this host and all hubs from which it received a heartbeat lately have a list that is not current.
+func (n *Node) allHubsStale(now time.Time) bool {
+	if !n.hasList || now.Sub(n.listAt) <= n.poll.maxListAge {
+		return false
+	}
+	for name := range n.hubs {
+		if m, ok := n.members[name]; ok && now.Sub(m.lastSeen) < livenessTimeout && m.listAge+now.Sub(m.lastSeen) <= n.poll.maxListAge {
+			return false
+		}
+	}
+	return true
+}
+
 // applyFeed applies the updates of a hub and reports whether they are current enough to rely on.
 func (n *Node) applyFeed(hub Member, f *Feed) bool {
 	now := time.Now()
 	if len(f.Config) > 0 {
 		n.applyConfigRecord(f.Config)
 	}
+	for _, m := range f.Members {
+		// The hub may not know yet that a host restarted from which this one has received a heartbeat.
+		if x, ok := n.members[m.Name]; !ok || now.Sub(x.lastSeen) > livenessTimeout {
+			n.addMember(m)
+		}
+	}
+	n.membersHub, n.membersGeneration = hub.Incarnation, f.MembersGeneration
 	for _, s := range f.Alive {
 		n.applyHostStatus(now, s)
 	}
+	if f.Outage {
+		n.outage.assume(now)
+	}
 	current := f.ListAge <= n.poll.maxListAge && f.ConfigAge <= n.poll.maxConfigAge
 	if !current && (n.hasList || !f.Whole || len(f.Put) == 0) {
 		return false
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -14,10 +14,20 @@
 const (
 	heartbeatInterval = 600 * time.Millisecond
 	heartbeatTimeout  = 500 * time.Millisecond
-	// initialReads is the number of times that the published members are read after the start, when other hosts may be starting
-	// too. The reads are initialReadInterval apart.
+	// initialReads is the number of times that a host without a hub reads the published members after the start, when other hosts
+	// may be starting too. The reads are initialReadInterval apart. Hubs send new members to other hosts.
 	initialReads        = 2
 	initialReadInterval = time.Second
+	// bootstrapDelay is the time from the announcement of a host to its first read of the members when all hosts start: they do so
+	// within 0.3 s, and each needs some time to start.
+	bootstrapDelay = 400 * time.Millisecond
+	// maxMembersWait is how long a starting host waits for the members before it reads configuration and list from the store. With
+	// members it gets both from its hub.
+	maxMembersWait = 600 * time.Millisecond
+	// maxFirstListWait is how long a starting host waits for the first list of its hub when all hosts start, and firstListRetry the
+	// interval at which it queries the hub.
+	maxFirstListWait = 3 * time.Second
+	firstListRetry   = 200 * time.Millisecond
 	// livenessTimeout is how long a member counts as alive after it was last seen. It allows for three heartbeats, one of them
 	// passed on by a hub.
 	livenessTimeout = 2400 * time.Millisecond
@@ -52,10 +62,12 @@
 		ready            bool
 		stopping         bool
 		missedHeartbeats int
-		usesAt           time.Time   // when the host last reported its uses
-		staleAt          time.Time   // when the host, as a hub, was last silent or stale
-		lastQuery        time.Time   // when the host last queried this one for updates
-		uses             []place.Use // last reported uses, if the host depends on this one
+		usesAt           time.Time     // when the host last reported its uses
+		staleAt          time.Time     // when the host, as a hub, was last silent or stale
+		lastQuery        time.Time     // when the host last queried this one for updates
+		uses             []place.Use   // last reported uses, if the host depends on this one
+		changed          int64         // value of Node.memberGeneration when the host was added or restarted
+		listAge          time.Duration // age of the host's list in its last heartbeat
 	}
 
 	// peerService holds the RPC methods that other hosts call.
@@ -68,9 +80,10 @@
 		Stopping bool
 		Uses     []place.Use
 		Lease    LeaseUpdate
-		Children []HostStatus // hosts that depend on the sender
-		Query    *FeedQuery   // request for updates from a hub; nil in heartbeats between hubs
-		Feed     *Feed        // answer to Query
+		Children []HostStatus  // hosts that depend on the sender
+		ListAge  time.Duration // age of the sender's list
+		Query    *FeedQuery    // request for updates from a hub; nil in heartbeats between hubs
+		Feed     *Feed         // answer to Query
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -94,6 +107,9 @@
 		n.control.Post(func() { n.recordDependency("members", err) })
 		sleep(ctx, backoff(failed))
 	}
+	if n.settings.Host.Bootstrap {
+		sleep(ctx, bootstrapDelay)
+	}
 	for reads := 0; ctx.Err() == nil; reads++ {
 		if reads >= initialReads && !n.direct.Load() {
 			sleep(ctx, membersInterval)
@@ -107,12 +123,19 @@
 			for _, m := range list {
 				n.addMember(m)
 			}
+			if err == nil && !n.hasMembers {
+				n.hasMembers = true
+				n.requestHeartbeat()
+			}
 		})
 		switch {
 		case err != nil:
 			sleep(ctx, 2*retryDelay)
 		case reads < initialReads:
 			sleep(ctx, initialReadInterval)
+			if !n.direct.Load() {
+				reads = initialReads // The hub sends new members.
+			}
 		default:
 			sleep(ctx, membersInterval)
 		}
@@ -132,6 +155,8 @@
 	}
 	if x.Incarnation != m.Incarnation {
 		x.Member, x.missedHeartbeats = m, 0
+		n.memberGeneration++
+		x.changed = n.memberGeneration
 	}
 	return x
 }
@@ -147,8 +172,12 @@
 		var to []Member
 		var seeds []Member
 		n.control.Ask(func() {
-			message, to = n.heartbeat(round)
 			seeds = n.seeds()
+			if n.membersKnown(time.Now()) {
+				message, to = n.heartbeat(round)
+			} else {
+				message = Heartbeat{From: n.self}
+			}
 		})
 		for _, m := range to {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &message) })
@@ -158,10 +187,33 @@
 		for _, m := range seeds {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &query) })
 		}
-		sleep(ctx, heartbeatInterval)
+		t := time.NewTimer(heartbeatInterval)
+		select {
+		case <-t.C:
+		case <-n.heartbeatDue:
+		case <-ctx.Done():
+		}
+		t.Stop()
 	}
 }
 
+// requestHeartbeat makes the heartbeat loop send the next heartbeat at once.
+func (n *Node) requestHeartbeat() {
+	select {
+	case n.heartbeatDue <- struct{}{}:
+	default: // A heartbeat is already due.
+	}
+}
+
+// membersKnown reports whether the members have been read, or the wait for them has ended.
+func (n *Node) membersKnown(now time.Time) bool {
+	wait := maxMembersWait
+	if n.settings.Host.Bootstrap {
+		wait += bootstrapDelay
+	}
+	return n.hasMembers || now.Sub(n.startedAt) > wait
+}
+
 // seeds returns the hosts to query for configuration and list if the store has not answered soon after the start.
 func (n *Node) seeds() []Member {
 	if n.config.Load() != nil && n.hasList || time.Since(n.startedAt) < seedDelay {
@@ -198,14 +250,17 @@
 	uses := n.mergedUses(now)
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
-	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate()}
+	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), ListAge: now.Sub(n.listAt)}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
 	n.parent = hubs.Parent(localHubs, n.self.Name)
 	n.chooseSource()
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
 		// Hubs rank first, because they already receive the uses of all hosts and have more processor time.
 		n.lease.SetRank(len(n.chooseHubs(false)))
-		b.Query = &FeedQuery{From: n.feedHub, Generation: n.feedGeneration}
+		b.Query = &FeedQuery{From: n.feedHub, Generation: n.feedGeneration, MembersFrom: n.membersHub, MembersGeneration: n.membersGeneration}
+		if n.firstQueryAt.IsZero() {
+			n.firstQueryAt = now
+		}
 		if c := n.config.Load(); c != nil {
 			b.Query.Version = c.Version()
 		}
@@ -259,13 +314,20 @@
 	}
 }
 
-// markHubStale records that a hub is silent or stale: this host reads the store itself for a while and avoids the hub.
+// markHubStale records that a hub is silent or stale. This host avoids the hub and queries another one at once; if that is stale too,
+// it reads the store itself for a while.
 func (n *Node) markHubStale(hub string) {
 	now := time.Now()
-	n.hubStaleAt = now
 	if m, ok := n.members[hub]; ok && !n.outage.active(now) {
 		m.staleAt = now
 	}
+	if now.Sub(n.hubReplacedAt) > directDuration && n.hasList {
+		n.hubReplacedAt = now
+		n.requestHeartbeat()
+		n.chooseSource()
+		return
+	}
+	n.hubStaleAt = now
 	n.chooseSource()
 }
 
@@ -280,8 +342,15 @@
 // of their hub is stale, except during a store outage, when the calls of all hosts would only add load to the store.
 func (n *Node) chooseSource() {
 	now := time.Now()
+	if !n.membersKnown(now) {
+		return
+	}
 	_, holds := n.lease.Held(n.now())
-	stale := now.Sub(n.hubStaleAt) < directDuration || now.Sub(n.listAt) > n.poll.maxListAge+heartbeatInterval
+	current := n.listAt
+	if !n.hasList {
+		current = n.firstQueryAt
+	}
+	stale := now.Sub(n.hubStaleAt) < directDuration || now.Sub(current) > n.poll.maxListAge+heartbeatInterval
 	n.setDirect(n.parent == "" || holds || stale && !n.outage.active(now))
 }
 
@@ -329,7 +398,11 @@
 	n.control.Post(func() {
 		if err == nil {
 			n.applyHeartbeat(reply)
-			if reply.Feed != nil && !n.applyFeed(reply.From, reply.Feed) {
+			switch {
+			case reply.Feed == nil || n.applyFeed(reply.From, reply.Feed):
+			case n.settings.Host.Bootstrap && !n.hasList && time.Since(n.startedAt) < maxFirstListWait:
+				time.AfterFunc(firstListRetry, n.requestHeartbeat)
+			default:
 				n.markHubStale(reply.From.Name)
 			}
 			return
@@ -357,7 +430,7 @@
 	if !s.node.control.Ask(func() {
 		s.node.applyHeartbeat(b)
 		_, stopping := s.node.stop.state()
-		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate()}
+		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate(), ListAge: time.Since(s.node.listAt)}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
 				s.node.placing.RemoveHost(b.From.Name) // This host now merges the member's uses into its own.
@@ -379,7 +452,7 @@
 		return
 	}
 	now := time.Now()
-	m.lastSeen, m.ready, m.stopping, m.missedHeartbeats = now, b.Ready, b.Stopping, 0
+	m.lastSeen, m.ready, m.stopping, m.missedHeartbeats, m.listAge = now, b.Ready, b.Stopping, 0, b.ListAge
 	if b.Lease.Known {
 		bootNow := n.now()
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -16,7 +16,7 @@
 func TestSilentHubInAnOutage(t *testing.T) {
 	t.Parallel()
 	n := New(Settings{}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
-	n.parent, n.hasList = "hub", true
+	n.parent, n.hasList, n.hasMembers = "hub", true, true
 	n.members["hub"] = &member{Member: Member{Name: "hub"}}
 	n.listAt = time.Now().Add(-time.Minute)
 	n.chooseSource()
@@ -31,3 +31,84 @@
 	qt.Assert(t, n.direct.Load(), qt.IsTrue)
 	qt.Assert(t, n.members["hub"].staleAt.IsZero(), qt.IsFalse)
 }
+
+// newTestNode returns a node that depends on a hub whose list it has.
+func newTestNode(s Settings) *Node {
+	n := New(s, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
+	n.parent, n.hasList, n.hasMembers, n.listAt = "hub", true, true, time.Now()
+	n.members["hub"] = &member{Member: Member{Name: "hub", Incarnation: "hub.1"}, lastSeen: time.Now()}
+	return n
+}
+
+// TestStaleHubIsReplacedByTheOther guards against hundreds of hosts that read the store themselves when one hub is stale for a moment:
+// they query the other hub first.
+func TestStaleHubIsReplacedByTheOther(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 4000, ConfigMS: 4000}})
+	n.chooseSource()
+	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	n.markHubStale("hub")
+	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	qt.Assert(t, n.heartbeatDue, qt.HasLen, 1)
+	qt.Assert(t, n.members["hub"].staleAt.IsZero(), qt.IsFalse)
+	n.markHubStale("other")
+	qt.Assert(t, n.direct.Load(), qt.IsTrue)
+}
+
+// TestHubReportsAnOutage guards against hundreds of hosts that read the store in an outage, of which their hub knows that it concerns
+// all hubs. It also guards against a host that trusts such a report without end.
+func TestHubReportsAnOutage(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 4000, ConfigMS: 4000}})
+	start := time.Now()
+	n.listAt = start.Add(-time.Minute)
+	hub := n.members["hub"].Member
+	n.applyFeed(hub, &Feed{ListAge: time.Minute, Outage: true})
+	n.chooseSource()
+	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	reads := 0
+	for at := time.Duration(0); at < time.Minute; at += heartbeatInterval {
+		n.outage.assume(start.Add(at))
+		if !n.outage.active(start.Add(at)) {
+			reads++
+			at += probeInterval
+		}
+	}
+	qt.Assert(t, reads >= 2 && reads <= 6, qt.IsTrue, qt.Commentf("%d reads in a minute", reads))
+	n.applyFeed(hub, &Feed{Whole: true})
+	n.chooseSource()
+	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	qt.Assert(t, n.outage.active(start), qt.IsFalse)
+}
+
+// TestHubSendsMembers guards against a host that depends on a hub and never learns of hosts that started after it: its directory would
+// send callers to the old ones only.
+func TestHubSendsMembers(t *testing.T) {
+	t.Parallel()
+	hub, n := newTestNode(Settings{Host: HostSettings{Name: "hub"}}), newTestNode(Settings{Host: HostSettings{Name: "h"}})
+	hub.addMember(Member{Name: "x", Incarnation: "x.1", Traffic: "a:1"})
+	query := FeedQuery{}
+	f := hub.buildFeed("h", query)
+	n.applyFeed(hub.self, &f)
+	qt.Assert(t, n.members["x"].Incarnation, qt.Equals, "x.1")
+	query.MembersFrom, query.MembersGeneration = n.membersHub, n.membersGeneration
+	f = hub.buildFeed("h", query)
+	qt.Assert(t, f.Members, qt.HasLen, 0, qt.Commentf("only changes are sent"))
+	hub.addMember(Member{Name: "x", Incarnation: "x.2", Traffic: "a:2"})
+	f = hub.buildFeed("h", query)
+	qt.Assert(t, f.Members, qt.HasLen, 1)
+	n.applyFeed(hub.self, &f)
+	qt.Assert(t, n.members["x"].Incarnation, qt.Equals, "x.2")
+}
+
+// TestHostWaitsForMembers guards against hundreds of hosts that all read configuration and list from the store when they start
+// together.
+func TestHostWaitsForMembers(t *testing.T) {
+	t.Parallel()
+	n := New(Settings{Host: HostSettings{Bootstrap: true}}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
+	n.chooseSource()
+	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	n.startedAt = time.Now().Add(-bootstrapDelay - maxMembersWait - time.Millisecond)
+	n.chooseSource()
+	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("without members or a hub the host reads the store"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 		config       atomic.Pointer[fleet.Config]
 		ready        atomic.Bool
 		stop         stopState
+		heartbeatDue chan struct{} // makes the heartbeat loop send the next heartbeat at once
 		baseCtx      context.Context
 		cancelBase   context.CancelFunc
 		tasks        sync.WaitGroup
@@ -68,35 +69,41 @@
 		reload       chan os.Signal
 		settingsFile string
 
-		control          *ctrl.Thread
-		alarm            *ctrl.Alarm
-		table            *pick.Table
-		durations        *pick.Durations
-		list             *fleet.List
-		hasList          bool
-		upstreams        map[string]fleet.Upstream // list that was applied last, by upstream ID
-		configRecord     []byte                    // encoded configuration in force
-		configAt         time.Time                 // time as of which the configuration is current
-		listAt           time.Time                 // time as of which the list is current
-		changes          changeLog
-		feedHub          string    // incarnation of the hub whose list was applied last
-		feedGeneration   int64     // generation of the list from feedHub
-		hubStaleAt       time.Time // when a hub of this host was last silent or stale
-		parent           string    // name of the hub on which this host depends; empty if there is none
-		outage           outage
-		members          map[string]*member
-		hubs             map[string]bool // names of the hubs of all data centres, as chosen by this host
-		lease            *lease.Lease
-		clock            bootClock
-		placing          *place.Controller
-		tickCount        int
-		planScheduled    bool                     // whether a plan is due within maxPlanDelay
-		planTime         time.Duration            // duration of the last plan
-		term             int64                    // fence of the lease under which this host is the controller; zero if it is not
-		updateCount      int64                    // number of the last placement update that this host sent as the controller
-		waiting          map[string]chan struct{} // closed when a model may have become ready, by model
-		repeatWindows    map[string]*retry.Window
-		lostDependencies map[string]bool // names of the dependencies that don't answer
+		control           *ctrl.Thread
+		alarm             *ctrl.Alarm
+		table             *pick.Table
+		durations         *pick.Durations
+		list              *fleet.List
+		hasList           bool
+		upstreams         map[string]fleet.Upstream // list that was applied last, by upstream ID
+		configRecord      []byte                    // encoded configuration in force
+		configAt          time.Time                 // time as of which the configuration is current
+		listAt            time.Time                 // time as of which the list is current
+		changes           changeLog
+		feedHub           string    // incarnation of the hub whose list was applied last
+		feedGeneration    int64     // generation of the list from feedHub
+		hubStaleAt        time.Time // when the hubs of this host were last silent or stale
+		hubReplacedAt     time.Time // when this host last queried another hub because its own was silent or stale
+		firstQueryAt      time.Time // when this host first queried a hub
+		membersHub        string    // incarnation of the hub whose members were applied last, up to membersGeneration
+		membersGeneration int64
+		memberGeneration  int64  // number of changes of members
+		hasMembers        bool   // whether the published members have been read
+		parent            string // name of the hub on which this host depends; empty if there is none
+		outage            outage
+		members           map[string]*member
+		hubs              map[string]bool // names of the hubs of all data centres, as chosen by this host
+		lease             *lease.Lease
+		clock             bootClock
+		placing           *place.Controller
+		tickCount         int
+		planScheduled     bool                     // whether a plan is due within maxPlanDelay
+		planTime          time.Duration            // duration of the last plan
+		term              int64                    // fence of the lease under which this host is the controller; zero if it is not
+		updateCount       int64                    // number of the last placement update that this host sent as the controller
+		waiting           map[string]chan struct{} // closed when a model may have become ready, by model
+		repeatWindows     map[string]*retry.Window
+		lostDependencies  map[string]bool // names of the dependencies that don't answer
 	}
 )
 
@@ -114,7 +121,7 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		lostDependencies: make(map[string]bool), reload: make(chan os.Signal, 1),
+		lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
 	leaseSettings.Fenced = s.Limits.RequireFence
@@ -122,7 +129,6 @@
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(placeSettings)
-	n.direct.Store(true)
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -341,11 +341,11 @@
 		}
 		now := time.Now()
 		*reply = WantReply{Upstream: f.Upstream, Known: !f.ReadyAt.IsZero(), ReadyIn: max(f.ReadyAt.Sub(now), 0)}
-		// The caller uses the first forecast to decide whether to wait at all.
-		if f.Upstream != "" || a.Hold > 0 || !now.Before(until) || first && reply.Known && now.Add(reply.ReadyIn).After(deadline) {
+		// A request that can't be served in time is refused at once, also if the forecast changes while it waits.
+		if f.Upstream != "" || a.Hold > 0 || !now.Before(until) || reply.Known && now.Add(reply.ReadyIn).After(deadline) {
 			return nil
 		}
-		t := time.NewTimer(min(time.Until(until), max(time.Until(f.ReadyAt), minForecastWait)))
+		t := time.NewTimer(min(time.Until(until), max(min(time.Until(f.ReadyAt), time.Until(deadline)), minForecastWait)))
 		select {
 		case <-changed:
 		case <-t.C:
