fix(node): only hubs take over the lease

Change: a host takes over the lease only if it has read the members and is a hub. Test: TestOnlyHubsTakeTheLease.

--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -112,3 +112,16 @@
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("without members or a hub the host reads the store"))
 }
+
+// TestOnlyHubsTakeTheLease guards against a small host that becomes the controller of hundreds of upstreams: one that had restarted in
+// an outage of the store, or whose hub was silent, took the lease when the store answered again.
+func TestOnlyHubsTakeTheLease(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	n.direct.Store(true) // The hub is silent.
+	qt.Assert(t, n.mayTakeLease(), qt.IsFalse)
+	n.parent = ""
+	qt.Assert(t, n.mayTakeLease(), qt.IsTrue)
+	n.hasMembers = false
+	qt.Assert(t, n.mayTakeLease(), qt.IsFalse)
+}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -75,12 +75,16 @@
 func (n *Node) stepLease() {
 	now := n.now()
 	_, held := n.lease.Held(now)
-	if _, stopping := n.stop.state(); !stopping && (held || n.direct.Load()) {
+	if _, stopping := n.stop.state(); !stopping && (held || n.mayTakeLease()) {
 		n.callLease(n.lease.Step(now))
 	}
 	n.updateTerm()
 }
 
+// mayTakeLease reports whether this host may take over the lease: only hubs do, because they have the most processor time. A host that
+// started in an outage of the store knows no hubs before it has read the members.
+func (n *Node) mayTakeLease() bool { return n.direct.Load() && n.parent == "" && n.hasMembers }
+
 // updateTerm starts or ends the term of this host as the controller.
 func (n *Node) updateTerm() {
 	now := n.now()
