perf(node): a first start waits for hubs longer, and an outage is told by failed reads

Change: the members are read 1 to 1.5 s after the announcement, and a host waits for its hub's first list up to 5 s after the first start. Hubs tell each other whether the store answered their last read; a hub reports an outage if it answers none of them. Test: TestOutageNeedsAllHubs.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -51,7 +51,7 @@
 		// Members are the hosts that were added or restarted since the query's MembersGeneration.
 		Members           []Member
 		MembersGeneration int64
-		// Outage is set if neither the hub nor any other hub that it hears from has a current list: the store answers none of them.
+		// Outage is set if the store answers neither the hub nor any other hub that it hears from.
 		Outage bool
 	}
 
@@ -111,7 +111,7 @@
 		}
 	}
 	f.Alive = n.hostStatuses(now, n.self.DataCentre)
-	f.Outage = n.allHubsStale(now)
+	f.Outage = n.storeLostByAll(now)
 	f.MembersGeneration = n.memberGeneration
 	for name, m := range n.members {
 		if name != host && (q.MembersFrom != n.self.Incarnation || m.changed > q.MembersGeneration) {
@@ -121,13 +121,14 @@
 	return f
 }
 
-// allHubsStale reports whether this host and all hubs from which it received a heartbeat lately have a list that is not current.
-func (n *Node) allHubsStale(now time.Time) bool {
-	if !n.hasList || now.Sub(n.listAt) <= n.poll.maxListAge {
+// storeLostByAll reports whether the store did not answer the last read of this host, nor that of any hub from which it received a
+// heartbeat lately.
+func (n *Node) storeLostByAll(now time.Time) bool {
+	if n.outage.failures == 0 {
 		return false
 	}
 	for name := range n.hubs {
-		if m, ok := n.members[name]; ok && now.Sub(m.lastSeen) < livenessTimeout && m.listAge+now.Sub(m.lastSeen) <= n.poll.maxListAge {
+		if m, ok := n.members[name]; ok && now.Sub(m.lastSeen) < livenessTimeout && !m.storeLost {
 			return false
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,14 +20,16 @@
 	initialReads        = 2
 	initialReadInterval = time.Second
 	// bootstrapDelay is the time from the announcement of a host to its first read of the members when all hosts start: they do so
-	// within 0.3 s, and each needs some time to start.
-	bootstrapDelay = 400 * time.Millisecond
+	// within 0.3 s, and small hosts need half a second to announce themselves. A host that knows only some members chooses wrong hubs.
+	// bootstrapSpread is the longest random time added to it, because hundreds of reads at once take seconds.
+	bootstrapDelay  = time.Second
+	bootstrapSpread = 500 * time.Millisecond
 	// maxMembersWait is how long a starting host waits for the members before it reads configuration and list from the store. With
 	// members it gets both from its hub.
 	maxMembersWait = 600 * time.Millisecond
 	// maxFirstListWait is how long a starting host waits for the first list of its hub when all hosts start, and firstListRetry the
 	// interval at which it queries the hub.
-	maxFirstListWait = 3 * time.Second
+	maxFirstListWait = 5 * time.Second
 	firstListRetry   = 200 * time.Millisecond
 	// livenessTimeout is how long a member counts as alive after it was last seen. It allows for three heartbeats, one of them
 	// passed on by a hub.
@@ -62,12 +65,12 @@
 		ready            bool
 		stopping         bool
 		missedHeartbeats int
-		usesAt           time.Time     // when the host last reported its uses
-		staleAt          time.Time     // when the host, as a hub, was last silent or stale
-		lastQuery        time.Time     // when the host last queried this one for updates
-		uses             []place.Use   // last reported uses, if the host depends on this one
-		changed          int64         // value of Node.memberGeneration when the host was added or restarted
-		listAge          time.Duration // age of the host's list in its last heartbeat
+		usesAt           time.Time   // when the host last reported its uses
+		staleAt          time.Time   // when the host, as a hub, was last silent or stale
+		lastQuery        time.Time   // when the host last queried this one for updates
+		uses             []place.Use // last reported uses, if the host depends on this one
+		changed          int64       // value of Node.memberGeneration when the host was added or restarted
+		storeLost        bool        // whether the store did not answer the host's last read, according to its last heartbeat
 	}
 
 	// peerService holds the RPC methods that other hosts call.
@@ -75,15 +78,15 @@
 
 	// Heartbeat is the periodic message between hosts, and the answer to it.
 	Heartbeat struct {
-		From     Member
-		Ready    bool
-		Stopping bool
-		Uses     []place.Use
-		Lease    LeaseUpdate
-		Children []HostStatus  // hosts that depend on the sender
-		ListAge  time.Duration // age of the sender's list
-		Query    *FeedQuery    // request for updates from a hub; nil in heartbeats between hubs
-		Feed     *Feed         // answer to Query
+		From      Member
+		Ready     bool
+		Stopping  bool
+		Uses      []place.Use
+		Lease     LeaseUpdate
+		Children  []HostStatus // hosts that depend on the sender
+		StoreLost bool         // whether the store did not answer the sender's last read of the list
+		Query     *FeedQuery   // request for updates from a hub; nil in heartbeats between hubs
+		Feed      *Feed        // answer to Query
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -108,7 +111,7 @@
 		sleep(ctx, backoff(failed))
 	}
 	if n.settings.Host.Bootstrap {
-		sleep(ctx, bootstrapDelay)
+		sleep(ctx, bootstrapDelay+rand.N(bootstrapSpread)) //nolint:gosec // need not be unpredictable
 	}
 	for reads := 0; ctx.Err() == nil; reads++ {
 		if reads >= initialReads && !n.direct.Load() {
@@ -209,7 +212,7 @@
 func (n *Node) membersKnown(now time.Time) bool {
 	wait := maxMembersWait
 	if n.settings.Host.Bootstrap {
-		wait += bootstrapDelay
+		wait += bootstrapDelay + bootstrapSpread
 	}
 	return n.hasMembers || now.Sub(n.startedAt) > wait
 }
@@ -250,7 +253,7 @@
 	uses := n.mergedUses(now)
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
-	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), ListAge: now.Sub(n.listAt)}
+	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), StoreLost: n.outage.failures > 0}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
 	n.parent = hubs.Parent(localHubs, n.self.Name)
 	n.chooseSource()
@@ -400,14 +403,14 @@
 			n.applyHeartbeat(reply)
 			switch {
 			case reply.Feed == nil || n.applyFeed(reply.From, reply.Feed):
-			case n.settings.Host.Bootstrap && !n.hasList && time.Since(n.startedAt) < maxFirstListWait:
+			case n.awaitsFirstList():
 				time.AfterFunc(firstListRetry, n.requestHeartbeat)
 			default:
 				n.markHubStale(reply.From.Name)
 			}
 			return
 		}
-		if b.Query != nil {
+		if b.Query != nil && !n.awaitsFirstList() {
 			n.markHubSilent(m.Name)
 		}
 		x, ok := n.members[m.Name]
@@ -430,7 +433,7 @@
 	if !s.node.control.Ask(func() {
 		s.node.applyHeartbeat(b)
 		_, stopping := s.node.stop.state()
-		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate(), ListAge: time.Since(s.node.listAt)}
+		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate(), StoreLost: s.node.outage.failures > 0}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
 				s.node.placing.RemoveHost(b.From.Name) // This host now merges the member's uses into its own.
@@ -445,6 +448,11 @@
 	return nil
 }
 
+// awaitsFirstList reports whether all hosts are starting and the hub of this one may not have a list yet.
+func (n *Node) awaitsFirstList() bool {
+	return n.settings.Host.Bootstrap && !n.hasList && time.Since(n.startedAt) < maxFirstListWait
+}
+
 // applyHeartbeat applies a heartbeat or the answer to one.
 func (n *Node) applyHeartbeat(b *Heartbeat) {
 	m := n.addMember(b.From)
@@ -452,7 +460,7 @@
 		return
 	}
 	now := time.Now()
-	m.lastSeen, m.ready, m.stopping, m.missedHeartbeats, m.listAge = now, b.Ready, b.Stopping, 0, b.ListAge
+	m.lastSeen, m.ready, m.stopping, m.missedHeartbeats, m.storeLost = now, b.Ready, b.Stopping, 0, b.StoreLost
 	if b.Lease.Known {
 		bootNow := n.now()
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -81,6 +81,21 @@
 	qt.Assert(t, n.outage.active(start), qt.IsFalse)
 }
 
+// TestOutageNeedsAllHubs guards against a hub that is cut off from the store alone and reports an outage: its hosts would not ask another
+// hub or the store.
+func TestOutageNeedsAllHubs(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Host: HostSettings{Name: "h"}})
+	n.hubs = map[string]bool{"h": true, "hub": true}
+	qt.Assert(t, n.buildFeed("x", FeedQuery{}).Outage, qt.IsFalse)
+	n.outage.recordFailure(time.Now())
+	qt.Assert(t, n.buildFeed("x", FeedQuery{}).Outage, qt.IsFalse, qt.Commentf("the store answers the other hub"))
+	n.applyHeartbeat(&Heartbeat{From: n.members["hub"].Member, StoreLost: true})
+	qt.Assert(t, n.buildFeed("x", FeedQuery{}).Outage, qt.IsTrue)
+	n.outage.reset()
+	qt.Assert(t, n.buildFeed("x", FeedQuery{}).Outage, qt.IsFalse)
+}
+
 // TestHubSendsMembers guards against a host that depends on a hub and never learns of hosts that started after it: its directory would
 // send callers to the old ones only.
 func TestHubSendsMembers(t *testing.T) {
@@ -108,7 +123,7 @@
 	n := New(Settings{Host: HostSettings{Bootstrap: true}}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsFalse)
-	n.startedAt = time.Now().Add(-bootstrapDelay - maxMembersWait - time.Millisecond)
+	n.startedAt = time.Now().Add(-bootstrapDelay - bootstrapSpread - maxMembersWait - time.Millisecond)
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("without members or a hub the host reads the store"))
 }
