fix(node,conns): a paused controller sends no order after its lease ran out

Cause: the lease was checked when the controller planned; the order was sent by another task, after a dial of up to 400 ms or a pause of the process. Change: conns.Request.Permit is called when the connection is ready, just before the first byte; an order asks the control thread whether the lease is held with its fence, by the boot clock.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -163,3 +163,26 @@
 	_, err = io.ReadAll(r)
 	qt.Assert(t, err, qt.Not(qt.IsNil))
 }
+
+// TestPermitIsCheckedBeforeSending guards against a process that was paused after its decision and then sends a request whose
+// permission has run out, such as an order of a former controller.
+func TestPermitIsCheckedBeforeSending(t *testing.T) {
+	var received atomic.Int64
+	address, _ := serve(t, func(int64) []byte {
+		received.Add(1)
+		return []byte(completeResponse)
+	})
+	p := newPool(t)
+	q := newRequest(address)
+	q.Permit = func() bool { return false }
+	_, err := p.Do(t.Context(), q)
+	var f *conns.Failure
+	qt.Assert(t, errors.As(err, &f), qt.IsTrue)
+	qt.Assert(t, f.Sent, qt.IsFalse)
+	qt.Assert(t, errors.Is(err, conns.ErrNotPermitted), qt.IsTrue)
+	q.Permit = func() bool { return true }
+	r, err := p.Do(t.Context(), q)
+	qt.Assert(t, err, qt.IsNil)
+	r.Close()
+	qt.Assert(t, received.Load(), qt.Equals, int64(1))
+}
--- a/internal/conns/do.go
+++ b/internal/conns/do.go
@@ -38,6 +38,9 @@
 		// Echo is the name of a header that the response must return with the same value as in the request; empty disables the
 		// check.
 		Echo string
+		// Permit is called when a connection is ready, just before the first byte is sent. If it returns false, nothing is sent. It may
+		// be nil. A process may be paused between the decision to send a request and this moment.
+		Permit func() bool
 	}
 
 	// Response is a response whose body is still to be read. The caller must call Close.
@@ -65,6 +68,9 @@
 	}
 )
 
+// ErrNotPermitted is the cause of a Failure when Request.Permit returned false; nothing was sent.
+var ErrNotPermitted = errors.New("request is no longer permitted")
+
 var (
 	errMismatched   = errors.New("responses belong to other requests")
 	errTrailingData = errors.New("unexpected data after the response body")
@@ -94,7 +100,11 @@
 		}
 		return nil, &Failure{sent, err}
 	}
-	n, err := c.Write(q.encode())
+	message := q.encode()
+	if q.Permit != nil && !q.Permit() {
+		return fail(false, ErrNotPermitted)
+	}
+	n, err := c.Write(message)
 	if err != nil {
 		return fail(n > 0, err)
 	}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -250,7 +250,7 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		start := time.Now()
-		answer := n.platform.Order(ctx, address, o, n.self.Name, fence)
+		answer := n.platform.Order(ctx, address, o, n.self.Name, fence, func() bool { return n.holdsTerm(fence) })
 		n.control.Post(func() {
 			n.log("place").Info("order answered", "event", eventOrder, "upstream", o.Upstream, "op", o.Op.String(), "model", o.Key.Model,
 				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer.String(), "tookMS", time.Since(start).Milliseconds())
@@ -264,6 +264,17 @@
 	})
 }
 
+// holdsTerm reports whether this host still holds the lease with the fence. It is called just before an order is sent: engines that
+// ignore fences would carry out an order of a holder that was paused since its decision.
+func (n *Node) holdsTerm(fence int64) bool {
+	holds := false
+	n.control.Ask(func() {
+		current, held := n.lease.Held(n.now())
+		holds = held && current == fence
+	})
+	return holds
+}
+
 func (n *Node) requestReport(id, address string) {
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/node/placing_test.go
+++ b/internal/node/placing_test.go
@@ -1,11 +1,16 @@
 package node
 
 import (
+	"io"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/conns"
+	"github.com/fireflycleat/fireflycleat/internal/telem"
+	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
 
 // TestUpdatesEndAfterTwoHops guards against two hosts that forward the same update to each other endlessly, because each counts as
@@ -35,3 +40,24 @@
 	slices.Sort(names)
 	return names
 }
+
+// TestPausedControllerSendsNoOrder guards against an order of a controller whose lease ran out while the order waited to be sent:
+// engines that ignore fences would carry it out beside the orders of the next controller.
+func TestPausedControllerSendsNoOrder(t *testing.T) {
+	t.Parallel()
+	n := New(Settings{}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
+	go func() { _ = n.control.Run() }()
+	t.Cleanup(n.control.Stop)
+	var fence int64
+	n.control.Ask(func() {
+		now := n.now()
+		n.lease.ReadDone(now, lease.Newest{})
+		a := n.lease.Step(now)
+		n.lease.Appended(n.now(), a, 7)
+		fence = n.lease.Fence()
+	})
+	qt.Assert(t, n.holdsTerm(fence), qt.IsTrue)
+	qt.Assert(t, n.holdsTerm(fence-1), qt.IsFalse, qt.Commentf("an order of an earlier term"))
+	n.control.Ask(func() { n.clock.lastRead = n.clock.lastRead.Add(-2 * stoppedThreshold) }) // as after a pause of the process
+	qt.Assert(t, n.holdsTerm(fence), qt.IsFalse)
+}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -29,8 +29,9 @@
 		Announce func(ctx context.Context, m Member) error
 		// Members returns all published hosts.
 		Members func(ctx context.Context) ([]Member, error)
-		// Order sends an order to an upstream and returns its answer.
-		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64) place.Answer
+		// Order sends an order to an upstream and returns its answer. It calls permit just before it sends, and sends nothing if permit
+		// returns false.
+		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64, permit func() bool) place.Answer
 		// Report requests the state of an upstream.
 		Report func(ctx context.Context, address, upstream string) (place.Report, error)
 		// Handlers returns the HTTP handlers for the ready address and the directory address.
