fix(node): a first start asks no seeds, and only the hub's own answers make it stale

Change: seeds are asked after the wait for the first list; answers and silence count against a hub only if it is this host's hub; the source is chosen once the hub is. Test: TestHostWaitsForMembers.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -219,7 +219,7 @@
 
 // seeds returns the hosts to query for configuration and list if the store has not answered soon after the start.
 func (n *Node) seeds() []Member {
-	if n.config.Load() != nil && n.hasList || time.Since(n.startedAt) < seedDelay {
+	if n.config.Load() != nil && n.hasList || time.Since(n.startedAt) < seedDelay || n.awaitsFirstList() {
 		return nil
 	}
 	var list []Member
@@ -255,7 +255,7 @@
 	_, stopping := n.stop.state()
 	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), StoreLost: n.outage.failures > 0}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
-	n.parent = hubs.Parent(localHubs, n.self.Name)
+	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
 	n.chooseSource()
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
 		// Hubs rank first, because they already receive the uses of all hosts and have more processor time.
@@ -345,8 +345,8 @@
 // of their hub is stale, except during a store outage, when the calls of all hosts would only add load to the store.
 func (n *Node) chooseSource() {
 	now := time.Now()
-	if !n.membersKnown(now) {
-		return
+	if !n.hubsChosen {
+		return // The first heartbeat follows when the members are known.
 	}
 	_, holds := n.lease.Held(n.now())
 	current := n.listAt
@@ -405,12 +405,12 @@
 			case reply.Feed == nil || n.applyFeed(reply.From, reply.Feed):
 			case n.awaitsFirstList():
 				time.AfterFunc(firstListRetry, n.requestHeartbeat)
-			default:
-				n.markHubStale(reply.From.Name)
+			case reply.From.Name == n.parent: // The answer of a seed says nothing about the hub.
+				n.markHubStale(n.parent)
 			}
 			return
 		}
-		if b.Query != nil && !n.awaitsFirstList() {
+		if b.Query != nil && m.Name == n.parent && !n.awaitsFirstList() {
 			n.markHubSilent(m.Name)
 		}
 		x, ok := n.members[m.Name]
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -16,7 +16,7 @@
 func TestSilentHubInAnOutage(t *testing.T) {
 	t.Parallel()
 	n := New(Settings{}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
-	n.parent, n.hasList, n.hasMembers = "hub", true, true
+	n.parent, n.hasList, n.hasMembers, n.hubsChosen = "hub", true, true, true
 	n.members["hub"] = &member{Member: Member{Name: "hub"}}
 	n.listAt = time.Now().Add(-time.Minute)
 	n.chooseSource()
@@ -35,7 +35,7 @@
 // newTestNode returns a node that depends on a hub whose list it has.
 func newTestNode(s Settings) *Node {
 	n := New(s, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
-	n.parent, n.hasList, n.hasMembers, n.listAt = "hub", true, true, time.Now()
+	n.parent, n.hasList, n.hasMembers, n.hubsChosen, n.listAt = "hub", true, true, true, time.Now()
 	n.members["hub"] = &member{Member: Member{Name: "hub", Incarnation: "hub.1"}, lastSeen: time.Now()}
 	return n
 }
@@ -116,16 +116,23 @@
 	qt.Assert(t, n.members["x"].Incarnation, qt.Equals, "x.2")
 }
 
-// TestHostWaitsForMembers guards against hundreds of hosts that all read configuration and list from the store when they start
-// together.
+// TestHostWaitsForMembers guards against hundreds of hosts that all read configuration and list from the store, or from the few seeds,
+// when they start together: on 76 hosts each turned to the store because a seed had no list yet.
 func TestHostWaitsForMembers(t *testing.T) {
 	t.Parallel()
-	n := New(Settings{Host: HostSettings{Bootstrap: true}}, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
+	s := Settings{Host: HostSettings{Name: "h", Bootstrap: true}, Platform: PlatformSettings{Seeds: []string{"a:1"}}}
+	n := New(s, Platform{}, conns.New(conns.Settings{}), telem.NewJSONLogs(io.Discard, "h"))
+	n.startedAt = time.Now().Add(-2 * seedDelay)
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsFalse)
+	qt.Assert(t, n.membersKnown(time.Now()), qt.IsFalse)
+	qt.Assert(t, n.seeds(), qt.HasLen, 0)
 	n.startedAt = time.Now().Add(-bootstrapDelay - bootstrapSpread - maxMembersWait - time.Millisecond)
-	n.chooseSource()
+	qt.Assert(t, n.membersKnown(time.Now()), qt.IsTrue)
+	n.heartbeat(0)
 	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("without members or a hub the host reads the store"))
+	n.startedAt = time.Now().Add(-maxFirstListWait)
+	qt.Assert(t, n.seeds(), qt.HasLen, 1)
 }
 
 // TestOnlyHubsTakeTheLease guards against a small host that becomes the controller of hundreds of upstreams: one that had restarted in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,6 +88,7 @@
 		membersHub        string    // incarnation of the hub whose members were applied last, up to membersGeneration
 		membersGeneration int64
 		memberGeneration  int64  // number of changes of members
+		hubsChosen        bool   // whether this host has determined its hub, or that it is one
 		hasMembers        bool   // whether the published members have been read
 		parent            string // name of the hub on which this host depends; empty if there is none
 		outage            outage
