--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,85 @@
+package node
+
+import "time"
+
+// membersKnown reports whether the members have been read, or the wait for them has ended.
+func (n *Node) membersKnown(now time.Time) bool {
+	wait := maxMembersWait
+	if n.settings.Host.Bootstrap {
+		wait += bootstrapDelay + bootstrapSpread
+	}
+	return n.hasMembers || now.Sub(n.startedAt) > wait
+}
+
+// markHubStale records that a hub is silent or stale. This host avoids the hub and queries another one at once; if that is stale too,
+// it reads the store itself for a while.
+func (n *Node) markHubStale(hub string) {
+	now := time.Now()
+	if m, ok := n.members[hub]; ok && !n.outage.active(now) {
+		m.staleAt = now
+	}
+	if now.Sub(n.hubReplacedAt) > directDuration && n.hasList {
+		n.hubReplacedAt = now
+		n.requestHeartbeat()
+		n.chooseSource()
+		return
+	}
+	n.hubStaleAt = now
+	n.chooseSource()
+}
+
+// markHubSilent records that a hub doesn't answer. Such a hub can't report the end of an outage, so this host reads the store
+// itself.
+func (n *Node) markHubSilent(hub string) {
+	n.outage.reset()
+	n.markHubStale(hub)
+}
+
+// chooseSource decides whether this host reads the store itself. Hubs and the controller always do; other hosts do when the data
+// of their hub is stale, except during a store outage, when the calls of all hosts would only add load to the store.
+func (n *Node) chooseSource() {
+	now := time.Now()
+	if !n.hubsChosen {
+		return // The first heartbeat follows when the members are known.
+	}
+	_, holds := n.lease.Held(n.now())
+	current := n.listAt
+	if !n.hasList {
+		current = n.firstQueryAt
+	}
+	stale := now.Sub(n.hubStaleAt) < directDuration || now.Sub(current) > n.poll.maxListAge+heartbeatInterval
+	n.setDirect(n.parent == "" || holds || stale && !n.outage.active(now))
+}
+
+// setDirect makes this host read the store itself, or stop doing so.
+func (n *Node) setDirect(direct bool) {
+	if n.direct.Swap(direct) == direct {
+		return
+	}
+	n.log("members").Info("source of configuration and list changed", "event", eventSource, "store", direct)
+	switch {
+	case !direct:
+		n.list.MarkUnreadable() // Entries that expire before the store is read again aren't known to be gone.
+	case n.hasList && time.Since(n.listAt) < recentListAge:
+		n.list.Adopt(n.upstreams)
+	}
+}
+
+// awaitsFirstList reports whether all hosts are starting and the hub of this one may not have a list yet.
+func (n *Node) awaitsFirstList() bool {
+	return n.settings.Host.Bootstrap && !n.hasList && time.Since(n.startedAt) < maxFirstListWait
+}
+
+// seeds returns the hosts to query for configuration and list if the store has not answered soon after the start.
+func (n *Node) seeds() []Member {
+	if n.config.Load() != nil && n.hasList || time.Since(n.startedAt) < seedDelay || n.awaitsFirstList() {
+		return nil
+	}
+	var list []Member
+	for _, address := range n.settings.Platform.Seeds {
+		if address != n.self.Peers {
+			list = append(list, Member{Peers: address})
+		}
+	}
+	return list
+}
