--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// appendChange appends a configuration change and waits until it is accepted or rejected. An AppendInDoubt error means that it
-// may still be accepted.
+// appendChange appends a configuration change and waits until it is accepted or rejected, and in force at this host. An AppendInDoubt
+// error means that it may still be accepted.
 func (d *Daemon) appendChange(ctx context.Context, r fold.Record) (wire.Change, error) {
 	type result struct {
 		offset int64
@@ -52,6 +52,8 @@
 	})
 	select {
 	case res := <-results:
+		// The result comes while the record is applied, before the view with the change is stored.
+		d.control.Ask(d.publish)
 		return wire.Change{Offset: res.offset}, res.err
 	case <-ctx.Done():
 		return wire.Change{}, codes.New(codes.AppendInDoubt, ctx.Err().Error())
