--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -190,7 +190,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			var sent atomic.Int64
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				conn, _, _ := w.(http.Hijacker).Hijack()
 				defer conn.Close()
 				_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n")
