fix(node): seeds are asked only when the store does not answer

Change: while the last reads of members, list and configuration succeeded, no seed is asked. Test: TestHostWaitsForMembers.

--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -132,6 +133,8 @@
 	n.heartbeat(0)
 	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("without members or a hub the host reads the store"))
 	n.startedAt = time.Now().Add(-maxFirstListWait)
+	qt.Assert(t, n.seeds(), qt.HasLen, 0, qt.Commentf("the store answers"))
+	n.recordDependency("members", context.DeadlineExceeded)
 	qt.Assert(t, n.seeds(), qt.HasLen, 1)
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -75,6 +75,10 @@
 	if n.config.Load() != nil && n.hasList || time.Since(n.startedAt) < seedDelay || n.awaitsFirstList() {
 		return nil
 	}
+	// While the store answers, a host gets both from its hub or the store: a few seeds can't send the whole list to hundreds of hosts.
+	if !n.lostDependencies["members"] && !n.lostDependencies["list"] && !n.lostDependencies["configuration"] {
+		return nil
+	}
 	var list []Member
 	for _, address := range n.settings.Platform.Seeds {
 		if address != n.self.Peers {
