--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -19,39 +19,27 @@
 // serve answers each request on each connection with the bytes returned by answer; nil closes the connection. n counts
 // requests from 1.
 func serve(t *testing.T, answer func(n int64) []byte) (address string, accepted *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { l.Close() })
 	accepted = new(atomic.Int64)
 	var requests atomic.Int64
-	go func() {
+	address = listen(t, func(c net.Conn) {
+		accepted.Add(1)
+		b := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			q, err := http.ReadRequest(b)
 			if err != nil {
 				return
 			}
-			accepted.Add(1)
-			go func() {
-				defer c.Close()
-				b := bufio.NewReader(c)
-				for {
-					q, err := http.ReadRequest(b)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, q.Body)
-					raw := answer(requests.Add(1))
-					if raw == nil {
-						return
-					}
-					if _, err := c.Write(raw); err != nil {
-						return
-					}
-				}
-			}()
+			_, _ = io.Copy(io.Discard, q.Body)
+			raw := answer(requests.Add(1))
+			if raw == nil {
+				return
+			}
+			if _, err := c.Write(raw); err != nil {
+				return
+			}
 		}
-	}()
-	return l.Addr().String(), accepted
+	})
+	return address, accepted
 }
 
 func newPool(t *testing.T) *conns.Pool {
--- a/internal/conns/endless_test.go
+++ b/internal/conns/endless_test.go
@@ -20,11 +20,28 @@
 // serveEndless answers the first request with the prefix and then repeats the unit until the connection is closed. It counts the
 // bytes sent.
 func serveEndless(t *testing.T, prefix, unit string) (address string, sent *atomic.Int64) {
+	sent = new(atomic.Int64)
+	repeated := []byte(strings.Repeat(unit, max(1, 4096/len(unit))))
+	address = listen(t, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		for chunk := []byte(prefix); err == nil; chunk = repeated {
+			var n int
+			n, err = c.Write(chunk)
+			sent.Add(int64(n))
+		}
+	})
+	return address, sent
+}
+
+// listen accepts connections, and handles and closes each of them in a goroutine.
+func listen(t *testing.T, handle func(net.Conn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { l.Close() })
-	sent = new(atomic.Int64)
-	repeated := []byte(strings.Repeat(unit, max(1, 4096/len(unit))))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -33,24 +50,11 @@
 			}
 			go func() {
 				defer c.Close()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, q.Body)
-				chunk := []byte(prefix)
-				for {
-					n, err := c.Write(chunk)
-					sent.Add(int64(n))
-					if err != nil {
-						return
-					}
-					chunk = repeated
-				}
+				handle(c)
 			}()
 		}
 	}()
-	return l.Addr().String(), sent
+	return l.Addr().String()
 }
 
 // TestEndlessHead guards against an upstream that sends the head of a response without end: the host would read it into memory until
