feat(node): logs and metrics that tell apart requests that end without an answer

The logs of a host could not tell whether a caller with code 3012 closed its connection, reset it or only closed its sending side, whether an attempt was ended because its upstream was silent, or whether the handler of a request panicked: net/http passes on the end of a connection without its cause and logs a panic at debug level.

Event 201 has the end of the input of the caller's connection, event 205 tells of an attempt that this host ends for silence, event 206 of a panic; fireflycleat_requests_read_total counts what was read, so that requests without an end show.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
@@ -240,7 +241,18 @@
 		"status", s.Status, "attempts", s.Attempts, "resumed", s.Resumed, "upstream", s.Upstream, "events", s.Events,
 		"waitedMS", s.Waited.Milliseconds(), "firstMS", s.First.Milliseconds(), "pauseMS", s.LongestPause.Milliseconds(),
 		"tookMS", time.Since(s.Call.Arrived).Milliseconds(), "limitMS", limit.Milliseconds(),
-		"retryAfterMS", s.Retry.Milliseconds(), "version", s.Call.Version, "detail", s.Detail)
+		"retryAfterMS", s.Retry.Milliseconds(), "version", s.Call.Version, "caller", s.CallerInput, "detail", s.Detail)
+}
+
+// logSilent logs that an attempt ends because its upstream is silent.
+func (n *Node) logSilent(c *relay.Call, t relay.Ticket, events int) {
+	n.metrics.Attempt("silent")
+	n.log("request").Info("upstream is silent", "event", eventSilent, "id", c.ID, "upstream", t.Choice.Upstream, "events", events)
+}
+
+// logPanic logs a panic in the handler of a request.
+func (n *Node) logPanic(c *relay.Call, value any, stack []byte) {
+	n.log("request").Error("handler panicked", "event", eventPanic, "id", c.ID, "panic", fmt.Sprint(value), "stack", string(stack))
 }
 
 // logRetry logs a failed attempt after which the request is sent again.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,7 @@
 	n.relay = relay.New(p.Dialect, relay.Control{
 		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Stuck: n.stuck,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.stop.state, Retried: n.logRetry, RequestEnded: n.logEnd,
-		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard,
+		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 	}, pool)
 	return n
 }
@@ -201,6 +201,7 @@
 // countingHandler returns the relay with a count of active requests, for which a planned stop waits.
 func (n *Node) countingHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		n.metrics.RequestRead("traffic")
 		n.requests.Add(1)
 		n.stop.active.Add(1)
 		defer n.requests.Done()
@@ -222,7 +223,7 @@
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)}
 	if address == n.settings.Listen.Traffic {
-		n.stop.server = s
+		l, s.ConnContext, n.stop.server = callerListener{l}, withCallerConn, s
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -141,6 +141,7 @@
 	var timer *time.Timer
 	timer = time.AfterFunc(max(minStuckFirst, stuckObjectives*route.Objective), func() {
 		if a.relay.control.Stuck(a.ticket, a.call) {
+			a.relay.control.Silent(a.call, a.ticket, a.summary.Events)
 			a.cancel(errEventTimeout)
 			return
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -52,11 +53,21 @@
 	x := &exchange{relay: r, writer: w, request: q, summary: RequestSummary{Code: codes.OK, Outcome: codes.Ran}}
 	x.call = &Call{Arrived: arrived}
 	x.call.ID = q.Header.Get(r.dialect.Echo)
-	err := x.prepare()
-	if err == nil {
-		err = x.run()
+	x.finish(x.handle())
+}
+
+// handle reads and runs the request.
+func (x *exchange) handle() error {
+	defer func() {
+		if value := recover(); value != nil {
+			x.relay.control.Panicked(x.call, value, debug.Stack())
+			panic(value)
+		}
+	}()
+	if err := x.prepare(); err != nil {
+		return err
 	}
-	x.finish(err)
+	return x.run()
 }
 
 // prepare reads the request and determines its route, service and deadlines.
@@ -201,7 +212,7 @@
 	if e != nil {
 		x.summary.Code, x.summary.Outcome, x.summary.Retry, x.summary.Detail = e.Code(), e.Outcome(), e.RetryAfter(), e.Detail()
 	}
-	x.summary.Call = x.call
+	x.summary.Call, x.summary.CallerInput = x.call, x.relay.control.CallerInput(x.request)
 	if e != nil && !x.headSent && e.Code() != codes.CallerLeft {
 		x.writeError(e)
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -90,6 +90,12 @@
 		Sound func(c *Call)
 		// Guard cancels an attempt if it becomes known, before release is called, that such requests crash upstreams.
 		Guard func(c *Call, cancel context.CancelCauseFunc) (release func())
+		// CallerInput returns how the input of the caller's connection ended, and nothing while it is open.
+		CallerInput func(q *http.Request) string
+		// Silent records that an attempt ends because its upstream is silent; events are those sent to the caller.
+		Silent func(c *Call, t Ticket, events int)
+		// Panicked records a panic in the handler of a request.
+		Panicked func(c *Call, value any, stack []byte)
 		// RequestEnded records the end of a request.
 		RequestEnded func(e RequestSummary)
 	}
@@ -132,6 +138,7 @@
 		First        time.Duration // time until the first byte of the response; zero means none
 		LongestPause time.Duration // longest time between two parts of a stream
 		Retry        time.Duration
+		CallerInput  string // how the input of the caller's connection ended; empty while it is open
 		Detail       string
 	}
 )
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -18,6 +18,7 @@
 type Metrics struct {
 	registry     *prometheus.Registry
 	requests     *prometheus.CounterVec
+	requestsRead *prometheus.CounterVec
 	firstToken   *prometheus.HistogramVec
 	attempts     *prometheus.CounterVec
 	appends      *prometheus.CounterVec
@@ -43,6 +44,7 @@
 	m := &Metrics{
 		registry:     prometheus.NewRegistry(),
 		requests:     counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
+		requestsRead: counter("requests_read_total", "Requests whose head was read, by door.", "door"),
 		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
 		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
 		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
@@ -68,7 +70,7 @@
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -84,6 +86,9 @@
 	m.requests.WithLabelValues(door, strconv.Itoa(int(c))).Inc()
 }
 
+// RequestRead counts a request whose head was read. Each of them is counted by Request when it ends.
+func (m *Metrics) RequestRead(door string) { m.requestsRead.WithLabelValues(door).Inc() }
+
 // FirstToken records the time from the arrival of a request to its first token.
 func (m *Metrics) FirstToken(urgency string, d time.Duration) {
 	m.firstToken.WithLabelValues(urgency).Observe(d.Seconds())
