fix(place): a configuration without a service does not stop the controller

Cause: the controller kept upstreams whose service had no engine any more, and looked up the engine of their service to classify an order in flight and to apply its answer. The class: state that outlives the configuration it was made under.

Change: Configure drops the upstreams of services without an engine, and SetUpstreams those that now belong to another service, so that each upstream has an engine. Answers and reports for dropped upstreams are ignored already; when the service returns they are added anew, and their state is asked for before any order.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// Configure replaces the engines, which are keyed by service name.
+// Configure replaces the engines, which are keyed by service name. It drops the upstreams of services that have none, so that each
+// upstream has an engine; SetUpstreams adds them again when their service returns.
 func (c *Controller) Configure(engines map[string]*fleet.Engine) {
 	c.engines = engines
 	c.capacity = make(map[*fleet.Engine]float64, len(engines))
@@ -88,12 +89,17 @@
 			c.smallest[e] = min(c.smallest[e], m.WeightMB)
 		}
 	}
+	for _, u := range c.upstreams {
+		if engines[u.entry.Service] == nil {
+			c.removeUpstream(u)
+		}
+	}
 }
 
-// SetUpstreams applies the published state of all upstreams and drops those that are missing from the list.
+// SetUpstreams applies the published state of all upstreams, and drops those that are missing from the list or now belong to another service.
 func (c *Controller) SetUpstreams(now time.Time, list map[string]fleet.Upstream) {
 	for id, u := range c.upstreams {
-		if _, ok := list[id]; !ok {
+		if e, ok := list[id]; !ok || e.Service != u.entry.Service {
 			c.removeUpstream(u)
 		}
 	}
