fix(place): a model that is no longer configured still takes its memory

Cause: the weights of a held model were looked up in the newest configuration, where a removed model counted as 0 MB. The class: state that outlives the configuration it was made under.

Change: a held model without a configuration takes the rest of the upstream's memory until it is unloaded, for which it is the cheapest choice; a request for such a model has no forecast.

Evidence: TestModelRemovedWhileLoaded on the code before: load of m2 beside m0 and m1, 135 of 100 MB.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -235,7 +235,7 @@
 		}
 	}
 	if earliest.IsZero() {
-		if e := c.engines[p.Service]; e != nil {
+		if e := c.engines[p.Service]; e != nil && hasModel(e, p.Key.Model) {
 			if t, ok := c.bestTarget(now, p.Service, e, p.Key.Model, search{pending: true, fromStore: true}); ok {
 				if t.fromStore {
 					t.wait += c.storeQueueTime(p)
--- a/pkg/place/model_test.go
+++ b/pkg/place/model_test.go
@@ -187,6 +187,11 @@
 
 // runPlans plans and executes the actions until nothing more is planned.
 func (sim *simulation) runPlans(c *place.Controller, at time.Duration) {
+	sim.runPlansBeside(c, at, func() {})
+}
+
+// runPlansBeside is runPlans with a function that is called before each answer to an order and each report.
+func (sim *simulation) runPlansBeside(c *place.Controller, at time.Duration, before func()) {
 	now := start.Add(at)
 	for range 20 {
 		actions := c.Plan(now)
@@ -194,6 +199,7 @@
 			return
 		}
 		for _, a := range actions {
+			before()
 			if a.Order == nil {
 				s := sim.servers[a.Report]
 				lag := rapid.IntRange(0, 4).Draw(sim.t, "lag")
--- a/pkg/place/shrink_test.go
+++ b/pkg/place/shrink_test.go
@@ -1,9 +1,14 @@
 package place_test
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
@@ -26,3 +31,81 @@
 	addRequest(c, start, "m1", "")
 	c.Plan(start)
 }
+
+// TestModelRemovedWhileLoaded guards against an upstream that is ordered to load more than fits, because a model that it still holds is no
+// longer configured and counts as having no weights.
+func TestModelRemovedWhileLoaded(t *testing.T) {
+	held := []fleet.Held{{Model: "m0"}, {Model: "m1"}}
+	c := controller(engine(3), start, map[string]fleet.Upstream{"u": upstream("u", "m0", "m1")})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Held: held})
+	c.SetUses(start, "h", []place.Use{{Upstream: "u", Key: place.Key{Model: "m0"}, Running: 1}, {Upstream: "u", Key: place.Key{Model: "m1"}, Running: 1}})
+	smaller := engine(3)
+	delete(smaller.Models, "m0")
+	c.Configure(map[string]*fleet.Engine{"s": smaller})
+	c.SetUpstreams(start, map[string]fleet.Upstream{"u": upstream("u", "m0", "m1")})
+	addRequest(c, start, "m2", "")
+	for _, o := range orders(c.Plan(start)) {
+		qt.Check(t, o.Op, qt.Equals, place.Unload, qt.Commentf("%+v", o))
+	}
+}
+
+// shrunkEngines returns the engines of a configuration: those of services "s" and "r", each of which may lack.
+func shrunkEngines(t *rapid.T, full *fleet.Engine) map[string]*fleet.Engine {
+	engines := make(map[string]*fleet.Engine)
+	for _, service := range []string{"s", "r"} {
+		if rapid.IntRange(0, 3).Draw(t, "removed") == 0 {
+			continue
+		}
+		e := *full
+		e.Models = maps.Clone(full.Models)
+		for _, m := range slices.Sorted(maps.Keys(full.Models)) {
+			if rapid.IntRange(0, 3).Draw(t, "model removed") == 0 {
+				delete(e.Models, m)
+			}
+		}
+		engines[service] = &e
+	}
+	return engines
+}
+
+// TestAnyConfigurationDuringOrders guards against configurations that remove, add or rename services and models while orders, loads,
+// reports and requests are in progress: the controller panicked, or ordered more than an upstream holds.
+func TestAnyConfigurationDuringOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := &simulation{t: t, engine: engine(5), servers: make(map[string]*server)}
+		for i := range 2 {
+			sim.servers[fmt.Sprintf("u%d", i)] = &server{born: 1, held: map[string]bool{"m0": true}, adapters: map[string]bool{}, disk: map[string]bool{}}
+		}
+		sim.step(0)
+		c := controller(sim.engine, start, sim.list())
+		for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			sim.step(at)
+			if rapid.IntRange(0, 4).Draw(t, "configure") == 0 {
+				c.Configure(shrunkEngines(t, sim.engine))
+				list := sim.list()
+				if rapid.Bool().Draw(t, "renamed") {
+					u := list["u1"]
+					u.Service = "r"
+					list["u1"] = u
+				}
+				c.SetUpstreams(now, list)
+			}
+			for _, service := range []string{"s", "r", "none"} {
+				model := fmt.Sprintf("m%d", rapid.IntRange(0, 5).Draw(t, "model"))
+				c.AddRequest(now, place.PendingRequest{Request: service + model, Service: service, Key: place.Key{Model: model}, Deadline: now.Add(time.Minute)}, 0)
+			}
+			sim.runPlansBeside(c, at, func() {
+				if rapid.IntRange(0, 9).Draw(t, "configure in flight") == 0 {
+					c.Configure(shrunkEngines(t, sim.engine))
+					c.SetUpstreams(now, sim.list())
+				}
+			})
+			c.Stats()
+			c.Next(now)
+			c.TakeReady()
+			c.TakeChanged()
+		}
+	})
+}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -189,20 +189,46 @@
 	return n
 }
 
-// usedMemory returns the memory taken by models that are loaded or being loaded, in MB, without adapters.
-func (u *upstream) usedMemory(e *fleet.Engine) float64 {
-	sum := 0.0
+// usedMemory returns the memory taken by models that are loaded or being loaded, in MB, without adapters. The weights of a model that is
+// not configured are unknown, so that it takes the rest of the capacity.
+func (u *upstream) usedMemory(e *fleet.Engine, capacity float64) float64 {
+	sum, unknown := 0.0, false
+	add := func(model string) {
+		m, ok := e.Models[model]
+		sum += m.WeightMB
+		unknown = unknown || !ok
+	}
 	for m := range u.replicas {
-		sum += e.Models[m].WeightMB
+		add(m)
 	}
 	if u.load != nil {
 		if _, held := u.replicas[u.load.model]; !held {
-			sum += e.Models[u.load.model].WeightMB
+			add(u.load.model)
 		}
 	}
+	if unknown {
+		return max(sum, capacity)
+	}
 	return sum
 }
 
+// freedBy returns the memory in MB that the unload of the model frees at least, if it is the only model with unknown weights.
+func (u *upstream) freedBy(e *fleet.Engine, capacity float64, model string) float64 {
+	if m, ok := e.Models[model]; ok {
+		return m.WeightMB
+	}
+	rest := capacity
+	for m := range u.replicas {
+		rest -= e.Models[m].WeightMB
+	}
+	return max(rest, 0)
+}
+
+func hasModel(e *fleet.Engine, model string) bool {
+	_, ok := e.Models[model]
+	return ok
+}
+
 // capacity returns the memory for model weights in MB. The rest is reserved for a full set of adapters.
 func capacity(e *fleet.Engine) float64 {
 	largest := 0.0
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -96,7 +96,7 @@
 		}
 		wait := c.waitTime(now, u)
 		bound := wait.Seconds() + runningCost*float64(c.running.upstream[u.entry.ID])
-		if u.usedMemory(e)+c.smallest[e] > c.capacity[e] {
+		if u.usedMemory(e, c.capacity[e])+c.smallest[e] > c.capacity[e] {
 			victims := c.victimsOf(now, u, e)
 			if len(victims) == 0 {
 				continue
@@ -133,7 +133,7 @@
 		return c.blockedTarget(now, t, m.Name)
 	}
 	t.wait = c.waitTime(now, u)
-	missing := u.usedMemory(e) + m.WeightMB - c.capacity[e]
+	missing := u.usedMemory(e, c.capacity[e]) + m.WeightMB - c.capacity[e]
 	if missing <= 0 {
 		return t, true
 	}
@@ -148,7 +148,7 @@
 		t.victims = victims[:i+1]
 		t.loss += v.cost
 		t.duration += unloadTime
-		if missing -= e.Models[v.model].WeightMB; missing <= 0 {
+		if missing -= u.freedBy(e, c.capacity[e], v.model); missing <= 0 {
 			return t, true
 		}
 	}
