fix(place): the load of a removed model does not distort the forecasts of all others

What callers would see: requests refused or kept waiting for want of loads from the weight store, after a configuration dropped a model whose load had been ordered.

Cause: the load's time at full speed was read from the configuration when its answer came, and was zero then; the first report of the load set the number of loads at full speed to one.

Evidence: TestModelRemovedDuringItsLoad on the code before: loads that take 6 s forecast for 12 s.

--- a/pkg/place/shrink_test.go
+++ b/pkg/place/shrink_test.go
@@ -50,6 +50,36 @@
 	}
 }
 
+// TestModelRemovedDuringItsLoad guards against wrong forecasts for all other loads: a model that was removed after its load was ordered
+// has no configured load time, so that the weight store seemed to run one load at a time.
+func TestModelRemovedDuringItsLoad(t *testing.T) {
+	e := engine(10)
+	e.LoadsPerSecond = 10
+	c := emptyUpstreams(e, 10)
+	addRequest(c, start, "m0", "")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list[0].Key.Model, qt.Equals, "m0")
+	smaller := engine(10)
+	smaller.LoadsPerSecond = 10
+	delete(smaller.Models, "m0")
+	c.Configure(map[string]*fleet.Engine{"s": smaller})
+	now := start.Add(6 * time.Second)
+	for _, o := range slices.Backward(list) {
+		c.ApplyAnswer(start, o, place.Accepted)
+		c.Report(now, now, o.Upstream, place.Report{Born: 1, Accepted: 1, Held: []fleet.Held{{Model: o.Key.Model}}})
+	}
+	for i := 6; i < 10; i++ {
+		addRequest(c, now, fmt.Sprintf("m%d", i), "")
+	}
+	for _, o := range orders(c.Plan(now)) {
+		c.ApplyAnswer(now, o, place.Accepted)
+	}
+	for i := 6; i < 10; i++ {
+		f := addRequest(c, now, fmt.Sprintf("m%d", i), "")
+		qt.Check(t, f.ReadyAt, qt.Equals, now.Add(6*time.Second), qt.Commentf("m%d", i))
+	}
+}
+
 // shrunkEngines returns the engines of a configuration: those of services "s" and "r", each of which may lack.
 func shrunkEngines(t *rapid.T, full *fleet.Engine) map[string]*fleet.Engine {
 	engines := make(map[string]*fleet.Engine)
--- a/pkg/place/speed.go
+++ b/pkg/place/speed.go
@@ -43,6 +43,9 @@
 
 // recordFinished updates the estimate with the time that a finished load took; concurrent is the number of loads at its start.
 func (s *storeSpeed) recordFinished(concurrent int, took, full time.Duration) {
+	if full <= 0 {
+		return // The model was removed from the configuration after its load was ordered.
+	}
 	ratio := took.Seconds() / full.Seconds()
 	if ratio < slowRatio {
 		s.slots = max(s.slots, concurrent)
@@ -57,7 +60,7 @@
 
 // recordOverdue lowers the estimate if a load that is still in progress is overdue, and reports whether it did.
 func (s *storeSpeed) recordOverdue(concurrent int, elapsed, full time.Duration) bool {
-	if concurrent <= 1 || concurrent > s.slots || elapsed.Seconds() < slowRatio*full.Seconds() {
+	if full <= 0 || concurrent <= 1 || concurrent > s.slots || elapsed.Seconds() < slowRatio*full.Seconds() {
 		return false
 	}
 	s.slots = concurrent - 1
