fix(relay): a caller that only closes its sending side gets a response

Cause: net/http ends the context of a request at any end of the connection's input, and the relay took that for a caller that had left: it cancelled the attempt, which makes an upstream drop a booking too, and closed the connection without a word. The class: giving up on a sign that does not prove what it is taken for.

Change: at a reset the request ends as before. At the end of the input it goes on for 0.25 s, a stream while its events flow (a caller that left shows by a failed write), and a request that may not be repeated to its end once an upstream has it: dropping it there saves nothing. Each request whose response has not begun gets a final one, 503 only if no byte of it was sent to an upstream or the upstream refused it.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/internal/relay"
 )
 
 type (
@@ -57,7 +59,7 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
-// callerInput returns how the input of the caller's connection ended: "closed", "reset" or another error. It is empty while the input
+// callerInput returns how the input of the caller's connection ended: relay.InputClosed, "reset" or another error. It is empty while the input
 // is open. A caller that closed only its sending side is "closed" too.
 func callerInput(q *http.Request) string {
 	c, ok := q.Context().Value(callerConnKey{}).(*callerConn)
@@ -69,7 +71,7 @@
 	case err == nil:
 		return ""
 	case errors.Is(*err, io.EOF):
-		return "closed"
+		return relay.InputClosed
 	case errors.Is(*err, syscall.ECONNRESET):
 		return "reset"
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,7 @@
 		relay         *Relay
 		writer        http.ResponseWriter
 		request       *http.Request
+		caller        *caller
 		body          []byte
 		call          *Call
 		headSent      bool // whether the status line and headers have been sent to the caller
@@ -79,10 +80,11 @@
 // sendAttempt sends the request to an upstream and relays the response. If again is true, the request may be sent to another
 // upstream, and err is the reason.
 func (x *exchange) sendAttempt(ctx context.Context, t Ticket) (again bool, err error) {
-	if x.request.Context().Err() != nil {
+	if x.caller.gone() {
 		x.relay.control.EndAttempt(t, pick.Abandoned)
-		return false, codes.New(codes.CallerLeft, "before an attempt")
+		return false, x.callerLeft("before an attempt")
 	}
+	defer x.caller.release()
 	remaining := time.Until(x.call.Deadline)
 	if remaining < minBudget {
 		x.relay.control.EndAttempt(t, pick.Abandoned)
@@ -126,9 +128,13 @@
 	if !x.call.Route.Repeatable() {
 		maxIdle = maxIdleUnrepeatable
 	}
+	permit := func() bool { return !x.caller.gone() }
+	if x.call.Route.Kind == fleet.Unsafe {
+		permit = x.caller.keep // An upstream may drop the work on a request whose connection ends, and it may not be repeated.
+	}
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
-		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo,
+		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo, Permit: permit,
 	}
 }
 
@@ -203,9 +209,9 @@
 // abandonedError ends the attempt and returns its error if the caller left or the deadline passed; otherwise it returns nil.
 func (a *attempt) abandonedError() error {
 	switch {
-	case a.request.Context().Err() != nil:
+	case a.caller.gone():
 		a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
-		return codes.New(codes.CallerLeft, "during an attempt")
+		return a.callerLeft("during an attempt")
 	case !time.Now().Before(a.call.Deadline):
 		a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
 		if a.headSent {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -129,6 +129,7 @@
 		a.release()
 		a.relay.control.RecordFirst(a.ticket)
 	}
+	a.caller.touch()
 	if !a.headSent {
 		a.writeHead(r, false, 0)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,9 @@
 	x := &exchange{relay: r, writer: w, request: q, summary: RequestSummary{Code: codes.OK, Outcome: codes.Ran}}
 	x.call = &Call{Arrived: arrived}
 	x.call.ID = q.Header.Get(r.dialect.Echo)
+	var stop func()
+	x.caller, stop = watchCaller(q, r.control.CallerInput)
+	defer stop()
 	x.finish(x.handle())
 }
 
@@ -121,7 +124,7 @@
 
 // run makes attempts until the request has a response or may not be repeated.
 func (x *exchange) run() error {
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.call.Deadline)
+	ctx, cancel := context.WithDeadline(x.caller.ctx, x.call.Deadline)
 	defer cancel()
 	if err := x.checkStopping(); err != nil {
 		return err
@@ -187,8 +190,8 @@
 // noUpstreamError returns the error of a request for which no upstream was found.
 func (x *exchange) noUpstreamError(ctx context.Context, err error) error {
 	switch {
-	case x.request.Context().Err() != nil:
-		return codes.New(codes.CallerLeft, "while waiting for an upstream")
+	case x.caller.gone():
+		return x.callerLeft("while waiting for an upstream")
 	case ctx.Err() != nil && !codes.Is(err, codes.NoTimeToLoad):
 		err = codes.New(codes.DeadlineMissed, "while waiting for an upstream")
 	}
@@ -206,25 +209,40 @@
 	return codes.New(codes.OverCapacity, "no further attempt allowed: "+err.Error()).WithRetryAfter(exhaustedRetryAfter)
 }
 
-// finish sends an error response if nothing has been sent yet, and reports the end of the request.
+// callerLeft returns the error of a request whose caller left.
+func (x *exchange) callerLeft(detail string) error {
+	e := codes.New(codes.CallerLeft, detail)
+	if !x.mayHaveRun {
+		return e.WithOutcome(codes.NotRun)
+	}
+	return e
+}
+
+// finish sends an error response if nothing has been sent yet, and reports the end of the request. A caller that seems to have left gets one
+// too: it may only have closed its sending side.
 func (x *exchange) finish(err error) {
 	e := codes.From(err)
 	if e != nil {
 		x.summary.Code, x.summary.Outcome, x.summary.Retry, x.summary.Detail = e.Code(), e.Outcome(), e.RetryAfter(), e.Detail()
 	}
 	x.summary.Call, x.summary.CallerInput = x.call, x.relay.control.CallerInput(x.request)
-	if e != nil && !x.headSent && e.Code() != codes.CallerLeft {
+	if e != nil && !x.headSent {
 		x.writeError(e)
 	}
 	x.relay.control.RequestEnded(x.summary)
-	if e != nil && (x.headSent || e.Code() == codes.CallerLeft) {
+	if e != nil && x.headSent {
 		panic(http.ErrAbortHandler) // Only closing the connection shows the caller that the response is incomplete.
 	}
 }
 
 func (x *exchange) writeError(e *codes.Error) {
 	status := e.Code().HTTPStatus()
-	if e.Outcome() != codes.NotRun && status == http.StatusServiceUnavailable {
+	switch {
+	case e.Code() == codes.CallerLeft && e.Outcome() == codes.NotRun:
+		status = http.StatusServiceUnavailable
+	case e.Code() == codes.CallerLeft:
+		status = http.StatusGatewayTimeout
+	case e.Outcome() != codes.NotRun && status == http.StatusServiceUnavailable:
 		status = http.StatusBadGateway // 503 means that the request has not run.
 	}
 	x.summary.Status = status
