fix(relay): a silent upstream is left only for a successor that is certain

Cause: after 1.2 s without an event the relay cancelled the attempt first. Only then did it ask whether the request may be repeated (the quota is shared by all hosts, and that of a host that has just started is nearly nothing), whether the stream can be resumed at all (not without event ids) and which upstream takes it. If one of these failed, the stream was cut, as callers were expected to have left. The class: ending what was in progress before its successor is certain.

Change: Control.Move decides all of it in one step of the control thread, with the repeat counted and the upstream reserved, before the attempt is cancelled; a stream without ids is never moved. If the successor refuses the request, it is sent again when a repeat is allowed, also to the upstream before, and given up at its deadline only. pick.Table.Stuck returns the upstream that it found; its tests check the same.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
@@ -36,6 +38,8 @@
 	readyMargin = 200 * time.Millisecond
 )
 
+var errNoRepeats = errors.New("limit on repeats is reached")
+
 // choose returns an upstream for the request. For a service with models it waits until the model is loaded on one.
 func (n *Node) choose(ctx context.Context, c *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
 	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session}
@@ -188,13 +192,28 @@
 	n.control.Post(func() { n.table.EndAttempt(time.Now(), t.Attempt, r) })
 }
 
-// stuck reports whether a request should be moved to another upstream.
-func (n *Node) stuck(t relay.Ticket, c *relay.Call) bool {
-	stuck := false
-	n.control.Ask(func() {
-		stuck = n.table.Stuck(time.Now(), t.Attempt, pick.Query{Service: c.Service, Key: c.Key, Session: c.Session})
-	})
-	return stuck
+// move reserves another upstream for a request whose upstream is silent. Whatever keeps the request from being sent there is found out before
+// its attempt ends.
+func (n *Node) move(t relay.Ticket, c *relay.Call) (next relay.Ticket, err error) {
+	if !n.control.Ask(func() {
+		now := time.Now()
+		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session}
+		choice, stuck := n.table.Stuck(now, t.Attempt, q)
+		v := n.blame.Judge(now, c.Parts)
+		switch {
+		case !stuck:
+			err = relay.ErrNotStuck
+		case v.Refuse || v.Trial:
+			err = errPartRefused
+		case !n.repeatWindow(c.Service).Take(now, n.hostCount()):
+			err = errNoRepeats
+		default:
+			next = relay.Ticket{Choice: choice, Attempt: n.table.StartAttempt(now, choice, q)}
+		}
+	}) {
+		return next, relay.ErrNotStuck
+	}
+	return next, err
 }
 
 // takeRepeat takes one repeat from the quota of the service. It reports false if the quota is exhausted.
@@ -244,10 +263,12 @@
 		"retryAfterMS", s.Retry.Milliseconds(), "version", s.Call.Version, "caller", s.CallerInput, "detail", s.Detail)
 }
 
-// logSilent logs that an attempt ends because its upstream is silent.
-func (n *Node) logSilent(c *relay.Call, t relay.Ticket, events int) {
-	n.metrics.Attempt("silent")
-	n.log("request").Info("upstream is silent", "event", eventSilent, "id", c.ID, "upstream", t.Choice.Upstream, "events", events)
+// logSilent logs that the upstream of a request is silent, and whether the request moves to another one.
+func (n *Node) logSilent(c *relay.Call, t, next relay.Ticket, err error) {
+	if err == nil {
+		n.metrics.Attempt("moved")
+	}
+	n.log("request").Info("upstream is silent", "event", eventSilent, "id", c.ID, "upstream", t.Choice.Upstream, "next", next.Choice.Upstream, "err", err)
 }
 
 // logPanic logs a panic in the handler of a request.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -14,7 +14,7 @@
 	eventAttemptFailed  = 202 // An attempt failed and the request is sent again.
 	eventWaiting        = 203 // A request waits for a load; the event has the forecast behind that decision.
 	eventBroken         = 204 // The connection of an attempt ended before its response did.
-	eventSilent         = 205 // This host ends an attempt at an upstream that is silent.
+	eventSilent         = 205 // The upstream of a resumable stream is silent.
 	eventPanic          = 206 // The handler of a request panicked.
 	eventConfig         = 300
 	eventSkipped        = 301
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,10 +56,12 @@
 		caller        *caller
 		body          []byte
 		call          *Call
-		headSent      bool // whether the status line and headers have been sent to the caller
-		mayHaveRun    bool // whether an upstream may have run the request
-		possibleRuns  int  // number of attempts that may have run
-		repeatGranted bool // whether the next attempt needs no further permission to repeat the request
+		headSent      bool   // whether the status line and headers have been sent to the caller
+		mayHaveRun    bool   // whether an upstream may have run the request
+		possibleRuns  int    // number of attempts that may have run
+		repeatGranted bool   // whether the next attempt needs no further permission to repeat the request
+		next          Ticket // reserved upstream for the next attempt; empty unless the last attempt was moved
+		movedFrom     string // upstream of the last attempt that this host ended because the upstream was silent
 		events        events
 		lastSent      time.Time // when the last part of a stream was sent to the caller
 		summary       RequestSummary
@@ -71,9 +74,13 @@
 		cancel        context.CancelCauseFunc
 		ctx           context.Context
 		firstReported bool
-		eventsBefore  int    // number of events of earlier attempts
-		release       func() // ends the guard of the attempt
-		harmful       bool   // whether the request may have ended its upstream and must not be sent to another one
+		eventsBefore  int // number of events of earlier attempts
+		moving        sync.Mutex
+		ended         bool        // whether the attempt has ended and can't be moved any more; guarded by moving
+		staysLogged   bool        // whether it was recorded that the request stays at its silent upstream; guarded by moving
+		resumable     atomic.Bool // whether another upstream could continue the stream
+		release       func()      // ends the guard of the attempt
+		harmful       bool        // whether the request may have ended its upstream and must not be sent to another one
 	}
 )
 
@@ -138,28 +145,54 @@
 	}
 }
 
-// watchStuck cancels the attempt if a resumable stream is stuck at its upstream.
+// watchStuck cancels the attempt if a resumable stream is stuck at its upstream and another upstream is reserved for it. A silent upstream may
+// be sound, so that the attempt goes on unless its successor is certain.
 func (a *attempt) watchStuck() (stop func()) {
 	route := a.call.Route
 	if route.Kind != fleet.Stream || !route.Resumable || a.possibleRuns+1 >= route.MaxAttempts {
 		return func() {}
 	}
 	var timer *time.Timer
+	a.resumable.Store(a.events.resumable())
 	timer = time.AfterFunc(max(minStuckFirst, stuckObjectives*route.Objective), func() {
-		if a.relay.control.Stuck(a.ticket, a.call) {
-			a.relay.control.Silent(a.call, a.ticket, a.summary.Events)
-			a.cancel(errEventTimeout)
-			return
+		if !a.move() {
+			timer.Reset(stuckCheckInterval)
 		}
-		timer.Reset(stuckCheckInterval)
 	})
-	a.events.onEvent = func() { timer.Reset(max(minStuckPause, stuckPauses*route.MaxPause)) }
+	a.events.onEvent = func() {
+		a.resumable.Store(a.events.resumable())
+		timer.Reset(max(minStuckPause, stuckPauses*route.MaxPause))
+	}
 	return func() {
 		timer.Stop()
+		a.moving.Lock()
+		defer a.moving.Unlock()
+		a.ended = true
 		a.events.onEvent = nil
 	}
 }
 
+// move ends the attempt if its upstream is silent and another one is reserved for the request. It reports whether the attempt has ended.
+func (a *attempt) move() bool {
+	a.moving.Lock()
+	defer a.moving.Unlock()
+	if a.ended || !a.resumable.Load() {
+		return a.ended
+	}
+	next, err := a.relay.control.Move(a.ticket, a.call)
+	if err != nil {
+		if !errors.Is(err, ErrNotStuck) && !a.staysLogged {
+			a.staysLogged = true
+			a.relay.control.Silent(a.call, a.ticket, next, err)
+		}
+		return false
+	}
+	a.relay.control.Silent(a.call, a.ticket, next, nil)
+	a.next, a.ended = next, true
+	a.cancel(errEventTimeout)
+	return true
+}
+
 // handleFailure classifies an attempt without a response.
 func (a *attempt) handleFailure(err error) (bool, error) {
 	var f *conns.Failure
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/conns"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
 const (
@@ -130,9 +131,10 @@
 		return err
 	}
 	exclude := make(map[string]bool)
+	defer x.dropNext()
 	for refusals := 0; ; {
 		x.repeatGranted = false
-		t, err := x.relay.control.Choose(ctx, x.call, exclude)
+		t, err := x.chooseNext(ctx, exclude)
 		if err != nil {
 			return x.noUpstreamError(ctx, err)
 		}
@@ -141,8 +143,11 @@
 		if !again {
 			return err
 		}
+		delete(exclude, x.movedFrom) // It may be sound, and take the request again if its successor does not.
 		exclude[t.Choice.Upstream] = true
 		switch {
+		case x.next.Attempt != nil:
+			x.movedFrom, x.repeatGranted = t.Choice.Upstream, true
 		case codes.Is(err, codes.UpstreamRefused):
 			refusals++
 		case codes.Is(err, codes.NoUpstream):
@@ -155,14 +160,41 @@
 	}
 }
 
+// chooseNext returns the upstream of the next attempt. A request whose last attempt this host ended is not given up before its deadline.
+func (x *exchange) chooseNext(ctx context.Context, exclude map[string]bool) (Ticket, error) {
+	if t := x.next; t.Attempt != nil {
+		x.next = Ticket{}
+		return t, nil
+	}
+	for {
+		t, err := x.relay.control.Choose(ctx, x.call, exclude)
+		if err == nil || x.movedFrom == "" || ctx.Err() != nil {
+			return t, err
+		}
+		clear(exclude)
+		select {
+		case <-time.After(repeatCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// dropNext releases the upstream that was reserved for an attempt that isn't made.
+func (x *exchange) dropNext() {
+	if x.next.Attempt != nil {
+		x.relay.control.EndAttempt(x.next, pick.Abandoned)
+	}
+}
+
 // awaitRepeat reports whether the request may be sent again. A request that may have run can no longer be refused, so
-// awaitRepeat then waits for permission until the caller is expected to abandon the request.
+// awaitRepeat then waits for permission until the caller is expected to abandon the request, or until its deadline if this host ended its
+// last attempt.
 func (x *exchange) awaitRepeat(ctx context.Context, refusals int) bool {
 	for {
 		if refusals <= maxRefusals && x.relay.control.AllowRepeat(x.call.Service) {
 			return true
 		}
-		if !x.mayHaveRun || time.Now().After(x.call.AbandonAt) {
+		if !x.mayHaveRun || x.movedFrom == "" && time.Now().After(x.call.AbandonAt) {
 			return false
 		}
 		refusals = 0
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
@@ -27,6 +29,9 @@
 	Malformed
 )
 
+// ErrNotStuck is the error of Control.Move if the upstream is not silent or no other one would answer earlier.
+var ErrNotStuck = errors.New("request is not stuck")
+
 type (
 	// ResponseClass is the class of an upstream's response.
 	ResponseClass int
@@ -73,8 +78,9 @@
 		RecordFirst func(t Ticket)
 		// EndAttempt records the end of an attempt.
 		EndAttempt func(t Ticket, r pick.Result)
-		// Stuck reports whether the request should be moved to another upstream.
-		Stuck func(t Ticket, c *Call) bool
+		// Move returns another upstream for a request whose upstream is silent. It has counted the repeat and reserved that upstream. It fails
+		// with ErrNotStuck, or tells why the request has to stay where it is.
+		Move func(t Ticket, c *Call) (Ticket, error)
 		// AllowRepeat reports whether the request may be sent again, and counts it if so.
 		AllowRepeat func(service string) bool
 		// CountRequest records a request to a service.
@@ -92,8 +98,8 @@
 		Guard func(c *Call, cancel context.CancelCauseFunc) (release func())
 		// CallerInput returns how the input of the caller's connection ended, and nothing while it is open.
 		CallerInput func(q *http.Request) string
-		// Silent records that an attempt ends because its upstream is silent; events are those sent to the caller.
-		Silent func(c *Call, t Ticket, events int)
+		// Silent records that the upstream of an attempt is silent. The request moves to another upstream unless err tells why it stays.
+		Silent func(c *Call, t Ticket, next Ticket, err error)
 		// Panicked records a panic in the handler of a request.
 		Panicked func(c *Call, value any, stack []byte)
 		// RequestEnded records the end of a request.
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -27,10 +27,10 @@
 	a.upstreamLastEvent.Store(now.UnixNano())
 }
 
-// Stuck reports whether another upstream would probably answer the request earlier. The other upstream must hold the model and
-// have free capacity. The current one must have sent no event to any request of this host for too long, or be late compared
+// Stuck returns another upstream that would probably answer the request earlier, if there is one. The other upstream must hold the model
+// and have free capacity. The current one must have sent no event to any request of this host for too long, or be late compared
 // with its own mean and run more requests than the other.
-func (t *Table) Stuck(now time.Time, a *Attempt, q Query) bool {
+func (t *Table) Stuck(now time.Time, a *Attempt, q Query) (other Choice, stuck bool) {
 	idle := now.Sub(a.startedAt)
 	if last := a.lastEvent.Load(); last != 0 {
 		idle = now.Sub(time.Unix(0, last))
@@ -38,17 +38,17 @@
 	q.Exclude = map[string]bool{a.choice.Upstream: true}
 	other, ok := t.Choose(now, q)
 	if !ok || other.Running >= t.efficientSlots(other.Upstream) {
-		return false // An upstream with many requests would refuse this one or serve it no earlier.
+		return other, false // An upstream with many requests would refuse this one or serve it no earlier.
 	}
 	if now.Sub(time.Unix(0, a.upstreamLastEvent.Load())) > silenceLimit && idle > silenceLimit {
-		return true
+		return other, true
 	}
 	s, known := t.upstreams[a.choice.Upstream]
 	mean := 0.0
 	if known {
 		mean = s.meanFirstEvent
 	}
-	return idle.Seconds() > max(silenceLimit.Seconds(), lateFactor*mean) && other.Running < t.running(a.choice.Upstream)
+	return other, idle.Seconds() > max(silenceLimit.Seconds(), lateFactor*mean) && other.Running < t.running(a.choice.Upstream)
 }
 
 // RecordFirstEvent records the first event of an attempt.
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -105,6 +105,11 @@
 	qt.Assert(t, table.Uses(), qt.HasLen, 0)
 }
 
+func isStuck(table *pick.Table, now time.Time, a *pick.Attempt, q pick.Query) bool {
+	_, stuck := table.Stuck(now, a, q)
+	return stuck
+}
+
 // TestStuck guards against needless moves of requests when all upstreams of a model are overloaded: a move adds load, so a request
 // may leave only an unreachable upstream, or move to one that runs fewer requests.
 func TestStuck(t *testing.T) {
@@ -112,15 +117,15 @@
 	q := pick.Query{Service: "s"}
 	c, _ := table.Choose(start, q)
 	attempt, other := table.StartAttempt(start, c, q), table.StartAttempt(start, c, q)
-	qt.Assert(t, table.Stuck(start.Add(time.Second), attempt, q), qt.IsFalse)
+	qt.Assert(t, isStuck(table, start.Add(time.Second), attempt, q), qt.IsFalse)
 	now := start.Add(2 * time.Second)
-	qt.Assert(t, table.Stuck(now, attempt, q), qt.IsTrue, qt.Commentf("the upstream is unreachable"))
+	qt.Assert(t, isStuck(table, now, attempt, q), qt.IsTrue, qt.Commentf("the upstream is unreachable"))
 	other.Touch(now)
-	qt.Assert(t, table.Stuck(now, attempt, q), qt.IsTrue, qt.Commentf("the other upstream runs fewer requests"))
+	qt.Assert(t, isStuck(table, now, attempt, q), qt.IsTrue, qt.Commentf("the other upstream runs fewer requests"))
 	table.SetPeerRequests("h2", map[string]int{"u2": 5})
-	qt.Assert(t, table.Stuck(now, attempt, q), qt.IsFalse, qt.Commentf("the other upstream runs more requests"))
+	qt.Assert(t, isStuck(table, now, attempt, q), qt.IsFalse, qt.Commentf("the other upstream runs more requests"))
 	table.Replace(map[string]fleet.Upstream{"u1": {ID: "u1", Born: 1, Service: "s", DataCentre: "a", Slots: 48}})
-	qt.Assert(t, table.Stuck(now.Add(time.Minute), attempt, q), qt.IsFalse, qt.Commentf("there is no other upstream"))
+	qt.Assert(t, isStuck(table, now.Add(time.Minute), attempt, q), qt.IsFalse, qt.Commentf("there is no other upstream"))
 }
 
 // TestStuckAmongFullUpstreams guards against moves between full upstreams: when every replica of a model is full, a host with one
@@ -132,9 +137,9 @@
 	c, _ := table.Choose(start, q)
 	attempt := table.StartAttempt(start, c, q)
 	table.SetPeerRequests("h2", map[string]int{"u1": 60, "u2": 50})
-	qt.Assert(t, table.Stuck(start.Add(3*time.Second), attempt, q), qt.IsFalse)
+	qt.Assert(t, isStuck(table, start.Add(3*time.Second), attempt, q), qt.IsFalse)
 	table.SetPeerRequests("h2", map[string]int{"u1": 60, "u2": 2})
-	qt.Assert(t, table.Stuck(start.Add(3*time.Second), attempt, q), qt.IsTrue)
+	qt.Assert(t, isStuck(table, start.Add(3*time.Second), attempt, q), qt.IsTrue)
 }
 
 // TestUpdateOutOfOrder guards against requests to an upstream whose model was unloaded, because the update of an earlier load
