fix(node): a planned stop answers the requests that are left at its end

Cause: 0.3 s before the grace ends, the process closed the server with all its connections; the relay took that for callers that had left.

Change: the contexts of all requests end with relay.ErrStopping first, and each request whose response has not begun gets one within 0.2 s: 503 with Retry-After if it was not sent, else 504.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,7 @@
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(placeSettings)
+	n.stop.ctx, n.stop.cancel = context.WithCancelCause(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
@@ -224,6 +225,7 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)}
 	if address == n.settings.Listen.Traffic {
 		l, s.ConnContext, n.stop.server = callerListener{l}, withCallerConn, s
+		s.BaseContext = func(net.Listener) context.Context { return n.stop.ctx }
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
@@ -14,8 +15,10 @@
 	// stopAcceptTime is how long after SIGTERM new requests are still accepted, because callers cache an address for its lifetime.
 	stopAcceptTime = 3 * time.Second
 	// stopMargin is the part of the grace period that is reserved for closing connections.
-	stopMargin       = 300 * time.Millisecond
-	stopPollInterval = 50 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
+	// lastResponsesTime is the part of stopMargin in which the requests that are left get a response.
+	lastResponsesTime = 200 * time.Millisecond
+	stopPollInterval  = 50 * time.Millisecond
 )
 
 // stopState is the state of a planned stop. It may be read from any goroutine.
@@ -23,6 +26,8 @@
 	startedAt atomic.Int64 // start of the stop in Unix nanoseconds; zero if the host is not stopping
 	active    atomic.Int64 // number of requests in progress
 	server    *http.Server
+	ctx       context.Context // of all requests; ends with relay.ErrStopping when the host can no longer wait for their responses
+	cancel    context.CancelCauseFunc
 }
 
 // state returns the time after which no new request is accepted, and whether the host is stopping.
@@ -64,10 +69,15 @@
 	if n.stop.server == nil {
 		return nil
 	}
-	if err := n.stop.server.Shutdown(ctx); err != nil {
-		return codes.Newf(codes.DeadlineMissed, "%d requests were cut off at the end of the grace period", n.stop.active.Load())
+	if n.stop.server.Shutdown(ctx) == nil {
+		return nil
 	}
-	return nil
+	left := n.stop.active.Load()
+	n.stop.cancel(relay.ErrStopping)
+	ctx, cancelLast := context.WithTimeout(context.Background(), lastResponsesTime)
+	defer cancelLast()
+	_ = n.stop.server.Shutdown(ctx) // The process ends in any case.
+	return codes.Newf(codes.DeadlineMissed, "%d requests were left at the end of the grace period", left)
 }
 
 // releaseLease releases the lease, so that another host need not wait until it expires.
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -18,6 +18,9 @@
 // InputClosed is the result of Control.CallerInput for a caller that closed the sending side of its connection.
 const InputClosed = "closed"
 
+// ErrStopping is the cause with which the context of a request ends when the host can no longer wait for its response.
+var ErrStopping = errors.New("host is stopping")
+
 var errCallerLeft = errors.New("caller left")
 
 // caller tells whether the caller of a request still waits for the response. net/http ends the context of a request at any end of the
@@ -36,7 +39,11 @@
 	c = new(caller)
 	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(q.Context()))
 	unwatch := context.AfterFunc(q.Context(), func() {
-		if input(q) != InputClosed {
+		switch {
+		case errors.Is(context.Cause(q.Context()), ErrStopping):
+			c.cancel(ErrStopping)
+			return
+		case input(q) != InputClosed:
 			c.cancel(errCallerLeft)
 			return
 		}
@@ -83,5 +90,5 @@
 	}
 }
 
-// gone reports whether the caller counts as gone.
+// gone reports whether the caller counts as gone, or the host can no longer wait for the response.
 func (c *caller) gone() bool { return c.ctx.Err() != nil }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -241,8 +241,17 @@
 	return codes.New(codes.OverCapacity, "no further attempt allowed: "+err.Error()).WithRetryAfter(exhaustedRetryAfter)
 }
 
-// callerLeft returns the error of a request whose caller left.
+// callerLeft returns the error of a request whose caller left, or that the stop of the host ends.
 func (x *exchange) callerLeft(detail string) error {
+	stopping := errors.Is(context.Cause(x.caller.ctx), ErrStopping)
+	switch {
+	case stopping && x.headSent:
+		return codes.New(codes.StreamBroken, "host stopped "+detail)
+	case stopping && x.mayHaveRun:
+		return codes.New(codes.UpstreamUnknown, "host stopped "+detail)
+	case stopping:
+		return codes.New(codes.Draining, detail).WithRetryAfter(stoppingRetryAfter)
+	}
 	e := codes.New(codes.CallerLeft, detail)
 	if !x.mayHaveRun {
 		return e.WithOutcome(codes.NotRun)
