fix(node): a planned stop closes no connection on which a request was read

Cause: http.Server.Shutdown closes connections that net/http takes for idle, and it does so until the head of the next request is parsed, although its bytes were already read.

Change: callerServer.stop makes reads of idle connections fail, so that either net/http closes them with nothing read, or the bytes that a read has got are served; Shutdown follows when no connection is idle.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -6,45 +6,143 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 )
 
+// idlePollInterval is the time between checks of whether the idle connections have ended.
+const idlePollInterval = 5 * time.Millisecond
+
 type (
+	// callerServer serves callers' connections. Its stop closes none on which a request was read: between that moment and the end of the
+	// request's head, net/http takes a kept connection for idle.
+	callerServer struct {
+		http.Server
+		mu       sync.Mutex
+		stopping bool
+		conns    map[*callerConn]http.ConnState
+	}
+
 	// callerListener accepts callers' connections as callerConn.
-	callerListener struct{ net.Listener }
+	callerListener struct {
+		net.Listener
+		server *callerServer
+	}
 
 	// callerConn is a caller's connection that records how its input ended: net/http tells its handlers only that it did.
 	callerConn struct {
 		net.Conn
+		server   *callerServer
 		inputErr atomic.Pointer[error]
+		idle     bool // whether nothing was read since the last response; guarded by server.mu
 	}
 
 	callerConnKey struct{}
 )
 
+func newCallerServer(h http.Handler) *callerServer {
+	s := &callerServer{conns: make(map[*callerConn]http.ConnState)}
+	s.Handler, s.ConnState = h, s.setState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, callerConnKey{}, c)
+	}
+	return s
+}
+
+// setState records the state of a connection.
+func (s *callerServer) setState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	default:
+		s.conns[c] = state
+		c.idle = state == http.StateIdle
+	}
+}
+
+// stop ends the idle connections and waits until the requests in progress have ended. It returns the error of the context if that ends first.
+func (s *callerServer) stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	for c := range s.conns {
+		if c.idle {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // A read that has already got bytes returns them.
+		}
+	}
+	s.mu.Unlock()
+	for s.hasIdle() {
+		if !sleep(ctx, idlePollInterval) {
+			break
+		}
+	}
+	return s.Shutdown(ctx)
+}
+
+// hasIdle reports whether net/http would close a connection as idle.
+func (s *callerServer) hasIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.conns {
+		if state == http.StateIdle {
+			return true
+		}
+	}
+	return false
+}
+
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c}, nil
+	return &callerConn{Conn: c, server: l.server}, nil
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if c.isClosing() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.begin()
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.inputErr.CompareAndSwap(nil, &err)
 	}
 	return n, err
 }
 
+// isClosing reports whether the connection is idle and its server stops.
+func (c *callerConn) isClosing() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.idle && c.server.stopping
+}
+
+// begin records that bytes of a request were read.
+func (c *callerConn) begin() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.idle && c.server.stopping {
+		_ = c.SetReadDeadline(time.Time{}) // An error shows at the next read.
+	}
+	c.idle = false
+}
+
 // CloseWrite closes the sending side of the connection. net/http calls it so that a caller can read a response before the connection
 // is reset.
 func (c *callerConn) CloseWrite() error {
@@ -54,11 +152,6 @@
 	return nil
 }
 
-// withCallerConn is the http.Server.ConnContext of callers' connections.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // callerInput returns how the input of the caller's connection ended: relay.InputClosed, "reset" or another error. It is empty while the input
 // is open. A caller that closed only its sending side is "closed" too.
 func callerInput(q *http.Request) string {
--- /dev/null
+++ b/internal/node/callers_test.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type (
+	// pausedListener accepts connections whose process is paused after a read.
+	pausedListener struct {
+		net.Listener
+		pause *atomic.Bool
+		read  chan struct{} // receives a value when a read is followed by a pause
+	}
+
+	pausedConn struct {
+		net.Conn
+		listener pausedListener
+	}
+)
+
+const testPause = 300 * time.Millisecond
+
+func (l pausedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return pausedConn{c, l}, err
+}
+
+func (c pausedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.listener.pause.Load() {
+		c.listener.read <- struct{}{}
+		time.Sleep(testPause)
+	}
+	return n, err
+}
+
+// TestStopKeepsConnectionWithRequest guards against a planned stop that closes a kept connection on which the process has just read a
+// request, but not yet parsed its head.
+func TestStopKeepsConnectionWithRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(callerListener{l, s}) }()
+	busy, idle := dialCaller(c, inner), dialCaller(c, inner)
+	for _, x := range []*caller{busy, idle} {
+		c.Assert(x.request(), qt.IsNil)
+		c.Assert(x.response(), qt.Equals, "ok")
+	}
+	l.pause.Store(true)
+	c.Assert(busy.request(), qt.IsNil)
+	<-l.read
+	l.pause.Store(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c.Assert(s.stop(ctx), qt.IsNil)
+	c.Assert(busy.response(), qt.Equals, "ok")
+	c.Assert(idle.response(), qt.Equals, "")
+	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
+}
+
+// caller is a connection of a caller.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialCaller(c *qt.C, l net.Listener) *caller {
+	conn, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+func (x *caller) request() error {
+	_, err := io.WriteString(x, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	return err
+}
+
+// response returns the body of the next response, or nothing if the connection ends first.
+func (x *caller) response() string {
+	r, err := http.ReadResponse(x.reader, nil)
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	b, _ := io.ReadAll(r.Body)
+	return string(b)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,14 +222,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)}
+	s := newCallerServer(h)
+	s.ReadHeaderTimeout, s.IdleTimeout, s.ErrorLog = headerTimeout, idleTimeout, slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)
 	if address == n.settings.Listen.Traffic {
-		l, s.ConnContext, n.stop.server = callerListener{l}, withCallerConn, s
+		n.stop.server = s
 		s.BaseContext = func(net.Listener) context.Context { return n.stop.ctx }
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(callerListener{l, s}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		<-stopped
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -25,7 +24,7 @@
 type stopState struct {
 	startedAt atomic.Int64 // start of the stop in Unix nanoseconds; zero if the host is not stopping
 	active    atomic.Int64 // number of requests in progress
-	server    *http.Server
+	server    *callerServer
 	ctx       context.Context // of all requests; ends with relay.ErrStopping when the host can no longer wait for their responses
 	cancel    context.CancelCauseFunc
 }
@@ -69,7 +68,7 @@
 	if n.stop.server == nil {
 		return nil
 	}
-	if n.stop.server.Shutdown(ctx) == nil {
+	if n.stop.server.stop(ctx) == nil {
 		return nil
 	}
 	left := n.stop.active.Load()
