fix(relay): a panic in the handler of a request is answered and counted

Cause: net/http recovers a panic in a handler, closes the connection and logs it at debug level; the request had no end in logs and metrics, and its attempt stayed in progress in the host's view of the upstream for good.

Change: the relay recovers it, ends the attempt, and sends status 500 with code 5001 if no response has begun.

Evidence: TestPanicIsAnswered on the code before: EOF, and no end of the request; in the second case one attempt left.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,6 +97,12 @@
 		x.relay.control.EndAttempt(t, pick.Abandoned)
 		return false, x.deadlineError()
 	}
+	returned := false
+	defer func() {
+		if !returned { // The attempt panicked.
+			x.relay.control.EndAttempt(t, pick.Abandoned)
+		}
+	}()
 	if x.summary.Attempts++; x.summary.Attempts == 1 {
 		x.summary.Waited = time.Since(x.call.Arrived)
 	}
@@ -109,10 +115,13 @@
 	defer a.release()
 	r, err := x.relay.pool.Do(ctx, x.upstreamRequest(t, remaining))
 	if err != nil {
-		return a.handleFailure(err)
+		again, err = a.handleFailure(err)
+	} else {
+		defer r.Close()
+		again, err = a.handleResponse(r)
 	}
-	defer r.Close()
-	return a.handleResponse(r)
+	returned = true
+	return again, err
 }
 
 // deadlineError returns the error of a request whose deadline passed before an attempt.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,12 +60,12 @@
 	x.finish(x.handle())
 }
 
-// handle reads and runs the request.
-func (x *exchange) handle() error {
+// handle reads and runs the request. A panic becomes an error: net/http would close the connection without a response.
+func (x *exchange) handle() (err error) {
 	defer func() {
 		if value := recover(); value != nil {
 			x.relay.control.Panicked(x.call, value, debug.Stack())
-			panic(value)
+			err = codes.Newf(codes.Internal, "panic: %v", value)
 		}
 	}()
 	if err := x.prepare(); err != nil {
