fix(node): a request for a model that nobody loads is refused at once

Cause: the controller plans no load for a model that it does not find, so that it has no forecast, and the host asked again until the caller was expected to leave. The class: waiting for something that no part of the system is going to do.

Change: before each question to the controller the host checks the newest configuration; without the model it refuses with the new code 3015, status 503 and Retry-After.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -128,6 +128,9 @@
 // model can't be ready in time.
 func (n *Node) awaitUpstream(ctx context.Context, c *relay.Call, missing string) (string, error) {
 	for waitLogged := false; ; {
+		if !n.config.Load().HasModel(c.Service, c.Key.Model) {
+			return "", codes.Newf(codes.NotConfigured, "nothing loads model %s of service %s", c.Key.Model, c.Service).WithRetryAfter(noUpstreamRetryAfter)
+		}
 		// The response must start early enough to be complete before the deadline.
 		latest := c.Deadline.Add(-n.expectedDuration(c))
 		if c.AbandonAt.Before(latest) {
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -150,6 +150,16 @@
 	return s, ok
 }
 
+// HasModel reports whether the service has an engine with the model.
+func (c *Config) HasModel(service, model string) bool {
+	s, ok := c.services[service]
+	if !ok || s.Engine == nil {
+		return false
+	}
+	_, ok = s.Engine.Models[model]
+	return ok
+}
+
 // Services returns all services by name; the map must not be modified.
 func (c *Config) Services() map[string]Service { return c.services }
 
