fix(node): a caller that does not read for a while keeps its connection

Cause: TCP_USER_TIMEOUT of 1.5 s, which is to find dead connections, also ends one whose other side acknowledges each probe but has no room for more data. The class: giving up on a sign that does not prove what it is taken for.

Change: 5 s on callers' connections. Nothing is sent elsewhere in time because a caller is found dead, so that the shorter time saved only the work for callers whose link is cut; for upstreams and between hosts it stays.

Evidence: TestCallerThatReadsLate on the code before: connection reset after 129,882 of 16,777,216 bytes; host log: connection timed out.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,8 +33,11 @@
 const (
 	// DialTimeout limits how long opening a connection to an upstream may take; data centres are a few milliseconds apart.
 	DialTimeout = 400 * time.Millisecond
-	// UserTimeout limits how long sent data may stay unacknowledged on any socket.
+	// UserTimeout limits how long sent data may stay unacknowledged on a socket, except those of callers.
 	UserTimeout = 1500 * time.Millisecond
+	// callerUserTimeout is the same for callers' connections. It also ends the connection of a caller that has no room for more data
+	// because it does not read, which is no sign of a dead connection.
+	callerUserTimeout = 5 * time.Second
 
 	headerTimeout     = 10 * time.Second
 	idleTimeout       = time.Minute // longer than callers keep an idle connection open
@@ -215,8 +218,12 @@
 	if address == "" {
 		return nil
 	}
+	timeout := UserTimeout
+	if address == n.settings.Listen.Traffic {
+		timeout = callerUserTimeout
+	}
 	lc := net.ListenConfig{KeepAliveConfig: conns.KeepAlive(), Control: func(_, _ string, c syscall.RawConn) error {
-		return conns.UserTimeout(c, UserTimeout)
+		return conns.UserTimeout(c, timeout)
 	}}
 	l, err := lc.Listen(n.baseCtx, "tcp", address)
 	if err != nil {
