fix(node): SIGHUP during the start of a process does not end it

Cause: the signal was asked for by a loop that starts after the listeners, and no longer at the end of a stop; before and after that, SIGHUP ends a process.

Change: it is asked for when the settings file is set, which is before the host listens, and until the process ends.

Evidence: TestHangupDuringTheStart on the code before: signal: hangup.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,6 +160,7 @@
 // WithSettingsFile sets the settings file, which is reloaded on SIGHUP and when it changes.
 func (n *Node) WithSettingsFile(file string) *Node {
 	n.settingsFile = file
+	signal.Notify(n.reload, syscall.SIGHUP) // Without it, SIGHUP ends the process.
 	return n
 }
 
@@ -355,8 +356,6 @@
 
 // watchSettings reloads the settings file on SIGHUP and when its modification time changes.
 func (n *Node) watchSettings(ctx context.Context) {
-	signal.Notify(n.reload, syscall.SIGHUP)
-	defer signal.Stop(n.reload)
 	t := time.NewTicker(2 * time.Second)
 	defer t.Stop()
 	var modified time.Time
