fix(relay): a moved request that no upstream will take ends at once

What callers would see: a request that was moved from a silent upstream, and whose part of the prompt turned out to crash upstreams or whose model was dropped meanwhile, was held until its deadline.

Cause: since such a request is not given up before its deadline, whatever the reason for which no upstream was found.

Evidence: TestMovedRequestThatNobodyTakes on the code before: 504 after 10 s; after, within 5 s.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -160,7 +160,8 @@
 	}
 }
 
-// chooseNext returns the upstream of the next attempt. A request whose last attempt this host ended is not given up before its deadline.
+// chooseNext returns the upstream of the next attempt. A request whose last attempt this host ended is not given up before its deadline, unless
+// no upstream will take it.
 func (x *exchange) chooseNext(ctx context.Context, exclude map[string]bool) (Ticket, error) {
 	if t := x.next; t.Attempt != nil {
 		x.next = Ticket{}
@@ -168,7 +169,7 @@
 	}
 	for {
 		t, err := x.relay.control.Choose(ctx, x.call, exclude)
-		if err == nil || x.movedFrom == "" || ctx.Err() != nil {
+		if err == nil || x.movedFrom == "" || !x.mayHaveRun || ctx.Err() != nil || codes.Is(err, codes.CrashingPart) || codes.Is(err, codes.NotConfigured) {
 			return t, err
 		}
 		clear(exclude)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,10 +18,21 @@
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
-// newControl returns the functions of a host with one route, whose attempts go to the address.
-func newControl(c *qt.C, address string) relay.Control {
+var dialect = relay.Dialect{
+	Decode: func(http.Header) (relay.RequestHeaders, error) { return relay.RequestHeaders{}, nil },
+	Encode: func(http.Header, relay.UpstreamHeaders) {},
+	Classify: func(status int, _ http.Header) relay.ResponseClass {
+		if status == http.StatusServiceUnavailable {
+			return relay.NotRun
+		}
+		return relay.Final
+	},
+}
+
+// newControl returns the functions of a host with one route of the kind, whose attempts go to the address.
+func newControl(c *qt.C, kind fleet.Kind, address string) relay.Control {
 	cfg, err := fleet.NewConfig(1, []fleet.Route{{
-		Name: "r", Prefix: "/", Host: "a", Kind: fleet.Safe, Timeout: time.Second, MaxAttempts: 2, Targets: []fleet.Target{{Service: "s", Weight: 1}},
+		Name: "r", Prefix: "/", Host: "a", Kind: kind, Resumable: true, Timeout: 10 * time.Second, MaxAttempts: 3, Targets: []fleet.Target{{Service: "s", Weight: 1}},
 	}}, []fleet.Service{{Name: "s"}}, fleet.Limits{})
 	c.Assert(err, qt.IsNil)
 	return relay.Control{
@@ -55,7 +66,7 @@
 		{"attempt", func(k *relay.Control) { k.Sound = func(*relay.Call) { panic("attempt") } }},
 	} {
 		c.Run(x.name, func(c *qt.C) {
-			k := newControl(c, upstream.Listener.Addr().String())
+			k := newControl(c, fleet.Safe, upstream.Listener.Addr().String())
 			var ended []relay.RequestSummary
 			var panics, attempts int
 			k.RequestEnded = func(s relay.RequestSummary) { ended = append(ended, s) }
@@ -72,11 +83,7 @@
 			x.change(&k)
 			pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
 			defer pool.Close()
-			host := httptest.NewServer(relay.New(relay.Dialect{
-				Decode:   func(http.Header) (relay.RequestHeaders, error) { return relay.RequestHeaders{}, nil },
-				Encode:   func(http.Header, relay.UpstreamHeaders) {},
-				Classify: func(int, http.Header) relay.ResponseClass { return relay.Final },
-			}, k, pool))
+			host := httptest.NewServer(relay.New(dialect, k, pool))
 			q, err := http.NewRequest(http.MethodGet, host.URL+"/x", strings.NewReader("x"))
 			c.Assert(err, qt.IsNil)
 			q.Host = "a"
@@ -94,3 +101,45 @@
 		})
 	}
 }
+
+// TestMovedRequestThatNobodyTakes guards against a request that was moved from a silent upstream and is held until its deadline, although it is
+// known that no upstream will take it.
+func TestMovedRequestThatNobodyTakes(t *testing.T) {
+	c := qt.New(t)
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		<-q.Context().Done()
+	}))
+	defer silent.Close()
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer full.Close()
+	k := newControl(c, fleet.Stream, silent.Listener.Addr().String())
+	first := k.Choose
+	k.Choose = func(ctx context.Context, call *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
+		if len(exclude) > 0 {
+			return relay.Ticket{}, codes.New(codes.CrashingPart, "known by now")
+		}
+		return first(ctx, call, exclude)
+	}
+	k.Move = func(relay.Ticket, *relay.Call) (relay.Ticket, error) {
+		return relay.Ticket{Choice: pick.Choice{Upstream: "full", Address: full.Listener.Addr().String()}, Attempt: new(pick.Attempt)}, nil
+	}
+	k.AllowRepeat = func(string) bool { return true }
+	k.Silent = func(*relay.Call, relay.Ticket, relay.Ticket, error) {}
+	ended := make(chan relay.RequestSummary, 1)
+	k.RequestEnded = func(s relay.RequestSummary) { ended <- s }
+	pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
+	defer pool.Close()
+	host := httptest.NewServer(relay.New(dialect, k, pool))
+	defer host.Close()
+	q, err := http.NewRequest(http.MethodPost, host.URL+"/x", strings.NewReader("x"))
+	c.Assert(err, qt.IsNil)
+	q.Host = "a"
+	began := time.Now()
+	r, err := http.DefaultClient.Do(q)
+	c.Assert(err, qt.IsNil)
+	r.Body.Close()
+	c.Check(r.StatusCode, qt.Equals, http.StatusGatewayTimeout) // The silent upstream may have run it.
+	c.Check(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("after %v", time.Since(began)))
+	c.Check((<-ended).Attempts, qt.Equals, 2)
+}
