fix(platform): one record that cannot be decoded no longer ends a read

Operators of similar systems saw machines that stopped following the list of servers after one odd record. Here a record that cannot be split into key and value made the whole read fail, each time, so that the host followed neither list nor configuration any more. An odd value that followed a sound one of the same key in one read hid it: a server's `draining` or the removal of its entry went unnoticed.

Each record is now decoded by itself. One that cannot be decoded is skipped and logged once, and the last sound record or removal of the key holds. The protocol says that an odd entry comes from another writer and that the others hold; it tells nothing about the server, which writes its own entry again within a heartbeat and whose removal the store writes.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -118,10 +118,11 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		list, err := n.platform.Members(callCtx)
+		list, skipped, err := n.platform.Members(callCtx)
 		cancel()
 		n.control.Post(func() {
 			n.recordDependency("members", err)
+			n.logSkipped("members", skipped)
 			for _, m := range list {
 				n.addMember(m)
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,8 @@
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
 		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
+
+		skipped map[SkippedEntry]bool // entries that were logged as skipped
 	}
 )
 
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -27,8 +27,8 @@
 		AppendLease func(ctx context.Context, a lease.Action) (offset int64, ok bool, err error)
 		// Announce publishes this host to the others.
 		Announce func(ctx context.Context, m Member) error
-		// Members returns all published hosts.
-		Members func(ctx context.Context) ([]Member, error)
+		// Members returns all published hosts, and the entries that could not be decoded.
+		Members func(ctx context.Context) ([]Member, []SkippedEntry, error)
 		// Order sends an order to an upstream and returns its answer. It calls permit just before it sends, and sends nothing if permit
 		// returns false.
 		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64, permit func() bool) place.Answer
@@ -45,8 +45,14 @@
 		Complete bool // whether Put is the complete list
 		Put      []fleet.Upstream
 		Removed  []string
-		Cursor   int64    // increases by one with each entry written
-		Skipped  []string // descriptions of entries that could not be decoded
+		Cursor   int64          // increases by one with each entry written
+		Skipped  []SkippedEntry // an earlier entry of the same upstream still holds
+	}
+
+	// SkippedEntry is a published entry that could not be decoded.
+	SkippedEntry struct {
+		ID     string
+		Reason string
 	}
 
 	// Member is the published description of an entry host.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -31,6 +31,9 @@
 	// membersRetryDelay is the delay after a failed read of them by a host that has read them before.
 	membersRetryDelay = 2500 * time.Millisecond
 	storeTimeout      = 600 * time.Millisecond
+	// maxSkippedLogged is the number of skipped entries logged per read, and maxSkippedKnown the number remembered as logged.
+	maxSkippedLogged = 8
+	maxSkippedKnown  = 1000
 )
 
 // watchConfig keeps the configuration up to date.
@@ -178,10 +181,13 @@
 	n.listAt, n.feedHub = start, ""
 	n.list.MarkRead(now, c.Cursor)
 	n.progress = n.list.Progress()
-	for _, s := range c.Skipped {
-		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
-	}
+	n.logSkipped("list", c.Skipped)
 	if c.Complete {
+		for _, s := range c.Skipped {
+			if u, ok := n.list.Live(s.ID); ok {
+				c.Put = append(c.Put, u)
+			}
+		}
 		n.list.Reset(now, c.Put)
 	} else {
 		for _, u := range c.Put {
@@ -194,6 +200,26 @@
 	n.applyList(now, n.list.Current(now))
 }
 
+// logSkipped logs entries that could not be decoded. Each is logged once per reason, and few at a time, because another writer may write
+// without end.
+func (n *Node) logSkipped(list string, entries []SkippedEntry) {
+	if len(n.skipped) > maxSkippedKnown {
+		clear(n.skipped)
+	}
+	logged := 0
+	for _, e := range entries {
+		if n.skipped[e] || logged == maxSkippedLogged {
+			continue
+		}
+		if n.skipped == nil {
+			n.skipped = make(map[SkippedEntry]bool)
+		}
+		n.skipped[e] = true
+		logged++
+		n.log(list).Warn("entry skipped", "event", eventSkipped, "entry", e.ID, "err", e.Reason, "skipped", len(entries))
+	}
+}
+
 // applyList applies the complete list of current upstreams.
 func (n *Node) applyList(now time.Time, current map[string]fleet.Upstream) {
 	n.logListChanges(n.upstreams, current)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -72,6 +72,12 @@
 	l.unreadable, l.recoveredAt, l.progress = !current, time.Time{}, p
 }
 
+// Live returns the entry of an upstream that has not disappeared.
+func (l *List) Live(id string) (Upstream, bool) {
+	u, ok := l.live[id]
+	return u, ok
+}
+
 // Put adds or replaces an entry unless the list has a newer one, and reports whether it did.
 func (l *List) Put(u Upstream) bool {
 	old, ok := l.live[u.ID]
