fix(relay): a response that is no stream does not follow the events of one

A stream had begun and broke off, and the upstream to which it was moved answered with an error. Callers got that error's body after the events, and the end of the response looked complete. The same came of a 200 that is no event stream. By reading, an error of more than 256 KB that broke off could be followed by the events of a third attempt.

Status and head of the response were on their way already, but the response was relayed like any other. Now a response that is no event stream ends the attempt; the stream goes on at another upstream if the route allows it, and otherwise its connection is closed without an end. It is no evidence that the request crashes upstreams. A plain response of a stream's route is read whole before its head is sent.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync"
@@ -43,6 +44,7 @@
 	errEventTimeout = errors.New("no event from the upstream in time")
 	errMalformed    = errors.New("response is malformed or incomplete")
 	errTruncated    = errors.New("response ended early")
+	errNotStream    = errors.New("response cannot continue the stream")
 	errEndlessBody  = codes.Newf(codes.EndlessResponse, "body exceeds %d bytes", maxRelayedBody)
 )
 
@@ -224,7 +226,7 @@
 	if a.harmful || !r.Repeatable() || a.possibleRuns >= r.MaxAttempts {
 		return false
 	}
-	return !a.headSent || r.Kind == fleet.Stream && a.events.resumable()
+	return !a.headSent || a.events.count > 0 && a.events.resumable()
 }
 
 // handleResponse relays the response, or reports why another upstream should be tried.
@@ -253,12 +255,41 @@
 		a.relay.control.EndAttempt(a.ticket, pick.Errored)
 		return true, codes.New(codes.UpstreamFailed, "status "+strconv.Itoa(r.Status))
 	}
-	if a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices {
+	stream := a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices && isEventStream(r.Header)
+	switch {
+	case a.headSent && !stream:
+		// The caller has the head of an earlier response and can get neither the status nor the body of this one.
+		return a.handleWrongStream(errors.Wrapf(errNotStream, "status %d", r.Status))
+	case stream:
 		return a.relayStream(r)
 	}
 	return a.relayBuffered(r, class)
 }
 
+// isEventStream reports whether the headers of a response announce events. Those without a content type count as such.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && mediaType == "text/event-stream"
+}
+
+// handleWrongStream ends an attempt whose response cannot be, or continue, the stream that the caller receives. Its connection has not
+// failed, so that the attempt is no evidence of a crash.
+func (a *attempt) handleWrongStream(err error) (bool, error) {
+	if abandoned := a.abandonedError(); abandoned != nil {
+		return false, abandoned
+	}
+	a.relay.control.EndAttempt(a.ticket, pick.Errored)
+	switch {
+	case a.mayRepeat():
+		a.summary.Resumed++
+		return true, codes.New(codes.StreamBroken, err.Error())
+	case a.headSent:
+		return false, codes.New(codes.StreamBroken, err.Error())
+	}
+	return false, codes.New(codes.UpstreamFailed, err.Error())
+}
+
 // handleBroken classifies an incomplete or malformed response.
 func (a *attempt) handleBroken(err error) (bool, error) {
 	if abandoned := a.abandonedError(); abandoned != nil {
