fix(relay): a resumed stream goes on after the last event that was sent

An upstream that ignores Last-Event-Id, or takes it for another event, sent events that the caller had, or left some out, in the middle of the caller's stream.

The first event of an attempt to resume must now have an id beyond the last one that was sent. The platform says only that ids increase; after four ids in equal steps the next one has to follow by that step. Otherwise the attempt ends before anything of it is sent.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,9 @@
 const (
 	streamBufferSize = 4 << 10
 	maxEventSize     = 256 << 10
+	// minRegularIDs is the number of ids in equal steps after which a resumed stream has to go on by the same step. Ids only have to
+	// increase, so that few equal steps may be chance.
+	minRegularIDs = 4
 )
 
 // events splits a stream into complete events, so that a stream that breaks within an event can be resumed at another
@@ -26,10 +30,14 @@
 	count     int    // number of complete events
 	missingID bool   // whether an event without an id was sent to the caller; the stream cannot be resumed then
 	onEvent   func() // called for each chunk that completes an event with a new id; may be nil
+	joining   bool   // whether the next event is the first one of an attempt to resume
+	idCount   int    // number of ids
+	step      int64  // difference of successive ids; zero if it is unknown or varies
 }
 
 var (
 	errEventTooLong = codes.Newf(codes.EndlessResponse, "event exceeds %d bytes", maxEventSize)
+	errWrongEvent   = errors.New("resumed stream does not continue after the last event")
 	idPrefix        = []byte("id:")
 	lineEnd         = []byte("\n")
 )
@@ -45,6 +53,9 @@
 		return nil, nil
 	}
 	complete := bytes.Clone(e.partial[:end])
+	if err := e.checkEvents(complete); err != nil {
+		return nil, err
+	}
 	e.partial = append(e.partial[:0], e.partial[end:]...)
 	last, count := e.lastID, e.count
 	e.recordIDs(complete)
@@ -55,6 +66,41 @@
 	return complete, nil
 }
 
+// checkEvents returns an error for complete events that must not be sent to the caller.
+func (e *events) checkEvents(b []byte) error {
+	if !e.joining {
+		return nil
+	}
+	last, hasLast := eventNumber(e.lastID)
+	hasID, hasField := false, false
+	for line := range bytes.SplitSeq(b, lineEnd) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		switch {
+		case len(line) == 0 && hasField:
+			if !hasID {
+				return errWrongEvent
+			}
+			e.joining = false
+			return nil
+		case bytes.HasPrefix(line, idPrefix):
+			hasID, hasField = true, true
+			id := string(bytes.TrimSpace(line[len(idPrefix):]))
+			next, ok := eventNumber(id)
+			if id == e.lastID || hasLast && (!ok || next <= last || e.step > 0 && e.idCount >= minRegularIDs && next != last+e.step) {
+				return errWrongEvent
+			}
+		case len(line) > 0 && line[0] != ':':
+			hasField = true
+		}
+	}
+	return nil
+}
+
+func eventNumber(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil
+}
+
 // completeLength returns the length of the complete events at the start of b.
 func completeLength(b []byte) int {
 	end := 0
@@ -80,7 +126,7 @@
 			}
 			hasID, hasField = false, false
 		case bytes.HasPrefix(line, idPrefix):
-			e.lastID = string(bytes.TrimSpace(line[len(idPrefix):]))
+			e.recordID(string(bytes.TrimSpace(line[len(idPrefix):])))
 			hasID, hasField = true, true
 		case line[0] != ':':
 			hasField = true
@@ -88,23 +134,43 @@
 	}
 }
 
+// recordID records the id of the next event and learns the step between ids.
+func (e *events) recordID(id string) {
+	last, hadLast := eventNumber(e.lastID)
+	next, ok := eventNumber(id)
+	switch {
+	case !hadLast:
+	case !ok || e.idCount > 1 && next-last != e.step:
+		e.step = 0
+	default:
+		e.step = next - last
+	}
+	e.lastID = id
+	e.idCount++
+}
+
 // resumable reports whether another upstream can continue after the events sent so far.
 func (e *events) resumable() bool { return !e.missingID && (e.count == 0 || e.lastID != "") }
 
-// discardPartial discards the incomplete event of an earlier attempt.
-func (e *events) discardPartial() { e.partial = e.partial[:0] }
+// beginAttempt discards the incomplete event of an earlier attempt and expects the events after its last complete one.
+func (e *events) beginAttempt() {
+	e.partial, e.joining = e.partial[:0], e.count > 0
+}
 
 // relayStream relays the events of a response as they arrive. The headers are sent with the first event, so that an upstream
 // that fails before its first event can be replaced without the caller noticing.
 func (a *attempt) relayStream(r *conns.Response) (bool, error) {
-	a.events.discardPartial()
+	a.events.beginAttempt()
 	flush := http.NewResponseController(a.writer).Flush
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := r.Read(buffer)
 		if n > 0 {
 			complete, pushErr := a.events.push(buffer[:n])
-			if pushErr != nil {
+			switch {
+			case errors.Is(pushErr, errWrongEvent):
+				return a.handleWrongStream(pushErr)
+			case pushErr != nil:
 				return a.handleBroken(pushErr)
 			}
 			if len(complete) > 0 {
