fix(relay): a stream that ends inside an event is not complete

A stream with a length or in chunks that ended inside an event was relayed with that part of an event and a complete end; only streams without both were checked. A resumed stream without both that ended before its first event counted as the complete rest, because the check looked at the events of all attempts.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -96,6 +96,16 @@
 	return nil
 }
 
+// insideEvent reports whether b, which follows complete events, contains a part of an event.
+func insideEvent(b []byte) bool {
+	for line := range bytes.SplitSeq(b, lineEnd) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 func eventNumber(id string) (int64, bool) {
 	n, err := strconv.ParseInt(id, 10, 64)
 	return n, err == nil
@@ -218,8 +228,8 @@
 
 // finishStream ends a stream after the end of the response body.
 func (a *attempt) finishStream(r *conns.Response) (bool, error) {
-	// Without a length or chunks, a stream is complete only at the end of an event.
-	if r.CloseDelimited && (len(a.events.partial) > 0 || a.events.count == 0) {
+	// Without a length or chunks, a response that broke off before its first event looks like one without events.
+	if insideEvent(a.events.partial) || r.CloseDelimited && a.events.count == a.eventsBefore {
 		return a.handleBroken(errTruncated)
 	}
 	if err := r.CheckTrailingData(); err != nil && !a.headSent {
