fix(relay): the head of another response is not taken for events

In a stream with neither a length nor chunks all bytes up to the end of the connection belong to the body. The head of an error that an upstream wrote there ends in a blank line like an event, and callers found it in their streams.

Each line of an event must now be a comment or a field with a name in lower case, as in all event streams of the platform. The line with the status of a response is neither, also behind the first bytes of an event.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -37,9 +37,11 @@
 
 var (
 	errEventTooLong = codes.Newf(codes.EndlessResponse, "event exceeds %d bytes", maxEventSize)
+	errNoEvent      = errors.New("stream contains bytes that are not an event")
 	errWrongEvent   = errors.New("resumed stream does not continue after the last event")
 	idPrefix        = []byte("id:")
 	lineEnd         = []byte("\n")
+	byteOrderMark   = []byte("\xef\xbb\xbf")
 )
 
 // push appends a chunk and returns the events that it completes.
@@ -68,20 +70,25 @@
 
 // checkEvents returns an error for complete events that must not be sent to the caller.
 func (e *events) checkEvents(b []byte) error {
-	if !e.joining {
-		return nil
-	}
 	last, hasLast := eventNumber(e.lastID)
 	hasID, hasField := false, false
+	if e.count == 0 {
+		b = bytes.TrimPrefix(b, byteOrderMark)
+	}
 	for line := range bytes.SplitSeq(b, lineEnd) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
+		if !validLine(line) {
+			return errNoEvent
+		}
+		if !e.joining {
+			continue
+		}
 		switch {
 		case len(line) == 0 && hasField:
 			if !hasID {
 				return errWrongEvent
 			}
 			e.joining = false
-			return nil
 		case bytes.HasPrefix(line, idPrefix):
 			hasID, hasField = true, true
 			id := string(bytes.TrimSpace(line[len(idPrefix):]))
@@ -96,6 +103,13 @@
 	return nil
 }
 
+// validLine reports whether a line is blank, a comment or a field. The head of another response, which an upstream may write into a stream
+// without chunks, consists of none of these.
+func validLine(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return !bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '_' })
+}
+
 // insideEvent reports whether b, which follows complete events, contains a part of an event.
 func insideEvent(b []byte) bool {
 	for line := range bytes.SplitSeq(b, lineEnd) {
@@ -178,7 +192,7 @@
 		if n > 0 {
 			complete, pushErr := a.events.push(buffer[:n])
 			switch {
-			case errors.Is(pushErr, errWrongEvent):
+			case errors.Is(pushErr, errNoEvent) || errors.Is(pushErr, errWrongEvent):
 				return a.handleWrongStream(pushErr)
 			case pushErr != nil:
 				return a.handleBroken(pushErr)
