fix(conns): an earlier response written once more is not read as a later one

A faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that it ran, or the request ran at a second server. Here a request that its only upstream had refused was sent to it again after 100 ms, mostly on the same connection. The refusal written once more bears the same id, was believed, and the request was sent a third time while the second run went on. Orders and reports have no id: any response on the connection was taken for theirs, also one that names a caller's request.

A connection now remembers the ids of its last 64 requests that got another status than success, and does not carry a request with one of them again. A call without an id accepts only a response without one. An order is not sent on a connection that has carried such a response, which stays in use for requests with ids and for reports: an earlier report shows as many accepted orders or fewer, and the next one corrects it.

--- a/internal/conns/do.go
+++ b/internal/conns/do.go
@@ -35,9 +35,13 @@
 		Body    []byte
 		HasBody bool          // whether the request has a body, possibly an empty one; Content-Length is then always sent
 		MaxIdle time.Duration // maximum idle time of a reused connection; zero always opens a new one
-		// Echo is the name of a header that the response must return with the same value as in the request; empty disables the
-		// check.
+		// Echo is the name of a header with an id that the response must return with the same value as in the request. If the request has
+		// no such header, the response must have none either, and the connection must not have carried another such response. Empty
+		// disables the check.
 		Echo string
+		// AllowEarlier lets a request without an id use a connection that has carried a response without one. If the upstream writes that
+		// response once more, it is taken for the response to this request.
+		AllowEarlier bool
 		// Permit is called when a connection is ready, just before the first byte is sent. If it returns false, nothing is sent. It may
 		// be nil. A process may be paused between the decision to send a request and this moment.
 		Permit func() bool
@@ -87,7 +91,7 @@
 // Do sends the request and returns the response. Every error is a *Failure. When ctx ends, the connection is closed, even
 // while the body is being read.
 func (p *Pool) Do(ctx context.Context, q *Request) (*Response, error) {
-	c, err := p.get(ctx, q.Address, q.MaxIdle)
+	c, err := p.get(ctx, q)
 	if err != nil {
 		return nil, &Failure{false, err}
 	}
@@ -113,8 +117,9 @@
 		if err != nil {
 			return fail(true, err)
 		}
-		matches := q.Echo == "" || r.Header.Get(q.Echo) == q.Header.Get(q.Echo)
+		matches := q.Echo == "" || r.Header.Get(q.Echo) == q.id()
 		if matches {
+			c.recordResponse(q, r.StatusCode)
 			return p.newResponse(c, r, stop, mismatched == 0), nil
 		}
 		if mismatched == maxMismatched {
@@ -130,6 +135,9 @@
 	}
 }
 
+// id returns the value of the request's Echo header.
+func (q *Request) id() string { return q.Header.Get(q.Echo) }
+
 // readResponse reads the status line and headers of the next response and skips interim (1xx) ones. It fails with errEndlessHead if
 // they exceed maxHeadBytes.
 func (c *conn) readResponse(q *Request) (*http.Response, error) {
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,8 @@
 
 const (
 	maxIdlePerAddress = 16
+	// maxRefused is the number of refused ids that a connection remembers. Only the attempts of one request share an id.
+	maxRefused = 64
 	// keepAliveMargin is subtracted from the idle timeout in the Keep-Alive header, which is given in whole seconds.
 	keepAliveMargin = 700 * time.Millisecond
 	// defaultIdleLimit is how long an idle connection is kept if the response specifies no timeout.
@@ -52,6 +55,10 @@
 		address   string
 		idleSince time.Time     // end of the last response
 		idleLimit time.Duration // how long the connection may stay idle
+		// refused holds the ids of the last requests that got another status than success, and unnamed is set after a response without
+		// an id. An upstream in trouble may write such a response once more, which then cannot be told from a later one.
+		refused []string
+		unnamed bool
 	}
 
 	// limitedInput reads from a connection and fails when the head of a response is too long.
@@ -115,26 +122,26 @@
 	}
 }
 
-// get returns a connection that has been idle for less than maxIdle, or opens one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// get returns a connection for the request that has been idle for less than its limit, or opens one.
+func (p *Pool) get(ctx context.Context, q *Request) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(q)
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < min(c.idleLimit, maxIdle) && c.inputEmpty() {
+		if time.Since(c.idleSince) < min(c.idleLimit, q.MaxIdle) && c.inputEmpty() {
 			p.reused.Add(1)
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", q.Address)
 	if err != nil {
 		return nil, err
 	}
 	p.opened.Add(1)
 	input := &limitedInput{raw, unlimited}
-	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize), address: address, idleLimit: defaultIdleLimit}, nil
+	return &conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferSize), address: q.Address, idleLimit: defaultIdleLimit}, nil
 }
 
 // Read implements io.Reader.
@@ -150,16 +157,44 @@
 	return n, err
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop removes the idle connection to the request's address that was used last and on which its response can be told from earlier ones, or
+// returns nil.
+func (p *Pool) pop(q *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[q.Address]
+	for i, c := range slices.Backward(list) {
+		if !c.ambiguous(q) {
+			p.idle[q.Address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// ambiguous reports whether an earlier response on the connection, written once more, would pass for the response to the request.
+func (c *conn) ambiguous(q *Request) bool {
+	if q.Echo == "" {
+		return false
+	}
+	if id := q.id(); id != "" {
+		return slices.Contains(c.refused, id)
+	}
+	return c.unnamed && !q.AllowEarlier
+}
+
+// recordResponse records the response to a request on the connection.
+func (c *conn) recordResponse(q *Request, status int) {
+	switch id := q.id(); {
+	case q.Echo == "":
+	case id == "":
+		c.unnamed = true
+	case status >= http.StatusMultipleChoices:
+		if len(c.refused) == maxRefused {
+			c.refused = slices.Delete(c.refused, 0, 1)
+		}
+		c.refused = append(c.refused, id)
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
 }
 
 // put adds an idle connection to the pool. If there are already maxIdlePerAddress connections to the address, it closes the oldest
