fix(engine): a refusal or the state of an order must name what it answers

The state of another order was taken for that of the order sent. net/http closes a connection on bytes that arrive while it is idle, but not on those that come after the next request was written.

A refusal must now return the request's X-Request-Id, unless the connection is new, and the state of an order its id; otherwise the outcome is unknown. The stand-in engine returns the id. Calls to plain services already use a connection each.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -67,6 +67,9 @@
 	}
 	var response wire.OrderResponse
 	status, _, err := c.call(ctx, http.MethodPost, address, "/v1/orders", body, &response)
+	if err == nil {
+		err = checkOrderID(response, o.ID)
+	}
 	if err != nil {
 		return "", err
 	}
@@ -80,6 +83,9 @@
 func (c *Client) Query(ctx context.Context, address, id string) (wire.OrderState, error) {
 	var response wire.OrderResponse
 	status, _, err := c.call(ctx, http.MethodGet, address, "/v1/orders/"+url.PathEscape(id), nil, &response)
+	if err == nil {
+		err = checkOrderID(response, id)
+	}
 	if err != nil {
 		return "", err
 	}
@@ -89,6 +95,15 @@
 	return response.State, nil
 }
 
+// checkOrderID returns an UpstreamUnknown error if the response belongs to another order: an engine in trouble may write an earlier one once
+// more on a kept connection.
+func checkOrderID(r wire.OrderResponse, id string) error {
+	if r.ID != id {
+		return codes.Newf(codes.UpstreamUnknown, "response names order %q instead of %q", r.ID, id)
+	}
+	return nil
+}
+
 // Status returns the status of an engine.
 func (c *Client) Status(ctx context.Context, address string) (wire.EngineStatus, error) {
 	var s wire.EngineStatus
@@ -168,8 +183,9 @@
 	if err != nil {
 		return 0, nil, codes.New(codes.UpstreamUnknown, err.Error())
 	}
-	if result != nil && resp.StatusCode < http.StatusMultipleChoices {
-		if err := json.Unmarshal(b, result); err != nil {
+	if result != nil {
+		// A response with another status need not be of the same type.
+		if err := json.Unmarshal(b, result); err != nil && resp.StatusCode < http.StatusMultipleChoices {
 			return 0, nil, codes.New(codes.UpstreamUnknown, err.Error())
 		}
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -69,12 +70,20 @@
 		r.Header.Set(wire.HeaderResumeFrom, strconv.Itoa(q.ResumeFrom))
 	}
 	c.injectTrace(ctx, r.Header)
-	resp, err := c.traffic.Do(r)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+	resp, err := c.traffic.Do(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, Classify(err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
+		// An engine in trouble may write an earlier response once more on a kept connection. Only a refusal promises something, so that
+		// engines need not return the id with other errors.
+		refused := resp.Header.Get(wire.HeaderNotRun) == "true"
+		if id := resp.Header.Get(wire.HeaderRequestID); id != q.ID && (id != "" || reused && refused) {
+			return nil, codes.Newf(codes.UpstreamUnknown, "%s names request %q instead of %q", resp.Status, id, q.ID)
+		}
 		return nil, responseError(resp)
 	}
 	return &Stream{body: resp.Body, buffer: make([]byte, readBufferBytes)}, nil
--- a/internal/stand/model/chat.go
+++ b/internal/stand/model/chat.go
@@ -51,6 +51,9 @@
 }
 
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request, c *call, maxTokens int) {
+	if id := r.Header.Get(wire.HeaderRequestID); id != "" {
+		w.Header().Set(wire.HeaderRequestID, id)
+	}
 	if maxTokens <= 0 {
 		maxTokens = e.settings.DefaultTokens
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 
 // The header names of requests to engines and their responses.
 const (
-	HeaderRequestID  = "X-Request-Id"
+	HeaderRequestID  = "X-Request-Id"  // a response returns the value of its request
 	HeaderPriority   = "X-Priority"    // 0 (urgent), 1 (normal) or 2 (bulk)
 	HeaderResumeFrom = "X-Resume-From" // index of the first token to send
 	HeaderNotRun     = "X-Not-Run"     // "true" if an upstream refused a request without starting it
