--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -59,3 +59,33 @@
 	}
 	c.Assert(progress, qt.Equals, 3)
 }
+
+// TestResumedEvents guards against a resumed stream that repeats or leaves out events, and against one that is rejected although ids only have
+// to increase.
+func TestResumedEvents(t *testing.T) {
+	for _, x := range []struct {
+		sent, resumed string
+		ok            bool
+	}{
+		{"id: 1\n\n", "id: 1\n\n", false},
+		{"id: 1\n\nid: 2\n\n", "id: 1\n\n", false},
+		{"id: 1\n\nid: 2\n\n", "id: 3\n\n", true},
+		{"id: 1\n\nid: 2\n\n", "id: 4\n\n", true},
+		{"id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n", "id: 6\n\n", false},
+		{"id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n", ": x\n\nid: 5\n\nid: 9\n\n", true},
+		{"id: 1\n\nid: 4\n\nid: 5\n\nid: 9\n\n", "id: 12\n\n", true},
+		{"id: 1\n\nid: 4\n\nid: 5\n\nid: 9\n\n", "id: 5\n\n", false},
+		{"id: 1\n\nid: 2\n\n", "data: x\n\nid: 3\n\n", false},
+		{"id: a\n\nid: b\n\n", "id: c\n\n", true},
+		{"id: a\n\nid: b\n\n", "id: b\n\n", false},
+	} {
+		e := &events{}
+		e.beginAttempt()
+		_, err := e.push([]byte(x.sent))
+		qt.Assert(t, err, qt.IsNil)
+		e.beginAttempt()
+		complete, err := e.push([]byte(x.resumed))
+		qt.Check(t, err == nil, qt.Equals, x.ok, qt.Commentf("%q after %q: %v", x.resumed, x.sent, err))
+		qt.Check(t, string(complete), qt.Equals, map[bool]string{true: x.resumed}[x.ok])
+	}
+}
