feat(place): a pending request names the upstreams that its host must not use

A host may know before the controller that an upstream takes no more of its requests. The controller then returned that upstream as the one that holds the model, and the host would ask again at once, without end; the forecast counted a holder that the request cannot reach.

Change: PendingRequest.Avoid lists such upstreams. They are neither returned nor part of the forecast, and a model whose holders are all avoided by all requests for it is loaded elsewhere.

Test: TestAvoidedHolderIsNoPlaceToWait fails if either of the three places ignores the field (each was removed in turn).

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -183,7 +183,7 @@
 func (c *Controller) BestUpstream(now time.Time, p PendingRequest) Forecast {
 	best, lowest := "", 0.0
 	for _, u := range c.index.holders[p.Key.Model] {
-		if u.entry.Service != p.Service || !u.ready(now, p.Key) {
+		if u.entry.Service != p.Service || !u.ready(now, p.Key) || slices.Contains(p.Avoid, u.entry.ID) {
 			continue
 		}
 		id := u.entry.ID
@@ -209,7 +209,7 @@
 		}
 	}
 	for _, u := range c.index.holders[p.Key.Model] {
-		if u.entry.Service != p.Service || !u.usable() {
+		if u.entry.Service != p.Service || !u.usable() || slices.Contains(p.Avoid, u.entry.ID) {
 			continue
 		}
 		if at, ok := u.replicas[p.Key.Model].adapters[p.Key.Adapter]; ok && !at.Equal(unloading) {
@@ -223,7 +223,7 @@
 	}
 	if c.plan.copying[p.Key.Model] {
 		for _, u := range c.sortedUpstreams() {
-			if u.load != nil && u.load.model == p.Key.Model && u.entry.Service == p.Service && u.usable() {
+			if u.load != nil && u.load.model == p.Key.Model && u.entry.Service == p.Service && u.usable() && !slices.Contains(p.Avoid, u.entry.ID) {
 				consider(u.load.due)
 			}
 		}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -396,3 +396,24 @@
 	qt.Assert(t, list[0].Op, qt.Equals, place.Load)
 	qt.Assert(t, list[0].Key.Model, qt.Equals, "m2")
 }
+
+// TestAvoidedHolderIsNoPlaceToWait guards against a request that is sent back to an upstream that its host must not use, or waits for it,
+// although the model can be loaded elsewhere.
+func TestAvoidedHolderIsNoPlaceToWait(t *testing.T) {
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u1": upstream("u1", "m0"), "u2": upstream("u2")})
+	c.Plan(start)
+	now := start.Add(time.Second)
+	c.Report(now, now, "u1", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
+	c.Report(now, now, "u2", place.Report{Born: 1})
+	p := place.PendingRequest{Request: "r1", Service: "s", Key: place.Key{Model: "m0"}, Deadline: now.Add(time.Minute)}
+	qt.Assert(t, c.AddRequest(now, p, 0).Upstream, qt.Equals, "u1")
+	qt.Assert(t, orders(c.Plan(now)), qt.HasLen, 0)
+	c.RemoveRequest("r1")
+	p.Avoid = []string{"u1"}
+	f := c.AddRequest(now, p, 0)
+	qt.Assert(t, f.Upstream, qt.Equals, "")
+	qt.Assert(t, !f.ReadyAt.Before(now.Add(6*time.Second)), qt.IsTrue, qt.Commentf("time of a load: %v", f.ReadyAt.Sub(now)))
+	list := orders(c.Plan(now))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "u2")
+}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -129,15 +129,17 @@
 		key      Key
 		count    int
 		deadline time.Time
+		avoid    []string // upstreams that none of the requests can use
 	}
 	needs := make(map[Key]*need)
 	for _, p := range c.pending {
 		n, ok := needs[p.Key]
 		if !ok {
-			n = &need{service: p.Service, key: p.Key, deadline: p.Deadline}
+			n = &need{service: p.Service, key: p.Key, deadline: p.Deadline, avoid: p.Avoid}
 			needs[p.Key] = n
 		}
 		n.count++
+		n.avoid = slices.DeleteFunc(slices.Clone(n.avoid), func(id string) bool { return !slices.Contains(p.Avoid, id) })
 		if p.Deadline.Before(n.deadline) {
 			n.deadline = p.Deadline
 		}
@@ -153,7 +155,7 @@
 		if _, ok := e.Models[n.key.Model]; !ok {
 			continue
 		}
-		holders := c.holders(n.service, n.key.Model)
+		holders := slices.DeleteFunc(c.holders(n.service, n.key.Model), func(u *upstream) bool { return slices.Contains(n.avoid, u.entry.ID) })
 		switch {
 		case len(holders) == 0:
 			if c.plan.loading[n.key.Model] == 0 {
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -77,6 +77,7 @@
 		DataCentre string
 		Key        Key
 		Deadline   time.Time
+		Avoid      []string // IDs of upstreams that the host must not use now
 	}
 
 	// Use counts one host's requests for a model or adapter at an upstream.
