feat: an upstream that says in an answer that it leaves gets no further requests

Callers would see requests sent to an upstream that is about to end, and cut off there: a leaving upstream now says so with Server-Leaving in all its answers, which may be before the published list does, or at a host that does not reach the store. The header was ignored.

Change: each kind of answer is read (responses, streams, errors, refusals, 421, reports, answers to orders). pick.Table has a gate for each process of an upstream, known by id and start, which attempts share. It is checked where an upstream is chosen and, without the control thread, just before the first byte is sent, so that a request that was assigned earlier, or a host that was paused, does not use it either; the attempt then counts as not sent and not as a failure of the upstream. Each list that is applied gets the signs, so that neither the published list nor that of a hub can undo them and the controller counts the upstream as leaving; a new start of the upstream, or another one at its address, has its own gate. Heartbeats carry the signs of the last 10 s with their age, and all of them to a new dependent host; the field is empty in messages of earlier builds. A sign is kept for 10 minutes after the upstream was last listed; at most 4,096 are learned from others. The header is passed on to callers, as answers are returned unchanged.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return t, err
 		}
-		if exclude[upstream] {
+		if exclude[upstream] || n.isClosed(c.Service, upstream) {
 			missing = upstream
 			if !sleep(ctx, refusedRetryDelay) {
 				return t, ctx.Err()
@@ -133,7 +133,9 @@
 			latest = until
 		}
 		args := WantArgs{
-			Want:    place.PendingRequest{Request: c.ID, Service: c.Service, DataCentre: n.self.DataCentre, Key: c.Key},
+			Want: place.PendingRequest{
+				Request: c.ID, Service: c.Service, DataCentre: n.self.DataCentre, Key: c.Key, Avoid: n.closedUpstreams(c.Service),
+			},
 			Left:    time.Until(latest) - firstEventTime,
 			Missing: missing,
 		}
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -21,6 +21,8 @@
 	eventMemberFound    = 304
 	eventSource         = 305 // The host now reads the store itself, or relies on a hub.
 	eventOldUpdates     = 306 // The list or the configuration of this host is older than its limit, or no longer.
+	eventSaidLeaving    = 310 // An upstream said in an answer that it leaves.
+	eventLeavingLearned = 312 // Another host reported upstreams that said that they leave.
 	eventLease          = 400
 	eventLeaseLost      = 401
 	eventOrder          = 402
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -10,6 +10,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/blame"
 	"github.com/fireflycleat/fireflycleat/pkg/hubs"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
 )
 
@@ -86,6 +87,7 @@
 		Query    *FeedQuery     // request for updates from a hub; nil in heartbeats between hubs
 		Feed     *Feed          // answer to Query
 		Evidence blame.Evidence // of requests that crash upstreams
+		Leaving  []pick.LeavingSign
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -246,10 +248,10 @@
 		if c := n.config.Load(); c != nil {
 			b.Query.Version = c.Version()
 		}
-		b.Evidence = n.blame.Export(now, false)
+		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
-	b.Children, b.Evidence = n.childStatuses(now), n.blame.Export(now, true)
+	b.Children, b.Evidence, b.Leaving = n.childStatuses(now), n.blame.Export(now, true), n.table.ExportLeaving(now, false)
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
 	for name := range n.hubs {
@@ -363,7 +365,8 @@
 		_, stopping := s.node.stop.state()
 		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate()}
 		// Hosts that depend on this one get what is recent, unless they are new to it.
-		reply.Evidence = s.node.blame.Export(time.Now(), b.Query == nil || b.Query.MembersFrom != s.node.self.Incarnation)
+		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
+		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
 				s.node.placing.RemoveHost(b.From.Name) // This host now merges the member's uses into its own.
@@ -391,6 +394,7 @@
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
 	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
+	n.mergeLeaving(now, b.From.Name, b.Leaving)
 	for _, c := range b.Children {
 		n.applyHostStatus(now, c)
 	}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
@@ -172,7 +174,7 @@
 		case a.Order != nil:
 			n.sendOrder(*a.Order, current[a.Order.Upstream].Address)
 		case a.Report != "":
-			n.requestReport(a.Report, current[a.Report].Address)
+			n.requestReport(current[a.Report])
 		}
 	}
 	n.alarm.Set(n.placing.Next(now))
@@ -252,8 +254,9 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		start := time.Now()
-		answer := n.platform.Order(ctx, address, o, n.self.Name, fence, func() bool { return n.holdsTerm(fence) })
+		answer, signs := n.platform.Order(ctx, address, o, n.self.Name, fence, func() bool { return n.holdsTerm(fence) })
 		n.control.Post(func() {
+			n.applySigns(time.Now(), pick.Process{Upstream: o.Upstream, Born: o.Born}, signs)
 			n.log("place").Info("order answered", "event", eventOrder, "upstream", o.Upstream, "op", o.Op.String(), "model", o.Key.Model,
 				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer.String(), "tookMS", time.Since(start).Milliseconds())
 			n.placing.ApplyAnswer(time.Now(), o, answer)
@@ -278,19 +281,20 @@
 	return holds && n.bootNow().Sub(checkedAt) < maxTermCheckAge
 }
 
-func (n *Node) requestReport(id, address string) {
+func (n *Node) requestReport(u fleet.Upstream) {
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		start := time.Now()
-		r, err := n.platform.Report(ctx, address, id)
+		r, signs, err := n.platform.Report(ctx, u.Address, u.ID)
 		n.control.Post(func() {
 			now := time.Now()
+			n.applySigns(now, pick.Process{Upstream: u.ID, Born: cmp.Or(r.Born, u.Born)}, signs)
 			if err != nil {
-				n.log("place").Info("upstream did not report its state", "event", eventReport, "upstream", id, "err", err)
-				n.placing.RecordReportFailure(now, id)
+				n.log("place").Info("upstream did not report its state", "event", eventReport, "upstream", u.ID, "err", err)
+				n.placing.RecordReportFailure(now, u.ID)
 			} else {
-				n.placing.Report(now, start, id, r)
+				n.placing.Report(now, start, u.ID, r)
 			}
 			n.schedulePlan()
 		})
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -29,11 +29,11 @@
 		Announce func(ctx context.Context, m Member) error
 		// Members returns all published hosts.
 		Members func(ctx context.Context) ([]Member, error)
-		// Order sends an order to an upstream and returns its answer. It calls permit just before it sends, and sends nothing if permit
-		// returns false.
-		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64, permit func() bool) place.Answer
-		// Report requests the state of an upstream.
-		Report func(ctx context.Context, address, upstream string) (place.Report, error)
+		// Order sends an order to an upstream and returns its answer and what it says about itself. It calls permit just before it sends,
+		// and sends nothing if permit returns false.
+		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64, permit func() bool) (place.Answer, relay.Signs)
+		// Report requests the state of an upstream. It also returns what the upstream says about itself, with an error too.
+		Report func(ctx context.Context, address, upstream string) (place.Report, relay.Signs, error)
 		// Handlers returns the HTTP handlers for the ready address and the directory address.
 		Handlers func(ready func() bool, addresses func(dataCentre string) ([]string, time.Duration)) (http.Handler, http.Handler)
 		// Dialect translates request headers between the platform and the relay.
--- /dev/null
+++ b/internal/node/signs.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
+)
+
+// recordSigns records what the upstream of an attempt says about itself.
+func (n *Node) recordSigns(t relay.Ticket, s relay.Signs) {
+	if t.Attempt.SaidLeaving() {
+		return
+	}
+	now := time.Now()
+	n.control.Post(func() { n.applySigns(now, pick.Process{Upstream: t.Choice.Upstream, Born: t.Choice.Born}, s) })
+}
+
+// applySigns applies what an upstream said about itself at the given time.
+func (n *Node) applySigns(at time.Time, p pick.Process, s relay.Signs) {
+	if !s.Leaving || !n.table.RecordLeaving(at, p) {
+		return
+	}
+	n.log("signs").Info("upstream said in an answer that it leaves", "event", eventSaidLeaving, "upstream", p.Upstream, "born", p.Born)
+	if u, ok := n.upstreams[p.Upstream]; ok && u.Born == p.Born {
+		n.pool.CloseIdle(u.Address)
+	}
+	n.applyLeaving()
+}
+
+// mergeLeaving adds what upstreams said to another host.
+func (n *Node) mergeLeaving(now time.Time, from string, list []pick.LeavingSign) {
+	if added := n.table.MergeLeaving(now, list); added > 0 {
+		n.log("signs").Info("another host reported upstreams that leave", "event", eventLeavingLearned, "from", from, "upstreams", added)
+		n.applyLeaving()
+	}
+}
+
+// applyLeaving applies the list again if it shows an upstream as usable that said that it leaves.
+func (n *Node) applyLeaving() {
+	if list := maps.Clone(n.upstreams); n.table.MarkLeaving(list) {
+		n.applyList(time.Now(), list)
+	}
+}
+
+// closedUpstreams returns the IDs of the upstreams of a service that must get no requests of this host because of what they said.
+func (n *Node) closedUpstreams(service string) []string {
+	var list []string
+	n.control.Ask(func() { list = n.table.Closed(service) })
+	return list
+}
+
+// isClosed reports whether the upstream of the service must get no requests of this host because of what it said.
+func (n *Node) isClosed(service, upstream string) bool {
+	return slices.Contains(n.closedUpstreams(service), upstream)
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -194,8 +194,9 @@
 	n.applyList(now, n.list.Current(now))
 }
 
-// applyList applies the complete list of current upstreams.
+// applyList applies the complete list of current upstreams. It sets Leaving in the entries of those that said that they leave.
 func (n *Node) applyList(now time.Time, current map[string]fleet.Upstream) {
+	n.table.MarkLeaving(current)
 	n.logListChanges(n.upstreams, current)
 	n.changes.recordChanges(n.upstreams, current)
 	n.upstreams, n.hasList = current, true
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -129,6 +129,8 @@
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
 		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo,
+		// The upstream may have said while the connection was opened that it leaves.
+		Permit: func() bool { return t.Attempt.Permitted() },
 	}
 }
 
@@ -165,6 +167,9 @@
 		return false, abandoned
 	}
 	result := a.brokenResult()
+	if errors.Is(err, conns.ErrNotPermitted) {
+		result = pick.Abandoned
+	}
 	a.relay.control.EndAttempt(a.ticket, result)
 	if sent && result == pick.Broken {
 		a.harmful = !a.relay.control.Broken(a.call, a.ticket, Progress{})
@@ -230,6 +235,9 @@
 // handleResponse relays the response, or reports why another upstream should be tried.
 func (a *attempt) handleResponse(r *conns.Response) (bool, error) {
 	class := a.relay.dialect.Classify(r.Status, r.Header)
+	if signs := a.relay.dialect.Signs(a.ticket.Choice.Upstream, r.Status, r.Header); signs != (Signs{}) {
+		a.relay.control.Signs(a.ticket, signs)
+	}
 	if class == NotRun || class == Misdirected {
 		_, err := io.Copy(io.Discard, io.LimitReader(r, maxBufferedBody))
 		result := pick.Refused
--- /dev/null
+++ b/internal/relay/signs_test.go
@@ -0,0 +1,104 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/conns"
+	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
+)
+
+// startRelay starts a relay with one route and returns its URL. Functions of c that are nil do nothing and allow everything.
+func startRelay(t *testing.T, r fleet.Route, c relay.Control) string {
+	r.Name, r.Host, r.Prefix, r.MaxAttempts, r.Targets = "r", "127.0.0.1", "/", 2, []fleet.Target{{Service: "s", Weight: 1}}
+	cfg, err := fleet.NewConfig(1, []fleet.Route{r}, []fleet.Service{{Name: "s"}}, fleet.Limits{})
+	qt.Assert(t, err, qt.IsNil)
+	c.Config = func() *fleet.Config { return cfg }
+	c.CountRequest = func(string) {}
+	c.Stopping = func() (time.Time, bool) { return time.Time{}, false }
+	c.Guard = func(*relay.Call, context.CancelCauseFunc) func() { return func() {} }
+	c.Retried = func(*relay.Call, relay.Ticket, error) {}
+	c.RecordFirst, c.Sound, c.RequestEnded = func(relay.Ticket) {}, func(*relay.Call) {}, func(relay.RequestSummary) {}
+	c.Broken = func(*relay.Call, relay.Ticket, relay.Progress) bool { return true }
+	c.Signs = func(relay.Ticket, relay.Signs) {}
+	if c.AllowRepeat == nil {
+		c.AllowRepeat = func(string) bool { return true }
+	}
+	d := relay.Dialect{
+		Decode:   func(http.Header) (relay.RequestHeaders, error) { return relay.RequestHeaders{}, nil },
+		Encode:   func(http.Header, relay.UpstreamHeaders) {},
+		Classify: func(int, http.Header) relay.ResponseClass { return relay.Final },
+		Signs:    func(string, int, http.Header) relay.Signs { return relay.Signs{} },
+	}
+	pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
+	t.Cleanup(pool.Close)
+	s := httptest.NewServer(relay.New(d, c, pool))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// startUpstreams starts upstreams a and b. It returns a table with both, and the addresses of the requests that they receive.
+func startUpstreams(t *testing.T, respond http.HandlerFunc) (*pick.Table, chan string) {
+	received := make(chan string, 100)
+	list := make(map[string]fleet.Upstream)
+	for _, id := range []string{"a", "b"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			received <- id
+			respond(w, q)
+		}))
+		t.Cleanup(s.Close)
+		list[id] = fleet.Upstream{ID: id, Born: 1, Service: "s", Address: s.Listener.Addr().String(), Slots: 8}
+	}
+	table := pick.New("")
+	table.Replace(list)
+	return table, received
+}
+
+// start starts an attempt at the upstream that the table chooses.
+func start(table *pick.Table, exclude map[string]bool) relay.Ticket {
+	q := pick.Query{Service: "s", Exclude: exclude}
+	c, _ := table.Choose(time.Now(), q)
+	return relay.Ticket{Choice: c, Attempt: table.StartAttempt(time.Now(), c, q)}
+}
+
+// TestRequestIsNotSentAfterASign guards against a request that is sent to an upstream which said after the request had been assigned to it,
+// while a connection was opened or the host was paused, that it leaves.
+func TestRequestIsNotSentAfterASign(t *testing.T) {
+	t.Parallel()
+	a := pick.Process{Upstream: "a", Born: 1}
+	for name, sign := range map[string]func(*pick.Table){
+		"leaving": func(table *pick.Table) { table.RecordLeaving(time.Now(), a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			table, received := startUpstreams(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+			results := make(chan pick.Result, 2)
+			url := startRelay(t, fleet.Route{Kind: fleet.Unsafe, Timeout: 5 * time.Second}, relay.Control{
+				Choose: func(_ context.Context, _ *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
+					ticket := start(table, exclude)
+					if ticket.Choice.Upstream == "a" {
+						sign(table)
+					}
+					return ticket, nil
+				},
+				EndAttempt: func(_ relay.Ticket, r pick.Result) { results <- r },
+			})
+			r, err := http.Get(url + "/x")
+			qt.Assert(t, err, qt.IsNil)
+			defer r.Body.Close()
+			qt.Assert(t, r.StatusCode, qt.Equals, http.StatusOK)
+			qt.Assert(t, <-received, qt.Equals, "b")
+			qt.Assert(t, received, qt.HasLen, 0)
+			qt.Assert(t, <-results, qt.Equals, pick.Abandoned, qt.Commentf("no failure of the upstream"))
+			qt.Assert(t, <-results, qt.Equals, pick.Served)
+		})
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -51,6 +51,11 @@
 		LastEvent string
 	}
 
+	// Signs is what an upstream says about itself in a response, apart from the result.
+	Signs struct {
+		Leaving bool // it stops soon and must get no further requests
+	}
+
 	// Dialect reads and writes the headers of callers and upstreams.
 	Dialect struct {
 		// Echo is the header with the request's id, which a response must return.
@@ -61,6 +66,8 @@
 		Encode func(h http.Header, o UpstreamHeaders)
 		// Classify classifies an upstream's response by its status and headers.
 		Classify func(status int, h http.Header) ResponseClass
+		// Signs reads what the upstream with the given ID says about itself in a response. They are zero if another one responded.
+		Signs func(upstream string, status int, h http.Header) Signs
 	}
 
 	// Control holds the functions of the control thread that the relay calls.
@@ -73,6 +80,8 @@
 		RecordFirst func(t Ticket)
 		// EndAttempt records the end of an attempt.
 		EndAttempt func(t Ticket, r pick.Result)
+		// Signs records what the upstream of an attempt says about itself.
+		Signs func(t Ticket, s Signs)
 		// Stuck reports whether the request should be moved to another upstream.
 		Stuck func(t Ticket, c *Call) bool
 		// AllowRepeat reports whether the request may be sent again, and counts it if so.
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -9,7 +9,7 @@
 
 // StartAttempt records the start of an attempt at the chosen upstream.
 func (t *Table) StartAttempt(now time.Time, c Choice, q Query) *Attempt {
-	a := &Attempt{choice: c, key: q.Key, startedAt: now, upstreamLastEvent: new(atomic.Int64)}
+	a := &Attempt{choice: c, key: q.Key, startedAt: now, upstreamLastEvent: new(atomic.Int64), gate: t.gate(Process{c.Upstream, c.Born})}
 	if s, ok := t.upstreams[c.Upstream]; ok {
 		a.upstreamLastEvent = s.lastEvent
 		s.inFlight[a] = true
--- /dev/null
+++ b/pkg/pick/signs.go
@@ -0,0 +1,135 @@
+package pick
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+const (
+	// signRetention is how long a sign is kept after its upstream was last listed, because an older list may bring the upstream back.
+	signRetention = 10 * time.Minute
+	// recentSignTime is how long a sign is sent again after this host learned it.
+	recentSignTime = 10 * time.Second
+	// maxLearnedSigns limits the signs that a host keeps before it ignores those of other hosts.
+	maxLearnedSigns = 4096
+)
+
+type (
+	// Process identifies one start of an upstream.
+	Process struct {
+		Upstream string
+		Born     int64 // as in Choice
+	}
+
+	// LeavingSign reports to another host that an upstream said in an answer that it leaves. The age is relative to the moment of sending,
+	// because the clocks of hosts differ.
+	LeavingSign struct {
+		Upstream string
+		Born     int64
+		Age      time.Duration
+	}
+
+	// gate is what a process of an upstream said about itself. Attempts read it when they are sent, from any goroutine.
+	gate struct {
+		leaving   atomic.Bool
+		leavingAt time.Time // when the upstream said that it leaves
+		learnedAt time.Time // when this host learned of the last sign
+		listedAt  time.Time // when the upstream was last listed with a sign
+	}
+)
+
+// RecordLeaving records that an upstream said in an answer that it leaves, and reports whether that is new. The published list can't undo
+// it.
+func (t *Table) RecordLeaving(now time.Time, p Process) bool { return t.recordLeaving(now, now, p) }
+
+func (t *Table) recordLeaving(now, at time.Time, p Process) bool {
+	g := t.gate(p)
+	if g.leaving.Load() {
+		return false
+	}
+	g.leavingAt, g.learnedAt = at, now
+	g.leaving.Store(true)
+	t.signed[p] = g
+	return true
+}
+
+// gate returns the signs of the process, which are empty for one that is unknown.
+func (t *Table) gate(p Process) *gate {
+	if s, ok := t.upstreams[p.Upstream]; ok && s.entry.Born == p.Born {
+		return s.gate
+	}
+	if g, ok := t.signed[p]; ok {
+		return g
+	}
+	return new(gate)
+}
+
+// MarkLeaving sets Leaving in the entries of upstreams that said in an answer that they leave, and reports whether any entry has changed.
+func (t *Table) MarkLeaving(list map[string]fleet.Upstream) bool {
+	changed := false
+	for p, g := range t.signed {
+		if u, ok := list[p.Upstream]; ok && u.Born == p.Born && g.leaving.Load() && !u.Leaving {
+			u.Leaving, changed = true, true
+			list[p.Upstream] = u
+		}
+	}
+	return changed
+}
+
+// Closed returns the IDs of the upstreams of the service that must get no requests because of what they said in answers, in order.
+func (t *Table) Closed(service string) []string {
+	var list []string
+	for p, g := range t.signed {
+		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g && s.entry.Service == service && !g.open() {
+			list = append(list, p.Upstream)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// ExportLeaving returns the signs to send to another host: all of them, or only those learned lately.
+func (t *Table) ExportLeaving(now time.Time, all bool) []LeavingSign {
+	var list []LeavingSign
+	for p, g := range t.signed {
+		if g.leaving.Load() && (all || now.Sub(g.learnedAt) < recentSignTime) {
+			list = append(list, LeavingSign{p.Upstream, p.Born, now.Sub(g.leavingAt)})
+		}
+	}
+	return list
+}
+
+// MergeLeaving adds the signs of another host and returns the number of new ones.
+func (t *Table) MergeLeaving(now time.Time, list []LeavingSign) int {
+	added := 0
+	for _, s := range list {
+		if s.Age >= 0 && s.Age < signRetention && len(t.signed) < maxLearnedSigns && t.recordLeaving(now, now.Add(-s.Age), Process{s.Upstream, s.Born}) {
+			added++
+		}
+	}
+	return added
+}
+
+// expireSigns drops the signs of processes that have not been listed for a while.
+func (t *Table) expireSigns(now time.Time) {
+	maps.DeleteFunc(t.signed, func(p Process, g *gate) bool {
+		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g {
+			g.listedAt = now
+		}
+		return now.Sub(g.listedAt) > signRetention && now.Sub(g.learnedAt) > signRetention
+	})
+}
+
+// open reports whether requests may be sent to the upstream.
+func (g *gate) open() bool { return !g.leaving.Load() }
+
+// Permitted reports whether the request may be sent: the upstream may have said since it was chosen that it leaves. It may be called from
+// any goroutine.
+func (a *Attempt) Permitted() bool { return a.gate.open() }
+
+// SaidLeaving reports whether the upstream is known to have said in an answer that it leaves. It may be called from any goroutine.
+func (a *Attempt) SaidLeaving() bool { return a.gate.leaving.Load() }
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -76,6 +76,7 @@
 		firstAt           time.Time     // time of the first event
 		lastEvent         atomic.Int64  // Unix nanoseconds; zero means none
 		upstreamLastEvent *atomic.Int64 // of all requests of this host at the upstream; Unix nanoseconds
+		gate              *gate
 	}
 
 	// Table holds one host's view of the upstreams. It is not safe for concurrent use.
@@ -86,6 +87,7 @@
 		peerTotals map[string]int            // sums of peers by upstream
 		sessions   map[sessionKey]session
 		meanRun    map[string]float64 // mean time from the first event to the end of an attempt by service, in seconds
+		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave
 	}
 
 	upstreamState struct {
@@ -101,6 +103,7 @@
 		avoidedUntil   time.Time
 		refusedAt      time.Time
 		lastEvent      *atomic.Int64
+		gate           *gate
 	}
 
 	learned struct {
@@ -130,7 +133,7 @@
 func New(dataCentre string) *Table {
 	return &Table{
 		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]map[string]int), peerTotals: make(map[string]int),
-		sessions: make(map[sessionKey]session), meanRun: make(map[string]float64),
+		sessions: make(map[sessionKey]session), meanRun: make(map[string]float64), signed: make(map[Process]*gate),
 	}
 }
 
@@ -149,6 +152,7 @@
 		if !ok || s.entry.Born != e.Born {
 			s = &upstreamState{
 				inFlight: make(map[*Attempt]bool), started: make(map[place.Key]int), learned: make(map[place.Key]learned), lastEvent: new(atomic.Int64),
+				gate: t.gate(Process{id, e.Born}),
 			}
 			t.upstreams[id] = s
 		}
@@ -237,7 +241,7 @@
 	var best *upstreamState
 	lowest, bestAvoided := 0.0, true
 	for id, s := range t.upstreams {
-		if s.entry.Service != q.Service || s.removed || s.entry.Leaving || q.Exclude[id] || !s.holds(now, q.Key) {
+		if !s.serves(now, q) || q.Exclude[id] || !s.gate.open() {
 			continue
 		}
 		avoided := now.Before(s.avoidedUntil) || s.silent(now)
@@ -313,6 +317,11 @@
 	return cost
 }
 
+// serves reports whether the upstream is one that may get the request, apart from Query.Exclude and what it said in answers.
+func (s *upstreamState) serves(now time.Time, q Query) bool {
+	return s.entry.Service == q.Service && !s.removed && !s.entry.Leaving && s.holds(now, q.Key)
+}
+
 // holds reports whether the upstream serves the model and adapter.
 func (s *upstreamState) holds(now time.Time, k place.Key) bool {
 	if k.Model == "" {
@@ -380,8 +389,9 @@
 	return list
 }
 
-// Expire removes old sessions, and learned loads and unloads that no longer override the published list.
+// Expire removes old sessions, learned loads and unloads that no longer override the published list, and signs that no longer count.
 func (t *Table) Expire(now time.Time) {
+	t.expireSigns(now)
 	for k, s := range t.sessions {
 		if now.Sub(s.at) > time.Minute {
 			delete(t.sessions, k)
