feat: an upstream that answers 503 with Retry-After gets no requests for so long

Callers saw the same refusal again and again: each of many waiting requests found out for itself that an upstream wanted a pause, and each refusal of an upstream cost a repeat from the common quota. When all upstreams paused, callers waited (requests for models until their deadline) or were told to return after a second, whatever the upstreams had said.

Change: the gate of an upstream process also has the end of its pause. It is read where an upstream is chosen and just before a request is sent, so that it covers second tries, resumed and moved streams and waiting requests. A later answer with a shorter time does not end an earlier pause. If all upstreams that could serve a request pause, it is refused at once with code 3016 and the shortest time that is left, rounded up; a request that may have run waits for that time if its caller does. For a model whose holders pause for longer than the caller waits, the controller finds or loads another one. The controller sends a paused upstream neither orders nor requests for reports, its forecasts include the pause, and the state of the upstream stays as known, or unknown. No upstream counts as failed or unreachable for a pause, and pauses are not shared: the upstream states them to one machine.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -43,7 +43,7 @@
 		missing = id // The controller checks whether the upstream still holds the model and is reachable.
 	}
 	for {
-		t, available, queue, err := n.tryChoose(q, c.Parts, n.queueLimit(c, exclude))
+		t, available, queue, err := n.tryChoose(q, c, n.queueLimit(c, exclude))
 		if t.Attempt != nil || err != nil {
 			return t, err
 		}
@@ -97,11 +97,11 @@
 // tryChoose chooses an upstream that can take the request now, if there is one. It also returns the number of upstreams of the
 // service that accept new work. If the queue of the best upstream is longer than the limit, it returns the expected time in the
 // queue and starts no attempt; zero means no limit.
-// The error is that of a request with a part that crashes upstreams.
-func (n *Node) tryChoose(q pick.Query, parts []uint64, limit time.Duration) (t relay.Ticket, available int, queue time.Duration, err error) {
+// The error is that of a request with a part that crashes upstreams, or of one whose upstreams all want no requests for now.
+func (n *Node) tryChoose(q pick.Query, c *relay.Call, limit time.Duration) (t relay.Ticket, available int, queue time.Duration, err error) {
 	n.control.Ask(func() {
 		now := time.Now()
-		if err = n.checkParts(now, parts); err != nil {
+		if err = n.checkParts(now, c.Parts); err != nil {
 			return
 		}
 		choice, ok := n.table.Choose(now, q)
@@ -113,6 +113,8 @@
 			}
 			queue = 0
 			t.Attempt = n.table.StartAttempt(now, choice, q)
+		} else if t.Choice.Upstream, err = n.checkPause(now, c); err != nil {
+			n.table.RecordDemand(t.Choice, q.Key)
 		}
 		available = n.table.CountAccepting(q.Service)
 	})
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -22,6 +22,7 @@
 	eventSource         = 305 // The host now reads the store itself, or relies on a hub.
 	eventOldUpdates     = 306 // The list or the configuration of this host is older than its limit, or no longer.
 	eventSaidLeaving    = 310 // An upstream said in an answer that it leaves.
+	eventPause          = 311 // An upstream answered that it wants no requests for a while.
 	eventLeavingLearned = 312 // Another host reported upstreams that said that they leave.
 	eventLease          = 400
 	eventLeaseLost      = 401
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,7 @@
 	n.relay = relay.New(p.Dialect, relay.Control{
 		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Stuck: n.stuck,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.stop.state, Retried: n.logRetry, RequestEnded: n.logEnd,
-		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, Signs: n.recordSigns,
+		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, Signs: n.recordSigns, Paused: n.paused,
 	}, pool)
 	return n
 }
--- a/internal/node/signs.go
+++ b/internal/node/signs.go
@@ -6,12 +6,16 @@
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
+// pauseStep is the unit to which a retry time is rounded up, so that no caller returns before the pause has ended.
+const pauseStep = 10 * time.Millisecond
+
 // recordSigns records what the upstream of an attempt says about itself.
 func (n *Node) recordSigns(t relay.Ticket, s relay.Signs) {
-	if t.Attempt.SaidLeaving() {
+	if s.Pause == 0 && t.Attempt.SaidLeaving() {
 		return
 	}
 	now := time.Now()
@@ -20,6 +24,12 @@
 
 // applySigns applies what an upstream said about itself at the given time.
 func (n *Node) applySigns(at time.Time, p pick.Process, s relay.Signs) {
+	if s.Pause > 0 {
+		n.table.RecordPause(at, p, s.Pause)
+		n.placing.Pause(p.Upstream, p.Born, at.Add(s.Pause))
+		n.log("signs").Info("upstream wants no requests for a while", "event", eventPause, "upstream", p.Upstream, "born", p.Born,
+			"pauseMS", s.Pause.Milliseconds())
+	}
 	if !s.Leaving || !n.table.RecordLeaving(at, p) {
 		return
 	}
@@ -45,10 +55,28 @@
 	}
 }
 
+// paused returns an error if all upstreams that could serve the request want none for now. Requests for a model of which the pause outlasts
+// the caller's patience get no error: the controller may find or load the model elsewhere.
+func (n *Node) paused(c *relay.Call) error {
+	var err error
+	n.control.Ask(func() { _, err = n.checkPause(time.Now(), c) })
+	return err
+}
+
+// checkPause is paused on the control thread. It also returns the upstream that accepts requests first.
+func (n *Node) checkPause(now time.Time, c *relay.Call) (string, error) {
+	pause, first := n.table.Pause(now, pick.Query{Service: c.Service, Key: c.Key})
+	if pause == 0 || c.Key.Model != "" && now.Add(pause).After(c.AbandonAt) {
+		return "", nil
+	}
+	return first, codes.Newf(codes.UpstreamsPaused, "%s is the first that accepts requests again", first).
+		WithRetryAfter(pause.Truncate(pauseStep) + pauseStep)
+}
+
 // closedUpstreams returns the IDs of the upstreams of a service that must get no requests of this host because of what they said.
 func (n *Node) closedUpstreams(service string) []string {
 	var list []string
-	n.control.Ask(func() { list = n.table.Closed(service) })
+	n.control.Ask(func() { list = n.table.Closed(time.Now(), service) })
 	return list
 }
 
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -93,3 +93,15 @@
 	n.applySigns(time.Now(), pick.Process{Upstream: "u", Born: 1}, relay.Signs{Leaving: true})
 	qt.Assert(t, n.placing.BestUpstream(time.Now(), p), qt.Equals, place.Forecast{})
 }
+
+// TestPauseIsNotPassedOn guards against an upstream that is lost to all hosts because it wants no requests of one.
+func TestPauseIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	n.applyList(time.Now(), map[string]fleet.Upstream{"u": listedUpstream(1)})
+	n.applySigns(time.Now(), pick.Process{Upstream: "u", Born: 1}, relay.Signs{Pause: time.Minute})
+	qt.Assert(t, choosable(n), qt.IsFalse)
+	b, _ := n.heartbeat(0)
+	qt.Assert(t, b.Leaving, qt.HasLen, 0)
+	qt.Assert(t, n.buildFeed("other", FeedQuery{}).Put[0].Leaving, qt.IsFalse)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,6 +73,7 @@
 		eventsBefore  int    // number of events of earlier attempts
 		release       func() // ends the guard of the attempt
 		harmful       bool   // whether the request may have ended its upstream and must not be sent to another one
+		signs         Signs  // what the upstream said about itself
 	}
 )
 
@@ -130,7 +131,7 @@
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
 		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo,
 		// The upstream may have said while the connection was opened that it leaves.
-		Permit: func() bool { return t.Attempt.Permitted() },
+		Permit: func() bool { return t.Attempt.Permitted(time.Now()) },
 	}
 }
 
@@ -235,8 +236,8 @@
 // handleResponse relays the response, or reports why another upstream should be tried.
 func (a *attempt) handleResponse(r *conns.Response) (bool, error) {
 	class := a.relay.dialect.Classify(r.Status, r.Header)
-	if signs := a.relay.dialect.Signs(a.ticket.Choice.Upstream, r.Status, r.Header); signs != (Signs{}) {
-		a.relay.control.Signs(a.ticket, signs)
+	if a.signs = a.relay.dialect.Signs(a.ticket.Choice.Upstream, r.Status, r.Header); a.signs != (Signs{}) {
+		a.relay.control.Signs(a.ticket, a.signs)
 	}
 	if class == NotRun || class == Misdirected {
 		_, err := io.Copy(io.Discard, io.LimitReader(r, maxBufferedBody))
@@ -258,7 +259,7 @@
 	}
 	if class == Failed && a.mayRepeat() && a.relay.control.AllowRepeat(a.call.Service) {
 		a.repeatGranted = true
-		a.relay.control.EndAttempt(a.ticket, pick.Errored)
+		a.relay.control.EndAttempt(a.ticket, a.failedResult())
 		return true, codes.New(codes.UpstreamFailed, "status "+strconv.Itoa(r.Status))
 	}
 	if a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices {
@@ -267,6 +268,14 @@
 	return a.relayBuffered(r, class)
 }
 
+// failedResult returns the result of an attempt whose response is an error. An upstream that only wants a pause has not failed.
+func (a *attempt) failedResult() pick.Result {
+	if a.signs.Pause > 0 {
+		return pick.Refused
+	}
+	return pick.Errored
+}
+
 // handleBroken classifies an incomplete or malformed response.
 func (a *attempt) handleBroken(err error) (bool, error) {
 	if abandoned := a.abandonedError(); abandoned != nil {
@@ -316,7 +325,7 @@
 	}
 	result := pick.Served
 	if class == Failed {
-		result = pick.Errored
+		result = a.failedResult()
 	} else {
 		a.relay.control.Sound(a.call)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,6 +119,9 @@
 	for refusals := 0; ; {
 		x.repeatGranted = false
 		t, err := x.relay.control.Choose(ctx, x.call, exclude)
+		if x.awaitPause(ctx, err) {
+			continue
+		}
 		if err != nil {
 			return x.noUpstreamError(ctx, err)
 		}
@@ -131,6 +134,9 @@
 		switch {
 		case codes.Is(err, codes.UpstreamRefused):
 			refusals++
+			if paused := x.allPaused(); paused != nil {
+				return paused
+			}
 		case codes.Is(err, codes.NoUpstream):
 			x.repeatGranted = true // Nothing reached an upstream, so the next attempt is not a repeat.
 		}
@@ -160,6 +166,36 @@
 	}
 }
 
+// allPaused returns an error if the request can still be refused and all upstreams want no requests for now.
+func (x *exchange) allPaused() error {
+	if x.mayHaveRun {
+		return nil
+	}
+	return x.relay.control.Paused(x.call)
+}
+
+// awaitPause waits until an upstream accepts requests again, if err says when, the caller still waits then, and the request can no longer
+// be refused. It reports whether another upstream should be chosen.
+func (x *exchange) awaitPause(ctx context.Context, err error) bool {
+	if !x.mayHaveRun || !codes.Is(err, codes.UpstreamsPaused) {
+		return false
+	}
+	limit := x.call.AbandonAt
+	if x.headSent {
+		limit = x.call.Deadline
+	}
+	pause := codes.From(err).RetryAfter()
+	if time.Now().Add(pause).After(limit) {
+		return false
+	}
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // checkStopping returns an error for a request that cannot be finished before the process exits.
 func (x *exchange) checkStopping() error {
 	until, stopping := x.relay.control.Stopping()
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -53,7 +53,8 @@
 
 	// Signs is what an upstream says about itself in a response, apart from the result.
 	Signs struct {
-		Leaving bool // it stops soon and must get no further requests
+		Leaving bool          // it stops soon and must get no further requests
+		Pause   time.Duration // how long it wants no requests of this host; zero means that it does not pause
 	}
 
 	// Dialect reads and writes the headers of callers and upstreams.
@@ -82,6 +83,8 @@
 		EndAttempt func(t Ticket, r pick.Result)
 		// Signs records what the upstream of an attempt says about itself.
 		Signs func(t Ticket, s Signs)
+		// Paused returns an error with the Retry-After time if all upstreams that could serve the request want none for now.
+		Paused func(c *Call) error
 		// Stuck reports whether the request should be moved to another upstream.
 		Stuck func(t Ticket, c *Call) bool
 		// AllowRepeat reports whether the request may be sent again, and counts it if so.
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -40,6 +40,7 @@
 	CallerLeft      Code = 3012
 	UpstreamRefused Code = 3013
 	CrashingPart    Code = 3014
+	UpstreamsPaused Code = 3016
 
 	UpstreamFailed  Code = 4001
 	UpstreamUnknown Code = 4002
@@ -116,6 +117,7 @@
 		{CallerLeft, "caller closed the connection", Unknown, 499, 4},
 		{UpstreamRefused, "upstream refused the request without running it", NotRun, http.StatusServiceUnavailable, 4},
 		{CrashingPart, "a part of the prompt crashes upstreams", NotRun, http.StatusServiceUnavailable, 4},
+		{UpstreamsPaused, "upstreams want no requests for now", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamFailed, "upstream failed while running the request", Ran, http.StatusBadGateway, 5},
 		{UpstreamUnknown, "upstream's answer is missing", Unknown, http.StatusGatewayTimeout, 5},
 		{StreamBroken, "answer ended early", Ran, http.StatusBadGateway, 5},
--- a/pkg/pick/signs.go
+++ b/pkg/pick/signs.go
@@ -35,10 +35,11 @@
 
 	// gate is what a process of an upstream said about itself. Attempts read it when they are sent, from any goroutine.
 	gate struct {
-		leaving   atomic.Bool
-		leavingAt time.Time // when the upstream said that it leaves
-		learnedAt time.Time // when this host learned of the last sign
-		listedAt  time.Time // when the upstream was last listed with a sign
+		leaving     atomic.Bool
+		pausedUntil atomic.Pointer[time.Time] // nil means that the upstream never paused
+		leavingAt   time.Time                 // when the upstream said that it leaves
+		learnedAt   time.Time                 // when this host learned of the last sign
+		listedAt    time.Time                 // when the upstream was last listed with a sign
 	}
 )
 
@@ -57,6 +58,17 @@
 	return true
 }
 
+// RecordPause records that an upstream wants no requests of this host for the given time. An earlier pause that ends later stays in force.
+func (t *Table) RecordPause(now time.Time, p Process, d time.Duration) {
+	g, until := t.gate(p), now.Add(d)
+	if old := g.pausedUntil.Load(); old != nil && old.After(until) {
+		return
+	}
+	g.learnedAt = now
+	g.pausedUntil.Store(&until)
+	t.signed[p] = g
+}
+
 // gate returns the signs of the process, which are empty for one that is unknown.
 func (t *Table) gate(p Process) *gate {
 	if s, ok := t.upstreams[p.Upstream]; ok && s.entry.Born == p.Born {
@@ -80,11 +92,30 @@
 	return changed
 }
 
+// Pause returns the shortest time until an upstream accepts the request, and its ID, if all that could serve it want no requests for now;
+// otherwise the time is zero.
+func (t *Table) Pause(now time.Time, q Query) (time.Duration, string) {
+	shortest, first := time.Duration(0), ""
+	for id, s := range t.upstreams {
+		if !s.serves(now, q) {
+			continue
+		}
+		d := s.gate.pause(now)
+		if d == 0 {
+			return 0, ""
+		}
+		if first == "" || d < shortest || d == shortest && id < first {
+			shortest, first = d, id
+		}
+	}
+	return shortest, first
+}
+
 // Closed returns the IDs of the upstreams of the service that must get no requests because of what they said in answers, in order.
-func (t *Table) Closed(service string) []string {
+func (t *Table) Closed(now time.Time, service string) []string {
 	var list []string
 	for p, g := range t.signed {
-		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g && s.entry.Service == service && !g.open() {
+		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g && s.entry.Service == service && !g.open(now) {
 			list = append(list, p.Upstream)
 		}
 	}
@@ -114,22 +145,34 @@
 	return added
 }
 
-// expireSigns drops the signs of processes that have not been listed for a while.
+// expireSigns drops the signs of processes that have not been listed for a while, and pauses that have ended.
 func (t *Table) expireSigns(now time.Time) {
 	maps.DeleteFunc(t.signed, func(p Process, g *gate) bool {
 		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g {
 			g.listedAt = now
 		}
+		if !g.leaving.Load() {
+			return g.open(now)
+		}
 		return now.Sub(g.listedAt) > signRetention && now.Sub(g.learnedAt) > signRetention
 	})
 }
 
 // open reports whether requests may be sent to the upstream.
-func (g *gate) open() bool { return !g.leaving.Load() }
+func (g *gate) open(now time.Time) bool { return !g.leaving.Load() && g.pause(now) == 0 }
+
+// pause returns for how long the upstream wants no requests.
+func (g *gate) pause(now time.Time) time.Duration {
+	until := g.pausedUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(until.Sub(now), 0)
+}
 
-// Permitted reports whether the request may be sent: the upstream may have said since it was chosen that it leaves. It may be called from
-// any goroutine.
-func (a *Attempt) Permitted() bool { return a.gate.open() }
+// Permitted reports whether the request may be sent now: the upstream may have said since it was chosen that it leaves or wants no
+// requests. It may be called from any goroutine.
+func (a *Attempt) Permitted(now time.Time) bool { return a.gate.open(now) }
 
 // SaidLeaving reports whether the upstream is known to have said in an answer that it leaves. It may be called from any goroutine.
 func (a *Attempt) SaidLeaving() bool { return a.gate.leaving.Load() }
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -87,7 +87,7 @@
 		peerTotals map[string]int            // sums of peers by upstream
 		sessions   map[sessionKey]session
 		meanRun    map[string]float64 // mean time from the first event to the end of an attempt by service, in seconds
-		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave
+		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave or pause
 	}
 
 	upstreamState struct {
@@ -241,7 +241,7 @@
 	var best *upstreamState
 	lowest, bestAvoided := 0.0, true
 	for id, s := range t.upstreams {
-		if !s.serves(now, q) || q.Exclude[id] || !s.gate.open() {
+		if !s.serves(now, q) || q.Exclude[id] || !s.gate.open(now) {
 			continue
 		}
 		avoided := now.Before(s.avoidedUntil) || s.silent(now)
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -397,6 +397,30 @@
 	qt.Assert(t, list[0].Key.Model, qt.Equals, "m2")
 }
 
+// TestPausedUpstreamGetsNoOrders guards against orders and requests for reports to an upstream that wants none for a while, against a
+// forecast that ignores that time, and against an upstream that counts as unreachable for it.
+func TestPausedUpstreamGetsNoOrders(t *testing.T) {
+	c := controller(engine(2), start, map[string]fleet.Upstream{"u": upstream("u", "m0")})
+	c.Pause("u", 2, start.Add(time.Hour)) // of another start of the upstream
+	c.Plan(start)
+	now := start.Add(time.Second)
+	c.Report(now, now, "u", place.Report{Born: 1, Held: []fleet.Held{{Model: "m0"}}})
+	until := now.Add(20 * time.Second)
+	c.Pause("u", 1, until)
+	c.Pause("u", 1, until.Add(-time.Second))
+	c.RecordReportFailure(now, "u")
+	qt.Assert(t, addRequest(c, now, "m0", "").Upstream, qt.Equals, "u", qt.Commentf("other hosts may use it"))
+	for ; now.Before(until); now = now.Add(time.Second) {
+		ready := addRequest(c, now, "m1", "").ReadyAt
+		qt.Assert(t, !ready.Before(until.Add(6*time.Second)), qt.IsTrue, qt.Commentf("ready %v after the pause", ready.Sub(until)))
+		qt.Assert(t, c.Plan(now), qt.HasLen, 0)
+		qt.Assert(t, c.Next(now).After(until), qt.IsFalse)
+	}
+	actions := c.Plan(now)
+	qt.Assert(t, orders(actions), qt.HasLen, 1)
+	qt.Assert(t, actions[0].Order.Key.Model, qt.Equals, "m1")
+}
+
 // TestAvoidedHolderIsNoPlaceToWait guards against a request that is sent back to an upstream that its host must not use, or waits for it,
 // although the model can be loaded elsewhere.
 func TestAvoidedHolderIsNoPlaceToWait(t *testing.T) {
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -69,7 +69,7 @@
 		if u.load != nil && !u.load.fromStore {
 			due = u.load.due.Add(diskMargin)
 		}
-		for _, t := range []time.Time{u.reportAt, u.notBefore, due} {
+		for _, t := range []time.Time{u.reportAt, u.notBefore, u.pausedUntil, due} {
 			if t.After(now) && t.Before(next) {
 				next = t
 			}
@@ -230,7 +230,7 @@
 
 // acceptsOrder reports whether an order can be sent to the upstream now.
 func (c *Controller) acceptsOrder(now time.Time, u *upstream) bool {
-	return u.known && u.order == nil && u.usable() && !now.Before(u.notBefore)
+	return u.known && u.order == nil && u.usable() && !now.Before(u.notBefore) && !u.paused(now)
 }
 
 func (c *Controller) appendOrder(now time.Time, u *upstream, op Op, k Key, actions []Action) []Action {
@@ -277,7 +277,7 @@
 // planReports requests the reports that are due.
 func (c *Controller) planReports(now time.Time, actions []Action) []Action {
 	for _, u := range c.sortedUpstreams() {
-		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.requestedAt.IsZero() || u.order != nil {
+		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.requestedAt.IsZero() || u.order != nil || u.paused(now) {
 			continue
 		}
 		u.reportAt = time.Time{}
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -96,15 +96,24 @@
 	u.load = nil
 }
 
-// RecordReportFailure records that a request for a report failed. The upstream counts as unreachable until its next report.
+// RecordReportFailure records that a request for a report failed. The upstream counts as unreachable until its next report, unless it only
+// wants no requests for now.
 func (c *Controller) RecordReportFailure(now time.Time, id string) {
 	if u, ok := c.upstreams[id]; ok {
 		u.requestedAt = time.Time{}
-		u.unreachable = true
+		u.unreachable = u.unreachable || !u.paused(now)
 		u.reportAt = now.Add(2 * reportRetry)
 	}
 }
 
+// Pause records that a process of an upstream wants neither orders nor requests for reports until the given time. What it holds is known
+// from the published state meanwhile.
+func (c *Controller) Pause(id string, born int64, until time.Time) {
+	if u, ok := c.upstreams[id]; ok && u.entry.Born == born && until.After(u.pausedUntil) {
+		u.pausedUntil = until
+	}
+}
+
 // checkOverdue corrects the forecasts if a load that is still in progress is overdue.
 func (c *Controller) checkOverdue(now time.Time, l *load) {
 	if l.fromStore && c.speed.recordOverdue(l.concurrent, now.Sub(l.acceptedAt), l.fullSpeedTime) {
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -42,6 +42,7 @@
 		conflicts     int
 		unanswered    int       // number of consecutive orders without an answer
 		notBefore     time.Time // earliest time of the next order
+		pausedUntil   time.Time // until when the upstream wants neither orders nor requests for reports
 		reportAt      time.Time // when to request the next report; zero means none
 		requestedAt   time.Time // when the outstanding report was requested; zero means none
 		failedAt      time.Time // when a load last failed or an order was last refused
@@ -169,6 +170,9 @@
 // usable reports whether the upstream accepts new requests and orders.
 func (u *upstream) usable() bool { return !u.entry.Leaving && !u.unreachable }
 
+// paused reports whether the upstream wants neither orders nor requests for reports.
+func (u *upstream) paused(now time.Time) bool { return now.Before(u.pausedUntil) }
+
 // hasUnloadingAdapter reports whether the unload of any adapter waits for the adapter's last requests.
 func (u *upstream) hasUnloadingAdapter() bool {
 	for _, r := range u.replicas {
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -169,6 +169,11 @@
 
 // waitTime returns the expected time until the upstream accepts an order.
 func (c *Controller) waitTime(now time.Time, u *upstream) time.Duration {
+	return max(c.busyTime(now, u), u.pausedUntil.Sub(now))
+}
+
+// busyTime is waitTime of an upstream that does not pause.
+func (c *Controller) busyTime(now time.Time, u *upstream) time.Duration {
 	switch {
 	case u.load != nil:
 		return max(u.load.due.Sub(now), minLoadWait)
