--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -220,8 +220,9 @@
 	}
 }
 
-// applyList applies the complete list of current upstreams.
+// applyList applies the complete list of current upstreams. It sets Leaving in the entries of those that said that they leave.
 func (n *Node) applyList(now time.Time, current map[string]fleet.Upstream) {
+	n.table.MarkLeaving(current)
 	n.logListChanges(n.upstreams, current)
 	n.changes.recordChanges(n.upstreams, current)
 	n.upstreams, n.hasList = current, true
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,6 +83,7 @@
 		resumable     atomic.Bool // whether another upstream could continue the stream
 		release       func()      // ends the guard of the attempt
 		harmful       bool        // whether the request may have ended its upstream and must not be sent to another one
+		signs         Signs       // what the upstream said about itself
 	}
 )
 
@@ -146,10 +147,12 @@
 	if !x.call.Route.Repeatable() {
 		maxIdle = maxIdleUnrepeatable
 	}
-	permit := func() bool { return !x.caller.gone() }
+	stays := func() bool { return !x.caller.gone() }
 	if x.call.Route.Kind == fleet.Unsafe {
-		permit = x.caller.keep // An upstream may drop the work on a request whose connection ends, and it may not be repeated.
+		stays = x.caller.keep // An upstream may drop the work on a request whose connection ends, and it may not be repeated.
 	}
+	// The upstream may have said while the connection was opened that it leaves.
+	permit := func() bool { return t.Attempt.Permitted(time.Now()) && stays() }
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
 		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo, Permit: permit,
@@ -216,6 +219,9 @@
 		return false, abandoned
 	}
 	result := a.brokenResult()
+	if errors.Is(err, conns.ErrNotPermitted) {
+		result = pick.Abandoned
+	}
 	a.relay.control.EndAttempt(a.ticket, result)
 	if sent && result == pick.Broken {
 		a.harmful = !a.relay.control.Broken(a.call, a.ticket, Progress{})
@@ -281,6 +287,9 @@
 // handleResponse relays the response, or reports why another upstream should be tried.
 func (a *attempt) handleResponse(r *conns.Response) (bool, error) {
 	class := a.relay.dialect.Classify(r.Status, r.Header)
+	if a.signs = a.relay.dialect.Signs(a.ticket.Choice.Upstream, r.Status, r.Header); a.signs != (Signs{}) {
+		a.relay.control.Signs(a.ticket, a.signs)
+	}
 	if class == NotRun || class == Misdirected {
 		_, err := io.Copy(io.Discard, io.LimitReader(r, maxBufferedBody))
 		result := pick.Refused
@@ -301,7 +310,7 @@
 	}
 	if class == Failed && a.mayRepeat() && a.relay.control.AllowRepeat(a.call.Service) {
 		a.repeatGranted = true
-		a.relay.control.EndAttempt(a.ticket, pick.Errored)
+		a.relay.control.EndAttempt(a.ticket, a.failedResult())
 		return true, codes.New(codes.UpstreamFailed, "status "+strconv.Itoa(r.Status))
 	}
 	stream := a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices && isEventStream(r.Header)
@@ -339,6 +348,14 @@
 	return false, codes.New(codes.UpstreamFailed, err.Error())
 }
 
+// failedResult returns the result of an attempt whose response is an error. An upstream that only wants a pause has not failed.
+func (a *attempt) failedResult() pick.Result {
+	if a.signs.Pause > 0 {
+		return pick.Refused
+	}
+	return pick.Errored
+}
+
 // handleBroken classifies an incomplete or malformed response.
 func (a *attempt) handleBroken(err error) (bool, error) {
 	if abandoned := a.abandonedError(); abandoned != nil {
@@ -388,7 +405,7 @@
 	}
 	result := pick.Served
 	if class == Failed {
-		result = pick.Errored
+		result = a.failedResult()
 	} else {
 		a.relay.control.Sound(a.call)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -27,6 +27,7 @@
 		}
 		return relay.Final
 	},
+	Signs: func(string, int, http.Header) relay.Signs { return relay.Signs{} },
 }
 
 // newControl returns the functions of a host with one route of the kind, whose attempts go to the address.
@@ -38,7 +39,7 @@
 	return relay.Control{
 		Config: func() *fleet.Config { return cfg },
 		Choose: func(context.Context, *relay.Call, map[string]bool) (relay.Ticket, error) {
-			return relay.Ticket{Choice: pick.Choice{Upstream: "u", Address: address}, Attempt: new(pick.Attempt)}, nil
+			return newTicket("u", address), nil
 		},
 		RecordFirst: func(relay.Ticket) {}, EndAttempt: func(relay.Ticket, pick.Result) {}, AllowRepeat: func(string) bool { return false },
 		CountRequest: func(string) {}, Stopping: func() (time.Time, bool) { return time.Time{}, false },
@@ -47,9 +48,16 @@
 		Sound:       func(*relay.Call) {},
 		Guard:       func(*relay.Call, context.CancelCauseFunc) func() { return func() {} },
 		CallerInput: func(*http.Request) string { return "" },
+		Paused:      func(*relay.Call) error { return nil },
 	}
 }
 
+// newTicket starts an attempt at an upstream.
+func newTicket(upstream, address string) relay.Ticket {
+	c := pick.Choice{Upstream: upstream, Address: address}
+	return relay.Ticket{Choice: c, Attempt: pick.New("").StartAttempt(time.Now(), c, pick.Query{})}
+}
+
 // TestPanicIsAnswered guards against a request whose handler panics: net/http closes its connection without a response, its upstream seems to
 // work on it for good, and nothing counts it.
 func TestPanicIsAnswered(t *testing.T) {
@@ -122,7 +130,7 @@
 		return first(ctx, call, exclude)
 	}
 	k.Move = func(relay.Ticket, *relay.Call) (relay.Ticket, error) {
-		return relay.Ticket{Choice: pick.Choice{Upstream: "full", Address: full.Listener.Addr().String()}, Attempt: new(pick.Attempt)}, nil
+		return newTicket("full", full.Listener.Addr().String()), nil
 	}
 	k.AllowRepeat = func(string) bool { return true }
 	k.Silent = func(*relay.Call, relay.Ticket, relay.Ticket, error) {}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -56,6 +56,12 @@
 		LastEvent string
 	}
 
+	// Signs is what an upstream says about itself in a response, apart from the result.
+	Signs struct {
+		Leaving bool          // it stops soon and must get no further requests
+		Pause   time.Duration // how long it wants no requests of this host; zero means that it does not pause
+	}
+
 	// Dialect reads and writes the headers of callers and upstreams.
 	Dialect struct {
 		// Echo is the header with the request's id, which a response must return.
@@ -66,6 +72,8 @@
 		Encode func(h http.Header, o UpstreamHeaders)
 		// Classify classifies an upstream's response by its status and headers.
 		Classify func(status int, h http.Header) ResponseClass
+		// Signs reads what the upstream with the given ID says about itself in a response. They are zero if another one responded.
+		Signs func(upstream string, status int, h http.Header) Signs
 	}
 
 	// Control holds the functions of the control thread that the relay calls.
@@ -78,6 +86,10 @@
 		RecordFirst func(t Ticket)
 		// EndAttempt records the end of an attempt.
 		EndAttempt func(t Ticket, r pick.Result)
+		// Signs records what the upstream of an attempt says about itself.
+		Signs func(t Ticket, s Signs)
+		// Paused returns an error with the Retry-After time if all upstreams that could serve the request want none for now.
+		Paused func(c *Call) error
 		// Move returns another upstream for a request whose upstream is silent. It has counted the repeat and reserved that upstream. It fails
 		// with ErrNotStuck, or tells why the request has to stay where it is.
 		Move func(t Ticket, c *Call) (Ticket, error)
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -41,6 +41,7 @@
 	UpstreamRefused Code = 3013
 	CrashingPart    Code = 3014
 	NotConfigured   Code = 3015
+	UpstreamsPaused Code = 3016
 
 	UpstreamFailed  Code = 4001
 	UpstreamUnknown Code = 4002
@@ -118,6 +119,7 @@
 		{UpstreamRefused, "upstream refused the request without running it", NotRun, http.StatusServiceUnavailable, 4},
 		{CrashingPart, "a part of the prompt crashes upstreams", NotRun, http.StatusServiceUnavailable, 4},
 		{NotConfigured, "model is not in the configuration", NotRun, http.StatusServiceUnavailable, 4},
+		{UpstreamsPaused, "upstreams want no requests for now", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamFailed, "upstream failed while running the request", Ran, http.StatusBadGateway, 5},
 		{UpstreamUnknown, "upstream's answer is missing", Unknown, http.StatusGatewayTimeout, 5},
 		{StreamBroken, "answer ended early", Ran, http.StatusBadGateway, 5},
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -69,7 +69,7 @@
 		if u.load != nil && !u.load.fromStore {
 			due = u.load.due.Add(diskMargin)
 		}
-		for _, t := range []time.Time{u.reportAt, u.notBefore, due} {
+		for _, t := range []time.Time{u.reportAt, u.notBefore, u.pausedUntil, due} {
 			if t.After(now) && t.Before(next) {
 				next = t
 			}
@@ -129,15 +129,17 @@
 		key      Key
 		count    int
 		deadline time.Time
+		avoid    []string // upstreams that none of the requests can use
 	}
 	needs := make(map[Key]*need)
 	for _, p := range c.pending {
 		n, ok := needs[p.Key]
 		if !ok {
-			n = &need{service: p.Service, key: p.Key, deadline: p.Deadline}
+			n = &need{service: p.Service, key: p.Key, deadline: p.Deadline, avoid: p.Avoid}
 			needs[p.Key] = n
 		}
 		n.count++
+		n.avoid = slices.DeleteFunc(slices.Clone(n.avoid), func(id string) bool { return !slices.Contains(p.Avoid, id) })
 		if p.Deadline.Before(n.deadline) {
 			n.deadline = p.Deadline
 		}
@@ -153,7 +155,7 @@
 		if _, ok := e.Models[n.key.Model]; !ok {
 			continue
 		}
-		holders := c.holders(n.service, n.key.Model)
+		holders := slices.DeleteFunc(c.holders(n.service, n.key.Model), func(u *upstream) bool { return slices.Contains(n.avoid, u.entry.ID) })
 		switch {
 		case len(holders) == 0:
 			if c.plan.loading[n.key.Model] == 0 {
@@ -228,7 +230,7 @@
 
 // acceptsOrder reports whether an order can be sent to the upstream now.
 func (c *Controller) acceptsOrder(now time.Time, u *upstream) bool {
-	return u.known && u.order == nil && u.usable() && !now.Before(u.notBefore)
+	return u.known && u.order == nil && u.usable() && !now.Before(u.notBefore) && !u.paused(now)
 }
 
 func (c *Controller) appendOrder(now time.Time, u *upstream, op Op, k Key, actions []Action) []Action {
@@ -275,7 +277,7 @@
 // planReports requests the reports that are due.
 func (c *Controller) planReports(now time.Time, actions []Action) []Action {
 	for _, u := range c.sortedUpstreams() {
-		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.requestedAt.IsZero() || u.order != nil {
+		if u.reportAt.IsZero() || now.Before(u.reportAt) || !u.requestedAt.IsZero() || u.order != nil || u.paused(now) {
 			continue
 		}
 		u.reportAt = time.Time{}
