fix(relay): a caller that stops taking a large response does not count against the upstream

What callers saw: other requests were kept away from a sound upstream for up to 5 s, because a write to one caller had failed; the log said that the upstream had broken off (code 4003, event 204).

Cause: io.Copy returns the errors of reads and writes alike, and the relay took each for the upstream's.

Evidence: TestFailedWriteIsNotTheUpstreams on the code before: result Broken and code 4003 in place of Abandoned and 3012.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -347,7 +347,12 @@
 		return false, codes.New(codes.CallerLeft, err.Error())
 	}
 	if len(body) == maxBufferedBody {
-		rest, err := io.Copy(a.writer, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+		caller := &errorWriter{Writer: a.writer}
+		rest, err := io.Copy(caller, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+		if caller.err != nil {
+			a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
+			return false, codes.New(codes.CallerLeft, caller.err.Error())
+		}
 		if err == nil && rest == maxRelayedBody-maxBufferedBody {
 			err = errEndlessBody
 		}
@@ -366,6 +371,19 @@
 	return false, nil
 }
 
+// errorWriter keeps the error of a failed write, to tell it from the error of a read.
+type errorWriter struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *errorWriter) Write(b []byte) (n int, err error) {
+	n, err = w.Writer.Write(b)
+	w.err = errors.CombineErrors(w.err, err)
+	return n, err
+}
+
 // writeHead sends the upstream's status and headers to the caller. With complete, length is the length of the whole body; otherwise
 // length is ignored.
 func (a *attempt) writeHead(r *conns.Response, complete bool, length int64) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fireflycleat/fireflycleat/internal/conns"
@@ -143,3 +144,37 @@
 	c.Check(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("after %v", time.Since(began)))
 	c.Check((<-ended).Attempts, qt.Equals, 2)
 }
+
+// lateWriter is a response writer whose caller accepts only the first bytes of a body.
+type lateWriter struct {
+	*httptest.ResponseRecorder
+	room int
+}
+
+func (w *lateWriter) Write(b []byte) (int, error) {
+	if w.room -= len(b); w.room < 0 {
+		return 0, errors.New("connection timed out")
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+// TestFailedWriteIsNotTheUpstreams guards against an upstream that is avoided as broken because a caller stopped taking a large response.
+func TestFailedWriteIsNotTheUpstreams(t *testing.T) {
+	c := qt.New(t)
+	const size = 1 << 20
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, size)) }))
+	defer upstream.Close()
+	k := newControl(c, fleet.Safe, upstream.Listener.Addr().String())
+	var result pick.Result
+	var ended relay.RequestSummary
+	k.EndAttempt = func(_ relay.Ticket, r pick.Result) { result = r }
+	k.RequestEnded = func(s relay.RequestSummary) { ended = s }
+	pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
+	defer pool.Close()
+	q := httptest.NewRequest(http.MethodGet, "http://a/x", nil)
+	c.Check(func() {
+		relay.New(dialect, k, pool).ServeHTTP(&lateWriter{httptest.NewRecorder(), size / 2}, q)
+	}, qt.PanicMatches, http.ErrAbortHandler.Error())
+	c.Check(result, qt.Equals, pick.Abandoned)
+	c.Check(ended.Code, qt.Equals, codes.CallerLeft)
+}
