feat(node): log the era of the store and refused lease records and fences

Logs could not tell whether a host ignored the lease record of a restored store or the store refused its appends. No decision depends on the era yet.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -21,11 +21,15 @@
 	eventMemberFound    = 304
 	eventSource         = 305 // The host now reads the store itself, or relies on a hub.
 	eventOldUpdates     = 306 // The list or the configuration of this host is older than its limit, or no longer.
+	eventReturned       = 307 // The store came back from a copy.
 	eventLease          = 400
 	eventLeaseLost      = 401
 	eventOrder          = 402
 	eventReport         = 403
 	eventLoaded         = 404
+	eventLeaseAppend    = 405 // The log refused a lease record because it ends elsewhere.
+	eventLeaseOlder     = 406 // A lease record was ignored because a later one is known.
+	eventFenceRefused   = 407
 	eventCrash          = 500 // An upstream ended as it began to answer a request.
 	eventCrashLearned   = 501 // Another host sent evidence of such crashes.
 	eventTrial          = 502 // A request is sent although requests with its parts crashed upstreams.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,7 +114,8 @@
 		blame             *blame.Ledger
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
-		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
+		storeEra          int64 // as of the last tick
+		oldUpdates        bool  // whether the list or the configuration was older than its limit at the last tick
 	}
 )
 
@@ -292,6 +293,7 @@
 	n.updateReady()
 	n.chooseSource()
 	n.logOldUpdates()
+	n.observeEra()
 	if n.tickCount++; n.tickCount%gaugeTicks == 0 {
 		n.recordGauges()
 	}
--- a/internal/node/outage.go
+++ b/internal/node/outage.go
@@ -62,3 +62,15 @@
 	}
 	return time.Duration(float64(n.poll.probeInterval) * (1 - rand.Float64()/4)) //nolint:gosec // need not be unpredictable
 }
+
+// observeEra logs when an answer of the store shows that it came back from a copy.
+func (n *Node) observeEra() {
+	if n.platform.Era == nil {
+		return
+	}
+	era := n.platform.Era()
+	if n.storeEra > 0 && era > n.storeEra {
+		n.log("node").Warn("store came back from a copy", "event", eventReturned, "era", era, "before", n.storeEra)
+	}
+	n.storeEra = era
+}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -115,6 +115,7 @@
 				if err != nil {
 					n.lease.Failed(now)
 				} else {
+					n.logOlderLease(newest)
 					n.lease.ReadDone(now, newest)
 				}
 				n.recordDependency("lease", err)
@@ -133,6 +134,7 @@
 				case ok:
 					n.lease.Appended(now, a, offset)
 				default:
+					n.log("lease").Info("lease record refused, log ends elsewhere", "event", eventLeaseAppend, "expectedEnd", a.ExpectedEnd, "fence", a.Record.Fence)
 					n.lease.Refused()
 				}
 				n.recordDependency("lease", err)
@@ -143,6 +145,14 @@
 	}
 }
 
+// logOlderLease logs a lease record from the store that is older than the newest known one.
+func (n *Node) logOlderLease(newest lease.Newest) {
+	if known, _, _ := n.lease.Newest(n.now()); newest.End < known.End {
+		n.log("lease").Info("lease record is older than the known one", "event", eventLeaseOlder, "holder", newest.Record.Holder,
+			"end", newest.End, "knownHolder", known.Record.Holder, "knownEnd", known.End)
+	}
+}
+
 // schedulePlan schedules one plan for all events of the next few milliseconds.
 func (n *Node) schedulePlan() {
 	if n.term == 0 || n.planScheduled {
@@ -258,6 +268,7 @@
 				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer.String(), "tookMS", time.Since(start).Milliseconds())
 			n.placing.ApplyAnswer(time.Now(), o, answer)
 			if answer == place.Fenced {
+				n.log("lease").Warn("upstream has seen a higher fence", "event", eventFenceRefused, "upstream", o.Upstream, "fence", fence)
 				n.lease.Invalidate()
 				n.updateTerm()
 			}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -29,6 +29,8 @@
 		Announce func(ctx context.Context, m Member) error
 		// Members returns all published hosts.
 		Members func(ctx context.Context) ([]Member, error)
+		// Era returns the highest era in the store's answers, which rises when the store comes back from a copy. Zero means unknown.
+		Era func() int64
 		// Order sends an order to an upstream and returns its answer. It calls permit just before it sends, and sends nothing if permit
 		// returns false.
 		Order func(ctx context.Context, address string, o place.Order, holder string, fence int64, permit func() bool) place.Answer
