fix(lease): a refused fence is not tried again

Cause: the refusal only made the host read the log again, and its own record there counted as proof of its term.

A refused fence now ends its term. If the log names no other holder, the host begins a new term, whose fence is written in its first record and is higher than each one it knows.

TestRefusedFenceIsNotTriedAgain fails without the change: the host holds the lease again with the same fence.

--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -269,7 +269,7 @@
 			n.placing.ApplyAnswer(time.Now(), o, answer)
 			if answer == place.Fenced {
 				n.log("lease").Warn("upstream has seen a higher fence", "event", eventFenceRefused, "upstream", o.Upstream, "fence", fence)
-				n.lease.Invalidate()
+				n.lease.FenceRefused(n.now(), fence)
 				n.updateTerm()
 			}
 			n.schedulePlan()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -20,7 +20,7 @@
 	Record struct {
 		Holder      string `json:"holder"`      // host name
 		Incarnation string `json:"incarnation"` // distinguishes processes of one host
-		Fence       int64  `json:"fence"`       // zero in the first record of a term, whose offset defines the fence
+		Fence       int64  `json:"fence"`       // zero in the first record of a term that an earlier version wrote
 		Released    bool   `json:"released"`
 	}
 
@@ -69,6 +69,7 @@
 		notBefore   time.Time
 		heldUntil   time.Time
 		released    bool
+		refused     int64 // highest own fence that a receiver of orders refused
 	}
 )
 
@@ -159,7 +160,12 @@
 		}
 		return Action{}
 	}
-	return l.append(0, false)
+	return l.append(l.newFence(), false)
+}
+
+// newFence returns the fence of a term that begins at the end of the log.
+func (l *Lease) newFence() int64 {
+	return max(l.newest.End, l.newest.fence(), l.refused) + 1
 }
 
 // takeOverDelay returns how long after the newest record this host may take over the lease.
@@ -194,6 +200,17 @@
 	return l.append(l.newest.fence(), true)
 }
 
+// FenceRefused handles the answer of a receiver of orders that has seen a higher fence than the given one. A term with that fence no
+// longer counts: if the log names no other holder, this host begins a new one. An answer to an order of an earlier term says nothing.
+func (l *Lease) FenceRefused(now time.Time, fence int64) {
+	if l.known && fence < l.newest.fence() {
+		return
+	}
+	l.refused = max(l.refused, fence)
+	l.Invalidate()
+	l.mustRead, l.notBefore = true, now.Add(l.settings.RetryDelay)
+}
+
 // Observe applies the newest record, which has existed for at least the given age. It ignores a record older than the newest known
 // one.
 func (l *Lease) Observe(now time.Time, n Newest, age time.Duration) {
@@ -241,7 +258,7 @@
 
 func (l *Lease) isHolder() bool {
 	r := l.newest.Record
-	return l.known && !r.Released && r.Holder == l.self.Holder && r.Incarnation == l.self.Incarnation
+	return l.known && !r.Released && r.Holder == l.self.Holder && r.Incarnation == l.self.Incarnation && l.newest.fence() > l.refused
 }
 
 func (n Newest) fence() int64 {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -276,3 +276,24 @@
 	_, held = a.Held(now)
 	qt.Assert(t, held, qt.IsFalse)
 }
+
+// TestRefusedFenceIsNotTriedAgain guards against a holder that renews the lease with a fence that a receiver of orders has refused, and tries
+// it again every second: nothing is loaded until the day ends.
+func TestRefusedFenceIsNotTriedAgain(t *testing.T) {
+	l, a := fencedHolder()
+	first, held := a.Held(start)
+	qt.Assert(t, held, qt.IsTrue)
+	own, age, _ := a.Newest(start)
+	a.FenceRefused(start, first)
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		a.Observe(now, own, age) // Peers report its record.
+		l.run(now, a)
+		if fence, held := a.Held(now); held {
+			qt.Assert(t, fence > first, qt.IsTrue)
+			qt.Assert(t, at >= lease.DefaultSettings().RetryDelay, qt.IsTrue)
+			return
+		}
+	}
+	t.Fatal("the host that the log names does not take the lease")
+}
