fix(lease): a term ends when the log comes back from a copy, and fences grow over eras

Cause: offsets of different eras were compared. Hosts ignored the lease's log because they knew a higher end from before the return, which heartbeats kept passing on; a copy brought back the term of a former holder; a new term got a fence that engines had seen exceeded.

A lease record is known by era and end, in heartbeats too. A term counts only in the era of its fence. The holder in office at the return begins a new term at once by compare-and-append; all others, whatever the copy names, wait as after a renewal, because the log may have lost a holder that has not noticed the return. The era is the upper part of a fence.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 		bootNow: bootNow, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
-	leaseSettings.Fenced = s.Limits.RequireFence
+	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
 	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
--- a/internal/node/outage.go
+++ b/internal/node/outage.go
@@ -63,7 +63,7 @@
 	return time.Duration(float64(n.poll.probeInterval) * (1 - rand.Float64()/4)) //nolint:gosec // need not be unpredictable
 }
 
-// observeEra logs when an answer of the store shows that it came back from a copy.
+// observeEra notices when an answer of the store shows that it came back from a copy. A holder of the lease then has to begin a new term.
 func (n *Node) observeEra() {
 	if n.platform.Era == nil {
 		return
@@ -71,6 +71,9 @@
 	era := n.platform.Era()
 	if n.storeEra > 0 && era > n.storeEra {
 		n.log("node").Warn("store came back from a copy", "event", eventReturned, "era", era, "before", n.storeEra)
+		if n.term != 0 {
+			n.lease.Reread()
+		}
 	}
 	n.storeEra = era
 }
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -134,7 +134,7 @@
 				case ok:
 					n.lease.Appended(now, a, offset)
 				default:
-					n.log("lease").Info("lease record refused, log ends elsewhere", "event", eventLeaseAppend, "expectedEnd", a.ExpectedEnd, "fence", a.Record.Fence)
+					n.log("lease").Info("lease record refused, log ends elsewhere", "event", eventLeaseAppend, "era", a.Era, "expectedEnd", a.ExpectedEnd, "fence", a.Record.Fence)
 					n.lease.Refused()
 				}
 				n.recordDependency("lease", err)
@@ -147,9 +147,9 @@
 
 // logOlderLease logs a lease record from the store that is older than the newest known one.
 func (n *Node) logOlderLease(newest lease.Newest) {
-	if known, _, _ := n.lease.Newest(n.now()); newest.End < known.End {
+	if known, _, _ := n.lease.Newest(n.now()); newest.Era < known.Era || newest.Era == known.Era && newest.End < known.End {
 		n.log("lease").Info("lease record is older than the known one", "event", eventLeaseOlder, "holder", newest.Record.Holder,
-			"end", newest.End, "knownHolder", known.Record.Holder, "knownEnd", known.End)
+			"era", newest.Era, "end", newest.End, "knownHolder", known.Record.Holder, "knownEra", known.Era, "knownEnd", known.End)
 	}
 }
 
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -27,6 +27,7 @@
 	// Newest is the newest record of the log; it is zero if the log has no record.
 	Newest struct {
 		Record Record
+		Era    int64 // of the log; it rises when the log comes back from a copy and gives offsets out again
 		Offset int64
 		End    int64 // offset at which the log ends
 	}
@@ -34,6 +35,7 @@
 	// Action is a call that the driver must make; the driver reports its result to the Lease.
 	Action struct {
 		Kind        Kind
+		Era         int64 // of the log that an Append expects; an append in another era must be reported as failed
 		ExpectedEnd int64 // end of the log that an Append expects
 		Record      Record
 	}
@@ -52,6 +54,9 @@
 		// the log then keeps the lease until it receives a record of another holder, because no host can take over during an
 		// outage of the log.
 		Fenced bool
+		// Joins is set when the host joins a system that has been running: a log without a record has lost them if it ever came back
+		// from a copy.
+		Joins bool
 	}
 
 	// Lease is one host's view of the lease.
@@ -69,10 +74,16 @@
 		notBefore   time.Time
 		heldUntil   time.Time
 		released    bool
+		reclaim     bool  // whether this host held the lease when the log came back from a copy
+		lostRecords bool  // whether the log came back from a copy and has no record of a term that began since
 		refused     int64 // highest own fence that a receiver of orders refused
 	}
 )
 
+// eraBits is the number of bits of a fence below the era of its term. Other programs read fences as floating-point numbers, which are
+// exact up to 53 bits: the rest is enough for 8,000 eras.
+const eraBits = 40
+
 // overdueReaders is the number of hosts, by rank, that read the log when a new record is overdue.
 const overdueReaders = 2
 
@@ -125,7 +136,7 @@
 // Invalidate ends the use of the lease until its record has been read again, for example after the machine was suspended.
 func (l *Lease) Invalidate() {
 	l.heldUntil = time.Time{}
-	l.known = false
+	l.known, l.reclaim = false, false
 	l.notBefore = time.Time{}
 }
 
@@ -163,9 +174,10 @@
 	return l.append(l.newFence(), false)
 }
 
-// newFence returns the fence of a term that begins at the end of the log.
+// newFence returns the fence of a term that begins at the end of the log. It is higher than that of each earlier term, also of those
+// that the log lost.
 func (l *Lease) newFence() int64 {
-	return max(l.newest.End, l.newest.fence(), l.refused) + 1
+	return max(l.newest.Era<<eraBits|l.newest.End, l.newest.fence(), l.refused) + 1
 }
 
 // takeOverDelay returns how long after the newest record this host may take over the lease.
@@ -173,6 +185,11 @@
 	r := l.newest.Record
 	stagger := time.Duration(l.rank) * l.settings.Stagger
 	switch {
+	case l.reclaim:
+		return 0
+	case l.lostRecords || r.Holder != "" && !l.newest.inForce() || r.Holder == "" && l.settings.Joins && l.newest.Era > 0:
+		// The log may have lost the record of a holder that has not noticed it yet.
+		return l.settings.TakeOverTime + stagger
 	case r.Holder == l.self.Holder:
 		return 0 // The holder was an earlier process of this host, which has ended.
 	case r.Holder == "" || r.Released:
@@ -184,7 +201,7 @@
 func (l *Lease) append(fence int64, released bool) Action {
 	r := l.self
 	r.Fence, r.Released = fence, released
-	return Action{Kind: Append, ExpectedEnd: l.newest.End, Record: r}
+	return Action{Kind: Append, Era: l.newest.Era, ExpectedEnd: l.newest.End, Record: r}
 }
 
 // Release returns the append that releases the lease, or Nothing if this host does not hold it or a call is pending. The driver
@@ -211,15 +228,25 @@
 	l.mustRead, l.notBefore = true, now.Add(l.settings.RetryDelay)
 }
 
+// Reread makes the next call read the log.
+func (l *Lease) Reread() { l.mustRead = true }
+
 // Observe applies the newest record, which has existed for at least the given age. It ignores a record older than the newest known
-// one.
+// one, and any record of an earlier era.
 func (l *Lease) Observe(now time.Time, n Newest, age time.Duration) {
-	if l.known && n.End < l.newest.End {
+	if n.Era < l.newest.Era || l.known && n.before(l.newest) {
 		return
 	}
-	if !l.known || n.End > l.newest.End {
+	if n.Era > l.newest.Era && !l.knownSince.IsZero() {
+		_, l.reclaim = l.Held(now)
+		l.lostRecords = true
+	}
+	if n.inForce() {
+		l.reclaim, l.lostRecords = false, false
+	}
+	if !l.known || l.newest.before(n) {
 		seen := now.Add(-age)
-		if !l.known && n.End == l.newest.End && !l.knownSince.IsZero() {
+		if !l.known && !n.before(l.newest) && !l.newest.before(n) && !l.knownSince.IsZero() {
 			seen = l.knownSince // The same record was known before the view was invalidated.
 		}
 		l.knownSince, l.overdueRead = seen, false
@@ -237,7 +264,7 @@
 // Appended applies a successful append at the offset.
 func (l *Lease) Appended(now time.Time, a Action, offset int64) {
 	l.callPending, l.mustRead = false, false
-	l.Observe(now, Newest{Record: a.Record, Offset: offset, End: offset + 1}, 0)
+	l.Observe(now, Newest{Record: a.Record, Era: a.Era, Offset: offset, End: offset + 1}, 0)
 	if l.isHolder() {
 		l.heldUntil = l.lastCall.Add(l.settings.HoldTime)
 	}
@@ -258,12 +285,25 @@
 
 func (l *Lease) isHolder() bool {
 	r := l.newest.Record
-	return l.known && !r.Released && r.Holder == l.self.Holder && r.Incarnation == l.self.Incarnation && l.newest.fence() > l.refused
+	return l.known && !r.Released && r.Holder == l.self.Holder && r.Incarnation == l.self.Incarnation &&
+		l.newest.inForce() && l.newest.fence() > l.refused
+}
+
+// before reports whether the record is at an earlier place of the log than another one.
+func (n Newest) before(o Newest) bool {
+	return n.Era < o.Era || n.Era == o.Era && n.End < o.End
 }
 
 func (n Newest) fence() int64 {
 	if n.Record.Fence == 0 && n.Record.Holder != "" {
-		return n.Offset + 1
+		return (n.Era<<eraBits | n.Offset) + 1
 	}
 	return n.Record.Fence
 }
+
+// inForce reports whether the record belongs to a term of the log's era. A record from a copy of the log, or one that was appended in an
+// earlier era and written in this one, does not: the log may have lost a later term.
+func (n Newest) inForce() bool {
+	fence := n.fence()
+	return fence != 0 && fence>>eraBits == n.Era
+}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,10 +13,18 @@
 )
 
 // log is an in-memory log with compare-and-append.
-type log struct{ records []lease.Record }
+type log struct {
+	records []lease.Record
+	era     int64
+}
+
+// restore makes the log come back from a copy that was made when it ended at the given offset.
+func (l *log) restore(end int) {
+	l.records, l.era = slices.Clone(l.records[:end]), l.era+1
+}
 
 func (l *log) newest() lease.Newest {
-	n := lease.Newest{End: int64(len(l.records))}
+	n := lease.Newest{Era: l.era, End: int64(len(l.records))}
 	if n.End > 0 {
 		n.Offset, n.Record = n.End-1, l.records[n.End-1]
 	}
@@ -36,11 +45,19 @@
 	case lease.Read:
 		h.ReadDone(now, l.newest())
 	case lease.Append:
-		if offset, ok := l.append(a); ok {
-			h.Appended(now, a, offset)
-		} else {
-			h.Refused()
-		}
+		l.runAppend(now, h, a)
+	}
+}
+
+// runAppend appends as a driver does: the answer shows the era, and the condition knows only the offset.
+func (l *log) runAppend(now time.Time, h *lease.Lease, a lease.Action) {
+	switch offset, ok := l.append(a); {
+	case a.Era != l.era:
+		h.Failed(now)
+	case ok:
+		h.Appended(now, a, offset)
+	default:
+		h.Refused()
 	}
 }
 
@@ -188,7 +205,8 @@
 	qt.Assert(t, held, qt.IsFalse, qt.Commentf("a stopping host acquired the lease again"))
 }
 
-// TestOneHolder guards against two holders under lost and late answers, pauses and restarts in any order.
+// TestOneHolder guards against two holders under lost and late answers, pauses, restarts, and returns of the log from a copy, in any
+// order. Hosts that have not noticed a return send their view to the others.
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := &log{}
@@ -197,8 +215,12 @@
 			action lease.Action
 		}
 		hosts := []*lease.Lease{host("a", 0), host("b", 1), host("c", 2)}
+		for _, h := range hosts {
+			l.run(start, h) // Hosts that start with the system read the log before it can return.
+		}
 		paused := make([]time.Duration, len(hosts))
 		var pending []delayed
+		ends := []int{0} // of the log, at each step
 		holderOf := map[int64]string{}
 		for at := time.Duration(0); at < 30*time.Second; at += 100 * time.Millisecond {
 			now := start.Add(at)
@@ -207,6 +229,13 @@
 					l.append(pending[i].action)
 				}
 			}
+			if ends = append(ends, len(l.records)); rapid.IntRange(0, 60).Draw(t, "store") == 0 {
+				end := min(ends[max(len(ends)-rapid.IntRange(1, 120).Draw(t, "age"), 0)], len(l.records))
+				l.restore(end)
+				for i := range ends {
+					ends[i] = min(ends[i], end)
+				}
+			}
 			holders := 0
 			for i, h := range hosts {
 				name := string(rune('a' + i))
@@ -219,9 +248,15 @@
 					paused[i] = at + time.Duration(rapid.IntRange(1, 60).Draw(t, "pause"))*100*time.Millisecond
 					continue
 				case 1:
-					hosts[i] = lease.New(lease.DefaultSettings(), name, fmt.Sprint(name, at))
+					s := lease.DefaultSettings()
+					s.Joins = true
+					hosts[i] = lease.New(s, name, fmt.Sprint(name, at))
 					hosts[i].SetRank(i)
 					h = hosts[i]
+				case 4, 5, 6:
+					if n, age, ok := hosts[(i+event)%len(hosts)].Newest(now); ok {
+						h.Observe(now, n, age)
+					}
 				}
 				switch a := h.Step(now); {
 				case a.Kind == lease.Append && event == 2:
@@ -231,11 +266,7 @@
 					l.append(a)
 					h.Failed(now)
 				case a.Kind == lease.Append:
-					if offset, ok := l.append(a); ok {
-						h.Appended(now, a, offset)
-					} else {
-						h.Refused()
-					}
+					l.runAppend(now, h, a)
 				case a.Kind == lease.Read:
 					h.ReadDone(now, l.newest())
 				}
@@ -254,6 +285,135 @@
 	})
 }
 
+// TestFencesGrowWhenTheLogReturns guards against a deployment without a usable controller after the log came back from a copy: fences went
+// back or were used twice, an old view hid the new log, or a refused holder tried its fence again. Receivers of orders check fences.
+func TestFencesGrowWhenTheLogReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &log{}
+		s := lease.DefaultSettings()
+		s.Fenced, s.Joins = true, true
+		var hosts []*lease.Lease
+		newHost := func(i int, incarnation string) *lease.Lease {
+			h := lease.New(s, string(rune('a'+i)), incarnation)
+			h.SetRank(i)
+			return h
+		}
+		for i := range 3 {
+			hosts = append(hosts, newHost(i, fmt.Sprint(i)))
+		}
+		cut := make([]time.Duration, len(hosts)) // until when a host does not reach the log
+		ends := []int{0}
+		highest, holderOf := int64(0), map[int64]int{}
+		const disturbed, end = 25 * time.Second, 40 * time.Second
+		for at := time.Duration(0); at < end; at += 100 * time.Millisecond {
+			now := start.Add(at)
+			if ends = append(ends, len(l.records)); at < disturbed && rapid.IntRange(0, 80).Draw(t, "store") == 0 {
+				last := min(ends[max(len(ends)-rapid.IntRange(1, 120).Draw(t, "age"), 0)], len(l.records))
+				l.restore(last)
+				for i := range ends {
+					ends[i] = min(ends[i], last)
+				}
+			}
+			accepted := 0
+			for i, h := range hosts {
+				fate := 100
+				if at < disturbed {
+					fate = rapid.IntRange(0, 100).Draw(t, "fate")
+				}
+				switch {
+				case fate == 0:
+					cut[i] = at + time.Duration(rapid.IntRange(1, 80).Draw(t, "cut"))*100*time.Millisecond
+				case fate == 1:
+					hosts[i] = newHost(i, fmt.Sprint(i, at))
+					h = hosts[i]
+				case int(at/(100*time.Millisecond))%6 == i:
+					if n, age, ok := hosts[(i+1+fate%2)%len(hosts)].Newest(now); ok {
+						h.Observe(now, n, age) // a heartbeat
+					}
+				}
+				switch a := h.Step(now); {
+				case a.Kind != lease.Nothing && at < cut[i]:
+					h.Failed(now)
+				case a.Kind == lease.Append:
+					l.runAppend(now, h, a)
+				case a.Kind == lease.Read:
+					h.ReadDone(now, l.newest())
+				}
+				fence, held := h.Held(now)
+				switch previous, known := holderOf[fence]; {
+				case !held:
+				case known && previous != i:
+					t.Fatalf("fence %d was held by hosts %d and %d", fence, previous, i)
+				case fence < highest:
+					h.FenceRefused(now, fence)
+					if again, _ := h.Held(now); again == fence && h.Step(now).Record.Fence == fence {
+						t.Fatalf("fence %d is used again after a refusal", fence)
+					}
+				default:
+					highest, holderOf[fence] = fence, i
+					accepted++
+				}
+			}
+			if at == end-100*time.Millisecond && accepted != 1 {
+				t.Fatalf("%d hosts whose orders are accepted, %v after the last fault", accepted, end-disturbed)
+			}
+		}
+	})
+}
+
+// TestHolderReclaimsTheLeaseAtOnce guards against seconds without a controller after the log came back from a copy, and against another
+// host that takes the lease before the holder has noticed the return.
+func TestHolderReclaimsTheLeaseAtOnce(t *testing.T) {
+	l, a := fencedHolder()
+	b := host("b", 0)
+	l.run(start, b)
+	first, _ := a.Held(start)
+	for at := time.Second; at <= 5*time.Second; at += time.Second {
+		l.run(start.Add(at), a)
+		n, age, _ := a.Newest(start.Add(at))
+		b.Observe(start.Add(at), n, age)
+	}
+	l.restore(1)
+	now := start.Add(6 * time.Second)
+	l.run(now, b)
+	qt.Assert(t, l.records, qt.HasLen, 1, qt.Commentf("b has just heard of the return"))
+	l.run(now, a) // The renewal fails, because the log has another era.
+	for range 3 {
+		now = now.Add(lease.DefaultSettings().RetryDelay)
+		l.run(now, a)
+	}
+	fence, held := a.Held(now)
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, fence > first, qt.IsTrue, qt.Commentf("%d after %d", fence, first))
+}
+
+// TestOldTermDoesNotComeBack guards against a former holder whose term comes back with a copy of the log: receivers of orders have seen the
+// fence of the holder after it.
+func TestOldTermDoesNotComeBack(t *testing.T) {
+	l, a := fencedHolder()
+	b := host("b", 0)
+	l.run(start, b)
+	now := start.Add(10 * time.Second)
+	l.run(now, b)
+	second, held := b.Held(now)
+	qt.Assert(t, held, qt.IsTrue)
+	a.ReadDone(now, l.newest())
+	l.restore(1)
+	a.Reread()
+	l.run(now, a)
+	_, held = a.Held(now)
+	qt.Assert(t, held, qt.IsFalse)
+	for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		l.run(at, a)
+		if fence, held := a.Held(at); held {
+			qt.Assert(t, fence > second, qt.IsTrue)
+			qt.Assert(t, at.Sub(now) >= lease.DefaultSettings().TakeOverTime, qt.IsTrue, qt.Commentf("taken after %v", at.Sub(now)))
+			return
+		}
+	}
+	t.Fatal("nobody took the lease")
+}
+
 // TestFencedHolderKeepsLeaseInOutage guards against a fenced holder that stops in an outage of the log, although no host can take
 // over, and against one that keeps the lease after it received a record of another holder or was suspended.
 func TestFencedHolderKeepsLeaseInOutage(t *testing.T) {
