fix(platform): reads start anew when the store comes back from a copy

A host missed what the operator and upstreams wrote again after the store came back from a copy: a configuration whose route it refused with 404 until the next version, and upstreams that leave, to which it kept sending requests.

Cause: the cursor of a topic was an offset. When the topic had grown past it, a read from there skipped what was written again; an open read was answered with records of the new log and moved the old cursor on.

A cursor is an era and an offset.

--- a/internal/node/ages_test.go
+++ b/internal/node/ages_test.go
@@ -64,7 +64,7 @@
 	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
 	hub := Member{Name: "hub", Incarnation: "hub.1"}
 	feed := &Feed{Whole: true, Generation: 1, Put: []fleet.Upstream{{ID: "u1"}, {ID: "u2"}}, ListAge: 500 * time.Millisecond}
-	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "u1", Leaving: true}}, Cursor: 3})
+	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "u1", Leaving: true}}, Cursor: Cursor{Next: 3}})
 	qt.Assert(t, n.applyFeed(hub, feed, bootNow()), qt.IsTrue)
 	qt.Assert(t, n.upstreams, qt.HasLen, 1)
 	qt.Assert(t, n.upstreams["u1"].Leaving, qt.IsTrue)
@@ -73,7 +73,7 @@
 	n.applyFeed(hub, feed, bootNow())
 	qt.Assert(t, n.upstreams, qt.HasLen, 2)
 	qt.Assert(t, n.feedHub, qt.Equals, "hub.1")
-	n.applyListRead(bootNow(), ListChanges{Put: []fleet.Upstream{{ID: "u3"}}, Cursor: 4})
+	n.applyListRead(bootNow(), ListChanges{Put: []fleet.Upstream{{ID: "u3"}}, Cursor: Cursor{Next: 4}})
 	qt.Assert(t, n.feedHub, qt.Equals, "", qt.Commentf("changes since an earlier feed may not fit the list any more"))
 }
 
@@ -83,7 +83,7 @@
 	t.Parallel()
 	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 4000, ConfigMS: 4000}})
 	n.direct.Store(true)
-	n.applyListRead(bootNow().Add(-time.Minute), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "left"}, {ID: "stays"}}, Cursor: 10})
+	n.applyListRead(bootNow().Add(-time.Minute), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "left"}, {ID: "stays"}}, Cursor: Cursor{Next: 10}})
 	n.setDirect(false)
 	queried := bootNow().Add(-time.Second)
 	n.applyFeed(Member{Name: "hub", Incarnation: "hub.1"}, &Feed{Whole: true, Put: []fleet.Upstream{{ID: "stays"}}, Position: 600, Rate: 10}, queried)
@@ -91,7 +91,7 @@
 	n.progress.ReadAt = n.progress.ReadAt.Add(-2500 * time.Millisecond)
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsTrue)
-	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "stays"}}, Cursor: 636})
+	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "stays"}}, Cursor: Cursor{Next: 636}})
 	qt.Assert(t, n.upstreams, qt.HasLen, 1)
 }
 
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -15,12 +15,14 @@
 	// Platform contains the functions of the platform that a node uses. They may be called from any goroutine.
 	Platform struct {
 		// Config returns the configuration record that follows the cursor, and the cursor of that record. It waits up to the given
-		// time for one; an empty record means that there is none. With a zero cursor it returns the current record.
-		Config func(ctx context.Context, cursor int64, wait time.Duration) ([]byte, int64, error)
+		// time for one; an empty record means that there is none. With a zero cursor, or one of an earlier era, it returns the current
+		// record.
+		Config func(ctx context.Context, c Cursor, wait time.Duration) ([]byte, Cursor, error)
 		// DecodeConfig decodes a configuration record.
 		DecodeConfig func(record []byte) (*fleet.Config, error)
-		// Upstreams returns the changes of the list after the cursor. With a zero cursor it returns the whole list.
-		Upstreams func(ctx context.Context, cursor int64) (ListChanges, error)
+		// Upstreams returns the changes of the list after the cursor. With a zero cursor, or one of an earlier era, it returns the whole
+		// list.
+		Upstreams func(ctx context.Context, c Cursor) (ListChanges, error)
 		// Lease returns the newest lease record.
 		Lease func(ctx context.Context) (lease.Newest, error)
 		// AppendLease appends a lease record if the log ends at the expected offset; otherwise ok is false.
@@ -42,12 +44,18 @@
 		Dialect relay.Dialect
 	}
 
+	// Cursor is a place in a topic of the store. The zero value is the start.
+	Cursor struct {
+		Era  int64 // of the store; in a higher one, offsets are given out again
+		Next int64 // increases by one with each record written in the era
+	}
+
 	// ListChanges is a set of changes to the list of upstreams.
 	ListChanges struct {
 		Complete bool // whether Put is the complete list
 		Put      []fleet.Upstream
 		Removed  []string
-		Cursor   int64    // increases by one with each entry written
+		Cursor   Cursor
 		Skipped  []string // descriptions of entries that could not be decoded
 	}
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -35,15 +35,15 @@
 
 // watchConfig keeps the configuration up to date.
 func (n *Node) watchConfig(ctx context.Context) {
-	cursor, wait := int64(0), n.poll.configPollWait
+	cursor, wait := Cursor{}, n.poll.configPollWait
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
-			cursor, failed, wait = 0, 0, n.poll.configPollWait
+			cursor, failed, wait = Cursor{}, 0, n.poll.configPollWait
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
 		timeout := wait + configMargin
-		if cursor == 0 && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
+		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialConfigTimeout
 		}
 		start := n.bootNow()
@@ -129,16 +129,16 @@
 
 // watchList keeps the list of upstreams up to date.
 func (n *Node) watchList(ctx context.Context) {
-	cursor := int64(0)
+	cursor := Cursor{}
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
-			cursor, failed = 0, 0
+			cursor, failed = Cursor{}, 0
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
 		start := n.bootNow()
 		timeout := listTimeout
-		if cursor == 0 && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
+		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialListTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -176,7 +176,7 @@
 func (n *Node) applyListRead(start time.Time, c ListChanges) {
 	now := time.Now()
 	n.listAt, n.feedHub = start, ""
-	n.list.MarkRead(now, c.Cursor)
+	n.list.MarkRead(now, c.Cursor.Next)
 	n.progress = n.list.Progress()
 	for _, s := range c.Skipped {
 		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -17,13 +17,13 @@
 		n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000, ContactMS: 4000}})
 		n.bootNow = time.Now
 		var lists, configs []time.Time
-		n.platform.Upstreams = func(context.Context, int64) (ListChanges, error) {
+		n.platform.Upstreams = func(context.Context, Cursor) (ListChanges, error) {
 			lists = append(lists, time.Now())
 			return ListChanges{}, errors.New("refused")
 		}
-		n.platform.Config = func(context.Context, int64, time.Duration) ([]byte, int64, error) {
+		n.platform.Config = func(context.Context, Cursor, time.Duration) ([]byte, Cursor, error) {
 			configs = append(configs, time.Now())
-			return nil, 0, errors.New("refused")
+			return nil, Cursor{}, errors.New("refused")
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = n.control.Run() }()
