fix(fleet): a return of the store from a copy counts as an outage of the list

A host whose reads did not fail while the store was away dropped the upstreams whose entries the store had lost, and in a later outage those that could not renew theirs.

Cause: positions before and after the return were subtracted. The rate of writing became negative, and with a negative rate each number of entries looks like a list without an outage.

The progress of the list has the era, also in feeds of hubs. In a new era, missing entries are retained for the time in which upstreams register again, and the rate stays.

TestEntriesLostByTheStoreAreRetained fails without the comparison of eras: one upstream instead of two.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -42,7 +42,9 @@
 		Config    []byte // configuration record, if it is newer than that of the host
 		ConfigAge time.Duration
 		ListAge   time.Duration // time since the request for the hub's list was sent
-		// Position and Rate are the progress of the published list when the hub's list was read.
+		// Era, Position and Rate are the progress of the published list when the hub's list was read. Era is zero if the hub does not
+		// know it.
+		Era        int64
 		Position   int64
 		Rate       float64
 		Whole      bool // whether Put is the complete list
@@ -99,7 +101,7 @@
 	bootTime := n.bootNow()
 	f := Feed{
 		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
-		Position: n.progress.Position, Rate: n.progress.Rate,
+		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
 	if c := n.config.Load(); c != nil && c.Version() > q.Version {
 		f.Config = n.configRecord
@@ -159,7 +161,7 @@
 	// Otherwise this host has read the list from the store later than the hub, or since the query to which these changes are the answer.
 	if !listAt.Before(n.listAt) && (f.Whole || n.feedHub == hub.Incarnation) {
 		n.listAt, n.feedHub, n.feedGeneration = listAt, hub.Incarnation, f.Generation
-		n.progress = fleet.Progress{Position: f.Position, Rate: f.Rate, ReadAt: now.Add(listAt.Sub(bootTime))}
+		n.progress = fleet.Progress{Era: f.Era, Position: f.Position, Rate: f.Rate, ReadAt: now.Add(listAt.Sub(bootTime))}
 		n.applyListFeed(now, f)
 	}
 	return current
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -176,7 +176,7 @@
 func (n *Node) applyListRead(start time.Time, c ListChanges) {
 	now := time.Now()
 	n.listAt, n.feedHub = start, ""
-	n.list.MarkRead(now, c.Cursor.Next)
+	n.list.MarkRead(now, c.Cursor.Era, c.Cursor.Next)
 	n.progress = n.list.Progress()
 	for _, s := range c.Skipped {
 		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -30,7 +30,8 @@
 	// Progress tells how many entries are written to the published list. It distinguishes an outage of the list from a failure of the
 	// hosts that read it.
 	Progress struct {
-		Position int64     // number of entries ever written, as of ReadAt
+		Era      int64     // of the platform's store; in a higher one, positions are given out again
+		Position int64     // number of entries ever written in the log of the era, as of ReadAt
 		ReadAt   time.Time // time of the last read; zero means never
 		Rate     float64   // number of entries written per second; zero means unknown
 	}
@@ -44,13 +45,16 @@
 // MarkUnreadable records that the list cannot be read.
 func (l *List) MarkUnreadable() { l.unreadable = true }
 
-// MarkRead records that the list was read up to the position, which is the number of entries ever written. If the upstreams kept
-// writing while this host could not read, the list itself had no outage, and missing entries are not retained.
-func (l *List) MarkRead(now time.Time, position int64) {
+// MarkRead records that the list was read up to the position, which is the number of entries ever written in the log of the era. If the
+// upstreams kept writing while this host could not read, the list itself had no outage, and missing entries are not retained. In a new era
+// the list has lost entries, which is an outage, and positions tell nothing about the rate of writing.
+func (l *List) MarkRead(now time.Time, era, position int64) {
 	p := &l.progress
 	elapsed := now.Sub(p.ReadAt).Seconds()
 	written := float64(position - p.Position)
 	switch known := !p.ReadAt.IsZero() && elapsed > 0; {
+	case era != p.Era && !p.ReadAt.IsZero():
+		l.recoveredAt = now
 	case l.unreadable && (!known || p.Rate == 0 || written < minWriteRatio*p.Rate*elapsed):
 		l.recoveredAt = now
 	case !l.unreadable && known && p.Rate == 0:
@@ -58,7 +62,7 @@
 	case !l.unreadable && known:
 		p.Rate = writeRateDecay*p.Rate + (1-writeRateDecay)*written/elapsed
 	}
-	l.unreadable, p.Position, p.ReadAt = false, position, now
+	l.unreadable, p.Era, p.Position, p.ReadAt = false, era, position, now
 }
 
 // Progress returns the progress of the published list as of the last read.
--- a/pkg/fleet/list_test.go
+++ b/pkg/fleet/list_test.go
@@ -14,10 +14,10 @@
 func steadyList() (l *fleet.List, now time.Time, position int64) {
 	l, now, position = fleet.NewList(), time.Unix(1000, 0), 50
 	for range 10 {
-		l.MarkRead(now, position)
+		l.MarkRead(now, 0, position)
 		now, position = now.Add(time.Second), position+10
 	}
-	l.MarkRead(now, position)
+	l.MarkRead(now, 0, position)
 	for _, id := range []string{"u1", "u2"} {
 		l.Put(fleet.Upstream{ID: id, Beat: 1})
 	}
@@ -30,7 +30,7 @@
 	l, now, position := steadyList()
 	l.MarkUnreadable()
 	now = now.Add(6 * time.Second)
-	l.MarkRead(now, position+written)
+	l.MarkRead(now, 0, position+written)
 	l.Remove(now, "u1")
 	return l, now
 }
@@ -58,17 +58,17 @@
 	u1, u2 := fleet.Upstream{ID: "u1", Born: 1}, fleet.Upstream{ID: "u2", Born: 1}
 	now := time.Unix(1000, 0)
 	l := fleet.NewList()
-	l.MarkRead(now, 4)
+	l.MarkRead(now, 0, 4)
 	l.Reset(now, []fleet.Upstream{u1})
 	l.MarkUnreadable() // A hub reads the list from now on.
 	now = now.Add(20 * time.Second)
 	l.Adopt(map[string]fleet.Upstream{"u1": u1, "u2": u2}, fleet.Progress{}, true)
 	qt.Assert(t, l.Current(now), qt.HasLen, 2)
 	now = now.Add(200 * time.Millisecond)
-	l.MarkRead(now, 90)
+	l.MarkRead(now, 0, 90)
 	l.Reset(now, []fleet.Upstream{u1, u2})
 	now = now.Add(time.Second)
-	l.MarkRead(now, 95)
+	l.MarkRead(now, 0, 95)
 	l.Remove(now, "u2")
 	qt.Assert(t, l.Current(now), qt.HasLen, 1)
 }
@@ -83,12 +83,26 @@
 		want    int
 	}{{40, 1}, {3, 2}} {
 		l := fleet.NewList()
-		l.MarkRead(now.Add(-time.Minute), 1) // One read at the start; it doesn't tell the rate.
+		l.MarkRead(now.Add(-time.Minute), 0, 1) // One read at the start; it doesn't tell the rate.
 		l.Put(fleet.Upstream{ID: "u0", Born: 1})
 		l.Adopt(all, hub.Progress(), false)
 		at := now.Add(4 * time.Second)
-		l.MarkRead(at, position+x.written)
+		l.MarkRead(at, 0, position+x.written)
 		l.Reset(at, []fleet.Upstream{all["u1"]})
 		qt.Check(t, l.Current(at), qt.HasLen, x.want, qt.Commentf("%d entries written", x.written))
 	}
 }
+
+// TestEntriesLostByTheStoreAreRetained guards against a service that loses its upstreams because the store came back from a copy without
+// their entries, after an outage so short that no read failed, and in an outage after that: positions went back, and the rate of writing
+// became negative.
+func TestEntriesLostByTheStoreAreRetained(t *testing.T) {
+	l, now, position := steadyList()
+	now = now.Add(time.Second)
+	l.MarkRead(now, 1, position-40)
+	l.Reset(now, []fleet.Upstream{{ID: "u2", Beat: 1}})
+	qt.Assert(t, l.Current(now), qt.HasLen, 2)
+	qt.Assert(t, l.Current(now.Add(3*time.Second)), qt.HasLen, 1, qt.Commentf("an entry that is still missing is gone"))
+	rate := l.Progress().Rate
+	qt.Assert(t, rate > 9 && rate < 11, qt.IsTrue, qt.Commentf("%v entries a second", rate))
+}
