fix(fleet): an entry from a copy of the store does not bring an upstream back

Cause: an entry of the copy counted as news. The list forgot an upstream with its entry, and a feed of a hub replaced each entry, because a later read had always shown a later state.

The list knows the last entry of an upstream that has disappeared for five minutes and ignores one that is not newer. From a complete list it takes such an upstream only with its next entry, since dependent hosts don't know each beat. A feed does not replace a later entry of the same process.

TestLeftUpstreamDoesNotComeBackWithACopy and TestFeedFromACopyOfTheStore fail without the change.

--- a/internal/node/ages_test.go
+++ b/internal/node/ages_test.go
@@ -106,3 +106,19 @@
 	n.chooseSource()
 	qt.Assert(t, n.direct.Load(), qt.IsTrue, qt.Commentf("its own updates are old, too"))
 }
+
+// TestFeedFromACopyOfTheStore guards against requests to an upstream that leaves or has left: a hub that started after the store came back from
+// a copy knows only the entry of before, and its read is later than that of the host.
+func TestFeedFromACopyOfTheStore(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
+	hub := Member{Name: "hub", Incarnation: "hub.1"}
+	n.applyFeed(hub, &Feed{Whole: true, Put: []fleet.Upstream{{ID: "leaves", Beat: 5, Leaving: true}, {ID: "left", Beat: 5}, {ID: "stays", Beat: 5}}}, bootNow())
+	n.applyFeed(hub, &Feed{Removed: []string{"left"}, Generation: 1}, bootNow())
+	fresh := Member{Name: "hub", Incarnation: "hub.2"}
+	n.applyFeed(fresh, &Feed{Whole: true, Put: []fleet.Upstream{{ID: "leaves", Beat: 3}, {ID: "left", Beat: 3}, {ID: "stays", Beat: 3}}}, bootNow())
+	qt.Assert(t, n.upstreams, qt.HasLen, 2)
+	qt.Assert(t, n.upstreams["leaves"].Leaving, qt.IsTrue)
+	n.applyFeed(fresh, &Feed{Put: []fleet.Upstream{{ID: "left", Beat: 6}}, Generation: 1}, bootNow())
+	qt.Assert(t, n.upstreams, qt.HasLen, 3, qt.Commentf("it has registered again"))
+}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -174,7 +174,13 @@
 		maps.Copy(next, n.upstreams)
 	}
 	for _, u := range f.Put {
-		next[u.ID] = u
+		// The hub may have read an older list than this host knows, from a store that came back from a copy.
+		if old, ok := n.upstreams[u.ID]; ok && old.Born == u.Born && old.Beat > u.Beat {
+			u = old
+		}
+		if !n.list.Outdated(u) {
+			next[u.ID] = u
+		}
 	}
 	for _, id := range f.Removed {
 		delete(next, id)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -198,6 +198,7 @@
 func (n *Node) applyList(now time.Time, current map[string]fleet.Upstream) {
 	n.logListChanges(n.upstreams, current)
 	n.changes.recordChanges(n.upstreams, current)
+	n.list.RecordChanges(now, n.upstreams, current)
 	n.upstreams, n.hasList = current, true
 	n.table.Replace(current)
 	n.placing.SetUpstreams(now, current)
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -14,6 +14,9 @@
 	minWriteRatio = 0.5
 	// writeRateDecay is the weight of the previous value in the moving average of the write rate.
 	writeRateDecay = 0.8
+	// goneMemory is how long the last entry of an upstream that has disappeared is known. It is much longer than the age of a copy from
+	// which the platform's list may come back.
+	goneMemory = 5 * time.Minute
 )
 
 type (
@@ -22,11 +25,18 @@
 	List struct {
 		live        map[string]Upstream
 		retained    map[string]Upstream
+		gone        map[string]goneUpstream
 		unreadable  bool
 		recoveredAt time.Time // when the list became readable after its last outage
 		progress    Progress
 	}
 
+	// goneUpstream is the last entry of an upstream that has disappeared.
+	goneUpstream struct {
+		Upstream
+		at time.Time
+	}
+
 	// Progress tells how many entries are written to the published list. It distinguishes an outage of the list from a failure of the
 	// hosts that read it.
 	Progress struct {
@@ -39,7 +49,7 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{live: make(map[string]Upstream), retained: make(map[string]Upstream)}
+	return &List{live: make(map[string]Upstream), retained: make(map[string]Upstream), gone: make(map[string]goneUpstream)}
 }
 
 // MarkUnreadable records that the list cannot be read.
@@ -76,12 +86,13 @@
 	l.unreadable, l.recoveredAt, l.progress = !current, time.Time{}, p
 }
 
-// Put adds or replaces an entry unless the list has a newer one, and reports whether it did.
+// Put adds or replaces an entry unless a newer one is known, also of an upstream that has disappeared, and reports whether it did.
 func (l *List) Put(u Upstream) bool {
 	old, ok := l.live[u.ID]
-	if ok && !u.Newer(old) {
+	if ok && !u.Newer(old) || l.Outdated(u) {
 		return false
 	}
+	delete(l.gone, u.ID)
 	delete(l.retained, u.ID)
 	l.live[u.ID] = u
 	return true
@@ -99,8 +110,35 @@
 	}
 }
 
-// Reset applies a complete list: entries that it lacks are removed.
+// Outdated reports whether the entry is not newer than the last one of an upstream that has disappeared.
+func (l *List) Outdated(u Upstream) bool {
+	g, ok := l.gone[u.ID]
+	return ok && g.Newer(u)
+}
+
+// RecordChanges records which upstreams disappeared between two lists.
+func (l *List) RecordChanges(now time.Time, before, after map[string]Upstream) {
+	for id, u := range before {
+		if _, ok := after[id]; !ok {
+			l.gone[id] = goneUpstream{u, now}
+		}
+	}
+	for id, g := range l.gone {
+		if _, ok := after[id]; ok || now.Sub(g.at) > goneMemory {
+			delete(l.gone, id)
+		}
+	}
+}
+
+// Reset applies a complete list: entries that it lacks are removed. An upstream that has disappeared counts again only from its next entry
+// on, because the list may have come back from a copy that was made while the upstream was there.
 func (l *List) Reset(now time.Time, all []Upstream) {
+	for _, u := range all {
+		if g, ok := l.gone[u.ID]; ok && g.Born == u.Born {
+			g.Beat = max(g.Beat, u.Beat)
+			l.gone[u.ID] = g
+		}
+	}
 	keep := make(map[string]bool, len(all))
 	for _, u := range all {
 		keep[u.ID] = true
--- a/pkg/fleet/list_test.go
+++ b/pkg/fleet/list_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// TestLeftUpstreamDoesNotComeBackWithACopy guards against requests to an upstream that has left: the store came back from a copy that was made
+// while the upstream was there, and has its entry again. An upstream that is alive writes its next entry.
+func TestLeftUpstreamDoesNotComeBackWithACopy(t *testing.T) {
+	l, now, position := steadyList()
+	before := l.Current(now)
+	l.Put(fleet.Upstream{ID: "u1", Beat: 5, Leaving: true})
+	l.Remove(now, "u1")
+	l.RecordChanges(now, before, l.Current(now))
+	inCopy := []fleet.Upstream{{ID: "u1", Beat: 3}, {ID: "u2", Beat: 1}} // Hubs don't send each beat, so that the last known one may be lower.
+	now = now.Add(10 * time.Second)
+	l.MarkRead(now, 1, position-20)
+	l.Reset(now, inCopy)
+	qt.Assert(t, l.Current(now), qt.HasLen, 1)
+	l.Reset(now.Add(time.Second), inCopy)
+	qt.Assert(t, l.Current(now), qt.HasLen, 1)
+	l.Put(fleet.Upstream{ID: "u1", Beat: 4})
+	qt.Assert(t, l.Current(now), qt.HasLen, 2)
+}
+
 // TestEntriesLostByTheStoreAreRetained guards against a service that loses its upstreams because the store came back from a copy without
 // their entries, after an outage so short that no read failed, and in an outage after that: positions went back, and the rate of writing
 // became negative.
