fix(node): a host announces itself again when the store comes back from a copy

A host that had started in the seconds that the store lost was missing in the published list for good: hosts that started later did not find it, nor send callers to it.

Cause: a host announced itself once, and took the acknowledgement for lasting.

The announcement is known by the era in which it was written. A host that sees a higher era, from the store or from its hub's list, announces itself again within 3 s, at a random time because there may be hundreds.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -25,6 +25,8 @@
 	// bootstrapSpread is the longest random time added to it, because hundreds of reads at once take seconds.
 	bootstrapDelay  = time.Second
 	bootstrapSpread = 500 * time.Millisecond
+	// announceSpread is the time over which hosts publish themselves again after the store came back from a copy.
+	announceSpread = 3 * time.Second
 	// maxMembersWait is how long a starting host waits for the members before it reads configuration and list from the store. With
 	// members it gets both from its hub.
 	maxMembersWait = 600 * time.Millisecond
@@ -99,16 +101,7 @@
 
 // watchMembers publishes this host and reads which other hosts are published.
 func (n *Node) watchMembers(ctx context.Context) {
-	for failed := 1; ctx.Err() == nil; failed++ {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := n.platform.Announce(callCtx, n.self)
-		cancel()
-		if err == nil {
-			break
-		}
-		n.control.Post(func() { n.recordDependency("members", err) })
-		sleep(ctx, backoff(failed))
-	}
+	n.announce(ctx)
 	if n.settings.Host.Bootstrap {
 		sleep(ctx, bootstrapDelay+rand.N(bootstrapSpread)) //nolint:gosec // need not be unpredictable
 	}
@@ -146,6 +139,35 @@
 	}
 }
 
+// announce publishes this host, and tries until that succeeds.
+func (n *Node) announce(ctx context.Context) {
+	for failed := 1; ctx.Err() == nil; failed++ {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		era, err := n.platform.Announce(callCtx, n.self)
+		cancel()
+		if err == nil {
+			n.control.Post(func() { n.announced, n.announcedEra = true, max(n.announcedEra, era) })
+			return
+		}
+		n.control.Post(func() { n.recordDependency("members", err) })
+		sleep(ctx, backoff(failed))
+	}
+}
+
+// announceAgain publishes this host again if the store came back from a copy that may have been made before it was published. Hundreds of
+// hosts do so at random times.
+func (n *Node) announceAgain() {
+	if !n.announced || n.announcedEra >= n.storeEra {
+		return
+	}
+	n.announcedEra = n.storeEra
+	n.background(func(ctx context.Context) {
+		if sleep(ctx, rand.N(announceSpread)) { //nolint:gosec // need not be unpredictable
+			n.announce(ctx)
+		}
+	})
+}
+
 // addMember adds or updates a host that is known to exist; the host need not be alive. It returns nil for this host itself.
 func (n *Node) addMember(m Member) *member {
 	if m.Name == n.self.Name {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,8 +114,10 @@
 		blame             *blame.Ledger
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
-		storeEra          int64 // as of the last tick
-		oldUpdates        bool  // whether the list or the configuration was older than its limit at the last tick
+		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
+		announced         bool  // whether this host has been published, or is being published again, in announcedEra
+		announcedEra      int64
+		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
 	}
 )
 
@@ -133,7 +135,7 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		bootNow: bootNow, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
+		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
 	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
--- a/internal/node/outage.go
+++ b/internal/node/outage.go
@@ -16,6 +16,8 @@
 	// several failures. It leaves time for one lost read before the bounds on configuration and list apply to the host again.
 	probeShare       = 0.4
 	maxProbeInterval = 2 * time.Second
+	// unknownEra is the era of the store before the first answer.
+	unknownEra = -1
 )
 
 // outage counts consecutive failed reads of the list by this host. What other hosts report about the store doesn't count: it may answer
@@ -63,17 +65,25 @@
 	return time.Duration(float64(n.poll.probeInterval) * (1 - rand.Float64()/4)) //nolint:gosec // need not be unpredictable
 }
 
-// observeEra notices when an answer of the store shows that it came back from a copy. A holder of the lease then has to begin a new term.
+// observeEra notices when the store came back from a copy, from its answers or from what hubs have read. A holder of the lease then has to
+// begin a new term, and this host has to publish itself again.
 func (n *Node) observeEra() {
-	if n.platform.Era == nil {
-		return
+	era := n.storeEra
+	if n.platform.Era != nil {
+		era = max(era, n.platform.Era())
 	}
-	era := n.platform.Era()
-	if n.storeEra > 0 && era > n.storeEra {
+	if newest, _, ok := n.lease.Newest(n.now()); ok {
+		era = max(era, newest.Era)
+	}
+	if n.hasList {
+		era = max(era, n.progress.Era)
+	}
+	if n.storeEra != unknownEra && era > n.storeEra {
 		n.log("node").Warn("store came back from a copy", "event", eventReturned, "era", era, "before", n.storeEra)
 		if n.term != 0 {
 			n.lease.Reread()
 		}
 	}
 	n.storeEra = era
+	n.announceAgain()
 }
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -27,11 +27,11 @@
 		Lease func(ctx context.Context) (lease.Newest, error)
 		// AppendLease appends a lease record if the log ends at the expected offset; otherwise ok is false.
 		AppendLease func(ctx context.Context, a lease.Action) (offset int64, ok bool, err error)
-		// Announce publishes this host to the others.
-		Announce func(ctx context.Context, m Member) error
+		// Announce publishes this host to the others and returns the era of the store in which it is published.
+		Announce func(ctx context.Context, m Member) (era int64, err error)
 		// Members returns all published hosts.
 		Members func(ctx context.Context) ([]Member, error)
-		// Era returns the highest era in the store's answers, which rises when the store comes back from a copy. Zero means unknown.
+		// Era returns the highest era in the store's answers, which rises when the store comes back from a copy. It returns -1 before the first answer.
 		Era func() int64
 		// Order sends an order to an upstream and returns its answer. It calls permit just before it sends, and sends nothing if permit
 		// returns false.
