fix(node): a configuration that the store lost stays in force at all hosts

A host that did not reach the store when a configuration was confirmed answered 404 for its routes after the store came back from a copy without it, until the operator wrote it again; so did a host that started then.

Cause: hubs got the configuration from the store only and took its newest record for the newest one there is.

Hubs state their version in heartbeats, and an answer has the record if that of the answering host is newer. A host that starts in a running system reads the store only when another host has answered it, or none can. Hosts of the version before neither send the field nor expect it.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -88,6 +88,13 @@
 		Query    *FeedQuery     // request for updates from a hub; nil in heartbeats between hubs
 		Feed     *Feed          // answer to Query
 		Evidence blame.Evidence // of requests that crash upstreams
+		Config   *ConfigState   // of a host that does not depend on the receiver; in an answer, that of a newer configuration
+	}
+
+	// ConfigState is the configuration of a host.
+	ConfigState struct {
+		Version int64
+		Record  []byte // encoded configuration, only in answers
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -205,6 +212,9 @@
 				message = Heartbeat{From: n.self}
 			}
 		})
+		if len(to) == 0 && n.direct.Load() {
+			n.peersAsked.Store(true)
+		}
 		for _, m := range to {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &message) })
 		}
@@ -265,13 +275,11 @@
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		if c := n.config.Load(); c != nil {
-			b.Query.Version = c.Version()
-		}
+		b.Query.Version = n.configVersion()
 		b.Evidence = n.blame.Export(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
-	b.Children, b.Evidence = n.childStatuses(now), n.blame.Export(now, true)
+	b.Children, b.Evidence, b.Config = n.childStatuses(now), n.blame.Export(now, true), &ConfigState{Version: n.configVersion()}
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
 	for name := range n.hubs {
@@ -347,6 +355,7 @@
 	reply, start := new(Heartbeat), n.bootNow()
 	err := n.peerClient.CallWithin(ctx, heartbeatTimeout, m.Peers, peers.ServiceName+".Beat", b, reply)
 	n.control.Post(func() {
+		defer n.peersAsked.Store(true)
 		if err == nil {
 			n.applyHeartbeat(reply)
 			switch {
@@ -386,6 +395,9 @@
 		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate()}
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		reply.Evidence = s.node.blame.Export(time.Now(), b.Query == nil || b.Query.MembersFrom != s.node.self.Incarnation)
+		if v := s.node.configVersion(); b.Config != nil && v > b.Config.Version {
+			reply.Config = &ConfigState{v, s.node.configRecord}
+		}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
 				s.node.placing.RemoveHost(b.From.Name) // This host now merges the member's uses into its own.
@@ -412,6 +424,10 @@
 		bootNow := n.now()
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
 	}
+	if b.Config != nil && len(b.Config.Record) > 0 {
+		// The store may have come back from a copy without the newest configuration, which stays in force.
+		n.applyConfigRecord(b.Config.Record)
+	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
 	for _, c := range b.Children {
 		n.applyHostStatus(now, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 		direct       atomic.Bool // whether this host reads the store itself
 		dependent    atomic.Bool // whether this host depends on a hub
 		listLost     atomic.Bool // whether the last read of the list failed
+		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none can
 		reload       chan os.Signal
 		settingsFile string
 
@@ -303,11 +304,7 @@
 
 func (n *Node) recordGauges() {
 	m := n.metrics
-	version := int64(0)
-	if c := n.config.Load(); c != nil {
-		version = c.Version()
-	}
-	m.SetHostView("configurationVersion", float64(version))
+	m.SetHostView("configurationVersion", float64(n.configVersion()))
 	m.State(n.lease.Fence(), n.ready.Load())
 	m.Load(0, int(n.stop.active.Load()))
 	m.SetHostView("upstreams", float64(len(n.upstreams)))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -37,7 +37,7 @@
 func (n *Node) watchConfig(ctx context.Context) {
 	cursor, wait := Cursor{}, n.poll.configPollWait
 	for failed := 0; ctx.Err() == nil; {
-		if !n.direct.Load() {
+		if !n.direct.Load() || n.awaitsPeers() {
 			cursor, failed, wait = Cursor{}, 0, n.poll.configPollWait
 			sleep(ctx, sourceCheckInterval)
 			continue
@@ -75,6 +75,12 @@
 	}
 }
 
+// awaitsPeers reports whether this host has to ask other hosts for the configuration first: the store may have come back from a copy, and a
+// host without a configuration would take an older one than the others have in force.
+func (n *Node) awaitsPeers() bool {
+	return !n.peersAsked.Load() && n.config.Load() == nil && !n.settings.Host.Bootstrap
+}
+
 // configReadAt returns the time as of which a call to the store shows the configuration. The answer may have waited in a socket while this
 // host was slow or stopped, so that only the time at which the store sent it at the earliest counts: a record comes as soon as there
 // is one, no record only after the whole wait.
@@ -108,6 +114,14 @@
 	n.applyConfig(c)
 }
 
+// configVersion returns the version of the configuration in force, or zero if there is none.
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
 // applyConfig applies a configuration; an older or equal version is ignored.
 func (n *Node) applyConfig(c *fleet.Config) {
 	old := n.config.Load()
