--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -22,6 +22,7 @@
 	eventSource         = 305 // The host now reads the store itself, or relies on a hub.
 	eventOldUpdates     = 306 // The list or the configuration of this host is older than its limit, or no longer.
 	eventReturned       = 307 // The store came back from a copy.
+	eventConfigOlder    = 309 // The store, or another host, has an older configuration than the one in force.
 	eventLease          = 400
 	eventLeaseLost      = 401
 	eventOrder          = 402
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -108,8 +108,11 @@
 		n.log("node").Warn("configuration record is invalid, keeping the current one", "event", eventSkipped, "entry", "configuration", "err", err)
 		return
 	}
-	if old := n.config.Load(); old == nil || c.Version() > old.Version() {
+	switch old := n.config.Load(); {
+	case old == nil || c.Version() > old.Version():
 		n.configRecord = record
+	case c.Version() < old.Version():
+		n.log("node").Info("configuration is older than the one in force, keeping that", "event", eventConfigOlder, "version", c.Version(), "current", old.Version())
 	}
 	n.applyConfig(c)
 }
