--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -26,6 +26,8 @@
 	// bootstrapSpread is the longest random time added to it, because hundreds of reads at once take seconds.
 	bootstrapDelay  = time.Second
 	bootstrapSpread = 500 * time.Millisecond
+	// announceSpread is the time over which hosts publish themselves again after the store came back from a copy.
+	announceSpread = 3 * time.Second
 	// maxMembersWait is how long a starting host waits for the members before it reads configuration and list from the store. With
 	// members it gets both from its hub.
 	maxMembersWait = 600 * time.Millisecond
@@ -88,6 +90,13 @@
 		Feed     *Feed          // answer to Query
 		Evidence blame.Evidence // of requests that crash upstreams
 		Leaving  []pick.LeavingSign
+		Config   *ConfigState // of a host that does not depend on the receiver; in an answer, that of a newer configuration
+	}
+
+	// ConfigState is the configuration of a host.
+	ConfigState struct {
+		Version int64
+		Record  []byte // encoded configuration, only in answers
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -101,16 +110,7 @@
 
 // watchMembers publishes this host and reads which other hosts are published.
 func (n *Node) watchMembers(ctx context.Context) {
-	for failed := 1; ctx.Err() == nil; failed++ {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := n.platform.Announce(callCtx, n.self)
-		cancel()
-		if err == nil {
-			break
-		}
-		n.control.Post(func() { n.recordDependency("members", err) })
-		sleep(ctx, backoff(failed))
-	}
+	n.announce(ctx)
 	if n.settings.Host.Bootstrap {
 		sleep(ctx, bootstrapDelay+rand.N(bootstrapSpread)) //nolint:gosec // need not be unpredictable
 	}
@@ -149,6 +149,35 @@
 	}
 }
 
+// announce publishes this host, and tries until that succeeds.
+func (n *Node) announce(ctx context.Context) {
+	for failed := 1; ctx.Err() == nil; failed++ {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		era, err := n.platform.Announce(callCtx, n.self)
+		cancel()
+		if err == nil {
+			n.control.Post(func() { n.announced, n.announcedEra = true, max(n.announcedEra, era) })
+			return
+		}
+		n.control.Post(func() { n.recordDependency("members", err) })
+		sleep(ctx, backoff(failed))
+	}
+}
+
+// announceAgain publishes this host again if the store came back from a copy that may have been made before it was published. Hundreds of
+// hosts do so at random times.
+func (n *Node) announceAgain() {
+	if !n.announced || n.announcedEra >= n.storeEra {
+		return
+	}
+	n.announcedEra = n.storeEra
+	n.background(func(ctx context.Context) {
+		if sleep(ctx, rand.N(announceSpread)) { //nolint:gosec // need not be unpredictable
+			n.announce(ctx)
+		}
+	})
+}
+
 // addMember adds or updates a host that is known to exist; the host need not be alive. It returns nil for this host itself.
 func (n *Node) addMember(m Member) *member {
 	if m.Name == n.self.Name {
@@ -186,6 +215,9 @@
 				message = Heartbeat{From: n.self}
 			}
 		})
+		if len(to) == 0 && n.direct.Load() {
+			n.peersAsked.Store(true)
+		}
 		for _, m := range to {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &message) })
 		}
@@ -246,13 +278,12 @@
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		if c := n.config.Load(); c != nil {
-			b.Query.Version = c.Version()
-		}
+		b.Query.Version = n.configVersion()
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
-	b.Children, b.Evidence, b.Leaving = n.childStatuses(now), n.blame.Export(now, true), n.table.ExportLeaving(now, false)
+	b.Children, b.Config = n.childStatuses(now), &ConfigState{Version: n.configVersion()}
+	b.Evidence, b.Leaving = n.blame.Export(now, true), n.table.ExportLeaving(now, false)
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
 	for name := range n.hubs {
@@ -328,6 +359,7 @@
 	reply, start := new(Heartbeat), n.bootNow()
 	err := n.peerClient.CallWithin(ctx, heartbeatTimeout, m.Peers, peers.ServiceName+".Beat", b, reply)
 	n.control.Post(func() {
+		defer n.peersAsked.Store(true)
 		if err == nil {
 			n.applyHeartbeat(reply)
 			switch {
@@ -368,6 +400,9 @@
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
 		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
+		if v := s.node.configVersion(); b.Config != nil && v > b.Config.Version {
+			reply.Config = &ConfigState{v, s.node.configRecord}
+		}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
 				s.node.placing.RemoveHost(b.From.Name) // This host now merges the member's uses into its own.
@@ -394,6 +429,10 @@
 		bootNow := n.now()
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
 	}
+	if b.Config != nil && len(b.Config.Record) > 0 {
+		// The store may have come back from a copy without the newest configuration, which stays in force.
+		n.applyConfigRecord(b.Config.Record)
+	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
 	n.mergeLeaving(now, b.From.Name, b.Leaving)
 	for _, c := range b.Children {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 		direct       atomic.Bool // whether this host reads the store itself
 		dependent    atomic.Bool // whether this host depends on a hub
 		listLost     atomic.Bool // whether the last read of the list failed
+		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none can
 		reload       chan os.Signal
 		settingsFile string
 
@@ -117,6 +118,9 @@
 		blame             *blame.Ledger
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
+		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
+		announced         bool  // whether this host has been published, or is being published again, in announcedEra
+		announcedEra      int64
 		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
 
 		skipped map[SkippedEntry]bool // entries that were logged as skipped
@@ -137,10 +141,10 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		bootNow: bootNow, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
+		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
-	leaseSettings.Fenced = s.Limits.RequireFence
+	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
 	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
@@ -307,6 +311,7 @@
 	n.updateReady()
 	n.chooseSource()
 	n.logOldUpdates()
+	n.observeEra()
 	if n.tickCount++; n.tickCount%gaugeTicks == 0 {
 		n.recordGauges()
 	}
@@ -314,11 +319,7 @@
 
 func (n *Node) recordGauges() {
 	m := n.metrics
-	version := int64(0)
-	if c := n.config.Load(); c != nil {
-		version = c.Version()
-	}
-	m.SetHostView("configurationVersion", float64(version))
+	m.SetHostView("configurationVersion", float64(n.configVersion()))
 	m.State(n.lease.Fence(), n.ready.Load())
 	m.Load(0, int(n.stop.active.Load()))
 	m.SetHostView("upstreams", float64(len(n.upstreams)))
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -14,6 +14,9 @@
 	minWriteRatio = 0.5
 	// writeRateDecay is the weight of the previous value in the moving average of the write rate.
 	writeRateDecay = 0.8
+	// goneMemory is how long the last entry of an upstream that has disappeared is known. It is much longer than the age of a copy from
+	// which the platform's list may come back.
+	goneMemory = 5 * time.Minute
 )
 
 type (
@@ -22,15 +25,23 @@
 	List struct {
 		live        map[string]Upstream
 		retained    map[string]Upstream
+		gone        map[string]goneUpstream
 		unreadable  bool
 		recoveredAt time.Time // when the list became readable after its last outage
 		progress    Progress
 	}
 
+	// goneUpstream is the last entry of an upstream that has disappeared.
+	goneUpstream struct {
+		Upstream
+		at time.Time
+	}
+
 	// Progress tells how many entries are written to the published list. It distinguishes an outage of the list from a failure of the
 	// hosts that read it.
 	Progress struct {
-		Position int64     // number of entries ever written, as of ReadAt
+		Era      int64     // of the platform's store; in a higher one, positions are given out again
+		Position int64     // number of entries ever written in the log of the era, as of ReadAt
 		ReadAt   time.Time // time of the last read; zero means never
 		Rate     float64   // number of entries written per second; zero means unknown
 	}
@@ -38,19 +49,22 @@
 
 // NewList returns an empty list.
 func NewList() *List {
-	return &List{live: make(map[string]Upstream), retained: make(map[string]Upstream)}
+	return &List{live: make(map[string]Upstream), retained: make(map[string]Upstream), gone: make(map[string]goneUpstream)}
 }
 
 // MarkUnreadable records that the list cannot be read.
 func (l *List) MarkUnreadable() { l.unreadable = true }
 
-// MarkRead records that the list was read up to the position, which is the number of entries ever written. If the upstreams kept
-// writing while this host could not read, the list itself had no outage, and missing entries are not retained.
-func (l *List) MarkRead(now time.Time, position int64) {
+// MarkRead records that the list was read up to the position, which is the number of entries ever written in the log of the era. If the
+// upstreams kept writing while this host could not read, the list itself had no outage, and missing entries are not retained. In a new era
+// the list has lost entries, which is an outage, and positions tell nothing about the rate of writing.
+func (l *List) MarkRead(now time.Time, era, position int64) {
 	p := &l.progress
 	elapsed := now.Sub(p.ReadAt).Seconds()
 	written := float64(position - p.Position)
 	switch known := !p.ReadAt.IsZero() && elapsed > 0; {
+	case era != p.Era && !p.ReadAt.IsZero():
+		l.recoveredAt = now
 	case l.unreadable && (!known || p.Rate == 0 || written < minWriteRatio*p.Rate*elapsed):
 		l.recoveredAt = now
 	case !l.unreadable && known && p.Rate == 0:
@@ -58,7 +72,7 @@
 	case !l.unreadable && known:
 		p.Rate = writeRateDecay*p.Rate + (1-writeRateDecay)*written/elapsed
 	}
-	l.unreadable, p.Position, p.ReadAt = false, position, now
+	l.unreadable, p.Era, p.Position, p.ReadAt = false, era, position, now
 }
 
 // Progress returns the progress of the published list as of the last read.
@@ -78,12 +92,13 @@
 	return u, ok
 }
 
-// Put adds or replaces an entry unless the list has a newer one, and reports whether it did.
+// Put adds or replaces an entry unless a newer one is known, also of an upstream that has disappeared, and reports whether it did.
 func (l *List) Put(u Upstream) bool {
 	old, ok := l.live[u.ID]
-	if ok && !u.Newer(old) {
+	if ok && !u.Newer(old) || l.Outdated(u) {
 		return false
 	}
+	delete(l.gone, u.ID)
 	delete(l.retained, u.ID)
 	l.live[u.ID] = u
 	return true
@@ -101,8 +116,35 @@
 	}
 }
 
-// Reset applies a complete list: entries that it lacks are removed.
+// Outdated reports whether the entry is not newer than the last one of an upstream that has disappeared.
+func (l *List) Outdated(u Upstream) bool {
+	g, ok := l.gone[u.ID]
+	return ok && g.Newer(u)
+}
+
+// RecordChanges records which upstreams disappeared between two lists.
+func (l *List) RecordChanges(now time.Time, before, after map[string]Upstream) {
+	for id, u := range before {
+		if _, ok := after[id]; !ok {
+			l.gone[id] = goneUpstream{u, now}
+		}
+	}
+	for id, g := range l.gone {
+		if _, ok := after[id]; ok || now.Sub(g.at) > goneMemory {
+			delete(l.gone, id)
+		}
+	}
+}
+
+// Reset applies a complete list: entries that it lacks are removed. An upstream that has disappeared counts again only from its next entry
+// on, because the list may have come back from a copy that was made while the upstream was there.
 func (l *List) Reset(now time.Time, all []Upstream) {
+	for _, u := range all {
+		if g, ok := l.gone[u.ID]; ok && g.Born == u.Born {
+			g.Beat = max(g.Beat, u.Beat)
+			l.gone[u.ID] = g
+		}
+	}
 	keep := make(map[string]bool, len(all))
 	for _, u := range all {
 		keep[u.ID] = true
