--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
@@ -105,3 +106,24 @@
 	qt.Assert(t, b.Leaving, qt.HasLen, 0)
 	qt.Assert(t, n.buildFeed("other", FeedQuery{}).Put[0].Leaving, qt.IsFalse)
 }
+
+// TestStreamInProgressWaitsForAPause guards against a stream that is broken off, because its caller is past the time for a first event, when
+// all upstreams that could continue it want no requests for a moment.
+func TestStreamInProgressWaitsForAPause(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	u := listedUpstream(1)
+	u.Held = []fleet.Held{{Model: "m"}}
+	n.applyList(time.Now(), map[string]fleet.Upstream{"u": u})
+	n.applySigns(time.Now(), pick.Process{Upstream: "u", Born: 1}, relay.Signs{Pause: 2 * time.Second})
+	now := time.Now()
+	for _, x := range []struct {
+		abandon, deadline time.Duration
+		paused            bool
+	}{{3 * time.Second, time.Minute, true}, {time.Second, time.Minute, false}, {-time.Second, time.Minute, true}, {-time.Second, time.Second, false}} {
+		c := &relay.Call{Service: "s", AbandonAt: now.Add(x.abandon), Deadline: now.Add(x.deadline)}
+		c.Key.Model = "m"
+		_, err := n.checkPause(now, c)
+		qt.Check(t, codes.Is(err, codes.UpstreamsPaused), qt.Equals, x.paused, qt.Commentf("%+v", x))
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -130,7 +130,7 @@
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
 		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo,
-		// The upstream may have said while the connection was opened that it leaves.
+		// The upstream may have said while the connection was opened that it leaves or wants no requests.
 		Permit: func() bool { return t.Attempt.Permitted(time.Now()) },
 	}
 }
