--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -151,7 +151,7 @@
 	if x.call.Route.Kind == fleet.Unsafe {
 		stays = x.caller.keep // An upstream may drop the work on a request whose connection ends, and it may not be repeated.
 	}
-	// The upstream may have said while the connection was opened that it leaves.
+	// The upstream may have said while the connection was opened that it leaves or wants no requests.
 	permit := func() bool { return t.Attempt.Permitted(time.Now()) && stays() }
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
