fix(relay): the end of a planned stop reaches callers that closed their sending side

Callers saw: a request whose caller had closed only its sending side, still in progress at the end of the grace period, ended with a closed connection in place of a 504.

Cause: the end of the stop came with the context of the request, which net/http ends once, at the end of the caller's input. A later end had no effect, and the process ended before the request did.

Fix: the relay watches a context of the host that ends with the stop, beside that of the request.

The case "host stops" of TestCallerThatClosedItsInput now ends the input first.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,7 @@
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(placeSettings)
-	n.stop.ctx, n.stop.cancel = context.WithCancelCause(context.Background())
+	n.stop.ctx, n.stop.cancel = context.WithCancel(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
@@ -155,7 +155,7 @@
 		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.stop.state, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
-		Signs: n.recordSigns, Paused: n.paused,
+		Signs: n.recordSigns, Paused: n.paused, Ending: n.stop.ctx,
 	}, pool)
 	return n
 }
@@ -237,7 +237,6 @@
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ErrorLog = headerTimeout, idleTimeout, slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)
 	if address == n.settings.Listen.Traffic {
 		n.stop.server = s
-		s.BaseContext = func(net.Listener) context.Context { return n.stop.ctx }
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
@@ -25,8 +24,8 @@
 	startedAt atomic.Int64 // start of the stop in Unix nanoseconds; zero if the host is not stopping
 	active    atomic.Int64 // number of requests in progress
 	server    *callerServer
-	ctx       context.Context // of all requests; ends with relay.ErrStopping when the host can no longer wait for their responses
-	cancel    context.CancelCauseFunc
+	ctx       context.Context // ends when the host can no longer wait for the responses to its requests
+	cancel    context.CancelFunc
 }
 
 // state returns the time after which no new request is accepted, and whether the host is stopping.
@@ -72,7 +71,7 @@
 		return nil
 	}
 	left := n.stop.active.Load()
-	n.stop.cancel(relay.ErrStopping)
+	n.stop.cancel()
 	ctx, cancelLast := context.WithTimeout(context.Background(), lastResponsesTime)
 	defer cancelLast()
 	_ = n.stop.server.Shutdown(ctx) // The process ends in any case.
--- a/internal/relay/caller.go
+++ b/internal/relay/caller.go
@@ -34,16 +34,14 @@
 	late   bool // whether closedInputGrace has passed since the end of the input
 }
 
-// watchCaller returns the caller of a request. The function stop ends its context.
-func watchCaller(q *http.Request, input func(*http.Request) string) (c *caller, stop func()) {
+// watchCaller returns the caller of a request. Its context ends with ErrStopping when the context of the host ends, also after the end of the
+// caller's input, and when the function stop is called.
+func watchCaller(host context.Context, q *http.Request, input func(*http.Request) string) (c *caller, stop func()) {
 	c = new(caller)
 	c.ctx, c.cancel = context.WithCancelCause(context.WithoutCancel(q.Context()))
+	unwatchHost := context.AfterFunc(host, func() { c.cancel(ErrStopping) })
 	unwatch := context.AfterFunc(q.Context(), func() {
-		switch {
-		case errors.Is(context.Cause(q.Context()), ErrStopping):
-			c.cancel(ErrStopping)
-			return
-		case input(q) != InputClosed:
+		if input(q) != InputClosed {
 			c.cancel(errCallerLeft)
 			return
 		}
@@ -58,6 +56,7 @@
 	})
 	return c, func() {
 		unwatch()
+		unwatchHost()
 		c.cancel(nil)
 	}
 }
--- a/internal/relay/caller_test.go
+++ b/internal/relay/caller_test.go
@@ -13,14 +13,17 @@
 // TestCallerThatClosedItsInput guards against a caller that counts as gone although its stream goes on or its request may not be repeated, and
 // against one that left and whose upstream goes on for more than half a second.
 func TestCallerThatClosedItsInput(t *testing.T) {
-	watch := func(t *testing.T, input string) (*caller, context.CancelCauseFunc) {
+	watchOn := func(t *testing.T, host context.Context, input string) (*caller, context.CancelCauseFunc) {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://a/", nil)
 		qt.Assert(t, err, qt.IsNil)
-		c, stop := watchCaller(q, func(*http.Request) string { return input })
+		c, stop := watchCaller(host, q, func(*http.Request) string { return input })
 		t.Cleanup(stop)
 		return c, cancel
 	}
+	watch := func(t *testing.T, input string) (*caller, context.CancelCauseFunc) {
+		return watchOn(t, t.Context(), input)
+	}
 	gone := func(c *caller) bool {
 		synctest.Wait()
 		return c.gone()
@@ -62,9 +65,12 @@
 			qt.Check(t, gone(c), qt.IsTrue)
 		},
 		"host stops": func(t *testing.T) {
-			c, end := watch(t, InputClosed)
+			host, stop := context.WithCancel(t.Context())
+			c, end := watchOn(t, host, InputClosed)
 			qt.Check(t, c.keep(), qt.IsTrue)
-			end(ErrStopping)
+			end(nil)
+			qt.Check(t, gone(c), qt.IsFalse)
+			stop()
 			qt.Check(t, gone(c), qt.IsTrue)
 			qt.Check(t, context.Cause(c.ctx), qt.Equals, ErrStopping)
 		},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,7 +55,7 @@
 	x.call = &Call{Arrived: arrived}
 	x.call.ID = q.Header.Get(r.dialect.Echo)
 	var stop func()
-	x.caller, stop = watchCaller(q, r.control.CallerInput)
+	x.caller, stop = watchCaller(r.control.Ending, q, r.control.CallerInput)
 	defer stop()
 	x.finish(x.handle())
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -48,8 +48,8 @@
 		Broken:      func(*relay.Call, relay.Ticket, relay.Progress) bool { return true },
 		Sound:       func(*relay.Call) {},
 		Guard:       func(*relay.Call, context.CancelCauseFunc) func() { return func() {} },
-		CallerInput: func(*http.Request) string { return "" },
-		Paused:      func(*relay.Call) error { return nil },
+		CallerInput: func(*http.Request) string { return "" }, Ending: context.Background(),
+		Paused: func(*relay.Call) error { return nil },
 	}
 }
 
--- a/internal/relay/signs_test.go
+++ b/internal/relay/signs_test.go
@@ -31,7 +31,7 @@
 	c.RecordFirst, c.Sound, c.RequestEnded = func(relay.Ticket) {}, func(*relay.Call) {}, func(relay.RequestSummary) {}
 	c.Broken = func(*relay.Call, relay.Ticket, relay.Progress) bool { return true }
 	c.Signs = func(relay.Ticket, relay.Signs) {}
-	c.CallerInput = func(*http.Request) string { return "" }
+	c.CallerInput, c.Ending = func(*http.Request) string { return "" }, context.Background()
 	if c.AllowRepeat == nil {
 		c.AllowRepeat = func(string) bool { return true }
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -108,6 +108,8 @@
 		Sound func(c *Call)
 		// Guard cancels an attempt if it becomes known, before release is called, that such requests crash upstreams.
 		Guard func(c *Call, cancel context.CancelCauseFunc) (release func())
+		// Ending is the context of the host, which ends when the host can no longer wait for responses.
+		Ending context.Context
 		// CallerInput returns how the input of the caller's connection ended, and nothing while it is open.
 		CallerInput func(q *http.Request) string
 		// Silent records that the upstream of an attempt is silent. The request moves to another upstream unless err tells why it stays.
