fix(node): a request without a forecast is refused while its caller still waits

Callers saw: a request for a model whose readiness nothing tells was answered at its deadline or after it, so that its caller had given up, and partly without Retry-After. If the service had no upstream at all, the request was held as long.

Cause: a question to the controller was held for 0.8 s, and up to 1.3 s by a controller that does not answer, whatever time was left.

Fix: the request is refused 0.25 s before the time by which its model would have to be ready, as with a forecast, and a question lasts no longer. A request whose service has no upstream in the list is refused at once, as for services without models. A missing or frozen controller does not lead to a refusal at once: another host may take over, or the controller go on, at any moment.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -52,6 +52,9 @@
 		if t.Attempt != nil || err != nil {
 			return t, err
 		}
+		if available == 0 && len(exclude) == 0 {
+			return t, codes.New(codes.NoUpstream, "no upstream is listed for the service").WithRetryAfter(noUpstreamRetryAfter)
+		}
 		if queue > 0 {
 			return t, codes.Newf(codes.OverCapacity, "upstream %s has a queue of %v", t.Choice.Upstream, queue.Round(time.Millisecond)).
 				WithRetryAfter(spread(queue))
@@ -127,7 +130,7 @@
 }
 
 // awaitUpstream waits until the controller returns an upstream. It refuses the request as soon as the forecast shows that the
-// model can't be ready in time.
+// model can't be ready in time, and without a forecast, or an answer of the controller, while the caller still waits for a response.
 func (n *Node) awaitUpstream(ctx context.Context, c *relay.Call, missing string) (string, error) {
 	for waitLogged := false; ; {
 		if !n.config.Load().HasModel(c.Service, c.Key.Model) {
@@ -142,15 +145,18 @@
 		if stopping && until.Before(latest) {
 			latest = until
 		}
+		giveUp := latest.Add(-firstEventTime)
 		args := WantArgs{
 			Want: place.PendingRequest{
 				Request: c.ID, Service: c.Service, DataCentre: n.self.DataCentre, Key: c.Key, Avoid: n.closedUpstreams(c.Service),
 			},
-			Left:    time.Until(latest) - firstEventTime,
+			Left:    time.Until(giveUp),
 			Missing: missing,
 		}
 		missing = ""
-		reply, err := n.requestUpstream(ctx, args)
+		askCtx, cancel := context.WithTimeout(ctx, max(args.Left, 0)+minForecastWait)
+		reply, err := n.requestUpstream(askCtx, args)
+		cancel()
 		if !waitLogged && err == nil && reply.Upstream == "" {
 			waitLogged = true
 			n.log("request").Info("waits for a load", "event", eventWaiting, "id", c.ID, "model", c.Key.Model, "adapter", c.Key.Adapter,
@@ -159,11 +165,11 @@
 		switch {
 		case ctx.Err() != nil:
 			return "", ctx.Err()
-		case stopping && reply.Upstream == "" && (!time.Now().Before(latest) || reply.ReadyIn > args.Left):
+		case stopping && reply.Upstream == "" && (!time.Now().Before(giveUp) || reply.ReadyIn > args.Left):
 			return "", codes.New(codes.Draining, "the model would not be loaded before the host stops").
 				WithRetryAfter(max(reply.ReadyIn, stopRetryAfter))
 		case err != nil:
-			if time.Now().Add(noControllerRetryDelay).After(latest) {
+			if time.Now().Add(noControllerRetryDelay).After(giveUp) {
 				return "", codes.New(codes.NoTimeToLoad, err.Error()).WithRetryAfter(noUpstreamRetryAfter)
 			}
 			sleep(ctx, noControllerRetryDelay)
@@ -178,8 +184,8 @@
 			}
 			return "", codes.Newf(codes.NoTimeToLoad, "model is ready in %v, but the request has only %v left",
 				reply.ReadyIn.Round(time.Millisecond), left.Round(time.Millisecond)).WithRetryAfter(reply.ReadyIn + readyMargin)
-		case time.Now().After(latest):
-			return "", codes.New(codes.DeadlineMissed, "deadline passed while waiting for the model to load").WithRetryAfter(noUpstreamRetryAfter)
+		case !time.Now().Before(giveUp):
+			return "", codes.New(codes.NoTimeToLoad, "nothing tells when the model is ready").WithRetryAfter(noUpstreamRetryAfter)
 		}
 	}
 }
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -334,9 +334,10 @@
 	return s.node.answerWant(ctx, *a, reply)
 }
 
-// answerWant waits up to wantPollWait for an upstream that holds the model. It fails if this host is not the controller.
+// answerWant waits for an upstream that holds the model, up to wantPollWait or until the request must have one. It fails if this host is not the
+// controller.
 func (n *Node) answerWant(ctx context.Context, a WantArgs, reply *WantReply) error {
-	until := time.Now().Add(wantPollWait)
+	until := time.Now().Add(min(wantPollWait, max(a.Left, minForecastWait)))
 	deadline := time.Now().Add(a.Left)
 	for first := true; ; first = false {
 		var f place.Forecast
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -460,6 +460,7 @@
 	}
 	a.writer.WriteHeader(r.Status)
 	a.headSent = true
+	a.call.AbandonAt = a.call.Deadline
 	a.summary.Status = r.Status
 	a.summary.First = time.Since(a.call.Arrived)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,12 +227,8 @@
 	if !x.mayHaveRun || !codes.Is(err, codes.UpstreamsPaused) {
 		return false
 	}
-	limit := x.call.AbandonAt
-	if x.headSent {
-		limit = x.call.Deadline
-	}
 	pause := codes.From(err).RetryAfter()
-	if time.Now().Add(pause).After(limit) {
+	if time.Now().Add(pause).After(x.call.AbandonAt) {
 		return false
 	}
 	select {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -139,7 +139,7 @@
 		Service   string
 		Arrived   time.Time
 		Deadline  time.Time // time by which the response must be complete
-		AbandonAt time.Time // when the caller is expected to abandon a request without a first event
+		AbandonAt time.Time // when the caller is expected to abandon the request; the deadline once the response has begun
 		Version   int64     // version of the configuration
 		Rounds    int       // times that every upstream of a service without models was tried without success
 	}
