--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,7 +55,7 @@
 	x.call = &Call{Arrived: arrived}
 	x.call.ID = q.Header.Get(r.dialect.Echo)
 	var stop func()
-	x.caller, stop = watchCaller(q, r.control.CallerInput)
+	x.caller, stop = watchCaller(r.control.Ending, q, r.control.CallerInput)
 	defer stop()
 	x.finish(x.handle())
 }
@@ -227,12 +227,8 @@
 	if !x.mayHaveRun || !codes.Is(err, codes.UpstreamsPaused) {
 		return false
 	}
-	limit := x.call.AbandonAt
-	if x.headSent {
-		limit = x.call.Deadline
-	}
 	pause := codes.From(err).RetryAfter()
-	if time.Now().Add(pause).After(limit) {
+	if time.Now().Add(pause).After(x.call.AbandonAt) {
 		return false
 	}
 	select {
