--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -14,6 +14,8 @@
 	eventAttemptFailed  = 202 // An attempt failed and the request is sent again.
 	eventWaiting        = 203 // A request waits for a load; the event has the forecast behind that decision.
 	eventBroken         = 204 // The connection of an attempt ended before its response did.
+	eventSilent         = 205 // The upstream of a resumable stream is silent.
+	eventPanic          = 206 // The handler of a request panicked.
 	eventConfig         = 300
 	eventSkipped        = 301
 	eventUpstream       = 302
@@ -21,6 +23,8 @@
 	eventMemberFound    = 304
 	eventSource         = 305 // The host now reads the store itself, or relies on a hub.
 	eventOldUpdates     = 306 // The list or the configuration of this host is older than its limit, or no longer.
+	eventReturned       = 307 // The store came back from a copy.
+	eventConfigOlder    = 309 // The store, or another host, has an older configuration than the one in force.
 	eventSaidLeaving    = 310 // An upstream said in an answer that it leaves.
 	eventPause          = 311 // An upstream answered that it wants no requests for a while.
 	eventLeavingLearned = 312 // Another host reported upstreams that said that they leave.
@@ -29,6 +33,9 @@
 	eventOrder          = 402
 	eventReport         = 403
 	eventLoaded         = 404
+	eventLeaseAppend    = 405 // The log refused a lease record because it ends elsewhere.
+	eventLeaseOlder     = 406 // A lease record was ignored because a later one is known.
+	eventFenceRefused   = 407
 	eventCrash          = 500 // An upstream ended as it began to answer a request.
 	eventCrashLearned   = 501 // Another host sent evidence of such crashes.
 	eventTrial          = 502 // A request is sent although requests with its parts crashed upstreams.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,8 +33,11 @@
 const (
 	// DialTimeout limits how long opening a connection to an upstream may take; data centres are a few milliseconds apart.
 	DialTimeout = 400 * time.Millisecond
-	// UserTimeout limits how long sent data may stay unacknowledged on any socket.
+	// UserTimeout limits how long sent data may stay unacknowledged on a socket, except those of callers.
 	UserTimeout = 1500 * time.Millisecond
+	// callerUserTimeout is the same for callers' connections. It also ends the connection of a caller that has no room for more data
+	// because it does not read, which is no sign of a dead connection.
+	callerUserTimeout = 5 * time.Second
 
 	headerTimeout     = 10 * time.Second
 	idleTimeout       = time.Minute // longer than callers keep an idle connection open
@@ -69,6 +72,7 @@
 		direct       atomic.Bool // whether this host reads the store itself
 		dependent    atomic.Bool // whether this host depends on a hub
 		listLost     atomic.Bool // whether the last read of the list failed
+		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none can
 		reload       chan os.Signal
 		settingsFile string
 
@@ -114,7 +118,12 @@
 		blame             *blame.Ledger
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
+		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
+		announced         bool  // whether this host has been published, or is being published again, in announcedEra
+		announcedEra      int64
 		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
+
+		skipped map[SkippedEntry]bool // entries that were logged as skipped
 	}
 )
 
@@ -132,23 +141,25 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		bootNow: bootNow, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
+		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
-	leaseSettings.Fenced = s.Limits.RequireFence
+	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
 	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(placeSettings)
+	n.stop.ctx, n.stop.cancel = context.WithCancelCause(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Stuck: n.stuck,
+		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.stop.state, Retried: n.logRetry, RequestEnded: n.logEnd,
-		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, Signs: n.recordSigns, Paused: n.paused,
+		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
+		Signs: n.recordSigns, Paused: n.paused,
 	}, pool)
 	return n
 }
@@ -156,6 +167,7 @@
 // WithSettingsFile sets the settings file, which is reloaded on SIGHUP and when it changes.
 func (n *Node) WithSettingsFile(file string) *Node {
 	n.settingsFile = file
+	signal.Notify(n.reload, syscall.SIGHUP) // Without it, SIGHUP ends the process.
 	return n
 }
 
@@ -201,6 +213,7 @@
 // countingHandler returns the relay with a count of active requests, for which a planned stop waits.
 func (n *Node) countingHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		n.metrics.RequestRead("traffic")
 		n.requests.Add(1)
 		n.stop.active.Add(1)
 		defer n.requests.Done()
@@ -213,20 +226,26 @@
 	if address == "" {
 		return nil
 	}
+	timeout := UserTimeout
+	if address == n.settings.Listen.Traffic {
+		timeout = callerUserTimeout
+	}
 	lc := net.ListenConfig{KeepAliveConfig: conns.KeepAlive(), Control: func(_, _ string, c syscall.RawConn) error {
-		return conns.UserTimeout(c, UserTimeout)
+		return conns.UserTimeout(c, timeout)
 	}}
 	l, err := lc.Listen(n.baseCtx, "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen for HTTP")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)}
+	s := newCallerServer(h)
+	s.ReadHeaderTimeout, s.IdleTimeout, s.ErrorLog = headerTimeout, idleTimeout, slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)
 	if address == n.settings.Listen.Traffic {
 		n.stop.server = s
+		s.BaseContext = func(net.Listener) context.Context { return n.stop.ctx }
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(callerListener{l, s}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		<-stopped
@@ -292,6 +311,7 @@
 	n.updateReady()
 	n.chooseSource()
 	n.logOldUpdates()
+	n.observeEra()
 	if n.tickCount++; n.tickCount%gaugeTicks == 0 {
 		n.recordGauges()
 	}
@@ -299,11 +319,7 @@
 
 func (n *Node) recordGauges() {
 	m := n.metrics
-	version := int64(0)
-	if c := n.config.Load(); c != nil {
-		version = c.Version()
-	}
-	m.SetHostView("configurationVersion", float64(version))
+	m.SetHostView("configurationVersion", float64(n.configVersion()))
 	m.State(n.lease.Fence(), n.ready.Load())
 	m.Load(0, int(n.stop.active.Load()))
 	m.SetHostView("upstreams", float64(len(n.upstreams)))
@@ -344,8 +360,6 @@
 
 // watchSettings reloads the settings file on SIGHUP and when its modification time changes.
 func (n *Node) watchSettings(ctx context.Context) {
-	signal.Notify(n.reload, syscall.SIGHUP)
-	defer signal.Stop(n.reload)
 	t := time.NewTicker(2 * time.Second)
 	defer t.Stop()
 	var modified time.Time
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -31,19 +31,22 @@
 	// membersRetryDelay is the delay after a failed read of them by a host that has read them before.
 	membersRetryDelay = 2500 * time.Millisecond
 	storeTimeout      = 600 * time.Millisecond
+	// maxSkippedLogged is the number of skipped entries logged per read, and maxSkippedKnown the number remembered as logged.
+	maxSkippedLogged = 8
+	maxSkippedKnown  = 1000
 )
 
 // watchConfig keeps the configuration up to date.
 func (n *Node) watchConfig(ctx context.Context) {
-	cursor, wait := int64(0), n.poll.configPollWait
+	cursor, wait := Cursor{}, n.poll.configPollWait
 	for failed := 0; ctx.Err() == nil; {
-		if !n.direct.Load() {
-			cursor, failed, wait = 0, 0, n.poll.configPollWait
+		if !n.direct.Load() || n.awaitsPeers() {
+			cursor, failed, wait = Cursor{}, 0, n.poll.configPollWait
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
 		timeout := wait + configMargin
-		if cursor == 0 && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
+		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialConfigTimeout
 		}
 		start := n.bootNow()
@@ -75,6 +78,12 @@
 	}
 }
 
+// awaitsPeers reports whether this host has to ask other hosts for the configuration first: the store may have come back from a copy, and a
+// host without a configuration would take an older one than the others have in force.
+func (n *Node) awaitsPeers() bool {
+	return !n.peersAsked.Load() && n.config.Load() == nil && !n.settings.Host.Bootstrap
+}
+
 // configReadAt returns the time as of which a call to the store shows the configuration. The answer may have waited in a socket while this
 // host was slow or stopped, so that only the time at which the store sent it at the earliest counts: a record comes as soon as there
 // is one, no record only after the whole wait.
@@ -102,12 +111,23 @@
 		n.log("node").Warn("configuration record is invalid, keeping the current one", "event", eventSkipped, "entry", "configuration", "err", err)
 		return
 	}
-	if old := n.config.Load(); old == nil || c.Version() > old.Version() {
+	switch old := n.config.Load(); {
+	case old == nil || c.Version() > old.Version():
 		n.configRecord = record
+	case c.Version() < old.Version():
+		n.log("node").Info("configuration is older than the one in force, keeping that", "event", eventConfigOlder, "version", c.Version(), "current", old.Version())
 	}
 	n.applyConfig(c)
 }
 
+// configVersion returns the version of the configuration in force, or zero if there is none.
+func (n *Node) configVersion() int64 {
+	if c := n.config.Load(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
 // applyConfig applies a configuration; an older or equal version is ignored.
 func (n *Node) applyConfig(c *fleet.Config) {
 	old := n.config.Load()
@@ -129,16 +149,16 @@
 
 // watchList keeps the list of upstreams up to date.
 func (n *Node) watchList(ctx context.Context) {
-	cursor := int64(0)
+	cursor := Cursor{}
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
-			cursor, failed = 0, 0
+			cursor, failed = Cursor{}, 0
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
 		start := n.bootNow()
 		timeout := listTimeout
-		if cursor == 0 && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
+		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialListTimeout
 		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -176,12 +196,15 @@
 func (n *Node) applyListRead(start time.Time, c ListChanges) {
 	now := time.Now()
 	n.listAt, n.feedHub = start, ""
-	n.list.MarkRead(now, c.Cursor)
+	n.list.MarkRead(now, c.Cursor.Era, c.Cursor.Next)
 	n.progress = n.list.Progress()
-	for _, s := range c.Skipped {
-		n.log("list").Warn("entry skipped", "event", eventSkipped, "entry", s)
-	}
+	n.logSkipped("list", c.Skipped)
 	if c.Complete {
+		for _, s := range c.Skipped {
+			if u, ok := n.list.Live(s.ID); ok {
+				c.Put = append(c.Put, u)
+			}
+		}
 		n.list.Reset(now, c.Put)
 	} else {
 		for _, u := range c.Put {
@@ -194,11 +217,32 @@
 	n.applyList(now, n.list.Current(now))
 }
 
+// logSkipped logs entries that could not be decoded. Each is logged once per reason, and few at a time, because another writer may write
+// without end.
+func (n *Node) logSkipped(list string, entries []SkippedEntry) {
+	if len(n.skipped) > maxSkippedKnown {
+		clear(n.skipped)
+	}
+	logged := 0
+	for _, e := range entries {
+		if n.skipped[e] || logged == maxSkippedLogged {
+			continue
+		}
+		if n.skipped == nil {
+			n.skipped = make(map[SkippedEntry]bool)
+		}
+		n.skipped[e] = true
+		logged++
+		n.log(list).Warn("entry skipped", "event", eventSkipped, "entry", e.ID, "err", e.Reason, "skipped", len(entries))
+	}
+}
+
 // applyList applies the complete list of current upstreams. It sets Leaving in the entries of those that said that they leave.
 func (n *Node) applyList(now time.Time, current map[string]fleet.Upstream) {
 	n.table.MarkLeaving(current)
 	n.logListChanges(n.upstreams, current)
 	n.changes.recordChanges(n.upstreams, current)
+	n.list.RecordChanges(now, n.upstreams, current)
 	n.upstreams, n.hasList = current, true
 	n.table.Replace(current)
 	n.placing.SetUpstreams(now, current)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +45,7 @@
 	errEventTimeout = errors.New("no event from the upstream in time")
 	errMalformed    = errors.New("response is malformed or incomplete")
 	errTruncated    = errors.New("response ended early")
+	errNotStream    = errors.New("response cannot continue the stream")
 	errEndlessBody  = codes.Newf(codes.EndlessResponse, "body exceeds %d bytes", maxRelayedBody)
 )
 
@@ -52,12 +55,15 @@
 		relay         *Relay
 		writer        http.ResponseWriter
 		request       *http.Request
+		caller        *caller
 		body          []byte
 		call          *Call
-		headSent      bool // whether the status line and headers have been sent to the caller
-		mayHaveRun    bool // whether an upstream may have run the request
-		possibleRuns  int  // number of attempts that may have run
-		repeatGranted bool // whether the next attempt needs no further permission to repeat the request
+		headSent      bool   // whether the status line and headers have been sent to the caller
+		mayHaveRun    bool   // whether an upstream may have run the request
+		possibleRuns  int    // number of attempts that may have run
+		repeatGranted bool   // whether the next attempt needs no further permission to repeat the request
+		next          Ticket // reserved upstream for the next attempt; empty unless the last attempt was moved
+		movedFrom     string // upstream of the last attempt that this host ended because the upstream was silent
 		events        events
 		lastSent      time.Time // when the last part of a stream was sent to the caller
 		summary       RequestSummary
@@ -70,25 +76,36 @@
 		cancel        context.CancelCauseFunc
 		ctx           context.Context
 		firstReported bool
-		eventsBefore  int    // number of events of earlier attempts
-		release       func() // ends the guard of the attempt
-		harmful       bool   // whether the request may have ended its upstream and must not be sent to another one
-		signs         Signs  // what the upstream said about itself
+		eventsBefore  int // number of events of earlier attempts
+		moving        sync.Mutex
+		ended         bool        // whether the attempt has ended and can't be moved any more; guarded by moving
+		staysLogged   bool        // whether it was recorded that the request stays at its silent upstream; guarded by moving
+		resumable     atomic.Bool // whether another upstream could continue the stream
+		release       func()      // ends the guard of the attempt
+		harmful       bool        // whether the request may have ended its upstream and must not be sent to another one
+		signs         Signs       // what the upstream said about itself
 	}
 )
 
 // sendAttempt sends the request to an upstream and relays the response. If again is true, the request may be sent to another
 // upstream, and err is the reason.
 func (x *exchange) sendAttempt(ctx context.Context, t Ticket) (again bool, err error) {
-	if x.request.Context().Err() != nil {
+	if x.caller.gone() {
 		x.relay.control.EndAttempt(t, pick.Abandoned)
-		return false, codes.New(codes.CallerLeft, "before an attempt")
+		return false, x.callerLeft("before an attempt")
 	}
+	defer x.caller.release()
 	remaining := time.Until(x.call.Deadline)
 	if remaining < minBudget {
 		x.relay.control.EndAttempt(t, pick.Abandoned)
 		return false, x.deadlineError()
 	}
+	returned := false
+	defer func() {
+		if !returned { // The attempt panicked.
+			x.relay.control.EndAttempt(t, pick.Abandoned)
+		}
+	}()
 	if x.summary.Attempts++; x.summary.Attempts == 1 {
 		x.summary.Waited = time.Since(x.call.Arrived)
 	}
@@ -101,10 +118,13 @@
 	defer a.release()
 	r, err := x.relay.pool.Do(ctx, x.upstreamRequest(t, remaining))
 	if err != nil {
-		return a.handleFailure(err)
+		again, err = a.handleFailure(err)
+	} else {
+		defer r.Close()
+		again, err = a.handleResponse(r)
 	}
-	defer r.Close()
-	return a.handleResponse(r)
+	returned = true
+	return again, err
 }
 
 // deadlineError returns the error of a request whose deadline passed before an attempt.
@@ -127,35 +147,66 @@
 	if !x.call.Route.Repeatable() {
 		maxIdle = maxIdleUnrepeatable
 	}
+	stays := func() bool { return !x.caller.gone() }
+	if x.call.Route.Kind == fleet.Unsafe {
+		stays = x.caller.keep // An upstream may drop the work on a request whose connection ends, and it may not be repeated.
+	}
+	// The upstream may have said while the connection was opened that it leaves or wants no requests.
+	permit := func() bool { return t.Attempt.Permitted(time.Now()) && stays() }
 	return &conns.Request{
 		Address: t.Choice.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body,
-		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo,
-		// The upstream may have said while the connection was opened that it leaves or wants no requests.
-		Permit: func() bool { return t.Attempt.Permitted(time.Now()) },
+		HasBody: x.request.ContentLength != 0, MaxIdle: maxIdle, Echo: x.relay.dialect.Echo, Permit: permit,
 	}
 }
 
-// watchStuck cancels the attempt if a resumable stream is stuck at its upstream.
+// watchStuck cancels the attempt if a resumable stream is stuck at its upstream and another upstream is reserved for it. A silent upstream may
+// be sound, so that the attempt goes on unless its successor is certain.
 func (a *attempt) watchStuck() (stop func()) {
 	route := a.call.Route
 	if route.Kind != fleet.Stream || !route.Resumable || a.possibleRuns+1 >= route.MaxAttempts {
 		return func() {}
 	}
 	var timer *time.Timer
+	a.resumable.Store(a.events.resumable())
 	timer = time.AfterFunc(max(minStuckFirst, stuckObjectives*route.Objective), func() {
-		if a.relay.control.Stuck(a.ticket, a.call) {
-			a.cancel(errEventTimeout)
-			return
+		if !a.move() {
+			timer.Reset(stuckCheckInterval)
 		}
-		timer.Reset(stuckCheckInterval)
 	})
-	a.events.onEvent = func() { timer.Reset(max(minStuckPause, stuckPauses*route.MaxPause)) }
+	a.events.onEvent = func() {
+		a.resumable.Store(a.events.resumable())
+		timer.Reset(max(minStuckPause, stuckPauses*route.MaxPause))
+	}
 	return func() {
 		timer.Stop()
+		a.moving.Lock()
+		defer a.moving.Unlock()
+		a.ended = true
 		a.events.onEvent = nil
 	}
 }
 
+// move ends the attempt if its upstream is silent and another one is reserved for the request. It reports whether the attempt has ended.
+func (a *attempt) move() bool {
+	a.moving.Lock()
+	defer a.moving.Unlock()
+	if a.ended || !a.resumable.Load() {
+		return a.ended
+	}
+	next, err := a.relay.control.Move(a.ticket, a.call)
+	if err != nil {
+		if !errors.Is(err, ErrNotStuck) && !a.staysLogged {
+			a.staysLogged = true
+			a.relay.control.Silent(a.call, a.ticket, next, err)
+		}
+		return false
+	}
+	a.relay.control.Silent(a.call, a.ticket, next, nil)
+	a.next, a.ended = next, true
+	a.cancel(errEventTimeout)
+	return true
+}
+
 // handleFailure classifies an attempt without a response.
 func (a *attempt) handleFailure(err error) (bool, error) {
 	var f *conns.Failure
@@ -208,9 +259,9 @@
 // abandonedError ends the attempt and returns its error if the caller left or the deadline passed; otherwise it returns nil.
 func (a *attempt) abandonedError() error {
 	switch {
-	case a.request.Context().Err() != nil:
+	case a.caller.gone():
 		a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
-		return codes.New(codes.CallerLeft, "during an attempt")
+		return a.callerLeft("during an attempt")
 	case !time.Now().Before(a.call.Deadline):
 		a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
 		if a.headSent {
@@ -230,7 +281,7 @@
 	if a.harmful || !r.Repeatable() || a.possibleRuns >= r.MaxAttempts {
 		return false
 	}
-	return !a.headSent || r.Kind == fleet.Stream && a.events.resumable()
+	return !a.headSent || a.events.count > 0 && a.events.resumable()
 }
 
 // handleResponse relays the response, or reports why another upstream should be tried.
@@ -262,12 +313,41 @@
 		a.relay.control.EndAttempt(a.ticket, a.failedResult())
 		return true, codes.New(codes.UpstreamFailed, "status "+strconv.Itoa(r.Status))
 	}
-	if a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices {
+	stream := a.call.Route.Kind == fleet.Stream && r.Status < http.StatusMultipleChoices && isEventStream(r.Header)
+	switch {
+	case a.headSent && !stream:
+		// The caller has the head of an earlier response and can get neither the status nor the body of this one.
+		return a.handleWrongStream(errors.Wrapf(errNotStream, "status %d", r.Status))
+	case stream:
 		return a.relayStream(r)
 	}
 	return a.relayBuffered(r, class)
 }
 
+// isEventStream reports whether the headers of a response announce events. Those without a content type count as such.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && mediaType == "text/event-stream"
+}
+
+// handleWrongStream ends an attempt whose response cannot be, or continue, the stream that the caller receives. Its connection has not
+// failed, so that the attempt is no evidence of a crash.
+func (a *attempt) handleWrongStream(err error) (bool, error) {
+	if abandoned := a.abandonedError(); abandoned != nil {
+		return false, abandoned
+	}
+	a.relay.control.EndAttempt(a.ticket, pick.Errored)
+	switch {
+	case a.mayRepeat():
+		a.summary.Resumed++
+		return true, codes.New(codes.StreamBroken, err.Error())
+	case a.headSent:
+		return false, codes.New(codes.StreamBroken, err.Error())
+	}
+	return false, codes.New(codes.UpstreamFailed, err.Error())
+}
+
 // failedResult returns the result of an attempt whose response is an error. An upstream that only wants a pause has not failed.
 func (a *attempt) failedResult() pick.Result {
 	if a.signs.Pause > 0 {
@@ -315,7 +395,12 @@
 		return false, codes.New(codes.CallerLeft, err.Error())
 	}
 	if len(body) == maxBufferedBody {
-		rest, err := io.Copy(a.writer, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+		caller := &errorWriter{Writer: a.writer}
+		rest, err := io.Copy(caller, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+		if caller.err != nil {
+			a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
+			return false, codes.New(codes.CallerLeft, caller.err.Error())
+		}
 		if err == nil && rest == maxRelayedBody-maxBufferedBody {
 			err = errEndlessBody
 		}
@@ -334,6 +419,19 @@
 	return false, nil
 }
 
+// errorWriter keeps the error of a failed write, to tell it from the error of a read.
+type errorWriter struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *errorWriter) Write(b []byte) (n int, err error) {
+	n, err = w.Writer.Write(b)
+	w.err = errors.CombineErrors(w.err, err)
+	return n, err
+}
+
 // writeHead sends the upstream's status and headers to the caller. With complete, length is the length of the whole body; otherwise
 // length is ignored.
 func (a *attempt) writeHead(r *conns.Response, complete bool, length int64) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/conns"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
 const (
@@ -52,11 +54,24 @@
 	x := &exchange{relay: r, writer: w, request: q, summary: RequestSummary{Code: codes.OK, Outcome: codes.Ran}}
 	x.call = &Call{Arrived: arrived}
 	x.call.ID = q.Header.Get(r.dialect.Echo)
-	err := x.prepare()
-	if err == nil {
-		err = x.run()
+	var stop func()
+	x.caller, stop = watchCaller(q, r.control.CallerInput)
+	defer stop()
+	x.finish(x.handle())
+}
+
+// handle reads and runs the request. A panic becomes an error: net/http would close the connection without a response.
+func (x *exchange) handle() (err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			x.relay.control.Panicked(x.call, value, debug.Stack())
+			err = codes.Newf(codes.Internal, "panic: %v", value)
+		}
+	}()
+	if err := x.prepare(); err != nil {
+		return err
 	}
-	x.finish(err)
+	return x.run()
 }
 
 // prepare reads the request and determines its route, service and deadlines.
@@ -110,15 +125,16 @@
 
 // run makes attempts until the request has a response or may not be repeated.
 func (x *exchange) run() error {
-	ctx, cancel := context.WithDeadline(x.request.Context(), x.call.Deadline)
+	ctx, cancel := context.WithDeadline(x.caller.ctx, x.call.Deadline)
 	defer cancel()
 	if err := x.checkStopping(); err != nil {
 		return err
 	}
 	exclude := make(map[string]bool)
+	defer x.dropNext()
 	for refusals := 0; ; {
 		x.repeatGranted = false
-		t, err := x.relay.control.Choose(ctx, x.call, exclude)
+		t, err := x.chooseNext(ctx, exclude)
 		if x.awaitPause(ctx, err) {
 			continue
 		}
@@ -130,8 +146,11 @@
 		if !again {
 			return err
 		}
+		delete(exclude, x.movedFrom) // It may be sound, and take the request again if its successor does not.
 		exclude[t.Choice.Upstream] = true
 		switch {
+		case x.next.Attempt != nil:
+			x.movedFrom, x.repeatGranted = t.Choice.Upstream, true
 		case codes.Is(err, codes.UpstreamRefused):
 			refusals++
 			if paused := x.allPaused(); paused != nil {
@@ -147,14 +166,42 @@
 	}
 }
 
+// chooseNext returns the upstream of the next attempt. A request whose last attempt this host ended is not given up before its deadline, unless
+// no upstream will take it.
+func (x *exchange) chooseNext(ctx context.Context, exclude map[string]bool) (Ticket, error) {
+	if t := x.next; t.Attempt != nil {
+		x.next = Ticket{}
+		return t, nil
+	}
+	for {
+		t, err := x.relay.control.Choose(ctx, x.call, exclude)
+		if err == nil || x.movedFrom == "" || !x.mayHaveRun || ctx.Err() != nil || codes.Is(err, codes.CrashingPart) || codes.Is(err, codes.NotConfigured) {
+			return t, err
+		}
+		clear(exclude)
+		select {
+		case <-time.After(repeatCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// dropNext releases the upstream that was reserved for an attempt that isn't made.
+func (x *exchange) dropNext() {
+	if x.next.Attempt != nil {
+		x.relay.control.EndAttempt(x.next, pick.Abandoned)
+	}
+}
+
 // awaitRepeat reports whether the request may be sent again. A request that may have run can no longer be refused, so
-// awaitRepeat then waits for permission until the caller is expected to abandon the request.
+// awaitRepeat then waits for permission until the caller is expected to abandon the request, or until its deadline if this host ended its
+// last attempt.
 func (x *exchange) awaitRepeat(ctx context.Context, refusals int) bool {
 	for {
 		if refusals <= maxRefusals && x.relay.control.AllowRepeat(x.call.Service) {
 			return true
 		}
-		if !x.mayHaveRun || time.Now().After(x.call.AbandonAt) {
+		if !x.mayHaveRun || x.movedFrom == "" && time.Now().After(x.call.AbandonAt) {
 			return false
 		}
 		refusals = 0
@@ -212,8 +259,8 @@
 // noUpstreamError returns the error of a request for which no upstream was found.
 func (x *exchange) noUpstreamError(ctx context.Context, err error) error {
 	switch {
-	case x.request.Context().Err() != nil:
-		return codes.New(codes.CallerLeft, "while waiting for an upstream")
+	case x.caller.gone():
+		return x.callerLeft("while waiting for an upstream")
 	case ctx.Err() != nil && !codes.Is(err, codes.NoTimeToLoad):
 		err = codes.New(codes.DeadlineMissed, "while waiting for an upstream")
 	}
@@ -231,25 +278,49 @@
 	return codes.New(codes.OverCapacity, "no further attempt allowed: "+err.Error()).WithRetryAfter(exhaustedRetryAfter)
 }
 
-// finish sends an error response if nothing has been sent yet, and reports the end of the request.
+// callerLeft returns the error of a request whose caller left, or that the stop of the host ends.
+func (x *exchange) callerLeft(detail string) error {
+	stopping := errors.Is(context.Cause(x.caller.ctx), ErrStopping)
+	switch {
+	case stopping && x.headSent:
+		return codes.New(codes.StreamBroken, "host stopped "+detail)
+	case stopping && x.mayHaveRun:
+		return codes.New(codes.UpstreamUnknown, "host stopped "+detail)
+	case stopping:
+		return codes.New(codes.Draining, detail).WithRetryAfter(stoppingRetryAfter)
+	}
+	e := codes.New(codes.CallerLeft, detail)
+	if !x.mayHaveRun {
+		return e.WithOutcome(codes.NotRun)
+	}
+	return e
+}
+
+// finish sends an error response if nothing has been sent yet, and reports the end of the request. A caller that seems to have left gets one
+// too: it may only have closed its sending side.
 func (x *exchange) finish(err error) {
 	e := codes.From(err)
 	if e != nil {
 		x.summary.Code, x.summary.Outcome, x.summary.Retry, x.summary.Detail = e.Code(), e.Outcome(), e.RetryAfter(), e.Detail()
 	}
-	x.summary.Call = x.call
-	if e != nil && !x.headSent && e.Code() != codes.CallerLeft {
+	x.summary.Call, x.summary.CallerInput = x.call, x.relay.control.CallerInput(x.request)
+	if e != nil && !x.headSent {
 		x.writeError(e)
 	}
 	x.relay.control.RequestEnded(x.summary)
-	if e != nil && (x.headSent || e.Code() == codes.CallerLeft) {
+	if e != nil && x.headSent {
 		panic(http.ErrAbortHandler) // Only closing the connection shows the caller that the response is incomplete.
 	}
 }
 
 func (x *exchange) writeError(e *codes.Error) {
 	status := e.Code().HTTPStatus()
-	if e.Outcome() != codes.NotRun && status == http.StatusServiceUnavailable {
+	switch {
+	case e.Code() == codes.CallerLeft && e.Outcome() == codes.NotRun:
+		status = http.StatusServiceUnavailable
+	case e.Code() == codes.CallerLeft:
+		status = http.StatusGatewayTimeout
+	case e.Outcome() != codes.NotRun && status == http.StatusServiceUnavailable:
 		status = http.StatusBadGateway // 503 means that the request has not run.
 	}
 	x.summary.Status = status
