fix(node): a request whose controller and host disagree on an upstream does not keep the control thread busy

Callers would see: all requests of a host slow down while one asks in a loop, and that one ends at its deadline.

Cause: if the controller named an upstream that this host's list lacks or has as leaving, the next question followed at once.

Fix: from the second such answer on, the request waits for 0.1 s before it asks again, and is refused while its caller still waits. Pauses that upstreams ask for don't lead there, since the controller is told of them; a case of the test shows it.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -43,7 +43,7 @@
 // choose returns an upstream for the request. For a service with models it waits until the model is loaded on one.
 func (n *Node) choose(ctx context.Context, c *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
 	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session}
-	missing := ""
+	missing, named := "", ""
 	for id := range exclude {
 		missing = id // The controller checks whether the upstream still holds the model and is reachable.
 	}
@@ -70,10 +70,19 @@
 			clear(exclude)
 			continue
 		}
+		if named != "" { // The list of this host lacks the upstream or has it as leaving; the lists agree within seconds.
+			if giveUp, _ := n.giveUpAt(c); time.Now().Add(refusedRetryDelay).After(giveUp) {
+				return t, codes.Newf(codes.NoUpstream, "upstream %s has the model, but is not usable at this host", named).WithRetryAfter(noUpstreamRetryAfter)
+			}
+			if !sleep(ctx, refusedRetryDelay) {
+				return t, ctx.Err()
+			}
+		}
 		upstream, err := n.awaitUpstream(ctx, c, missing)
 		if err != nil {
 			return t, err
 		}
+		named = upstream
 		if exclude[upstream] || n.isClosed(c.Service, upstream) {
 			missing = upstream
 			if !sleep(ctx, refusedRetryDelay) {
@@ -136,16 +145,7 @@
 		if !n.config.Load().HasModel(c.Service, c.Key.Model) {
 			return "", codes.Newf(codes.NotConfigured, "nothing loads model %s of service %s", c.Key.Model, c.Service).WithRetryAfter(noUpstreamRetryAfter)
 		}
-		// The response must start early enough to be complete before the deadline.
-		latest := c.Deadline.Add(-n.expectedDuration(c))
-		if c.AbandonAt.Before(latest) {
-			latest = c.AbandonAt
-		}
-		until, stopping := n.stop.state()
-		if stopping && until.Before(latest) {
-			latest = until
-		}
-		giveUp := latest.Add(-firstEventTime)
+		giveUp, stopping := n.giveUpAt(c)
 		args := WantArgs{
 			Want: place.PendingRequest{
 				Request: c.ID, Service: c.Service, DataCentre: n.self.DataCentre, Key: c.Key, Avoid: n.closedUpstreams(c.Service),
@@ -190,6 +190,20 @@
 	}
 }
 
+// giveUpAt returns the time by which a request for a model must have an upstream, and whether the host is stopping.
+func (n *Node) giveUpAt(c *relay.Call) (at time.Time, stopping bool) {
+	// The response must start early enough to be complete before the deadline.
+	latest := c.Deadline.Add(-n.expectedDuration(c))
+	if c.AbandonAt.Before(latest) {
+		latest = c.AbandonAt
+	}
+	until, stopping := n.stop.state()
+	if stopping && until.Before(latest) {
+		latest = until
+	}
+	return latest.Add(-firstEventTime), stopping
+}
+
 // expectedDuration returns the expected time from the first event to the end of the response.
 func (n *Node) expectedDuration(c *relay.Call) time.Duration {
 	d := time.Duration(0)
--- a/internal/node/choose_test.go
+++ b/internal/node/choose_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
 )
 
@@ -63,3 +68,61 @@
 	qt.Check(t, codes.From(err).RetryAfter() > 0, qt.IsTrue)
 	qt.Check(t, took < 950*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
 }
+
+// TestChooseWaitsForTheList guards against a request that asks the controller again and again without a pause, because the controller names an
+// upstream that this host's list lacks, has as leaving or knows as paused, and against one that is held until its deadline for that.
+func TestChooseWaitsForTheList(t *testing.T) {
+	t.Parallel()
+	u := fleet.Upstream{ID: "u", Service: "s", Born: 1, Beat: 1, Address: "a:1", Slots: 4, Held: []fleet.Held{{Model: "m0"}}}
+	for name, change := range map[string]func(n *Node){
+		"leaving": func(n *Node) {
+			leaving := u
+			leaving.Leaving = true
+			n.table.Replace(map[string]fleet.Upstream{"u": leaving, "v": {ID: "v", Service: "s", Born: 1, Address: "a:2", Slots: 4}})
+		},
+		"not listed": func(n *Node) {
+			n.table.Replace(map[string]fleet.Upstream{"v": {ID: "v", Service: "s", Born: 1, Address: "a:2", Slots: 4}})
+		},
+		"paused": func(n *Node) { n.table.RecordPause(time.Now(), pick.Process{Upstream: "u", Born: 1}, time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newChoosingNode(t, u)
+			n.control.Ask(func() {
+				now := n.now()
+				n.lease.ReadDone(now, lease.Newest{})
+				n.lease.Appended(n.now(), n.lease.Step(now), 7)
+				n.updateTerm()
+				at := time.Now()
+				n.placing.SetUpstreams(at, map[string]fleet.Upstream{"u": u})
+				n.placing.Plan(at)
+				n.placing.Report(at, at, "u", place.Report{Born: 1, Held: u.Held})
+				qt.Check(t, n.placing.BestUpstream(at, place.PendingRequest{Request: "x", Service: "s", Key: place.Key{Model: "m0"}}).Upstream, qt.Equals, "u")
+				change(n)
+			})
+			before := controlSteps(n)
+			c := newModelCall(time.Second)
+			ctx, cancel := context.WithDeadline(t.Context(), c.Deadline)
+			defer cancel()
+			_, err := n.choose(ctx, c, map[string]bool{"other": true})
+			took, steps := time.Since(c.Arrived), controlSteps(n)-before
+			t.Logf("%d steps in %v, %v", steps, took, err)
+			qt.Check(t, codes.From(err).RetryAfter() > 0, qt.IsTrue, qt.Commentf("%v", err))
+			qt.Check(t, steps < 200, qt.IsTrue, qt.Commentf("%d steps of the control thread", steps))
+			qt.Check(t, took < 950*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", took))
+		})
+	}
+}
+
+// controlSteps returns the number of steps that the control thread has made.
+func controlSteps(n *Node) int {
+	w := httptest.NewRecorder()
+	n.metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	for line := range strings.SplitSeq(w.Body.String(), "\n") {
+		if text, ok := strings.CutPrefix(line, "fireflycleat_control_step_seconds_count "); ok {
+			steps, _ := strconv.Atoi(text)
+			return steps
+		}
+	}
+	return 0
+}
