fix(relay): a moved request does not use up the repeats of its service

Callers would see: requests of a service fail instead of being repeated, because one stream that had left a silent upstream took the repeats of the whole window while all other upstreams refused it.

Cause: such a request is not given up before its deadline, and each refusal was followed by a further attempt after 0.10 to 0.15 s.

Fix: each refusal beyond the fourth doubles the time before the next attempt, up to 4.8 s. The stream still goes on as soon as an upstream takes it, and is not cut before its deadline.

Evidence: TestMovedRequestDoesNotUseUpRepeats: 39 refusals of one request in 10 s before, 9 now; it ends at its deadline in both.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,9 @@
 	repeatCheckInterval = 150 * time.Millisecond
 	// maxRefusals is the number of upstreams that may refuse a request before the caller gets an error.
 	maxRefusals = 4
+	// maxBackoffDoublings limits the time between further attempts of a request that more than maxRefusals upstreams refused to 4.8 s, so that it
+	// takes about two repeats in a window of 10 s for which they are counted.
+	maxBackoffDoublings = 5
 	// defaultMaxBody limits the bytes of a request body if the configuration sets no limit.
 	defaultMaxBody = 4 << 20
 	// minFirstEventWait, firstEventObjectives and firstEventPauses set how long callers are expected to wait for the first
@@ -195,8 +198,9 @@
 
 // awaitRepeat reports whether the request may be sent again. A request that may have run can no longer be refused, so
 // awaitRepeat then waits for permission until the caller is expected to abandon the request, or until its deadline if this host ended its
-// last attempt.
+// last attempt. Each refusal beyond maxRefusals doubles the time before the next attempt.
 func (x *exchange) awaitRepeat(ctx context.Context, refusals int) bool {
+	delay := repeatCheckInterval << min(max(refusals-maxRefusals, 0), maxBackoffDoublings)
 	for {
 		if refusals <= maxRefusals && x.relay.control.AllowRepeat(x.call.Service) {
 			return true
@@ -206,7 +210,8 @@
 		}
 		refusals = 0
 		select {
-		case <-time.After(repeatCheckInterval):
+		case <-time.After(delay):
+			delay = repeatCheckInterval
 		case <-ctx.Done():
 			return false
 		}
