fix(node): a part of a request's head does not hold up a planned stop

Callers saw: nothing; the host ended only at the end of its grace period, and a slow end delays the restart of the host.

Cause: the stop waits for connections on which a part of a request was read, because net/http takes them for idle and would close one with a whole request. It waited for the rest of a head as long as for a request.

Fix: 0.5 s after the wait begins, the next reads of these connections fail. A read that has got bytes still returns them, so that a request that is complete by then is served.

TestStopKeepsHeadReadAtTheEnd fails if the connections are closed in place of their reads.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -16,8 +16,12 @@
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 )
 
-// idlePollInterval is the time between checks of whether the idle connections have ended.
-const idlePollInterval = 5 * time.Millisecond
+const (
+	// headPollInterval is the time between checks of whether connections without a complete request have ended.
+	headPollInterval = 5 * time.Millisecond
+	// lastHeadsTime is how long a stop waits for the rest of a request's head; callers send a head at once.
+	lastHeadsTime = 500 * time.Millisecond
+)
 
 type (
 	// callerServer serves callers' connections. Its stop closes none on which a request was read: between that moment and the end of the
@@ -66,13 +70,19 @@
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+	case http.StateActive:
+		if s.stopping {
+			_ = c.SetReadDeadline(time.Time{}) // The body is read up to its end.
+		}
+		fallthrough
 	default:
 		s.conns[c] = state
 		c.idle = state == http.StateIdle
 	}
 }
 
-// stop ends the idle connections and waits until the requests in progress have ended. It returns the error of the context if that ends first.
+// stop ends the idle connections, and after lastHeadsTime those without a complete request, and waits until the requests in progress have ended.
+// It returns the error of the context if that ends first.
 func (s *callerServer) stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -82,24 +92,30 @@
 		}
 	}
 	s.mu.Unlock()
-	for s.hasIdle() {
-		if !sleep(ctx, idlePollInterval) {
+	start := time.Now()
+	for s.checkHeads(time.Since(start) >= lastHeadsTime) {
+		if !sleep(ctx, headPollInterval) {
 			break
 		}
 	}
 	return s.Shutdown(ctx)
 }
 
-// hasIdle reports whether net/http would close a connection as idle.
-func (s *callerServer) hasIdle() bool {
+// checkHeads reports whether there are connections without a complete request, which net/http would close, and makes their next reads fail if end
+// is true.
+func (s *callerServer) checkHeads(end bool) (found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, state := range s.conns {
-		if state == http.StateIdle {
-			return true
+	for c, state := range s.conns {
+		if state != http.StateIdle {
+			continue
+		}
+		found = true
+		if end {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // A read that has already got bytes returns them.
 		}
 	}
-	return false
+	return found
 }
 
 // Accept implements net.Listener.
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -74,6 +75,40 @@
 	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
 }
 
+// TestStopKeepsHeadReadAtTheEnd guards against a planned stop that closes a connection on which the rest of a request's head was read just before
+// the wait for heads ended.
+func TestStopKeepsHeadReadAtTheEnd(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/late" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, _ = fmt.Fprint(w, q.Context().Err())
+	}))
+	go func() { _ = s.Serve(callerListener{l, s}) }()
+	x := dialCaller(c, inner)
+	c.Assert(x.request(), qt.IsNil)
+	c.Assert(x.response(), qt.Equals, "<nil>")
+	_, err = io.WriteString(x, "GET /late HT")
+	c.Assert(err, qt.IsNil)
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	time.Sleep(50 * time.Millisecond)
+	go func() { stopped <- s.stop(ctx) }()
+	time.Sleep(lastHeadsTime - testPause/2)
+	l.pause.Store(true)
+	_, err = io.WriteString(x, "TP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	<-l.read // The process is paused across the end of the wait.
+	c.Assert(x.response(), qt.Equals, "<nil>")
+	c.Assert(<-stopped, qt.IsNil)
+}
+
 // idleConns returns the number of connections that net/http reported as idle.
 func (s *callerServer) idleConns() (n int) {
 	s.mu.Lock()
