fix(node): a planned stop answers the first request of a connection that was opened long before

Callers saw: a connection that was opened more than 5 s before its first request closed without a response, if the request was read in the moment of a planned stop.

Cause: net/http's Shutdown takes a connection without a request for idle after 5 s, also if the first request was read and not yet parsed.

Fix: such connections count among those whose requests the stop waits for. Those opened after the stop began are left to net/http.

Evidence: TestStopOfOldNewConnection: no response before; the response, and the end of a connection without a request, now.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -45,6 +45,7 @@
 		server   *callerServer
 		inputErr atomic.Pointer[error]
 		idle     bool // whether nothing was read since the last response; guarded by server.mu
+		late     bool // whether the connection was opened after the stop began; guarded by server.mu
 	}
 
 	callerConnKey struct{}
@@ -76,6 +77,9 @@
 		}
 		fallthrough
 	default:
+		if _, known := s.conns[c]; !known {
+			c.late = s.stopping
+		}
 		s.conns[c] = state
 		c.idle = state == http.StateIdle
 	}
@@ -102,12 +106,12 @@
 }
 
 // checkHeads reports whether there are connections without a complete request, which net/http would close, and makes their next reads fail if end
-// is true.
+// is true. It leaves out those opened after the stop began: net/http closes a new connection only after 5 s.
 func (s *callerServer) checkHeads(end bool) (found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, state := range s.conns {
-		if state != http.StateIdle {
+		if state == http.StateActive || c.late && state == http.StateNew {
 			continue
 		}
 		found = true
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -75,6 +75,29 @@
 	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
 }
 
+// TestStopOfOldNewConnection guards against a planned stop that closes a connection on which the first request was just read, because the
+// connection was opened more than 5 s before.
+func TestStopOfOldNewConnection(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	go func() { _ = s.Serve(callerListener{l, s}) }()
+	busy, silent := dialCaller(c, inner), dialCaller(c, inner)
+	time.Sleep(6500 * time.Millisecond)
+	l.pause.Store(true)
+	c.Assert(busy.request(), qt.IsNil)
+	<-l.read
+	l.pause.Store(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c.Assert(s.stop(ctx), qt.IsNil)
+	c.Assert(busy.response(), qt.Equals, "ok")
+	c.Assert(silent.response(), qt.Equals, "")
+}
+
 // TestStopKeepsHeadReadAtTheEnd guards against a planned stop that closes a connection on which the rest of a request's head was read just before
 // the wait for heads ended.
 func TestStopKeepsHeadReadAtTheEnd(t *testing.T) {
