--- a/internal/relay/caller_test.go
+++ b/internal/relay/caller_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/internal/conns"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
 // TestCallerThatClosedItsInput guards against a caller that counts as gone although its stream goes on or its request may not be repeated, and
@@ -78,3 +82,28 @@
 		t.Run(name, func(t *testing.T) { synctest.Test(t, run) })
 	}
 }
+
+// TestEventsKeepHalfClosedCaller guards against a stream that ends 0.25 s after its caller closed the sending side, although events are sent.
+func TestEventsKeepHalfClosedCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		q := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://a/", nil)
+		c, stop := watchCaller(t.Context(), q, func(*http.Request) string { return InputClosed })
+		defer stop()
+		w := httptest.NewRecorder()
+		a := &attempt{
+			exchange: &exchange{relay: New(Dialect{}, Control{RecordFirst: func(Ticket) {}}, nil), writer: w, request: q, caller: c, call: new(Call)},
+			ticket:   Ticket{Attempt: pick.New("").StartAttempt(time.Now(), pick.Choice{}, pick.Query{})}, release: func() {},
+		}
+		end()
+		for range 8 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			qt.Assert(t, c.gone(), qt.IsFalse)
+			qt.Assert(t, a.sendEvents(&conns.Response{Status: http.StatusOK}, []byte("data: x\n\n"), func() error { return nil }), qt.IsNil)
+		}
+		time.Sleep(closedInputGrace + time.Millisecond)
+		synctest.Wait()
+		qt.Assert(t, c.gone(), qt.IsTrue)
+	})
+}
