test(place): a model that is no longer configured gives way to others

TestUnconfiguredModelGivesWay guards against an upstream that takes no loads any more: the model that is no longer configured is unloaded first, then the other one is loaded.

--- a/pkg/place/shrink_test.go
+++ b/pkg/place/shrink_test.go
@@ -50,6 +50,39 @@
 	}
 }
 
+// TestUnconfiguredModelGivesWay guards against an upstream that takes no loads any more, because a model that is no longer configured is never
+// unloaded.
+func TestUnconfiguredModelGivesWay(t *testing.T) {
+	held := []fleet.Held{{Model: "m0"}, {Model: "m1"}}
+	list := map[string]fleet.Upstream{"u": upstream("u", "m0", "m1")}
+	c := controller(engine(3), start, list)
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Held: held})
+	smaller := engine(3)
+	delete(smaller.Models, "m0")
+	c.Configure(map[string]*fleet.Engine{"s": smaller})
+	c.SetUpstreams(start, list)
+	var got []place.Order
+	for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		c.SetUses(now, "h", []place.Use{{Upstream: "u", Key: place.Key{Model: "m1"}, Running: 1}})
+		addRequest(c, now, "m2", "")
+		for _, o := range orders(c.Plan(now)) {
+			got = append(got, o)
+			c.ApplyAnswer(now, o, place.Accepted)
+			if o.Op == place.Unload {
+				held = slices.DeleteFunc(held, func(x fleet.Held) bool { return x.Model == o.Key.Model })
+			}
+			later := now.Add(time.Second)
+			c.Report(later, later, "u", place.Report{Born: 1, Accepted: int64(len(got)), Held: held})
+		}
+	}
+	qt.Assert(t, len(got) >= 2, qt.IsTrue, qt.Commentf("%+v", got))
+	qt.Check(t, got[0].Op, qt.Equals, place.Unload)
+	qt.Check(t, got[0].Key.Model, qt.Equals, "m0")
+	qt.Check(t, got[1].Key.Model, qt.Equals, "m2")
+}
+
 // TestModelRemovedDuringItsLoad guards against wrong forecasts for all other loads: a model that was removed after its load was ordered
 // has no configured load time, so that the weight store seemed to run one load at a time.
 func TestModelRemovedDuringItsLoad(t *testing.T) {
