fix(relay): a panic while a silent upstream is checked does not end the process

Callers would see: all requests of a host end without an answer.

Cause: the check runs on the goroutine of a timer, whose panics nothing recovers. The reserved upstream is kept before the move is logged, so that a panic there does not leak it. A panic on the control thread itself still ends the process: its state may be inconsistent then.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -186,10 +187,17 @@
 	}
 }
 
-// move ends the attempt if its upstream is silent and another one is reserved for the request. It reports whether the attempt has ended.
-func (a *attempt) move() bool {
+// move ends the attempt if its upstream is silent and another one is reserved for the request. It reports whether no further check is needed:
+// the attempt has ended, or the check panicked.
+func (a *attempt) move() (done bool) {
 	a.moving.Lock()
 	defer a.moving.Unlock()
+	defer func() {
+		if value := recover(); value != nil { // The timer's goroutine has no handler of panics, and the upstream may still respond.
+			a.relay.control.Panicked(a.call, value, debug.Stack())
+			done = true
+		}
+	}()
 	if a.ended || !a.resumable.Load() {
 		return a.ended
 	}
@@ -201,9 +209,9 @@
 		}
 		return false
 	}
-	a.relay.control.Silent(a.call, a.ticket, next, nil)
 	a.next, a.ended = next, true
 	a.cancel(errEventTimeout)
+	a.relay.control.Silent(a.call, a.ticket, next, nil)
 	return true
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,6 +154,37 @@
 	c.Check((<-ended).Attempts, qt.Equals, 2)
 }
 
+// TestPanicOfAMoveKeepsTheRequest guards against a process that ends, with all its requests, because the check of a silent upstream panics on the
+// goroutine of its timer.
+func TestPanicOfAMoveKeepsTheRequest(t *testing.T) {
+	c := qt.New(t)
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(1500 * time.Millisecond) // longer than the time without a first event after which a stream is checked
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+	}))
+	defer upstream.Close()
+	k := newControl(c, fleet.Stream, upstream.Listener.Addr().String())
+	k.Move = func(relay.Ticket, *relay.Call) (relay.Ticket, error) { panic("move") }
+	var panics atomic.Int64
+	k.Panicked = func(*relay.Call, any, []byte) { panics.Add(1) }
+	k.RequestEnded = func(relay.RequestSummary) {}
+	pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
+	defer pool.Close()
+	host := httptest.NewServer(relay.New(dialect, k, pool))
+	defer host.Close()
+	q, err := http.NewRequest(http.MethodPost, host.URL+"/x", strings.NewReader("x"))
+	c.Assert(err, qt.IsNil)
+	q.Host = "a"
+	r, err := http.DefaultClient.Do(q)
+	c.Assert(err, qt.IsNil)
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(b), qt.Equals, "id: 1\ndata: a\n\n")
+	c.Check(panics.Load(), qt.Equals, int64(1))
+}
+
 // lateWriter is a response writer whose caller accepts only the first bytes of a body.
 type lateWriter struct {
 	*httptest.ResponseRecorder
