--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,6 +60,9 @@
 		c.Assert(x.request(), qt.IsNil)
 		c.Assert(x.response(), qt.Equals, "ok")
 	}
+	for s.idleConns() < 2 { // Until then, net/http may read the first byte of the next request beside the handler.
+		time.Sleep(time.Millisecond)
+	}
 	l.pause.Store(true)
 	c.Assert(busy.request(), qt.IsNil)
 	<-l.read
@@ -71,6 +75,75 @@
 	c.Assert(<-served, qt.Equals, http.ErrServerClosed)
 }
 
+// TestStopOfOldNewConnection guards against a planned stop that closes a connection on which the first request was just read, because the
+// connection was opened more than 5 s before.
+func TestStopOfOldNewConnection(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	go func() { _ = s.Serve(callerListener{l, s}) }()
+	busy, silent := dialCaller(c, inner), dialCaller(c, inner)
+	time.Sleep(6500 * time.Millisecond)
+	l.pause.Store(true)
+	c.Assert(busy.request(), qt.IsNil)
+	<-l.read
+	l.pause.Store(false)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c.Assert(s.stop(ctx), qt.IsNil)
+	c.Assert(busy.response(), qt.Equals, "ok")
+	c.Assert(silent.response(), qt.Equals, "")
+}
+
+// TestStopKeepsHeadReadAtTheEnd guards against a planned stop that closes a connection on which the rest of a request's head was read just before
+// the wait for heads ended.
+func TestStopKeepsHeadReadAtTheEnd(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/late" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, _ = fmt.Fprint(w, q.Context().Err())
+	}))
+	go func() { _ = s.Serve(callerListener{l, s}) }()
+	x := dialCaller(c, inner)
+	c.Assert(x.request(), qt.IsNil)
+	c.Assert(x.response(), qt.Equals, "<nil>")
+	_, err = io.WriteString(x, "GET /late HT")
+	c.Assert(err, qt.IsNil)
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	time.Sleep(50 * time.Millisecond)
+	go func() { stopped <- s.stop(ctx) }()
+	time.Sleep(lastHeadsTime - testPause/2)
+	l.pause.Store(true)
+	_, err = io.WriteString(x, "TP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	<-l.read // The process is paused across the end of the wait.
+	c.Assert(x.response(), qt.Equals, "<nil>")
+	c.Assert(<-stopped, qt.IsNil)
+}
+
+// idleConns returns the number of connections that net/http reported as idle.
+func (s *callerServer) idleConns() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle {
+			n++
+		}
+	}
+	return n
+}
+
 // caller is a connection of a caller.
 type caller struct {
 	net.Conn
