fix(lease): a record with a fence of a later era does not leave the deployment without a controller

What callers would see: no model is loaded any more (code 3003) after one record with an odd fence in the lease's topic. Found by a review.

Cause: a new term took a fence one above that of the newest record, which was of no era that the log has had, so that the term was never in force; its writer appended again each 3.2 s.

Change: a new term passes over fences that are not of the log's era or an earlier one.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -177,9 +177,17 @@
 // newFence returns the fence of a term that begins at the end of the log. It is higher than that of each earlier term, also of those
 // that the log lost.
 func (l *Lease) newFence() int64 {
-	return max(l.newest.Era<<eraBits|l.newest.End, l.newest.fence(), l.refused) + 1
+	highest := max(l.newest.Era<<eraBits|l.newest.End, l.refused)
+	// A fence of a later era, as in a record that no host has written, would keep each further term from being in force.
+	if f := l.newest.fence(); f < highestFence(l.newest.Era) {
+		highest = max(highest, f)
+	}
+	return highest + 1
 }
 
+// highestFence returns the highest fence of a term in the era.
+func highestFence(era int64) int64 { return (era+1)<<eraBits - 1 }
+
 // takeOverDelay returns how long after the newest record this host may take over the lease.
 func (l *Lease) takeOverDelay() time.Duration {
 	r := l.newest.Record
