fix(lease): the holder begins a new term at once after two returns of the log, too

What callers would see: no controller for 3.2 s and more, when the store comes back from a copy a second time before the holder has begun its new term.

Cause: whether this host held the lease was decided anew at each return, and a holder whose term ended with the first one holds none at the second.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -246,7 +246,9 @@
 		return
 	}
 	if n.Era > l.newest.Era && !l.knownSince.IsZero() {
-		_, l.reclaim = l.Held(now)
+		// Another return may come before this host has begun its new term.
+		_, held := l.Held(now)
+		l.reclaim = held || l.reclaim && (l.settings.Fenced || now.Before(l.heldUntil))
 		l.lostRecords = true
 	}
 	if n.inForce() {
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -9,6 +9,27 @@
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
 
+// TestHolderReclaimsTheLeaseAfterTwoReturns guards against seconds without a controller when the log returns a second time before the holder
+// has begun its new term.
+func TestHolderReclaimsTheLeaseAfterTwoReturns(t *testing.T) {
+	l, a := fencedHolder()
+	now := start.Add(time.Second)
+	l.run(now, a) // renewal
+	l.restore(1)
+	a.Reread()
+	now = now.Add(100 * time.Millisecond)
+	l.run(now, a) // read
+	a.Step(now)
+	l.restore(1) // The store fails before the append of the new term arrives.
+	a.Failed(now)
+	for range 4 {
+		now = now.Add(lease.DefaultSettings().RetryDelay)
+		l.run(now, a)
+	}
+	_, held := a.Held(now)
+	qt.Assert(t, held, qt.IsTrue)
+}
+
 // TestOddFenceDoesNotBlockTheLease guards against a deployment without a controller because a record in the log has a fence of no era that
 // the log has had.
 func TestOddFenceDoesNotBlockTheLease(t *testing.T) {
