fix(lease): an answer that was under way does not replace a read of the log after its return

What callers would see: a holder that goes on in a term of an earlier era for up to a renewal interval, with orders that count for nothing later. Found by a review.

Cause: the answer to a renewal of before the return, which arrived after the host had noticed the return, cleared the request for a read.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -66,6 +66,7 @@
 		rank        int
 		known       bool
 		mustRead    bool // whether the log must be read before the next append
+		readAgain   bool // whether it must be read after the pending call
 		overdueRead bool // whether the log was read since a new record became overdue
 		newest      Newest
 		knownSince  time.Time // when the newest record was first known to exist
@@ -236,8 +237,8 @@
 	l.mustRead, l.notBefore = true, now.Add(l.settings.RetryDelay)
 }
 
-// Reread makes the next call read the log.
-func (l *Lease) Reread() { l.mustRead = true }
+// Reread makes the next call read the log, whatever the answer to a pending call is: the log may have sent it before.
+func (l *Lease) Reread() { l.mustRead, l.readAgain = true, l.callPending }
 
 // Observe applies the newest record, which has existed for at least the given age. It ignores a record older than the newest known
 // one, and any record of an earlier era.
@@ -267,29 +268,34 @@
 
 // ReadDone applies the answer to a Read. A record of this process proves that an append in doubt took effect.
 func (l *Lease) ReadDone(now time.Time, n Newest) {
-	l.callPending, l.mustRead = false, false
+	l.endCall()
 	l.Observe(now, n, 0)
 }
 
 // Appended applies a successful append at the offset.
 func (l *Lease) Appended(now time.Time, a Action, offset int64) {
-	l.callPending, l.mustRead = false, false
+	l.endCall()
 	l.Observe(now, Newest{Record: a.Record, Era: a.Era, Offset: offset, End: offset + 1}, 0)
 	if l.isHolder() {
 		l.heldUntil = l.lastCall.Add(l.settings.HoldTime)
 	}
 }
 
+// endCall ends a call that was answered.
+func (l *Lease) endCall() {
+	l.callPending, l.mustRead, l.readAgain = false, l.readAgain, false
+}
+
 // Refused handles an append that the log rejected because it ends at another offset. Reports from other hosts may be as old as
 // this host's view, so the next call reads the log itself.
 func (l *Lease) Refused() {
-	l.callPending, l.known, l.mustRead = false, false, true
+	l.callPending, l.known, l.mustRead, l.readAgain = false, false, true, false
 	l.heldUntil = time.Time{}
 }
 
 // Failed handles a call that got no answer or an error. An append is then in doubt, so the log is read after the retry delay.
 func (l *Lease) Failed(now time.Time) {
-	l.callPending, l.mustRead = false, true
+	l.callPending, l.mustRead, l.readAgain = false, true, false
 	l.notBefore = now.Add(l.settings.RetryDelay)
 }
 
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -50,3 +50,17 @@
 		}
 	}
 }
+
+// TestRereadIsNotForgotten guards against a holder that goes on in an earlier era for a second, because the answer to a renewal of before
+// the return arrives after it has noticed the return.
+func TestRereadIsNotForgotten(t *testing.T) {
+	l, a := fencedHolder()
+	now := start.Add(time.Second)
+	action := a.Step(now)
+	offset, ok := l.append(action)
+	qt.Assert(t, ok, qt.IsTrue)
+	l.restore(1)
+	a.Reread()
+	a.Appended(now, action, offset)
+	qt.Assert(t, a.Step(now.Add(100*time.Millisecond)).Kind, qt.Equals, lease.Read)
+}
