fix(node): hosts that may take over the lease read it when the store comes back from a copy

What callers would see: no controller for two take-over times in a row (5.0 s in a unit test) if the holder has failed when the store returns. Found by a review.

Cause: only the holder read the lease again; the others waited for the record of the era before, failed to append, and then waited for the copy's.

One more read a hub at each return.

--- a/internal/node/outage.go
+++ b/internal/node/outage.go
@@ -80,7 +80,8 @@
 	}
 	if n.storeEra != unknownEra && era > n.storeEra {
 		n.log("node").Warn("store came back from a copy", "event", eventReturned, "era", era, "before", n.storeEra)
-		if n.term != 0 {
+		// Otherwise those that may take over would wait for the record of before first, and then for that of the copy.
+		if n.term != 0 || n.mayTakeLease() {
 			n.lease.Reread()
 		}
 	}
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -64,3 +64,29 @@
 	a.Appended(now, action, offset)
 	qt.Assert(t, a.Step(now.Add(100*time.Millisecond)).Kind, qt.Equals, lease.Read)
 }
+
+// TestDeadHolderIsReplacedOnceAfterAReturn guards against two take-over times in a row when the holder has failed before the log returned.
+func TestDeadHolderIsReplacedOnceAfterAReturn(t *testing.T) {
+	l, a := fencedHolder()
+	b := host("b", 0)
+	l.run(start, b)
+	now := start
+	for range 3 {
+		now = now.Add(time.Second)
+		l.run(now, a)
+		n, age, _ := a.Newest(now)
+		b.Observe(now, n, age)
+	}
+	failed := now // a is killed
+	l.restore(1)  // 0.5 s later the log is back, and hosts that may take over read it
+	b.Reread()
+	for at := failed.Add(500 * time.Millisecond); at.Before(failed.Add(20 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		l.run(at, b)
+		if _, held := b.Held(at); held {
+
+			qt.Assert(t, at.Sub(failed) < 500*time.Millisecond+lease.DefaultSettings().TakeOverTime+time.Second, qt.IsTrue)
+			return
+		}
+	}
+	t.Fatal("nobody took the lease")
+}
