fix(pick): ends of attempts at an earlier process of an upstream are not booked on the next one

Callers would see: requests kept away from an upstream that has just restarted, for up to 5 s, because the attempts at its earlier process fail after the restart is known.

Cause: an attempt was booked by the id of its upstream alone. Fix: by the id and the start of the process, as signs are.

--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -10,7 +10,7 @@
 // StartAttempt records the start of an attempt at the chosen upstream.
 func (t *Table) StartAttempt(now time.Time, c Choice, q Query) *Attempt {
 	a := &Attempt{choice: c, key: q.Key, startedAt: now, upstreamLastEvent: new(atomic.Int64), gate: t.gate(Process{c.Upstream, c.Born})}
-	if s, ok := t.upstreams[c.Upstream]; ok {
+	if s, ok := t.process(c); ok {
 		a.upstreamLastEvent = s.lastEvent
 		s.inFlight[a] = true
 		s.started[q.Key]++
@@ -21,6 +21,12 @@
 	return a
 }
 
+// process returns the state of the chosen upstream, unless its process has been replaced since: attempts at the earlier one tell nothing about it.
+func (t *Table) process(c Choice) (*upstreamState, bool) {
+	s, ok := t.upstreams[c.Upstream]
+	return s, ok && s.entry.Born == c.Born
+}
+
 // Touch records an event of the attempt; it may be called from any goroutine.
 func (a *Attempt) Touch(now time.Time) {
 	a.lastEvent.Store(now.UnixNano())
@@ -54,7 +60,7 @@
 // RecordFirstEvent records the first event of an attempt.
 func (t *Table) RecordFirstEvent(now time.Time, a *Attempt) {
 	a.gotFirst, a.firstAt = true, now
-	s, ok := t.upstreams[a.choice.Upstream]
+	s, ok := t.process(a.choice)
 	if !ok {
 		return
 	}
@@ -68,7 +74,7 @@
 
 // EndAttempt records the end of an attempt.
 func (t *Table) EndAttempt(now time.Time, a *Attempt, r Result) {
-	s, ok := t.upstreams[a.choice.Upstream]
+	s, ok := t.process(a.choice)
 	if !ok {
 		return
 	}
--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -200,3 +200,29 @@
 	qt.Assert(t, uses, qt.HasLen, before, qt.Commentf("the controller sees refused requests as demand"))
 	qt.Assert(t, uses[0].Started, qt.Equals, 1)
 }
+
+// TestEndsOfAnEarlierProcessAreNotBooked guards against an upstream that is avoided after its restart, because attempts at its earlier process fail.
+func TestEndsOfAnEarlierProcessAreNotBooked(t *testing.T) {
+	table := newTable(fleet.Upstream{ID: "u", DataCentre: "a"}, fleet.Upstream{ID: "far", DataCentre: "b"})
+	c, _ := table.Choose(start, pick.Query{Service: "s"})
+	qt.Assert(t, c.Upstream, qt.Equals, "u")
+	var attempts []*pick.Attempt
+	for range 3 {
+		attempts = append(attempts, table.StartAttempt(start, c, pick.Query{}))
+	}
+	list := make(map[string]fleet.Upstream)
+	for id, dataCentre := range map[string]string{"u": "a", "far": "b"} {
+		list[id] = fleet.Upstream{ID: id, DataCentre: dataCentre, Service: "s", Slots: 48, Born: 2}
+	}
+	table.Replace(list)
+	for _, a := range attempts {
+		table.RecordFirstEvent(start, a)
+		table.EndAttempt(start, a, pick.Broken)
+	}
+	late := table.StartAttempt(start, c, pick.Query{}) // chosen before the restart was known
+	qt.Check(t, choose(t, table, start, pick.Query{}), qt.Equals, "u")
+	table.EndAttempt(start, late, pick.Broken)
+	qt.Check(t, choose(t, table, start, pick.Query{}), qt.Equals, "u")
+	got, _ := table.Choose(start, pick.Query{Service: "s"})
+	qt.Check(t, got.Running, qt.Equals, 0)
+}
