fix(node): a configuration that hubs lack reaches them from dependent hosts

Callers saw 404 from hubs on a confirmed route: all hubs were cut off from the store, a dependent host turned to it and applied version 4, and the store came back from a copy without it. The heartbeat of a dependent host stated its version only in the query, and a hub with an older one ignored it; the route stayed away until the operator wrote it again.

All heartbeats now state the version and so does the answer. A host that sees an older one in an answer sends the record once, at once, to that member, which applies it like any other; the record is sent only then. A member that does not apply it gets it again after the next regular heartbeat, not sooner. Earlier builds state no version in answers and get no record.

Stating the version in the feed alone was tried first and did not suffice: with its hubs stale, the dependent host counts itself as a hub.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -90,13 +90,13 @@
 		Feed     *Feed          // answer to Query
 		Evidence blame.Evidence // of requests that crash upstreams
 		Leaving  []pick.LeavingSign
-		Config   *ConfigState // of a host that does not depend on the receiver; in an answer, that of a newer configuration
+		Config   *ConfigState // nil from some earlier builds
 	}
 
 	// ConfigState is the configuration of a host.
 	ConfigState struct {
 		Version int64
-		Record  []byte // encoded configuration, only in answers
+		Record  []byte // encoded configuration, only if the receiver is known to have an older one
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -266,7 +266,9 @@
 	uses := n.mergedUses(now)
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
-	b := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate()}
+	b := Heartbeat{
+		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
+	}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
 	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
 	n.dependent.Store(n.parent != "")
@@ -282,7 +284,7 @@
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
-	b.Children, b.Config = n.childStatuses(now), &ConfigState{Version: n.configVersion()}
+	b.Children = n.childStatuses(now)
 	b.Evidence, b.Leaving = n.blame.Export(now, true), n.table.ExportLeaving(now, false)
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
@@ -362,6 +364,7 @@
 		defer n.peersAsked.Store(true)
 		if err == nil {
 			n.applyHeartbeat(reply)
+			n.sendLackingConfig(m, b, reply)
 			switch {
 			case reply.Feed == nil:
 			case n.applyFeed(reply.From, reply.Feed, start):
@@ -391,6 +394,19 @@
 	})
 }
 
+// sendLackingConfig sends the configuration to a member whose answer to a heartbeat states an older one: the member was cut off from the
+// store, which may have come back from a copy without the newest configuration. If the member does not apply it, the next heartbeat follows
+// at the usual time.
+func (n *Node) sendLackingConfig(m Member, b, reply *Heartbeat) {
+	v := n.configVersion()
+	if reply.Config == nil || reply.Config.Version == 0 || reply.Config.Version >= v || b.Config == nil || len(b.Config.Record) > 0 {
+		return
+	}
+	_, stopping := n.stop.state()
+	update := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Config: &ConfigState{v, n.configRecord}}
+	n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &update) })
+}
+
 // Beat handles the heartbeat of another host. It returns context.Canceled if this host has stopped.
 func (s *peerService) Beat(b *Heartbeat, reply *Heartbeat) error {
 	if !s.node.control.Ask(func() {
@@ -400,8 +416,11 @@
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
 		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
-		if v := s.node.configVersion(); b.Config != nil && v > b.Config.Version {
-			reply.Config = &ConfigState{v, s.node.configRecord}
+		if v := s.node.configVersion(); b.Config != nil {
+			reply.Config = &ConfigState{Version: v}
+			if v > b.Config.Version && b.Query == nil { // Otherwise the feed contains the record.
+				reply.Config.Record = s.node.configRecord
+			}
 		}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
