fix(node): an upstream whose entry a host ignored in a feed comes back

Callers of a dependent host lost an upstream for good, or were sent to one that no longer has their model: the hub had read an older entry of the upstream from a copy of the store, which the host ignored or replaced by its own. The next entry of the upstream differed from that of the copy in its beat only, which is no change in the hub's log of changes, so that the hub never sent it.

A host that does not apply an entry as sent now states generation -1 in its next query. That is before all generations of a hub, also of an earlier build, so that the feed is whole. Feeds of changes that are still on their way are applied as before; clearing the incarnation of the hub instead made the host ignore them, and TestFeedFromACopyOfTheStore failed in that trial.

The cost was not measured.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -11,6 +11,8 @@
 const (
 	// removalRetention is how long a hub keeps the removal of an upstream; a host that queries later gets the whole list.
 	removalRetention = 30 * time.Second
+	// wholeList is a generation before all others, so that hubs answer a query that states it with the whole list.
+	wholeList = -1
 )
 
 type (
@@ -174,13 +176,19 @@
 		maps.Copy(next, n.upstreams)
 	}
 	for _, u := range f.Put {
-		// The hub may have read an older list than this host knows, from a store that came back from a copy.
+		// The hub may have read an older list than this host knows, from a store that came back from a copy. It does not send the next entry
+		// if that differs from the older one in its beat only, so that the next feed has to be whole.
 		if old, ok := n.upstreams[u.ID]; ok && old.Born == u.Born && old.Beat > u.Beat {
+			if !old.EqualExceptBeat(u) {
+				n.feedGeneration = wholeList
+			}
 			u = old
 		}
-		if !n.list.Outdated(u) {
-			next[u.ID] = u
+		if n.list.Outdated(u) {
+			n.feedGeneration = wholeList
+			continue
 		}
+		next[u.ID] = u
 	}
 	for _, id := range f.Removed {
 		delete(next, id)
