fix(node): a dead member does not make a starting host read the store at once

Callers of a host that started after the store came back from a copy saw 404 on a confirmed route until another host answered its heartbeat. A starting host asks other hosts for the configuration before it reads the store, but a heartbeat that failed counted as an answer: one published member that has ended refuses the connection at once.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/peers"
@@ -218,8 +219,13 @@
 		if len(to) == 0 && n.direct.Load() {
 			n.peersAsked.Store(true)
 		}
+		failed, recipients := new(atomic.Int32), int32(len(to)) //nolint:gosec // a number of hosts
 		for _, m := range to {
-			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &message) })
+			n.background(func(ctx context.Context) {
+				if !n.sendHeartbeat(ctx, m, &message) && failed.Add(1) == recipients {
+					n.peersAsked.Store(true)
+				}
+			})
 		}
 		query := message
 		query.Query = &FeedQuery{}
@@ -356,14 +362,14 @@
 	return update
 }
 
-// sendHeartbeat sends a heartbeat to a member and applies the answer.
-func (n *Node) sendHeartbeat(ctx context.Context, m Member, b *Heartbeat) {
+// sendHeartbeat sends a heartbeat to a member, applies the answer, and reports whether there was one.
+func (n *Node) sendHeartbeat(ctx context.Context, m Member, b *Heartbeat) bool {
 	reply, start := new(Heartbeat), n.bootNow()
 	err := n.peerClient.CallWithin(ctx, heartbeatTimeout, m.Peers, peers.ServiceName+".Beat", b, reply)
 	n.control.Post(func() {
-		defer n.peersAsked.Store(true)
 		if err == nil {
 			n.applyHeartbeat(reply)
+			n.peersAsked.Store(true)
 			n.sendLackingConfig(m, b, reply)
 			switch {
 			case reply.Feed == nil:
@@ -392,6 +398,7 @@
 			n.placing.RemoveHost(m.Name)
 		}
 	})
+	return err == nil
 }
 
 // sendLackingConfig sends the configuration to a member whose answer to a heartbeat states an older one: the member was cut off from the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 		direct       atomic.Bool // whether this host reads the store itself
 		dependent    atomic.Bool // whether this host depends on a hub
 		listLost     atomic.Bool // whether the last read of the list failed
-		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none can
+		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
 		settingsFile string
 
