fix(fleet): a complete list of the same era does not delay an upstream that comes back

An upstream that had disappeared and registered again got no work until its next entry, and for longer while a host read complete lists, as it does when it turns to the store: each complete list raised the beat up to which entries of the upstream count as old. That is meant for a copy from which the store came back, whose entry may be newer than the last one that a dependent host knows.

The last entry of an upstream that has disappeared now has the era of the last read. Only the first complete list of another era raises its beat.

--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -34,7 +34,8 @@
 	// goneUpstream is the last entry of an upstream that has disappeared.
 	goneUpstream struct {
 		Upstream
-		at time.Time
+		at  time.Time
+		era int64 // of the last read of the published list when the upstream disappeared, or of the last complete list after that
 	}
 
 	// Progress tells how many entries are written to the published list. It distinguishes an outage of the list from a failure of the
@@ -126,7 +127,7 @@
 func (l *List) RecordChanges(now time.Time, before, after map[string]Upstream) {
 	for id, u := range before {
 		if _, ok := after[id]; !ok {
-			l.gone[id] = goneUpstream{u, now}
+			l.gone[id] = goneUpstream{u, now, l.progress.Era}
 		}
 	}
 	for id, g := range l.gone {
@@ -136,12 +137,12 @@
 	}
 }
 
-// Reset applies a complete list: entries that it lacks are removed. An upstream that has disappeared counts again only from its next entry
-// on, because the list may have come back from a copy that was made while the upstream was there.
+// Reset applies a complete list: entries that it lacks are removed. If the era is new since an upstream disappeared, the upstream counts
+// again only from its next entry on, because the list may have come back from a copy that was made while the upstream was there.
 func (l *List) Reset(now time.Time, all []Upstream) {
 	for _, u := range all {
-		if g, ok := l.gone[u.ID]; ok && g.Born == u.Born {
-			g.Beat = max(g.Beat, u.Beat)
+		if g, ok := l.gone[u.ID]; ok && g.Born == u.Born && g.era != l.progress.Era {
+			g.Beat, g.era = max(g.Beat, u.Beat), l.progress.Era
 			l.gone[u.ID] = g
 		}
 	}
--- a/pkg/fleet/list_test.go
+++ b/pkg/fleet/list_test.go
@@ -112,6 +112,24 @@
 	qt.Assert(t, l.Current(now), qt.HasLen, 2)
 }
 
+// TestUpstreamComesBackWithACompleteList guards against an upstream that is alive and gets no work: it registered again while this host
+// read complete lists within one era, each of which contained a newer entry, and each counted as a copy of an entry from before.
+func TestUpstreamComesBackWithACompleteList(t *testing.T) {
+	for _, era := range []int64{0, 1} {
+		l, now, position := steadyList()
+		before := l.Current(now)
+		l.Remove(now, "u1")
+		l.RecordChanges(now, before, l.Current(now))
+		l.MarkRead(now.Add(time.Second), era, position)
+		if era > 0 { // The first complete list of an era may be a copy.
+			l.Reset(now, []fleet.Upstream{{ID: "u1", Beat: 3}, {ID: "u2", Beat: 1}})
+			qt.Assert(t, l.Current(now), qt.HasLen, 1)
+		}
+		l.Reset(now, []fleet.Upstream{{ID: "u1", Beat: 4}, {ID: "u2", Beat: 1}})
+		qt.Assert(t, l.Current(now), qt.HasLen, 2, qt.Commentf("era %d", era))
+	}
+}
+
 // TestEntriesLostByTheStoreAreRetained guards against a service that loses its upstreams because the store came back from a copy without
 // their entries, after an outage so short that no read failed, and in an outage after that: positions went back, and the rate of writing
 // became negative.
