fix(node): entries that a hub retains survive a change of the source

What callers would see: a service that loses upstreams for up to two seconds, at a host that turns to the store just after its return: upstreams have two seconds to register again, which the host's hub granted them. Found by a review; by reading, it was the same after ordinary outages.

Cause: the time of the return was known to the hub only, and a host that takes over its list forgot its own.

Change: the time belongs to the progress of the list, which feeds state, counted from the earliest moment.

Evidence: TestRetainedEntriesSurviveAChangeOfTheSource before: 1 of 2 upstreams remained.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -49,7 +49,8 @@
 		Era        int64
 		Position   int64
 		Rate       float64
-		Whole      bool // whether Put is the complete list
+		Recovered  time.Duration // time since the list became readable after an outage; zero means that no outage is known
+		Whole      bool          // whether Put is the complete list
 		Generation int64
 		Put        []fleet.Upstream
 		Removed    []string
@@ -105,6 +106,9 @@
 		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
 		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
+	if at := n.progress.RecoveredAt; !at.IsZero() {
+		f.Recovered = now.Sub(at)
+	}
 	if c := n.config.Load(); c != nil && c.Version() > q.Version {
 		f.Config = n.configRecord
 	}
@@ -164,6 +168,9 @@
 	if !listAt.Before(n.listAt) && (f.Whole || n.feedHub == hub.Incarnation) {
 		n.listAt, n.feedHub, n.feedGeneration = listAt, hub.Incarnation, f.Generation
 		n.progress = fleet.Progress{Era: f.Era, Position: f.Position, Rate: f.Rate, ReadAt: now.Add(listAt.Sub(bootTime))}
+		if f.Recovered > 0 {
+			n.progress.RecoveredAt = now.Add(queriedAt.Sub(bootTime) - f.Recovered)
+		}
 		n.applyListFeed(now, f)
 	}
 	return current
--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -63,3 +63,24 @@
 		qt.Assert(t, n.upstreams["u"].Held, qt.HasLen, 1-i)
 	}
 }
+
+// TestRetainedEntriesSurviveAChangeOfTheSource guards against a service that loses its upstreams because a host turns to the store within two
+// seconds of its return from a copy: the hub retained the entries that the store lost.
+func TestRetainedEntriesSurviveAChangeOfTheSource(t *testing.T) {
+	t.Parallel()
+	s := Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}}
+	n, hub := newTestNode(s), newTestNode(s)
+	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
+	both := []fleet.Upstream{{ID: "u1", Born: 1, Beat: 1}, {ID: "u2", Born: 1, Beat: 1}}
+	hub.applyListRead(bootNow().Add(-time.Second), ListChanges{Complete: true, Put: both, Cursor: Cursor{Era: 1, Next: 100}})
+	time.Sleep(time.Millisecond)
+	hub.applyListRead(bootNow(), ListChanges{Complete: true, Put: both[:1], Cursor: Cursor{Era: 2, Next: 50}})
+	hub.configAt = bootNow()
+	qt.Assert(t, hub.upstreams, qt.HasLen, 2)
+	f := hub.buildFeed("h", FeedQuery{})
+	n.applyFeed(hub.self, &f, bootNow())
+	qt.Assert(t, n.upstreams, qt.HasLen, 2)
+	n.setDirect(true)
+	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: both[:1], Cursor: Cursor{Era: 2, Next: 51}})
+	qt.Assert(t, n.upstreams, qt.HasLen, 2)
+}
--- a/pkg/fleet/list.go
+++ b/pkg/fleet/list.go
@@ -23,12 +23,11 @@
 	// List is one host's copy of the published list of upstreams. An entry that disappears during or right after an outage
 	// of the list is retained until the upstream has had time to register again.
 	List struct {
-		live        map[string]Upstream
-		retained    map[string]Upstream
-		gone        map[string]goneUpstream
-		unreadable  bool
-		recoveredAt time.Time // when the list became readable after its last outage
-		progress    Progress
+		live       map[string]Upstream
+		retained   map[string]Upstream
+		gone       map[string]goneUpstream
+		unreadable bool
+		progress   Progress
 	}
 
 	// goneUpstream is the last entry of an upstream that has disappeared.
@@ -45,6 +44,8 @@
 		Position int64     // number of entries ever written in the log of the era, as of ReadAt
 		ReadAt   time.Time // time of the last read; zero means never
 		Rate     float64   // number of entries written per second; zero means unknown
+		// RecoveredAt is when the list became readable after its last outage; zero means that no outage is known.
+		RecoveredAt time.Time
 	}
 )
 
@@ -65,9 +66,9 @@
 	written := float64(position - p.Position)
 	switch known := !p.ReadAt.IsZero() && elapsed > 0; {
 	case era != p.Era && !p.ReadAt.IsZero():
-		l.recoveredAt = now
+		p.RecoveredAt = now
 	case l.unreadable && (!known || p.Rate == 0 || written < minWriteRatio*p.Rate*elapsed):
-		l.recoveredAt = now
+		p.RecoveredAt = now
 	case !l.unreadable && known && p.Rate == 0:
 		p.Rate = written / elapsed
 	case !l.unreadable && known:
@@ -84,7 +85,7 @@
 func (l *List) Adopt(all map[string]Upstream, p Progress, current bool) {
 	l.live = maps.Clone(all)
 	clear(l.retained)
-	l.unreadable, l.recoveredAt, l.progress = !current, time.Time{}, p
+	l.unreadable, l.progress = !current, p
 }
 
 // Live returns the entry of an upstream that has not disappeared.
@@ -112,7 +113,7 @@
 		return
 	}
 	delete(l.live, id)
-	if !u.Leaving && (l.unreadable || !l.recoveredAt.IsZero() && now.Sub(l.recoveredAt) < reregisterTime) {
+	if !u.Leaving && (l.unreadable || !l.progress.RecoveredAt.IsZero() && now.Sub(l.progress.RecoveredAt) < reregisterTime) {
 		l.retained[id] = u
 	}
 }
@@ -164,7 +165,7 @@
 func (l *List) Current(now time.Time) map[string]Upstream {
 	m := maps.Clone(l.live)
 	for id, u := range l.retained {
-		if !l.unreadable && now.Sub(l.recoveredAt) >= reregisterTime {
+		if !l.unreadable && now.Sub(l.progress.RecoveredAt) >= reregisterTime {
 			delete(l.retained, id)
 			continue
 		}
