test(scene): a listener is opened again when no starting process holds a copy of it

Cause: a process that another scenario is starting holds a copy of each open listener until its exec closes it, so that the address stays taken for a moment after the listener of the daemon before was closed. A program with six loops that start processes beside one that closes and opens a listener showed it: 4,847 of 12,986 opens failed so. The harness waits up to 2 s for the address now; no check is changed. The links scenarios, twice, with the race detector: passed.

--- a/internal/scene/links_test.go
+++ b/internal/scene/links_test.go
@@ -12,6 +12,8 @@
 	// request; each further timeout is twice as long.
 	initialDataRetransmit    = 200 * time.Millisecond
 	initialConnectRetransmit = time.Second
+	// listenTimeout limits how long the start of a daemon waits for the listener of its earlier process to be closed.
+	listenTimeout = 2 * time.Second
 )
 
 type (
@@ -40,8 +42,12 @@
 
 // listen starts the relay. Its listener is closed when the daemon exits, since peers take a refused connection as proof of that.
 func (r *relay) listen() error {
-	l, err := net.Listen("tcp", r.address)
-	if err != nil {
+	var l net.Listener
+	// A process that another scenario is just starting has a copy of the listener of before until its exec has closed it.
+	if err := await(listenTimeout, func() (err error) {
+		l, err = net.Listen("tcp", r.address)
+		return err
+	}); err != nil {
 		return err
 	}
 	ip, _, err := net.SplitHostPort(r.target)
