--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -57,13 +57,13 @@
 	code := notRun
 	switch os.Args[1] {
 	case "poison":
-		code = runPoison(dir, r, trouble, poison{servers: 1, gap: 40 * time.Millisecond})
+		code = runPoison(dir, r, trouble, poison{servers: 1, events: 45, gap: 40 * time.Millisecond})
 	case "poison-late-head":
-		code = runPoison(dir, r, trouble, poison{servers: 1, gap: 40 * time.Millisecond, lateHead: true})
+		code = runPoison(dir, r, trouble, poison{servers: 1, events: 31, gap: 40 * time.Millisecond, lateHead: true})
 	case "poison-one-event":
-		code = runPoison(dir, r, trouble, poison{servers: 1, gap: 40 * time.Millisecond, oneEvent: true})
+		code = runPoison(dir, r, trouble, poison{servers: 1, events: 31, gap: 40 * time.Millisecond, oneEvent: true})
 	case "poison-themes":
-		code = runPoison(dir, r, trouble, poison{servers: 2, gap: 60 * time.Millisecond, themes: themes, resigned: true})
+		code = runPoison(dir, r, trouble, poison{servers: 2, events: 31, gap: 60 * time.Millisecond, themes: themes, resigned: true})
 	default:
 		fail("unknown case %q", os.Args[1])
 	}
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -34,7 +34,8 @@
 	oneEvent bool          // whether the first event of an answer gets out before its server crashes
 	servers  int           // number of servers that hold the model
 	themes   int           // number of second parts of prompts, each shared by several requests; zero means that prompts have none
-	gap      time.Duration // time between two events
+	events   int           // number of events of an answer
+	gap      time.Duration // time between two of them
 	resigned bool          // whether the callers of requests with the deadly part send them once only
 }
 
@@ -49,7 +50,7 @@
 	st := newStore()
 	st.put("keyed.op", "config", configuration("m0"))
 	zones := []string{"gogledd", "canolbarth", "de"}
-	e := &engine{prefill: 400 * time.Millisecond, gap: p.gap, events: 31, disk: 1100 * time.Millisecond, store: 6 * time.Second, back: 2 * time.Second, lateHead: p.lateHead, oneEvent: p.oneEvent}
+	e := &engine{prefill: 400 * time.Millisecond, gap: p.gap, events: p.events, disk: 1100 * time.Millisecond, store: 6 * time.Second, back: 2 * time.Second, lateHead: p.lateHead, oneEvent: p.oneEvent}
 	for i := range p.servers {
 		newServer(st, r, engineService, zones[i], "127.0.0.1", e, "m0")
 	}
