fix(node): an upstream that ends before the head of a response is evidence too

Cause: a broken attempt counted as evidence only between the head of its response and the first event. An upstream that ends as it begins to write may show neither, or both. Evidence: the 12 attempts with the part that event 204 shows have no head, and no host logs event 500.

Change: an attempt counts if its response had not streamed for 0.25 s and the upstream then refuses connections. A request that may have ended its upstream is repeated only if the upstream lives, its parts were answered lately, or it was probably waiting; hosts learn from complete responses whether heads of a service arrive before the first events.

TestEndIsEvidenceWithoutAHead and TestWaitingRequestsAreRepeated are new and use the new field of Progress, so that they do not compile before.

--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -20,6 +20,14 @@
 	trialInterval = 10 * time.Second
 	// endProbeTimeout limits the connection that shows whether an upstream has ended.
 	endProbeTimeout = 400 * time.Millisecond
+	// beginningTime is how long after its first event a response still counts as beginning. It covers the time that a host needs to read
+	// what an upstream sent before it ended; a response that went on for longer did not end its upstream as it began.
+	beginningTime = 250 * time.Millisecond
+	// minHeadLead is the time between head and first event from which the head counts as sent by itself: packets on their way together
+	// arrive within a few milliseconds.
+	minHeadLead = 20 * time.Millisecond
+	// headLeadWeight is the weight of one response in the share of responses with an early head.
+	headLeadWeight = 0.1
 )
 
 // errPartRefused is the cause with which an attempt is cancelled when a part of its prompt turns out to crash upstreams.
@@ -32,28 +40,36 @@
 }
 
 // recordBroken records an attempt whose connection ended before its response did. It reports whether the request may be sent to another
-// upstream: one that was beginning to be answered may have ended its upstream, unless its parts are known to be harmless.
+// upstream: one that was beginning to be answered may have ended its upstream, unless its parts are known to be harmless. What arrived of
+// the response does not tell whether it had begun, because an upstream may end before any of it gets out. Only where heads usually
+// arrive before the first events, a request without a head was probably waiting.
 func (n *Node) recordBroken(c *relay.Call, t relay.Ticket, p relay.Progress) bool {
 	n.log("request").Info("connection ended before the response", "event", eventBroken, "id", c.ID, "upstream", t.Choice.Upstream,
-		"born", t.Choice.Born, "head", p.Head, "events", p.Events, "parts", partNames(c.Parts))
-	if !p.Head || p.Events > 0 || len(c.Parts) == 0 {
+		"born", t.Choice.Born, "head", p.Head, "events", p.Events, "streaming", p.Streaming, "parts", partNames(c.Parts))
+	if p.Streaming > beginningTime || len(c.Parts) == 0 {
 		return true
 	}
-	n.background(func(ctx context.Context) { n.probeEnd(ctx, c, t) })
-	known := false
-	n.control.Ask(func() { known = n.blame.Known(time.Now(), c.Parts) })
-	return known
+	harmless := false
+	n.control.Ask(func() {
+		waiting := !p.Head && n.earlyHeads[c.Service] > 0.5
+		harmless = waiting || n.blame.Known(time.Now(), c.Parts)
+	})
+	if harmless {
+		n.background(func(ctx context.Context) { n.probeEnd(ctx, c, t) })
+		return true
+	}
+	return !n.probeEnd(n.baseCtx, c, t)
 }
 
-// probeEnd records a crash if the upstream refuses connections. Otherwise only the connection broke.
-func (n *Node) probeEnd(ctx context.Context, c *relay.Call, t relay.Ticket) {
+// probeEnd records a crash if the upstream refuses connections, and reports whether it does. Otherwise only the connection broke.
+func (n *Node) probeEnd(ctx context.Context, c *relay.Call, t relay.Ticket) bool {
 	d := net.Dialer{Timeout: endProbeTimeout}
 	conn, err := d.DialContext(ctx, "tcp", t.Choice.Address)
 	if err == nil {
 		_ = conn.Close() // It was opened only to see whether that is possible.
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return // No answer may mean that this host is cut off.
+		return false // No answer may mean that this host is cut off.
 	}
 	n.control.Post(func() {
 		now := time.Now()
@@ -65,13 +81,22 @@
 		n.cancelRefused(now)
 		n.requestHeartbeat()
 	})
+	return true
 }
 
-// recordSound records a complete response.
-func (n *Node) recordSound(c *relay.Call) {
-	if len(c.Parts) > 0 {
-		n.control.Post(func() { n.blame.RecordSound(time.Now(), c.Parts) })
+// recordSound records a complete response whose head arrived the given time before its first event.
+func (n *Node) recordSound(c *relay.Call, headLead time.Duration) {
+	if len(c.Parts) == 0 {
+		return
 	}
+	n.control.Post(func() {
+		n.blame.RecordSound(time.Now(), c.Parts)
+		early := 0.0
+		if headLead >= minHeadLead {
+			early = 1
+		}
+		n.earlyHeads[c.Service] += headLeadWeight * (early - n.earlyHeads[c.Service])
+	})
 }
 
 // guard cancels the attempt if the parts of its prompt are refused before release is called.
--- a/internal/node/blame_test.go
+++ b/internal/node/blame_test.go
@@ -112,3 +112,61 @@
 	qt.Assert(t, unix.Close(fd), qt.IsNil)
 	qt.Assert(t, crashes(), qt.Equals, 1)
 }
+
+// TestEndIsEvidenceWithoutAHead guards against a part that is never found because its upstreams end before a byte of the response gets out,
+// or just after the first event, and against blame for requests that had been streaming for long.
+func TestEndIsEvidenceWithoutAHead(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct {
+		progress relay.Progress
+		known    bool
+		crashes  int
+		repeat   bool
+	}{
+		"nothing":        {relay.Progress{}, false, 1, false},
+		"head":           {relay.Progress{Head: true}, false, 1, false},
+		"firstEvent":     {relay.Progress{Head: true, Events: 1, Streaming: time.Millisecond}, false, 1, false},
+		"streaming":      {relay.Progress{Head: true, Events: 9, Streaming: time.Second}, false, 0, true},
+		"answeredBefore": {relay.Progress{}, true, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newTestNode(Settings{})
+			go func() { _ = n.control.Run() }()
+			t.Cleanup(n.control.Stop)
+			c := &relay.Call{RequestHeaders: relay.RequestHeaders{Parts: deadly}, Service: "clock"}
+			if x.known {
+				n.recordSound(c, 0)
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			ticket := relay.Ticket{Choice: pick.Choice{Upstream: "u", Address: l.Addr().String()}}
+			qt.Assert(t, n.recordBroken(c, ticket, x.progress), qt.IsTrue, qt.Commentf("only the connection broke"))
+			qt.Assert(t, l.Close(), qt.IsNil)
+			qt.Assert(t, n.recordBroken(c, ticket, x.progress), qt.Equals, x.repeat)
+			n.tasks.Wait()
+			count := 0
+			n.control.Ask(func() { count = n.blame.CrashCount() })
+			qt.Assert(t, count, qt.Equals, x.crashes)
+		})
+	}
+}
+
+// TestWaitingRequestsAreRepeated guards against requests that are lost with their upstream although they were waiting there: where heads arrive
+// before first events, one without a head had not begun.
+func TestWaitingRequestsAreRepeated(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	go func() { _ = n.control.Run() }()
+	t.Cleanup(n.control.Stop)
+	call := func(parts ...uint64) *relay.Call {
+		return &relay.Call{RequestHeaders: relay.RequestHeaders{Parts: parts}, Service: "clock"}
+	}
+	for range 20 {
+		n.recordSound(call(1), 100*time.Millisecond)
+	}
+	ended := relay.Ticket{Choice: pick.Choice{Upstream: "u", Address: "127.0.0.1:1"}}
+	qt.Assert(t, n.recordBroken(call(1, 2), ended, relay.Progress{}), qt.IsTrue)
+	qt.Assert(t, n.recordBroken(call(1, 2), ended, relay.Progress{Head: true}), qt.IsFalse)
+	n.tasks.Wait()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,7 @@
 		repeatWindows     map[string]*retry.Window
 		lostDependencies  map[string]bool // names of the dependencies that don't answer
 		blame             *blame.Ledger
+		earlyHeads        map[string]float64       // share of responses whose head arrived before their first event, by service
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
 		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
@@ -141,7 +142,7 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
+		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), earlyHeads: make(map[string]float64), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	leaseSettings := lease.DefaultSettings()
 	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,18 +73,19 @@
 	// attempt is one attempt to send the request to an upstream.
 	attempt struct {
 		*exchange
-		ticket        Ticket
-		cancel        context.CancelCauseFunc
-		ctx           context.Context
-		firstReported bool
-		eventsBefore  int // number of events of earlier attempts
-		moving        sync.Mutex
-		ended         bool        // whether the attempt has ended and can't be moved any more; guarded by moving
-		staysLogged   bool        // whether it was recorded that the request stays at its silent upstream; guarded by moving
-		resumable     atomic.Bool // whether another upstream could continue the stream
-		release       func()      // ends the guard of the attempt
-		harmful       bool        // whether the request may have ended its upstream and must not be sent to another one
-		signs         Signs       // what the upstream said about itself
+		ticket       Ticket
+		cancel       context.CancelCauseFunc
+		ctx          context.Context
+		headAt       time.Time // when the head of the response arrived
+		firstAt      time.Time // when the first event arrived; zero before it
+		eventsBefore int       // number of events of earlier attempts
+		moving       sync.Mutex
+		ended        bool        // whether the attempt has ended and can't be moved any more; guarded by moving
+		staysLogged  bool        // whether it was recorded that the request stays at its silent upstream; guarded by moving
+		resumable    atomic.Bool // whether another upstream could continue the stream
+		release      func()      // ends the guard of the attempt
+		harmful      bool        // whether the request may have ended its upstream and must not be sent to another one
+		signs        Signs       // what the upstream said about itself
 	}
 )
 
@@ -294,6 +295,7 @@
 
 // handleResponse relays the response, or reports why another upstream should be tried.
 func (a *attempt) handleResponse(r *conns.Response) (bool, error) {
+	a.headAt = time.Now()
 	class := a.relay.dialect.Classify(r.Status, r.Header)
 	if a.signs = a.relay.dialect.Signs(a.ticket.Choice.Upstream, r.Status, r.Header); a.signs != (Signs{}) {
 		a.relay.control.Signs(a.ticket, a.signs)
@@ -375,7 +377,11 @@
 	}
 	a.relay.control.EndAttempt(a.ticket, result)
 	if result == pick.Broken {
-		a.harmful = !a.relay.control.Broken(a.call, a.ticket, Progress{Head: true, Events: a.events.count - a.eventsBefore})
+		p := Progress{Head: true, Events: a.events.count - a.eventsBefore}
+		if !a.firstAt.IsZero() {
+			p.Streaming = time.Since(a.firstAt)
+		}
+		a.harmful = !a.relay.control.Broken(a.call, a.ticket, p)
 	}
 	if a.mayRepeat() {
 		a.summary.Resumed++
@@ -420,7 +426,7 @@
 	if class == Failed {
 		result = a.failedResult()
 	} else {
-		a.relay.control.Sound(a.call)
+		a.relay.control.Sound(a.call, time.Since(a.headAt))
 	}
 	a.relay.control.RecordFirst(a.ticket)
 	a.relay.control.EndAttempt(a.ticket, result)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -214,8 +214,8 @@
 
 // sendEvents sends complete events to the caller and flushes them.
 func (a *attempt) sendEvents(r *conns.Response, complete []byte, flush func() error) error {
-	if !a.firstReported {
-		a.firstReported = true
+	if a.firstAt.IsZero() {
+		a.firstAt = time.Now()
 		a.release()
 		a.relay.control.RecordFirst(a.ticket)
 	}
@@ -259,7 +259,7 @@
 	}
 	a.relay.control.EndAttempt(a.ticket, pick.Served)
 	if a.events.count > a.eventsBefore {
-		a.relay.control.Sound(a.call)
+		a.relay.control.Sound(a.call, a.firstAt.Sub(a.headAt))
 	}
 	return false, nil
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -104,8 +104,8 @@
 		// Broken records an attempt that ended without a complete response because the connection did, and how far it came. It reports
 		// whether the request may be sent to another upstream.
 		Broken func(c *Call, t Ticket, p Progress) (repeat bool)
-		// Sound records a complete response to a request.
-		Sound func(c *Call)
+		// Sound records a complete response to a request, and how long its head arrived before its first event or the end of its body.
+		Sound func(c *Call, headLead time.Duration)
 		// Guard cancels an attempt if it becomes known, before release is called, that such requests crash upstreams.
 		Guard func(c *Call, cancel context.CancelCauseFunc) (release func())
 		// Ending is the context of the host, which ends when the host can no longer wait for responses.
@@ -122,8 +122,9 @@
 
 	// Progress tells how far the response to an attempt came.
 	Progress struct {
-		Head   bool // whether the head of the response arrived
-		Events int  // number of complete events of a stream that arrived
+		Head      bool          // whether the head of the response arrived
+		Events    int           // number of complete events of a stream that arrived
+		Streaming time.Duration // time since the first of them; zero before it
 	}
 
 	// Ticket is a chosen upstream with the attempt in flight there.
