fix(blame): parts that were answered are suspects only if nothing else explains a crash

Cause: a sound request that waited at the upstream recorded the crash under the first part alone, and only an answer after the crash cleared it.

Change: of the parts that were at an upstream when it ended, those answered lately are suspects only if there are no others, and five crashes without an answer between them are needed against them.

Figures: TestBystandersAreNotRefused fails before.

--- a/pkg/blame/ledger.go
+++ b/pkg/blame/ledger.go
@@ -10,6 +10,9 @@
 	// requiredCrashes is the number of upstreams that must have ended under the same parts before requests with these parts are refused.
 	// One may have ended for another reason just as it began to answer.
 	requiredCrashes = 2
+	// requiredKnown is that number for parts that had all been answered before. A part of most requests is in each crash as a bystander, and
+	// cannot be answered while the only upstream that could is away.
+	requiredKnown = 5
 	// refusalTime is how long requests are refused after the last crash; each further crash doubles it up to maxRefusalTime.
 	refusalTime    = 2 * time.Minute
 	maxRefusalTime = 30 * time.Minute
@@ -157,8 +160,17 @@
 	return list
 }
 
+// unknown returns those of the parts that have not been answered lately.
+func (l *Ledger) unknown(parts []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(parts), func(p uint64) bool {
+		_, ok := l.sound[p]
+		return ok
+	})
+}
+
 // Judge returns the verdict about a request with the parts. The request is at fault if it has all suspects of several crashes: of two
-// parts that occur together, a request with one of them shows which it is.
+// parts that occur together, a request with one of them shows which it is. Parts that were answered before are suspects only of crashes
+// that no other part explains.
 func (l *Ledger) Judge(now time.Time, parts []uint64) Verdict {
 	var v Verdict
 	if len(l.crashes) == 0 || len(parts) == 0 {
@@ -169,21 +181,35 @@
 		upstream string
 		born     int64
 	}
-	ended := make(map[process]bool)
+	explained := make(map[process]bool)
+	for _, c := range l.crashes {
+		if len(l.unknown(l.suspects(c))) > 0 {
+			explained[process{c.Upstream, c.Born}] = true
+		}
+	}
+	ended, endedKnown := make(map[process]bool), make(map[process]bool)
 	for _, c := range l.crashes {
-		suspects := l.suspects(c)
+		p := process{c.Upstream, c.Born}
+		suspects, count := l.suspects(c), endedKnown
+		if explained[p] {
+			suspects, count = l.unknown(suspects), ended
+		}
 		if len(suspects) == 0 || slices.ContainsFunc(suspects, func(p uint64) bool { return !slices.Contains(parts, p) }) {
 			continue
 		}
-		ended[process{c.Upstream, c.Born}] = true
+		count[p] = true
 		if c.at.After(last) {
 			last = c.at
 		}
 	}
-	if v.Crashes = len(ended); v.Crashes < requiredCrashes {
+	required := requiredCrashes
+	if v.Crashes = len(ended); v.Crashes < required {
+		v.Crashes, required = len(endedKnown), requiredKnown
+	}
+	if v.Crashes < required {
 		return v
 	}
-	until := last.Add(min(refusalTime<<(v.Crashes-requiredCrashes), maxRefusalTime))
+	until := last.Add(min(refusalTime<<(v.Crashes-required), maxRefusalTime))
 	v.Refuse, v.Trial = now.Before(until), !now.Before(until)
 	if v.Refuse {
 		v.Retry = until.Sub(now)
--- a/pkg/blame/ledger_test.go
+++ b/pkg/blame/ledger_test.go
@@ -37,6 +37,27 @@
 	qt.Assert(t, l.Judge(now, []uint64{common, theme}).Crashes, qt.Equals, 0)
 }
 
+// TestBystandersAreNotRefused guards against sound requests that are refused because they waited at upstreams that others crashed: the part
+// that they share with these is in each crash, and cannot be answered while the only upstream is away.
+func TestBystandersAreNotRefused(t *testing.T) {
+	l := blame.New()
+	now := start
+	for range 100 {
+		l.RecordSound(now, []uint64{common})
+		now = now.Add(time.Second / 10)
+	}
+	for i := range 2 {
+		l.RecordCrash(now, fmt.Sprint("u", i), 1, []uint64{common})
+		qt.Assert(t, l.Judge(now, []uint64{common, deadly}).Refuse, qt.IsFalse, qt.Commentf("a bystander's crash does not count for the part"))
+		l.RecordCrash(now, fmt.Sprint("u", i), 1, []uint64{common, deadly})
+		now = now.Add(3 * time.Second)
+	}
+	qt.Assert(t, l.Judge(now, []uint64{common}).Refuse, qt.IsFalse)
+	qt.Assert(t, l.Judge(now, []uint64{common, theme}).Refuse, qt.IsFalse)
+	qt.Assert(t, l.Judge(now, []uint64{common, deadly}).Refuse, qt.IsTrue)
+	qt.Assert(t, l.Judge(now, []uint64{other, deadly}).Refuse, qt.IsTrue)
+}
+
 // TestUpstreamsThatEndForOtherReasons guards against sound requests that are refused because upstreams crash or flap while they begin to
 // answer them: a complete answer acquits, and one process of an upstream counts once.
 func TestUpstreamsThatEndForOtherReasons(t *testing.T) {
