fix(relay): attempts that are cancelled for their parts are evidence

TestDeadlyPartFromTheStartIsRefused failed once: all sound requests were refused for 10 s after two crashes, and the first trial was a deadly request. Cause, read from the code (the run left no logs): a host that knew only the bystanders of a crash cancelled the attempts with their parts, the deadly one among them, before its broken connection was seen, and cancelled attempts were not recorded. Now they are probed and recorded like broken ones.

--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -30,9 +30,6 @@
 	headLeadWeight = 0.1
 )
 
-// errPartRefused is the cause with which an attempt is cancelled when a part of its prompt turns out to crash upstreams.
-var errPartRefused = errors.New("a part of the prompt crashes upstreams")
-
 // guardedAttempt is an attempt that is cancelled if the parts of its prompt are refused before the response begins.
 type guardedAttempt struct {
 	parts  []uint64
@@ -123,7 +120,7 @@
 	n.convicted = convicted
 	for g := range n.guarded {
 		if n.blame.Judge(now, g.parts).Refuse {
-			g.cancel(errPartRefused)
+			g.cancel(relay.ErrPartsRefused)
 			delete(n.guarded, g)
 		}
 	}
--- a/internal/node/blame_test.go
+++ b/internal/node/blame_test.go
@@ -56,7 +56,7 @@
 	}
 	recordCrashes(n, time.Now())
 	n.mergeEvidence(time.Now(), "other", blame.Evidence{Crashes: []blame.Crash{{Upstream: "u3", Born: 1, Parts: deadly}}})
-	qt.Assert(t, context.Cause(contexts["deadly"]), qt.Equals, errPartRefused)
+	qt.Assert(t, context.Cause(contexts["deadly"]), qt.Equals, relay.ErrPartsRefused)
 	qt.Assert(t, contexts["sound"].Err(), qt.IsNil)
 	qt.Assert(t, n.guarded, qt.HasLen, 1)
 }
--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -231,7 +231,7 @@
 		case !stuck:
 			err = relay.ErrNotStuck
 		case v.Refuse || v.Trial:
-			err = errPartRefused
+			err = relay.ErrPartsRefused
 		case !n.repeatWindow(c.Service).Take(now, n.hostCount()):
 			err = errNoRepeats
 		default:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -232,7 +232,7 @@
 		result = pick.Abandoned
 	}
 	a.relay.control.EndAttempt(a.ticket, result)
-	if sent && result == pick.Broken {
+	if sent && (result == pick.Broken || a.partsRefused()) {
 		a.harmful = !a.relay.control.Broken(a.call, a.ticket, Progress{})
 	}
 	switch {
@@ -257,6 +257,10 @@
 	return pick.Broken
 }
 
+// partsRefused reports whether the attempt was cancelled because of its parts. Its upstream may have ended at the same time, and the evidence
+// of an end is wrong without the requests at fault.
+func (a *attempt) partsRefused() bool { return errors.Is(context.Cause(a.ctx), ErrPartsRefused) }
+
 // attemptError returns the error of a failed attempt with the given code, or with that of an endless response.
 func attemptError(c codes.Code, err error) error {
 	if codes.Is(err, codes.EndlessResponse) {
@@ -376,7 +380,7 @@
 		err = errEventTimeout
 	}
 	a.relay.control.EndAttempt(a.ticket, result)
-	if result == pick.Broken {
+	if result == pick.Broken || a.partsRefused() {
 		p := Progress{Head: true, Events: a.events.count - a.eventsBefore}
 		if !a.firstAt.IsZero() {
 			p.Streaming = time.Since(a.firstAt)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -32,6 +32,9 @@
 // ErrNotStuck is the error of Control.Move if the upstream is not silent or no other one would answer earlier.
 var ErrNotStuck = errors.New("request is not stuck")
 
+// ErrPartsRefused is the cause with which Control.Guard cancels an attempt when the parts of its prompt turn out to crash upstreams.
+var ErrPartsRefused = errors.New("parts of the prompt crash upstreams")
+
 type (
 	// ResponseClass is the class of an upstream's response.
 	ResponseClass int
@@ -101,8 +104,8 @@
 		Stopping func() (until time.Time, stopping bool)
 		// Retried records an attempt after which the request is sent again.
 		Retried func(c *Call, t Ticket, err error)
-		// Broken records an attempt that ended without a complete response because the connection did, and how far it came. It reports
-		// whether the request may be sent to another upstream.
+		// Broken records an attempt that ended without a complete response because the connection did, or was cancelled by Guard, and how
+		// far it came. It reports whether the request may be sent to another upstream.
 		Broken func(c *Call, t Ticket, p Progress) (repeat bool)
 		// Sound records a complete response to a request, and how long its head arrived before its first event or the end of its body.
 		Sound func(c *Call, headLead time.Duration)
