fix(node): the list shows that an upstream has ended

Broken attempts whose test connection was not refused are kept for 10 s, 256 at most, and recorded when the list has another process at the address. TestListShowsAnEnd fails before in all four forms and passes; the tests of internal/node pass.

--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/blame"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
 const (
@@ -20,6 +22,10 @@
 	trialInterval = 10 * time.Second
 	// endProbeTimeout limits the connection that shows whether an upstream has ended.
 	endProbeTimeout = 400 * time.Millisecond
+	// unclearTime is how long the list may take to show that an upstream has ended whose test connection did not tell, and maxUnclear the
+	// number of attempts that are kept for this.
+	unclearTime = 10 * time.Second
+	maxUnclear  = 256
 	// beginningTime is how long after its first event a response still counts as beginning. It covers the time that a host needs to read
 	// what an upstream sent before it ended; a response that went on for longer did not end its upstream as it began.
 	beginningTime = 250 * time.Millisecond
@@ -30,6 +36,15 @@
 	headLeadWeight = 0.1
 )
 
+// unclearEnd is a broken attempt whose upstream may have ended.
+type unclearEnd struct {
+	id      string
+	choice  pick.Choice
+	parts   []uint64
+	waiting bool
+	at      time.Time
+}
+
 // guardedAttempt is an attempt that is cancelled if the parts of its prompt are refused before the response begins.
 type guardedAttempt struct {
 	parts  []uint64
@@ -58,28 +73,63 @@
 	return !n.probeEnd(n.baseCtx, c, t, false)
 }
 
-// probeEnd records a crash if the upstream refuses connections, and reports whether it does. Otherwise only the connection broke. A waiting
-// request had probably not begun.
+// probeEnd records a crash if the upstream refuses connections, and reports whether it does. Otherwise the connection broke, this host is cut
+// off, or the upstream is back already or does not answer any more; the list may tell later. A waiting request had probably not begun.
 func (n *Node) probeEnd(ctx context.Context, c *relay.Call, t relay.Ticket, waiting bool) bool {
 	d := net.Dialer{Timeout: endProbeTimeout}
 	conn, err := d.DialContext(ctx, "tcp", t.Choice.Address)
 	if err == nil {
 		_ = conn.Close() // It was opened only to see whether that is possible.
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false // No answer may mean that this host is cut off.
-	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
 	n.control.Post(func() {
-		now := time.Now()
-		if !n.blame.RecordCrash(now, t.Choice.Upstream, t.Choice.Born, c.Parts, waiting) {
-			return
+		e := unclearEnd{c.ID, t.Choice, c.Parts, waiting, time.Now()}
+		switch {
+		case refused:
+			n.recordCrash(e, err.Error())
+		case n.replaced(e.choice):
+			n.recordCrash(e, "another process has its address")
+		case len(n.unclear) < maxUnclear:
+			n.unclear = append(n.unclear, e)
 		}
-		n.log("blame").Warn("upstream ended as it began to answer", "event", eventCrash, "id", c.ID, "upstream", t.Choice.Upstream,
-			"born", t.Choice.Born, "parts", partNames(c.Parts), "waiting", waiting, "crashes", n.blame.CrashCount(), "err", err)
-		n.applyConvictions(now)
-		n.requestHeartbeat()
 	})
-	return true
+	return refused
+}
+
+// recordCrash records that the upstream of the attempt has ended.
+func (n *Node) recordCrash(e unclearEnd, reason string) {
+	now := time.Now()
+	if !n.blame.RecordCrash(now, e.choice.Upstream, e.choice.Born, e.parts, e.waiting) {
+		return
+	}
+	n.log("blame").Warn("upstream ended as it began to answer", "event", eventCrash, "id", e.id, "upstream", e.choice.Upstream,
+		"born", e.choice.Born, "parts", partNames(e.parts), "waiting", e.waiting, "crashes", n.blame.CrashCount(), "reason", reason)
+	n.applyConvictions(now)
+	n.requestHeartbeat()
+}
+
+// replaced reports whether the list has another process at the address of the upstream.
+func (n *Node) replaced(c pick.Choice) bool {
+	if u, ok := n.upstreams[c.Upstream]; ok {
+		return u.Born > c.Born
+	}
+	for _, u := range n.upstreams {
+		if u.Address == c.Address && u.Born > c.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveUnclear records the crashes that the list shows, and drops what it has not shown in time.
+func (n *Node) resolveUnclear(now time.Time) {
+	n.unclear = slices.DeleteFunc(n.unclear, func(e unclearEnd) bool {
+		if now.Sub(e.at) <= unclearTime && n.replaced(e.choice) {
+			n.recordCrash(e, "another process has its address")
+			return true
+		}
+		return now.Sub(e.at) > unclearTime
+	})
 }
 
 // recordSound records a complete response whose head arrived the given time before its first event.
--- a/internal/node/blame_test.go
+++ b/internal/node/blame_test.go
@@ -13,6 +13,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/blame"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 )
 
@@ -170,3 +171,46 @@
 	qt.Assert(t, n.recordBroken(call(1, 2), ended, relay.Progress{Head: true}), qt.IsFalse)
 	n.tasks.Wait()
 }
+
+// TestListShowsAnEnd guards against a part that is never found because its upstreams are back before the test connection, or because their
+// machine answers nothing any more until another process has the address.
+func TestListShowsAnEnd(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	address := l.Addr().String()
+	for name, after := range map[string]fleet.Upstream{
+		"sameID":    {ID: "u", Born: 2, Address: address},
+		"anotherID": {ID: "v", Born: 2, Address: address},
+	} {
+		for _, listFirst := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, listFirst), func(t *testing.T) {
+				t.Parallel()
+				n := newTestNode(Settings{})
+				go func() { _ = n.control.Run() }()
+				t.Cleanup(n.control.Stop)
+				list := func(u fleet.Upstream) {
+					n.control.Ask(func() { n.applyList(time.Now(), map[string]fleet.Upstream{u.ID: u}) })
+				}
+				crashes := func() (count int) {
+					n.control.Ask(func() { count = n.blame.CrashCount() })
+					return count
+				}
+				list(fleet.Upstream{ID: "u", Born: 1, Address: address})
+				c := &relay.Call{RequestHeaders: relay.RequestHeaders{Parts: deadly}}
+				ticket := relay.Ticket{Choice: pick.Choice{Upstream: "u", Born: 1, Address: address}}
+				if listFirst {
+					list(after)
+				}
+				n.recordBroken(c, ticket, relay.Progress{Head: true})
+				if !listFirst {
+					list(fleet.Upstream{ID: "u", Born: 1, Address: address})
+					qt.Assert(t, crashes(), qt.Equals, 0, qt.Commentf("only the connection broke"))
+					list(after)
+				}
+				qt.Assert(t, crashes(), qt.Equals, 1)
+			})
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,7 @@
 		blame             *blame.Ledger
 		convicted         map[string]int           // crashes that a convicted set of parts explains, by their names, as logged last
 		earlyHeads        map[string]float64       // share of responses whose head arrived before their first event, by service
+		unclear           []unclearEnd             // recent broken attempts whose upstreams may have ended
 		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
 		lastTrial         time.Time
 		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -246,6 +246,7 @@
 	n.upstreams, n.hasList = current, true
 	n.table.Replace(current)
 	n.placing.SetUpstreams(now, current)
+	n.resolveUnclear(now)
 	n.updateReady()
 	n.schedulePlan()
 }
