fix(node): a stopping host refuses what would be cut at the end of the grace period

Now a request that may not be repeated is accepted only if its deadline is before the end of the grace period, another one if its response is expected to be complete by then; the rest is refused at once as not run.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -160,7 +160,7 @@
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
 		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
-		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.stop.state, Retried: n.logRetry, RequestEnded: n.logEnd,
+		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 		Signs: n.recordSigns, Paused: n.paused, Ending: n.stop.ctx,
 	}, pool)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,7 +5,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 )
 
@@ -22,6 +24,7 @@
 // stopState is the state of a planned stop. It may be read from any goroutine.
 type stopState struct {
 	startedAt atomic.Int64 // start of the stop in Unix nanoseconds; zero if the host is not stopping
+	endsAt    atomic.Int64 // when requests in progress are cut, in Unix nanoseconds; set before startedAt
 	active    atomic.Int64 // number of requests in progress
 	server    *callerServer
 	ctx       context.Context // ends when the host can no longer wait for the responses to its requests
@@ -41,17 +44,17 @@
 // error if requests are cut off at the end of the grace period.
 func (n *Node) awaitStop(ctx context.Context) error {
 	<-ctx.Done()
-	start := time.Now()
+	start, end := time.Now(), time.Time{}
+	n.control.Ask(func() { end = start.Add(seconds(n.settings.Limits.GraceS) - stopMargin) })
+	n.stop.endsAt.Store(end.UnixNano())
 	n.stop.startedAt.Store(start.UnixNano())
 	n.log("node").Info("stopping", "event", eventStopping, "requests", n.stop.active.Load())
 	var message Heartbeat
 	var to []Member
-	end := start
 	n.control.Ask(func() {
 		n.updateReady()
 		n.releaseLease()
 		message, to = n.heartbeat(0)
-		end = start.Add(seconds(n.settings.Limits.GraceS) - stopMargin)
 	})
 	for _, m := range to {
 		n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &message) })
@@ -78,6 +81,25 @@
 	return codes.Newf(codes.DeadlineMissed, "%d requests were left at the end of the grace period", left)
 }
 
+// acceptUntil returns the time after which the host does not accept the request any more, and whether the host is stopping. A request that would
+// be cut at the end of the grace period is refused at once, so that another host can run it: one that may not be repeated unless its deadline
+// comes first, another one unless its response is expected to be complete by then.
+func (n *Node) acceptUntil(c *relay.Call) (until time.Time, stopping bool) {
+	until, stopping = n.stop.state()
+	if !stopping {
+		return until, false
+	}
+	end := time.Unix(0, n.stop.endsAt.Load())
+	latest := end.Add(-n.expectedDuration(c))
+	if c.Route.Kind == fleet.Unsafe && c.Deadline.After(end) {
+		latest = c.Arrived
+	}
+	if latest.Before(until) {
+		until = latest
+	}
+	return until, true
+}
+
 // releaseLease releases the lease, so that another host need not wait until it expires.
 func (n *Node) releaseLease() {
 	now := n.now()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -246,7 +246,7 @@
 
 // checkStopping returns an error for a request that cannot be finished before the process exits.
 func (x *exchange) checkStopping() error {
-	until, stopping := x.relay.control.Stopping()
+	until, stopping := x.relay.control.Stopping(x.call)
 	if !stopping {
 		return nil
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -44,7 +44,7 @@
 			return newTicket("u", address), nil
 		},
 		RecordFirst: func(relay.Ticket) {}, EndAttempt: func(relay.Ticket, pick.Result) {}, AllowRepeat: func(string) bool { return false },
-		CountRequest: func(string) {}, Stopping: func() (time.Time, bool) { return time.Time{}, false },
+		CountRequest: func(string) {}, Stopping: func(*relay.Call) (time.Time, bool) { return time.Time{}, false },
 		Retried:     func(*relay.Call, relay.Ticket, error) {},
 		Broken:      func(*relay.Call, relay.Ticket, relay.Progress) bool { return true },
 		Sound:       func(*relay.Call, time.Duration) {},
--- a/internal/relay/signs_test.go
+++ b/internal/relay/signs_test.go
@@ -25,7 +25,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	c.Config = func() *fleet.Config { return cfg }
 	c.CountRequest = func(string) {}
-	c.Stopping = func() (time.Time, bool) { return time.Time{}, false }
+	c.Stopping = func(*relay.Call) (time.Time, bool) { return time.Time{}, false }
 	c.Guard = func(*relay.Call, context.CancelCauseFunc) func() { return func() {} }
 	c.Retried = func(*relay.Call, relay.Ticket, error) {}
 	c.RecordFirst, c.Sound, c.RequestEnded = func(relay.Ticket) {}, func(*relay.Call, time.Duration) {}, func(relay.RequestSummary) {}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -100,8 +100,8 @@
 		AllowRepeat func(service string) bool
 		// CountRequest records a request to a service.
 		CountRequest func(service string)
-		// Stopping returns the time after which no new request is accepted, and whether the host is stopping.
-		Stopping func() (until time.Time, stopping bool)
+		// Stopping returns the time after which the request is not accepted any more, and whether the host is stopping.
+		Stopping func(c *Call) (until time.Time, stopping bool)
 		// Retried records an attempt after which the request is sent again.
 		Retried func(c *Call, t Ticket, err error)
 		// Broken records an attempt that ended without a complete response because the connection did, or was cancelled by Guard, and how
