--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -34,6 +34,8 @@
 	minHeadLead = 20 * time.Millisecond
 	// headLeadWeight is the weight of one response in the share of responses with an early head.
 	headLeadWeight = 0.1
+	// reasonReplaced is the reason of a crash that the list shows.
+	reasonReplaced = "another process has its address"
 )
 
 // unclearEnd is a broken attempt whose upstream may have ended.
@@ -88,7 +90,7 @@
 		case refused:
 			n.recordCrash(e, err.Error())
 		case n.replaced(e.choice):
-			n.recordCrash(e, "another process has its address")
+			n.recordCrash(e, reasonReplaced)
 		case len(n.unclear) < maxUnclear:
 			n.unclear = append(n.unclear, e)
 		}
@@ -125,7 +127,7 @@
 func (n *Node) resolveUnclear(now time.Time) {
 	n.unclear = slices.DeleteFunc(n.unclear, func(e unclearEnd) bool {
 		if now.Sub(e.at) <= unclearTime && n.replaced(e.choice) {
-			n.recordCrash(e, "another process has its address")
+			n.recordCrash(e, reasonReplaced)
 			return true
 		}
 		return now.Sub(e.at) > unclearTime
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -44,7 +44,8 @@
 // error if requests are cut off at the end of the grace period.
 func (n *Node) awaitStop(ctx context.Context) error {
 	<-ctx.Done()
-	start, end := time.Now(), time.Time{}
+	start := time.Now()
+	end := start
 	n.control.Ask(func() { end = start.Add(seconds(n.settings.Limits.GraceS) - stopMargin) })
 	n.stop.endsAt.Store(end.UnixNano())
 	n.stop.startedAt.Store(start.UnixNano())
