--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -21,7 +21,7 @@
 func TestCancelledPartsAreEvidence(t *testing.T) {
 	c := qt.New(t)
 	for _, head := range []bool{false, true} {
-		running := make(chan struct{})
+		running, headRead := make(chan struct{}), make(chan struct{})
 		upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			_, _ = io.Copy(io.Discard, q.Body)
 			if head {
@@ -35,7 +35,9 @@
 		k.Guard = func(_ *relay.Call, cancel context.CancelCauseFunc) func() {
 			go func() {
 				<-running
-				time.Sleep(20 * time.Millisecond) // The head is on its way.
+				if head {
+					<-headRead
+				}
 				cancel(relay.ErrPartsRefused)
 			}()
 			return func() {}
@@ -47,7 +49,12 @@
 		}
 		k.RequestEnded = func(relay.RequestSummary) {}
 		pool := conns.New(conns.Settings{DialTimeout: time.Second, UserTimeout: time.Second})
-		host := httptest.NewServer(relay.New(dialect, k, pool))
+		d := dialect
+		d.Classify = func(int, http.Header) relay.ResponseClass {
+			close(headRead)
+			return relay.Final
+		}
+		host := httptest.NewServer(relay.New(d, k, pool))
 		q, err := http.NewRequest(http.MethodPost, host.URL+"/x", strings.NewReader("x"))
 		c.Assert(err, qt.IsNil)
 		q.Host = "a"
