feat(fleet): types for teams at the hosts of the users' platform

The configuration of some deployments lists teams with API keys, a priority and a rate over all hosts; hosts know none of them so far. Adds the types and the two places in the relay where a request is admitted and settled, so that the parts can be built beside each other.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -98,7 +98,7 @@
 	if !ok {
 		return codes.Newf(codes.NotFound, "no route matches in configuration version %d", cfg.Version())
 	}
-	c.Route = route
+	c.Route, c.Urgency = route, route.Priority
 	if c.RequestHeaders, err = x.relay.dialect.Decode(x.request.Header); err != nil {
 		return err
 	}
@@ -133,6 +133,12 @@
 	if err := x.checkStopping(); err != nil {
 		return err
 	}
+	if x.call.Team.Rate.Limited() {
+		if err := x.relay.control.Admit(ctx, x.call); err != nil {
+			return x.noUpstreamError(ctx, err)
+		}
+		defer func() { x.relay.control.Settle(x.call, x.mayHaveRun) }()
+	}
 	exclude := make(map[string]bool)
 	defer x.dropNext()
 	for refusals := 0; ; {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -83,6 +83,11 @@
 	Control struct {
 		// Config returns the configuration in force, or nil.
 		Config func() *fleet.Config
+		// Admit admits a request against the rate of its team, waiting for credit if necessary. A refusal is a coded error with a
+		// Retry-After time.
+		Admit func(ctx context.Context, c *Call) error
+		// Settle ends the admission of a request; the credit of one that was not run is returned.
+		Settle func(c *Call, ran bool)
 		// Choose returns an upstream, waiting for one if necessary. A refusal is a coded error with a Retry-After time.
 		Choose func(ctx context.Context, c *Call, exclude map[string]bool) (Ticket, error)
 		// RecordFirst records the first event of an attempt.
@@ -141,6 +146,8 @@
 		RequestHeaders
 		Route     fleet.Route
 		Service   string
+		Team      fleet.Team // zero if the request needs no API key
+		Urgency   int        // priority of the team, or else of the route; zero is the most urgent
 		Arrived   time.Time
 		Deadline  time.Time // time by which the response must be complete
 		AbandonAt time.Time // when the caller is expected to abandon the request; the deadline once the response has begun
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -42,6 +42,7 @@
 		Targets     []Target
 		MaxAttempts int // limit on the number of upstreams that one request may be sent to
 		Resumable   bool
+		Public      bool // whether requests need no API key
 		// SessionAffinity is set when requests share prompt prefixes, so that an upstream that has them cached responds faster.
 		SessionAffinity bool
 	}
@@ -84,10 +85,12 @@
 
 	// Config is one version of the operator's configuration.
 	Config struct {
-		version  int64
-		routes   map[string][]Route
-		services map[string]Service
-		limits   Limits
+		version    int64
+		routes     map[string][]Route
+		services   map[string]Service
+		limits     Limits
+		teams      map[string]Team
+		teamsByKey map[KeyDigest]string // names of teams
 		// leastUrgent holds the highest Priority number of the routes of each service.
 		leastUrgent map[string]int
 	}
