feat(node): API keys and priorities of teams

Cause: hosts of the users' platform ignored tenants. A request without a valid API key ran, the key was passed to upstreams, the caller's Tenant header reached them unchanged, and the priority of a tenant had no effect. The relay checks the key after the route and before the body is read, on the version of the configuration that the request keeps, and sends the team's name upstream. A team's priority replaces that of the route in the urgency sent upstream, the limit on queues and the metric of first tokens. Log lines and a new metric name the team. A present but empty list of tenants requires a key, so that removal of the last team does not admit everybody. Admit and Settle admit everything for now. Conclusion: requests need keys only where the configuration lists tenants.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -103,7 +103,7 @@
 		return 0
 	}
 	cfg := n.config.Load()
-	return left * time.Duration(1+cfg.Ranks(c.Service, c.Route.Priority))
+	return left * time.Duration(1+cfg.Ranks(c.Service, c.Urgency))
 }
 
 // spread returns a time within a quarter of d, so that callers who are refused together do not return together.
@@ -267,8 +267,9 @@
 // logEnd logs the outcome of a request and records it in the metrics.
 func (n *Node) logEnd(s relay.RequestSummary) {
 	n.metrics.Request("traffic", s.Code)
+	n.countTeamRequest(s.Call.Team.Name, s.Code)
 	if s.First > 0 {
-		n.metrics.FirstToken(strconv.Itoa(s.Call.Route.Priority), s.First)
+		n.metrics.FirstToken(strconv.Itoa(s.Call.Urgency), s.First)
 	}
 	event, level := eventServed, slog.LevelInfo
 	if s.Code != codes.OK {
@@ -282,7 +283,7 @@
 		took := time.Since(s.Call.Arrived) - s.First
 		n.control.Post(func() { n.durations.Record(s.Call.Service, s.Call.Output, took) })
 	}
-	n.log("request").Log(n.baseCtx, level, "ended", "event", event, "id", s.Call.ID, "route", s.Call.Route.Name, "service", s.Call.Service,
+	n.log("request").Log(n.baseCtx, level, "ended", "event", event, "id", s.Call.ID, "route", s.Call.Route.Name, "service", s.Call.Service, "team", s.Call.Team.Name,
 		"model", s.Call.Key.Model, "adapter", s.Call.Key.Adapter, "code", int(s.Code), "reason", s.Code.Title(), "outcome", s.Outcome.String(),
 		"status", s.Status, "attempts", s.Attempts, "resumed", s.Resumed, "upstream", s.Upstream, "events", s.Events,
 		"waitedMS", s.Waited.Milliseconds(), "firstMS", s.First.Milliseconds(), "pauseMS", s.LongestPause.Milliseconds(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,7 +159,7 @@
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
+		Config: n.config.Load, Admit: admitAll, Settle: settleNone, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 		Signs: n.recordSigns, Paused: n.paused, Ending: n.stop.ctx,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -144,7 +144,8 @@
 	n.placing.Configure(engines)
 	n.placing.SetUpstreams(time.Now(), n.upstreams)
 	n.updateReady()
-	n.log("node").Info("configuration applied", "event", eventConfig, "version", c.Version(), "routes", c.RouteCount())
+	n.forgetTeams(old, c)
+	n.log("node").Info("configuration applied", "event", eventConfig, "version", c.Version(), "routes", c.RouteCount(), "teams", len(c.Teams()))
 }
 
 // watchList keeps the list of upstreams up to date.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -144,7 +144,9 @@
 	if lastEvent == "" {
 		lastEvent = x.call.LastEvent
 	}
-	x.relay.dialect.Encode(h, UpstreamHeaders{Upstream: t.Choice.Upstream, Budget: remaining, Urgency: x.call.Urgency, LastEvent: lastEvent})
+	x.relay.dialect.Encode(h, UpstreamHeaders{
+		Upstream: t.Choice.Upstream, Budget: remaining, Urgency: x.call.Urgency, Team: x.call.Team.Name, LastEvent: lastEvent,
+	})
 	maxIdle := time.Duration(maxIdleRepeatable)
 	if !x.call.Route.Repeatable() {
 		maxIdle = maxIdleUnrepeatable
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,18 +77,9 @@
 	return x.run()
 }
 
-// prepare reads the request and determines its route, service and deadlines.
+// prepare determines the route of the request, checks its API key, reads its body and determines its service and deadlines.
 func (x *exchange) prepare() error {
 	cfg := x.relay.control.Config()
-	limit := int64(defaultMaxBody)
-	if cfg != nil && cfg.Limits().BodyBytes > 0 {
-		limit = cfg.Limits().BodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	if err != nil {
-		return bodyError(err)
-	}
-	x.body = body
 	if cfg == nil {
 		return codes.New(codes.NotReady, "host has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -99,6 +90,18 @@
 		return codes.Newf(codes.NotFound, "no route matches in configuration version %d", cfg.Version())
 	}
 	c.Route, c.Urgency = route, route.Priority
+	if err := x.authorize(cfg); err != nil {
+		return err
+	}
+	limit := int64(defaultMaxBody)
+	if cfg.Limits().BodyBytes > 0 {
+		limit = cfg.Limits().BodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	if err != nil {
+		return bodyError(err)
+	}
+	x.body = body
 	if c.RequestHeaders, err = x.relay.dialect.Decode(x.request.Header); err != nil {
 		return err
 	}
@@ -118,6 +121,24 @@
 	return nil
 }
 
+// authorize determines the team of a request whose route requires an API key. The request keeps it, and its priority, whatever later versions
+// of the configuration say.
+func (x *exchange) authorize(cfg *fleet.Config) error {
+	if x.call.Route.Public || !cfg.RequiresKey() {
+		return nil
+	}
+	key := x.relay.dialect.Credential(x.request.Header)
+	if key == "" {
+		return codes.New(codes.Unauthorized, "request has no API key, or several")
+	}
+	team, ok := cfg.TeamOf(key)
+	if !ok {
+		return codes.Newf(codes.Unauthorized, "API key is unknown in configuration version %d", cfg.Version())
+	}
+	x.call.Team, x.call.Urgency = team, team.Urgency(x.call.Route)
+	return nil
+}
+
 func bodyError(err error) error {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -56,6 +56,7 @@
 		Upstream  string
 		Budget    time.Duration
 		Urgency   int
+		Team      string // name of the caller's team; empty if the request needs no API key
 		LastEvent string
 	}
 
@@ -69,6 +70,8 @@
 	Dialect struct {
 		// Echo is the header with the request's id, which a response must return.
 		Echo string
+		// Credential returns the API key in the headers of a caller's request, or an empty string.
+		Credential func(h http.Header) string
 		// Decode parses the headers of a caller's request; invalid ones yield a BadRequest error.
 		Decode func(h http.Header) (RequestHeaders, error)
 		// Encode removes the headers that callers must not set and adds those for the upstream.
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -19,6 +19,7 @@
 	registry     *prometheus.Registry
 	requests     *prometheus.CounterVec
 	requestsRead *prometheus.CounterVec
+	teamRequests *prometheus.CounterVec
 	firstToken   *prometheus.HistogramVec
 	attempts     *prometheus.CounterVec
 	appends      *prometheus.CounterVec
@@ -45,6 +46,7 @@
 		registry:     prometheus.NewRegistry(),
 		requests:     counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
 		requestsRead: counter("requests_read_total", "Requests whose head was read, by door.", "door"),
+		teamRequests: counter("team_requests_total", "Requests ended, by team and result code.", "team", "code"),
 		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
 		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
 		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
@@ -70,7 +72,7 @@
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -86,6 +88,16 @@
 	m.requests.WithLabelValues(door, strconv.Itoa(int(c))).Inc()
 }
 
+// TeamRequest counts a finished request of a team.
+func (m *Metrics) TeamRequest(team string, c codes.Code) {
+	m.teamRequests.WithLabelValues(team, strconv.Itoa(int(c))).Inc()
+}
+
+// ForgetTeam drops the metrics of a team.
+func (m *Metrics) ForgetTeam(team string) {
+	m.teamRequests.DeletePartialMatch(prometheus.Labels{"team": team})
+}
+
 // RequestRead counts a request whose head was read. Each of them is counted by Request when it ends.
 func (m *Metrics) RequestRead(door string) { m.requestsRead.WithLabelValues(door).Inc() }
 
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -91,7 +91,7 @@
 		limits     Limits
 		teams      map[string]Team
 		teamsByKey map[KeyDigest]string // names of teams
-		// leastUrgent holds the highest Priority number of the routes of each service.
+		// leastUrgent holds the highest priority number that a request to each service can have.
 		leastUrgent map[string]int
 	}
 )
@@ -109,12 +109,10 @@
 		if err := c.check(r); err != nil {
 			return nil, err
 		}
-		for _, t := range r.Targets {
-			c.leastUrgent[t.Service] = max(c.leastUrgent[t.Service], r.Priority)
-		}
 		host := strings.ToLower(r.Host)
 		c.routes[host] = append(c.routes[host], r)
 	}
+	c.rankRoutes(routes)
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -166,7 +164,7 @@
 // Services returns all services by name; the map must not be modified.
 func (c *Config) Services() map[string]Service { return c.services }
 
-// Ranks returns the number of ranks below that of the priority among the routes of the service; zero means that no route of the
+// Ranks returns the number of ranks below that of the priority among the requests to the service; zero means that no request to the
 // service is less urgent.
 func (c *Config) Ranks(service string, priority int) int {
 	return max(c.leastUrgent[service]-priority, 0)
--- a/pkg/fleet/teams.go
+++ b/pkg/fleet/teams.go
@@ -47,8 +47,8 @@
 // Limited reports whether the rate is limited.
 func (r Rate) Limited() bool { return r.PerSecond > 0 }
 
-// WithTeams returns a copy of the configuration that requires an API key of one of the teams. It returns a BadRecord error for a key of
-// two teams or a team without a name.
+// WithTeams returns a copy of the configuration that requires an API key of one of the teams, also if there are none. It returns a
+// BadRecord error for a key of two teams, and for a team without a name or with that of another one.
 func (c *Config) WithTeams(teams []Team) (*Config, error) {
 	x := *c
 	x.teams, x.teamsByKey = make(map[string]Team, len(teams)), make(map[KeyDigest]string)
@@ -56,6 +56,9 @@
 		if t.Name == "" {
 			return nil, codes.New(codes.BadRecord, "must not be empty").WithField("teams.name")
 		}
+		if _, ok := x.teams[t.Name]; ok {
+			return nil, codes.Newf(codes.BadRecord, "team %s is listed twice", t.Name).WithField("teams.name")
+		}
 		x.teams[t.Name] = t
 		for _, k := range t.Keys {
 			if other, ok := x.teamsByKey[k]; ok && other != t.Name {
@@ -64,11 +67,39 @@
 			x.teamsByKey[k] = t.Name
 		}
 	}
+	x.leastUrgent = make(map[string]int, len(c.leastUrgent))
+	for _, list := range x.routes {
+		x.rankRoutes(list)
+	}
 	return &x, nil
 }
 
+// rankRoutes updates leastUrgent by the routes.
+func (c *Config) rankRoutes(routes []Route) {
+	for _, r := range routes {
+		least := r.Priority
+		if !r.Public && len(c.teams) > 0 {
+			least = 0
+			for _, t := range c.teams {
+				least = max(least, t.Urgency(r))
+			}
+		}
+		for _, t := range r.Targets {
+			c.leastUrgent[t.Service] = max(c.leastUrgent[t.Service], least)
+		}
+	}
+}
+
+// Urgency returns the priority of the team's requests on a route; zero is the most urgent.
+func (t Team) Urgency(r Route) int {
+	if t.HasPriority {
+		return t.Priority
+	}
+	return r.Priority
+}
+
 // RequiresKey reports whether requests need an API key, apart from those of public routes.
-func (c *Config) RequiresKey() bool { return len(c.teams) > 0 }
+func (c *Config) RequiresKey() bool { return c.teams != nil }
 
 // Teams returns all teams by name; the map must not be modified.
 func (c *Config) Teams() map[string]Team { return c.teams }
