fix(node): a storm of configurations leaves room on a small host's link

A host that reads the store itself got every record of a storm of changes: 12 records of some 165 KB a second need 1.65 times a link of 10 Mbit/s (TestConfigurationStormLeavesRoomOnTheLink, which fails before). After a new record, a host now pauses so that these reads use a quarter of its link, at most as long as a call without a record takes, and then reads only the newest record. Hosts with a link of 200 Mbit/s never pause.

--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -28,6 +28,7 @@
 		Cores      float64 `toml:"cores"`     // processor share, in cores
 		CoreSpeed  float64 `toml:"coreSpeed"` // factor by which Cores is multiplied to get the capacity of the host
 		MemoryMB   float64 `toml:"memoryMB"`  // memory limit of the process, in megabytes
+		LinkMbps   float64 `toml:"linkMbps"`  // speed of the host's link, in megabits a second; zero means unknown
 		Bootstrap  bool    `toml:"bootstrap"` // whether all hosts of the system start for the first time
 	}
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -13,6 +14,12 @@
 	// initialConfigTimeout limits the first requests for the configuration: a host without one can't serve, and a store that
 	// didn't answer the last request may be back.
 	initialConfigTimeout = 400 * time.Millisecond
+	// configLinkShare is the share of the host's link that reads of the configuration may use.
+	configLinkShare = 0.25
+	// minConfigPause is the shortest pause that is made after a record; a shorter one would cost more calls than it saves bytes.
+	minConfigPause = 100 * time.Millisecond
+	bitsPerMegabit = 1e6
+	bitsPerByte    = 8
 	// fullTimeoutEvery is the interval, in first requests, at which one gets the full timeout, in case the store is slow.
 	fullTimeoutEvery = 3
 	listTimeout      = 600 * time.Millisecond
@@ -39,14 +46,15 @@
 // watchConfig keeps the configuration up to date.
 func (n *Node) watchConfig(ctx context.Context) {
 	cursor, wait := Cursor{}, n.poll.configPollWait
+	var last []byte // record that was read last
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() || n.awaitsPeers() {
-			cursor, failed, wait = Cursor{}, 0, n.poll.configPollWait
+			cursor, failed, wait, last = Cursor{}, 0, n.poll.configPollWait, nil
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
 		timeout := wait + configMargin
-		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
+		if cursor == (Cursor{}) && last == nil && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialConfigTimeout
 		}
 		start := n.bootNow()
@@ -75,7 +83,26 @@
 		}
 		// The next call ends before the configuration gets older than between two calls without a record.
 		wait = max(wait-end.Sub(start), 0)
+		if pause := n.configPause(len(record)); pause > 0 && !bytes.Equal(record, last) {
+			sleep(ctx, pause)
+			wait, cursor = max(wait-pause, 0), Cursor{} // Of the records that have come meanwhile, only the newest matters.
+		}
+		last = record
+	}
+}
+
+// configPause returns the pause after a configuration record of the given size, so that a storm of changes leaves room on the link of a small
+// host for the list of upstreams and for callers. It is zero on a fast link.
+func (n *Node) configPause(size int) time.Duration {
+	bitsPerSecond := n.settings.Host.LinkMbps * bitsPerMegabit
+	if bitsPerSecond <= 0 {
+		return 0
+	}
+	pause := seconds(float64(bitsPerByte*size) / (configLinkShare * bitsPerSecond))
+	if pause < minConfigPause {
+		return 0
 	}
+	return min(pause, n.poll.configPollWait)
 }
 
 // awaitsPeers reports whether this host has to ask other hosts for the configuration first: the store may have come back from a copy, and a
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
 // TestReadsStartAnewWithTheSource guards against a host that turns to the store and waits seconds after one lost read, because it still
@@ -49,3 +52,53 @@
 		synctest.Wait()
 	})
 }
+
+// TestConfigurationStormLeavesRoomOnTheLink guards against reads of the store that fail because a host with a slow link reads each
+// configuration of a storm of changes, so that it goes on sending to upstreams that leave.
+func TestConfigurationStormLeavesRoomOnTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, linkMbps = 165_000, 10
+		n := newTestNode(Settings{Host: HostSettings{LinkMbps: linkMbps}, Limits: LimitSettings{LeaveMS: 2000, ConfigMS: 2000, ContactMS: 3000}})
+		n.bootNow = time.Now
+		n.platform.DecodeConfig = func([]byte) (*fleet.Config, error) { return nil, errors.New("not decoded here") }
+		start, read, reads := time.Now(), 0, 0
+		const gap = 80 * time.Millisecond
+		changes := func() int64 { return int64(min(time.Since(start), 4*time.Second) / gap) } // one every gap
+		record := func(i int64) []byte {
+			data := make([]byte, size)
+			binary.BigEndian.PutUint64(data, uint64(i))
+			return data
+		}
+		newest := int64(-1)
+		n.platform.Config = func(ctx context.Context, c Cursor, wait time.Duration) ([]byte, Cursor, error) {
+			reads++
+			count := int64(1)
+			if c.Next > 0 {
+				for end := time.Now().Add(wait); changes() < c.Next && time.Now().Before(end) && sleep(ctx, gap/4); {
+				}
+				count = changes() - c.Next + 1
+			}
+			if count <= 0 {
+				return nil, c, nil
+			}
+			read += size * int(count)
+			newest = changes()
+			return record(newest), Cursor{Next: newest + 1}, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = n.control.Run() }()
+		go n.watchConfig(ctx)
+		n.direct.Store(true)
+		time.Sleep(4 * time.Second)
+		share := float64(8*read) / (linkMbps * 1e6 * 4)
+		qt.Check(t, share < 0.5, qt.IsTrue, qt.Commentf("%.2f of the link in %d reads", share, reads))
+		time.Sleep(n.poll.configPollWait)
+		qt.Check(t, newest, qt.Equals, changes())
+		calm := reads
+		time.Sleep(10 * time.Second)
+		qt.Check(t, reads-calm <= int(10*time.Second/n.poll.configPollWait), qt.IsTrue, qt.Commentf("%d reads in 10 s without a change", reads-calm))
+		cancel()
+		n.control.Stop()
+		synctest.Wait()
+	})
+}
