feat(rates): one rate limit per team over all hosts

The configuration limits the rate of a team over all hosts together; hosts could not agree on it. Calls of the new method Credit go to the holder of the log lease. It lends only while its lease is confirmed or most hosts report to it. Nothing happens unless the configuration has a team with a limit.

--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -21,6 +21,10 @@
 	"WantArgs":  WantArgs{},
 	"WantReply": WantReply{},
 	"Empty":     struct{}{},
+
+	// The files of these were made in the same way in the commit that added the method Credit.
+	"CreditArgs":  CreditArgs{},
+	"CreditReply": CreditReply{},
 }
 
 // TestMessagesOfEarlierBuild guards against a renamed or retyped field in messages between hosts. A host with the change loses the
@@ -59,5 +63,5 @@
 			c.Check(checked[m.Type.In(position).Elem()], qt.IsTrue, qt.Commentf("parameter %d of %s", position, m.Name))
 		}
 	}
-	c.Assert(methods, qt.DeepEquals, []string{"Beat", "Placed", "Want"})
+	c.Assert(methods, qt.DeepEquals, []string{"Beat", "Credit", "Placed", "Want"})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,6 +126,8 @@
 		announcedEra      int64
 		oldUpdates        bool // whether the list or the configuration was older than its limit at the last tick
 
+		rates teamRates
+
 		skipped map[SkippedEntry]bool // entries that were logged as skipped
 	}
 )
@@ -156,10 +158,11 @@
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
+	n.rates = n.newTeamRates()
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
+		Config: n.config.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 		Signs: n.recordSigns, Paused: n.paused, Ending: n.stop.ctx,
@@ -314,6 +317,7 @@
 	n.chooseSource()
 	n.logOldUpdates()
 	n.observeEra()
+	n.tickRates()
 	if n.tickCount++; n.tickCount%gaugeTicks == 0 {
 		n.recordGauges()
 	}
@@ -331,6 +335,7 @@
 	opened, reused := n.pool.ConnCounts()
 	m.SetHostView("connectionsOpened", float64(opened))
 	m.SetHostView("connectionsReused", float64(reused))
+	n.recordRates()
 	if n.term == 0 {
 		return
 	}
@@ -395,6 +400,7 @@
 func (n *Node) applySettings(s Settings) {
 	changed := n.settings.Limits != s.Limits
 	n.settings.Limits = s.Limits
+	n.rates.version = 0 // The limits of teams depend on the settings.
 	for _, w := range n.repeatWindows {
 		w.Adjust(time.Now(), seconds(s.Limits.RepeatWindowS), repeatShare*s.Limits.RepeatRatio, repeatShare*s.Limits.RepeatExtra)
 	}
--- /dev/null
+++ b/internal/node/rates.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/internal/ctrl"
+	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/internal/relay"
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/rates"
+)
+
+const (
+	// maxCreditWait limits the time for which a request waits for credit, and objectiveShare sets it in proportion to the objective.
+	maxCreditWait  = 300 * time.Millisecond
+	objectiveShare = 0.5
+	// refusalLogInterval is the time between two log lines about refused requests of a team.
+	refusalLogInterval = time.Second
+)
+
+type (
+	// CreditArgs is a call of a host to the controller for credit of teams.
+	CreditArgs struct {
+		Fence int64 // of the newest lease record that the host knows
+		Call  rates.Call
+	}
+
+	// CreditReply is the answer to CreditArgs.
+	CreditReply struct {
+		Fence int64
+		Reply rates.Reply
+	}
+
+	// teamRates is the part of the control state that limits the rates of teams.
+	teamRates struct {
+		host     *rates.Host
+		lender   *rates.Lender // nil unless this host is the controller
+		term     int64         // fence of the lease under which the lender lends
+		version  int64         // configuration from which the limits were taken
+		limits   map[string]rates.Limit
+		alarm    *ctrl.Alarm
+		waiting  map[int64]chan rates.Decision
+		refusals map[string]*refusalCount
+		ready    bool // whether the lender was ready at the last tick
+	}
+
+	// refusalCount counts the refused requests of a team since the last log line.
+	refusalCount struct {
+		loggedAt         time.Time
+		limited, orphans int // refused because the lender has no credit, and because there is no lender
+	}
+)
+
+func (n *Node) newTeamRates() teamRates {
+	return teamRates{
+		host:  rates.NewHost(n.self.Name, n.self.Incarnation, n.startedAt.UnixNano()),
+		alarm: ctrl.NewAlarm(n.control, n.stepRates), waiting: make(map[int64]chan rates.Decision), refusals: make(map[string]*refusalCount),
+	}
+}
+
+// admit takes credit for a request of a team with a limited rate, and waits for it if necessary.
+func (n *Node) admit(ctx context.Context, c *relay.Call) error {
+	wait := maxCreditWait
+	if o := c.Route.Objective; o > 0 {
+		wait = min(wait, time.Duration(objectiveShare*float64(o)))
+	}
+	wait = min(wait, time.Until(c.AbandonAt))
+	cost := c.Team.Rate.Cost(c.Prompt + c.Output)
+	var d rates.Decision
+	var id int64
+	var decided chan rates.Decision
+	if !n.control.Ask(func() {
+		n.updateLimits()
+		now := n.bootNow()
+		if d, id = n.rates.host.Admit(now, c.Team.Name, cost, wait); d.Result == rates.Waiting {
+			decided = make(chan rates.Decision, 1)
+			n.rates.waiting[id] = decided
+			n.stepRates()
+		}
+		n.setRatesAlarm(now)
+	}) {
+		return context.Canceled
+	}
+	if decided != nil {
+		d = n.awaitCredit(ctx, c, id, decided, wait)
+	}
+	if d.Result == rates.Admitted {
+		c.AdmittedAt = d.At
+		n.metrics.TeamRequest(c.Team.Name, "admitted")
+		return nil
+	}
+	return n.refuse(c, d)
+}
+
+// awaitCredit waits for the decision on a request.
+func (n *Node) awaitCredit(ctx context.Context, c *relay.Call, id int64, decided chan rates.Decision, wait time.Duration) rates.Decision {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	n.control.Ask(func() {
+		n.stepRates()
+		if n.rates.waiting[id] != nil {
+			n.rates.host.Cancel(c.Team.Name, id)
+			delete(n.rates.waiting, id)
+			decided <- rates.Decision{Result: rates.Refused, RetryAfter: maxCreditWait}
+		}
+	})
+	select {
+	case d := <-decided:
+		return d
+	default: // The control thread has stopped.
+		return rates.Decision{Result: rates.Refused, RetryAfter: maxCreditWait}
+	}
+}
+
+// refuse returns the error of a request without credit.
+func (n *Node) refuse(c *relay.Call, d rates.Decision) error {
+	reason, result := "rate limit of the team is reached", "limited"
+	if d.Reason == rates.NoLender {
+		reason, result = "credit of the team is used up and the controller does not answer", "noController"
+	}
+	n.metrics.TeamRequest(c.Team.Name, result)
+	n.control.Post(func() {
+		x := n.rates.refusals[c.Team.Name]
+		if x == nil {
+			x = new(refusalCount)
+			n.rates.refusals[c.Team.Name] = x
+		}
+		if d.Reason == rates.NoLender {
+			x.orphans++
+		} else {
+			x.limited++
+		}
+	})
+	return codes.New(codes.TeamLimit, reason).WithRetryAfter(spread(d.RetryAfter))
+}
+
+// settle gives back the credit of a request that did not run.
+func (n *Node) settle(c *relay.Call, ran bool) {
+	if ran || c.AdmittedAt.IsZero() {
+		return
+	}
+	n.control.Post(func() {
+		if n.rates.host.Return(n.bootNow(), c.Team.Name, c.Team.Rate.Cost(c.Prompt+c.Output), c.AdmittedAt) {
+			n.metrics.TeamRequest(c.Team.Name, "returned")
+			n.stepRates()
+		}
+	})
+}
+
+// updateLimits takes the limits from the configuration in force and the settings.
+func (n *Node) updateLimits() {
+	cfg := n.config.Load()
+	if cfg == nil || cfg.Version() == n.rates.version {
+		return
+	}
+	n.rates.version = cfg.Version()
+	n.rates.limits = make(map[string]rates.Limit)
+	s := n.settings.Limits
+	for name, t := range cfg.Teams() {
+		if t.Rate.Limited() {
+			n.rates.limits[name] = rates.Limit{
+				PerSecond: t.Rate.PerSecond, Burst: t.Rate.Burst, Window: seconds(s.RateWindowS), Over: s.RateOver, Slack: s.RateSlack,
+			}
+		}
+	}
+	now := n.bootNow()
+	n.rates.host.SetLimits(now, n.rates.limits)
+	if n.rates.lender != nil {
+		n.rates.lender.SetLimits(now, n.rates.limits)
+	}
+}
+
+// stepRates decides on waiting requests and makes the next call to the controller, if one is due. It must run on the control thread.
+func (n *Node) stepRates() {
+	n.updateLimits()
+	n.updateLender()
+	if len(n.rates.limits) == 0 && len(n.rates.waiting) == 0 {
+		return
+	}
+	now := n.bootNow()
+	if at, ok := n.rates.host.NextCall(now); ok && !at.After(now) {
+		n.callLender(now)
+	}
+	n.decideWaiting()
+	n.setRatesAlarm(now)
+}
+
+func (n *Node) decideWaiting() {
+	for id, d := range n.rates.host.TakeDecided(n.bootNow()) {
+		if w := n.rates.waiting[id]; w != nil {
+			w <- d
+			delete(n.rates.waiting, id)
+		}
+	}
+}
+
+// setRatesAlarm schedules the next call to the controller if that is due before the next tick.
+func (n *Node) setRatesAlarm(now time.Time) {
+	if at, ok := n.rates.host.NextCall(now); ok && at.Sub(now) < tickInterval {
+		n.rates.alarm.Set(time.Now().Add(max(at.Sub(now), 0)))
+	}
+}
+
+// updateLender begins or ends the term of the lender with that of the controller.
+func (n *Node) updateLender() {
+	switch {
+	case n.term == 0 || len(n.rates.limits) == 0:
+		n.rates.lender = nil
+	case n.rates.lender == nil || n.rates.term != n.term:
+		n.rates.lender, n.rates.term, n.rates.ready = rates.NewLender(), n.term, false
+		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
+	}
+}
+
+// callLender reports to the controller and applies its answer.
+func (n *Node) callLender(now time.Time) {
+	args := CreditArgs{Fence: n.lease.Fence(), Call: n.rates.host.Begin(now)}
+	if n.term != 0 {
+		reply, err := n.answerCredit(args)
+		n.applyCredit(args, reply, err)
+		return
+	}
+	holder, ok := n.members[n.lease.Holder()]
+	if !ok {
+		n.rates.host.Failed(now, args.Call.Seq)
+		return
+	}
+	address := holder.Peers
+	n.background(func(ctx context.Context) {
+		reply := new(CreditReply)
+		if err := n.peerClient.CallWithin(ctx, rates.CallTimeout, address, peers.ServiceName+".Credit", &args, reply); err != nil {
+			n.log("rates").Debug("controller did not answer", "peers", address, "err", err)
+			n.control.Post(func() { n.applyCredit(args, CreditReply{}, err) })
+			return
+		}
+		n.control.Post(func() { n.applyCredit(args, *reply, nil) })
+	})
+}
+
+// applyCredit applies the answer to a call, unless it is that of a host that no longer holds the lease.
+func (n *Node) applyCredit(args CreditArgs, reply CreditReply, err error) {
+	if err != nil || reply.Fence < n.lease.Fence() {
+		n.rates.host.Failed(n.bootNow(), args.Call.Seq)
+	} else {
+		n.rates.host.Apply(n.bootNow(), reply.Reply)
+	}
+	n.decideWaiting()
+	n.setRatesAlarm(n.bootNow())
+}
+
+// Credit handles the call of another host for credit of teams.
+func (s *peerService) Credit(a *CreditArgs, reply *CreditReply) error {
+	err := context.Canceled
+	s.node.control.Ask(func() {
+		s.node.updateLimits()
+		s.node.updateLender()
+		*reply, err = s.node.answerCredit(*a)
+	})
+	return err
+}
+
+// answerCredit answers the call of a host for credit of teams. It fails if this host is not the controller, or has lost touch with both the
+// store and most hosts, or if either of the two knows a later lease than the other.
+func (n *Node) answerCredit(a CreditArgs) (CreditReply, error) {
+	now := n.now()
+	if _, held := n.lease.Held(now); !held || n.rates.lender == nil || a.Fence != n.rates.term {
+		return CreditReply{}, codes.New(codes.StaleLease, errNotController.Error())
+	}
+	if a.Call.Host != n.self.Name && n.members[a.Call.Host] == nil {
+		return CreditReply{}, codes.New(codes.StaleLease, "host is not a known member")
+	}
+	r, err := n.rates.lender.Answer(n.bootNow(), a.Call, n.hostCount(), n.lease.Confirmed(now))
+	return CreditReply{Fence: a.Fence, Reply: r}, err
+}
+
+// tickRates makes calls that are due, and logs refused requests.
+func (n *Node) tickRates() {
+	n.stepRates()
+	now := time.Now()
+	for team, x := range n.rates.refusals {
+		if x.limited+x.orphans == 0 || now.Sub(x.loggedAt) < refusalLogInterval {
+			continue
+		}
+		rate, level, demand := n.rates.host.Held(n.bootNow(), team)
+		n.log("rates").Info("requests of a team refused", "event", eventTeamLimit, "team", team, "limited", x.limited, "noController", x.orphans,
+			"rateShare", rate, "credit", level, "demand", demand, "perSecond", n.rates.limits[team].PerSecond)
+		*x = refusalCount{loggedAt: now}
+	}
+	if l := n.rates.lender; l != nil {
+		if ready, known := l.Ready(n.bootNow()); ready && !n.rates.ready {
+			n.rates.ready = true
+			n.log("rates").Info("controller lends credit", "event", eventLending, "fence", n.rates.term, "allLoansKnown", known)
+		}
+	}
+}
+
+// recordRates sets the metrics of teams.
+func (n *Node) recordRates() {
+	now := n.bootNow()
+	for team := range n.rates.limits {
+		rate, level, demand := n.rates.host.Held(now, team)
+		n.metrics.TeamCredit(team, "hostRateShare", rate)
+		n.metrics.TeamCredit(team, "hostCredit", level)
+		n.metrics.TeamCredit(team, "hostDemand", demand)
+	}
+	if n.rates.lender == nil {
+		return
+	}
+	for team, s := range n.rates.lender.Stats(now) {
+		n.metrics.TeamCredit(team, "lentRateShare", s.Rate)
+		n.metrics.TeamCredit(team, "lentCapacityShare", s.Capacity)
+		n.metrics.TeamCredit(team, "granted", s.Granted)
+		n.metrics.TeamCredit(team, "lenderCredit", s.Level)
+		n.metrics.TeamCredit(team, "demand", s.Demand)
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -63,6 +63,11 @@
 		// apply to it.
 		ContactMS   int     `toml:"contactMS"`
 		LoadWindowS float64 `toml:"loadWindowS"` // window of the rate limit on loads from the weight store, in seconds
+		// Requests of a team in any window of RateWindowS seconds may cost (its rate × RateWindowS + its burst) × (1 + RateOver) +
+		// RateSlack.
+		RateWindowS float64 `toml:"rateWindowS"`
+		RateOver    float64 `toml:"rateOver"`
+		RateSlack   float64 `toml:"rateSlack"`
 	}
 )
 
@@ -82,7 +87,7 @@
 func ParseSettings(data []byte) (Settings, error) {
 	s := Settings{Host: HostSettings{Cores: 1, CoreSpeed: 1}, Limits: LimitSettings{
 		GraceS: 8, LeaseMS: 3000, RepeatRatio: 0.1, RepeatWindowS: 10, RepeatExtra: 10, AddressLifetimeS: 2, RequireFence: true,
-		ConfigMS: 2000, LeaveMS: 2000, ContactMS: 3000, LoadWindowS: 5,
+		ConfigMS: 2000, LeaveMS: 2000, ContactMS: 3000, LoadWindowS: 5, RateWindowS: 1,
 	}}
 	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -156,6 +161,9 @@
 		{"limits.leaveMS", float64(s.Limits.LeaveMS), 1},
 		{"limits.contactMS", float64(s.Limits.ContactMS), 1},
 		{"limits.loadWindowS", s.Limits.LoadWindowS, 0.1},
+		{"limits.rateWindowS", s.Limits.RateWindowS, 0.1},
+		{"limits.rateOver", s.Limits.RateOver, 0},
+		{"limits.rateSlack", s.Limits.RateSlack, 0},
 	} {
 		if !(n.value >= n.min) {
 			return invalid(n.key, "is too small")
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -144,15 +144,17 @@
 	// Call is a request in progress.
 	Call struct {
 		RequestHeaders
-		Route     fleet.Route
-		Service   string
-		Team      fleet.Team // zero if the request needs no API key
-		Urgency   int        // priority of the team, or else of the route; zero is the most urgent
-		Arrived   time.Time
-		Deadline  time.Time // time by which the response must be complete
-		AbandonAt time.Time // when the caller is expected to abandon the request; the deadline once the response has begun
-		Version   int64     // version of the configuration
-		Rounds    int       // times that every upstream of a service without models was tried without success
+		Route   fleet.Route
+		Service string
+		Team    fleet.Team // zero if the request needs no API key
+		// AdmittedAt is the boot time at which Control.Admit took the credit of the request.
+		AdmittedAt time.Time
+		Urgency    int // priority of the team, or else of the route; zero is the most urgent
+		Arrived    time.Time
+		Deadline   time.Time // time by which the response must be complete
+		AbandonAt  time.Time // when the caller is expected to abandon the request; the deadline once the response has begun
+		Version    int64     // version of the configuration
+		Rounds     int       // times that every upstream of a service without models was tried without success
 	}
 
 	// RequestSummary summarises a finished request for logs and metrics.
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -31,6 +31,8 @@
 	ready        prometheus.Gauge
 	placement    *prometheus.GaugeVec
 	hostView     *prometheus.GaugeVec
+	teamRequests *prometheus.CounterVec
+	teamCredit   *prometheus.GaugeVec
 }
 
 // NewMetrics returns a new registry of metrics, including those of the Go runtime and the process.
@@ -69,8 +71,12 @@
 		hostView: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
+		teamRequests: counter("team_requests_total", "Requests of teams with a rate limit, by what became of them there.", "team", "result"),
+		teamCredit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "team_credit", Help: "Shares and credit of the rate limits of teams, by kind.",
+		}, []string{"team", "kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.teamRequests, m.teamCredit, m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -127,6 +133,16 @@
 	m.placement.WithLabelValues(kind).Set(float64(value))
 }
 
+// TeamRequest counts a request of a team with a rate limit.
+func (m *Metrics) TeamRequest(team, result string) {
+	m.teamRequests.WithLabelValues(team, result).Inc()
+}
+
+// TeamCredit sets a figure of the rate limit of a team.
+func (m *Metrics) TeamCredit(team, kind string, value float64) {
+	m.teamCredit.WithLabelValues(team, kind).Set(value)
+}
+
 // SetHostView sets a count, a version or an age in seconds that describes the host's view of the platform.
 func (m *Metrics) SetHostView(kind string, value float64) {
 	m.hostView.WithLabelValues(kind).Set(value)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -113,6 +113,11 @@
 	return l.Fence(), l.isHolder() && !l.released && (now.Before(l.heldUntil) || l.settings.Fenced && !l.heldUntil.IsZero())
 }
 
+// Confirmed reports whether this host holds the lease and no other host can hold it, whatever the state of the log is.
+func (l *Lease) Confirmed(now time.Time) bool {
+	return l.isHolder() && !l.released && now.Before(l.heldUntil)
+}
+
 // Fence returns the fence of the newest known term, or zero if none is known.
 func (l *Lease) Fence() int64 {
 	if !l.known {
