--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -87,7 +87,7 @@
 	}
 	if d.Result == rates.Admitted {
 		c.AdmittedAt = d.At
-		n.metrics.TeamRequest(c.Team.Name, "admitted")
+		n.metrics.TeamAdmission(c.Team.Name, "admitted")
 		return nil
 	}
 	return n.refuse(c, d)
@@ -125,7 +125,7 @@
 	if d.Reason == rates.NoLender {
 		reason, result = "credit of the team is used up and the controller does not answer", "noController"
 	}
-	n.metrics.TeamRequest(c.Team.Name, result)
+	n.metrics.TeamAdmission(c.Team.Name, result)
 	n.control.Post(func() {
 		x := n.rates.refusals[c.Team.Name]
 		if x == nil {
@@ -148,7 +148,7 @@
 	}
 	n.control.Post(func() {
 		if n.rates.host.Return(n.bootNow(), c.Team.Name, c.Team.Rate.Cost(c.Prompt+c.Output), c.AdmittedAt) {
-			n.metrics.TeamRequest(c.Team.Name, "returned")
+			n.metrics.TeamAdmission(c.Team.Name, "returned")
 			n.stepRates()
 		}
 	})
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -16,23 +16,24 @@
 
 // Metrics holds the metrics of one daemon.
 type Metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	requestsRead *prometheus.CounterVec
-	firstToken   *prometheus.HistogramVec
-	attempts     *prometheus.CounterVec
-	appends      *prometheus.CounterVec
-	peerCalls    *prometheus.CounterVec
-	controlBytes *prometheus.CounterVec
-	controlStep  prometheus.Histogram
-	modelCalls   prometheus.Gauge
-	inFlight     prometheus.Gauge
-	offset       prometheus.Gauge
-	ready        prometheus.Gauge
-	placement    *prometheus.GaugeVec
-	hostView     *prometheus.GaugeVec
-	teamRequests *prometheus.CounterVec
-	teamCredit   *prometheus.GaugeVec
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	requestsRead   *prometheus.CounterVec
+	teamRequests   *prometheus.CounterVec
+	firstToken     *prometheus.HistogramVec
+	attempts       *prometheus.CounterVec
+	appends        *prometheus.CounterVec
+	peerCalls      *prometheus.CounterVec
+	controlBytes   *prometheus.CounterVec
+	controlStep    prometheus.Histogram
+	modelCalls     prometheus.Gauge
+	inFlight       prometheus.Gauge
+	offset         prometheus.Gauge
+	ready          prometheus.Gauge
+	placement      *prometheus.GaugeVec
+	hostView       *prometheus.GaugeVec
+	teamAdmissions *prometheus.CounterVec
+	teamCredit     *prometheus.GaugeVec
 }
 
 // NewMetrics returns a new registry of metrics, including those of the Go runtime and the process.
@@ -47,6 +48,7 @@
 		registry:     prometheus.NewRegistry(),
 		requests:     counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
 		requestsRead: counter("requests_read_total", "Requests whose head was read, by door.", "door"),
+		teamRequests: counter("team_requests_total", "Requests ended, by team and result code.", "team", "code"),
 		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
 		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
 		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
@@ -71,12 +73,12 @@
 		hostView: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
-		teamRequests: counter("team_requests_total", "Requests of teams with a rate limit, by what became of them there.", "team", "result"),
+		teamAdmissions: counter("team_admissions_total", "Requests of teams with a rate limit, by what the limit did with them.", "team", "result"),
 		teamCredit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "team_credit", Help: "Shares and credit of the rate limits of teams, by kind.",
 		}, []string{"team", "kind"}),
 	}
-	m.registry.MustRegister(m.teamRequests, m.teamCredit, m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.teamAdmissions, m.teamCredit, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -92,6 +94,19 @@
 	m.requests.WithLabelValues(door, strconv.Itoa(int(c))).Inc()
 }
 
+// TeamRequest counts a finished request of a team.
+func (m *Metrics) TeamRequest(team string, c codes.Code) {
+	m.teamRequests.WithLabelValues(team, strconv.Itoa(int(c))).Inc()
+}
+
+// ForgetTeam drops the metrics of a team.
+func (m *Metrics) ForgetTeam(team string) {
+	labels := prometheus.Labels{"team": team}
+	m.teamRequests.DeletePartialMatch(labels)
+	m.teamAdmissions.DeletePartialMatch(labels)
+	m.teamCredit.DeletePartialMatch(labels)
+}
+
 // RequestRead counts a request whose head was read. Each of them is counted by Request when it ends.
 func (m *Metrics) RequestRead(door string) { m.requestsRead.WithLabelValues(door).Inc() }
 
@@ -133,9 +148,9 @@
 	m.placement.WithLabelValues(kind).Set(float64(value))
 }
 
-// TeamRequest counts a request of a team with a rate limit.
-func (m *Metrics) TeamRequest(team, result string) {
-	m.teamRequests.WithLabelValues(team, result).Inc()
+// TeamAdmission counts what the rate limit of a team did with a request.
+func (m *Metrics) TeamAdmission(team, result string) {
+	m.teamAdmissions.WithLabelValues(team, result).Inc()
 }
 
 // TeamCredit sets a figure of the rate limit of a team.
