feat(rates): a new lender need not wait for one that has provably ended

After a take-over the lender waited until most hosts had reported, and then 2.5 s, in case an earlier one went on. If that one's process has ended, or has seen the new lease, it lends as soon as the grants of the earlier one have expired; and the loans of an ended process need not be reported.

--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -25,7 +25,9 @@
 	// minWait and maxWait limit the time after which a host that got too little credit calls again, and the retry time of a refused request.
 	minWait = 50 * time.Millisecond
 	maxWait = 2 * time.Second
-	// noLenderWait is the retry time of a refused request while no lender answers.
+	// changeTime is how long the change to another lender takes after the loss of one, and noLenderWait the retry time of a refused request
+	// if no lender answers for longer.
+	changeTime   = 4 * time.Second
 	noLenderWait = time.Second
 	minDemand    = 1e-3
 )
@@ -73,6 +75,7 @@
 		lastCall time.Time
 		notSoon  time.Time // before this time no call is made, because the last one failed
 		lost     bool      // whether the last call failed
+		lostAt   time.Time // when the first of the calls was made that failed since the last reply
 	}
 
 	// account is the credit of one team.
@@ -226,7 +229,8 @@
 func (h *Host) refusal(now, next time.Time) Decision {
 	d := Decision{Result: Refused, RetryAfter: min(max(next.Sub(now), minWait), maxWait)}
 	if h.lost {
-		d.Reason, d.RetryAfter = NoLender, min(max(next.Sub(now), minWait), noLenderWait)
+		d.Reason = NoLender
+		d.RetryAfter = min(max(next.Sub(now), minWait), max(h.lostAt.Add(changeTime).Sub(now), noLenderWait))
 	}
 	return d
 }
@@ -312,6 +316,9 @@
 	if h.pending == nil || h.pending.seq != seq {
 		return
 	}
+	if !h.lost {
+		h.lostAt = h.pending.at
+	}
 	h.pending, h.lost, h.notSoon = nil, true, now.Add(failedCallGap)
 }
 
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -33,15 +33,15 @@
 	//
 	// Two lenders may exist while the lease changes hands. A lender lends only while its lease is confirmed, or while most hosts report to it,
 	// which they do only if they know of no later lease. A new lender waits until most hosts have reported to it, and then for as long as an
-	// earlier lender may have gone on and its grants are valid. It does not know the loans of that lender before all hosts have reported, or
+	// earlier lender may have gone on and its grants are valid, unless that one has provably stopped. It does not know the loans of that lender before all hosts have reported, or
 	// the loans have expired; until then it lends only what hosts report to hold, and what no lender may lend.
 	Lender struct {
 		hosts    map[string]*borrower
 		pools    map[string]*pool
-		readyAt  time.Time // when this lender may grant credit; zero before most hosts have reported
-		knownAt  time.Time // when all loans are known
-		expireAt time.Time // when the loans of an earlier lender have expired; zero before most hosts have reported
-		sweptAt  time.Time
+		readyAt time.Time // when this lender may grant credit; zero while that is unknown
+		knownAt time.Time // when all loans are known
+		gone    int       // number of hosts that hold nothing because their processes have ended
+		sweptAt time.Time
 	}
 
 	// borrower is what the lender knows about a host.
@@ -254,14 +254,30 @@
 // Ready reports whether this lender may grant credit, and whether it knows all loans.
 func (l *Lender) Ready(now time.Time) (ready, known bool) { return l.isReady(now), l.isKnown(now) }
 
+// StopPredecessor records that the earlier lender has not lent since the given time, and whether its process has ended. Without such proof a
+// new lender waits until most hosts have reported to it.
+func (l *Lender) StopPredecessor(at time.Time, ended bool) {
+	if ended {
+		l.gone = 1
+	}
+	l.beginAfter(at)
+}
+
+// beginAfter sets when this lender may grant credit, given the time after which no earlier lender lends.
+func (l *Lender) beginAfter(at time.Time) {
+	ready := at.Add(GrantTime + expiryMargin)
+	if !l.readyAt.IsZero() && !ready.Before(l.readyAt) {
+		return
+	}
+	l.readyAt, l.knownAt = ready, at.Add(LoanTime+expiryMargin)
+}
+
 // updateReady notes when most or all hosts have reported.
 func (l *Lender) updateReady(now time.Time, hosts int) {
 	if l.readyAt.IsZero() && len(l.hosts) > hosts/2 {
-		l.readyAt = now.Add(reporterTime + GrantTime + expiryMargin)
-		l.expireAt = now.Add(reporterTime + LoanTime + expiryMargin)
-		l.knownAt = l.expireAt
+		l.beginAfter(now.Add(reporterTime))
 	}
-	if len(l.hosts) >= hosts && !l.readyAt.IsZero() && l.readyAt.Before(l.knownAt) {
+	if len(l.hosts) >= hosts-l.gone && !l.readyAt.IsZero() && now.Before(l.knownAt) {
 		l.knownAt = later(l.readyAt, now)
 	}
 }
--- a/pkg/rates/model_test.go
+++ b/pkg/rates/model_test.go
@@ -76,9 +76,8 @@
 			case "take over":
 				add(at, func() { // The holder releases the lease.
 					if h := w.holder(); !h.host.down && !h.host.frozen && !h.host.cut {
-						h.confirmedUntil = w.now
+						h.confirmedUntil, h.host.fence = w.now, w.fence+1
 						w.takeOver(n)
-						h.host.fence = w.fence
 					}
 				})
 			case "store":
--- a/pkg/rates/world_test.go
+++ b/pkg/rates/world_test.go
@@ -38,7 +38,8 @@
 		runs      map[string][]run
 		wanted    map[string]float64
 		maxShare  float64 // highest sum of the rates that hosts held
-		calls     int
+		calls int // of hosts to lenders
+		arrivals map[string][]arrival
 		limits    map[string]rates.Limit
 	}
 
@@ -75,6 +76,12 @@
 		cost float64
 	}
 
+	arrival struct {
+		at   time.Time
+		host *node
+		cost float64
+	}
+
 	run struct {
 		at   time.Time
 		cost float64
@@ -97,7 +104,7 @@
 func newWorld(seed uint64, hosts int, limits map[string]rates.Limit) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), latency: 2 * time.Millisecond, limits: limits,
-		runs: make(map[string][]run), wanted: make(map[string]float64),
+		runs: make(map[string][]run), wanted: make(map[string]float64), arrivals: make(map[string][]arrival),
 	}
 	w.now = w.start
 	for i := range hosts {
@@ -126,6 +133,13 @@
 	}
 	w.fence++
 	l := rates.NewLender()
+	if len(w.lenders) > 0 {
+		if h := w.holder(); h.host.down || h.host.incarnation != h.incarnation {
+			l.StopPredecessor(w.now, true)
+		} else if h.host.fence > h.fence {
+			l.StopPredecessor(w.now, false)
+		}
+	}
 	l.SetLimits(w.now, n.limits)
 	w.lenders = append(w.lenders, &term{n, n.incarnation, l, w.fence, w.now.Add(leaseHold)})
 	fence := w.fence
@@ -227,6 +241,7 @@
 
 func (w *world) request(n *node, team string, cost float64) {
 	w.wanted[team] += cost
+	w.arrivals[team] = append(w.arrivals[team], arrival{w.now, n, cost})
 	switch d, id := n.host.Admit(w.now, team, cost, patience); d.Result {
 	case rates.Admitted:
 		w.admitted(n, request{team, cost}, d.At)
