--- a/internal/node/teams.go
+++ b/internal/node/teams.go
@@ -1,19 +1,10 @@
 package node
 
 import (
-	"context"
-
-	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
-// admitAll admits a request whatever the rate of its team is.
-func admitAll(context.Context, *relay.Call) error { return nil }
-
-// settleNone ends an admission by admitAll.
-func settleNone(*relay.Call, bool) {}
-
 // countTeamRequest counts the end of a request by its team. Teams that the configuration no longer contains are not counted, so that the
 // number of metrics is limited.
 func (n *Node) countTeamRequest(team string, c codes.Code) {
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -16,22 +16,24 @@
 
 // Metrics holds the metrics of one daemon.
 type Metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	requestsRead *prometheus.CounterVec
-	teamRequests *prometheus.CounterVec
-	firstToken   *prometheus.HistogramVec
-	attempts     *prometheus.CounterVec
-	appends      *prometheus.CounterVec
-	peerCalls    *prometheus.CounterVec
-	controlBytes *prometheus.CounterVec
-	controlStep  prometheus.Histogram
-	modelCalls   prometheus.Gauge
-	inFlight     prometheus.Gauge
-	offset       prometheus.Gauge
-	ready        prometheus.Gauge
-	placement    *prometheus.GaugeVec
-	hostView     *prometheus.GaugeVec
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	requestsRead   *prometheus.CounterVec
+	teamRequests   *prometheus.CounterVec
+	firstToken     *prometheus.HistogramVec
+	attempts       *prometheus.CounterVec
+	appends        *prometheus.CounterVec
+	peerCalls      *prometheus.CounterVec
+	controlBytes   *prometheus.CounterVec
+	controlStep    prometheus.Histogram
+	modelCalls     prometheus.Gauge
+	inFlight       prometheus.Gauge
+	offset         prometheus.Gauge
+	ready          prometheus.Gauge
+	placement      *prometheus.GaugeVec
+	hostView       *prometheus.GaugeVec
+	teamAdmissions *prometheus.CounterVec
+	teamCredit     *prometheus.GaugeVec
 }
 
 // NewMetrics returns a new registry of metrics, including those of the Go runtime and the process.
@@ -71,8 +73,12 @@
 		hostView: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
+		teamAdmissions: counter("team_admissions_total", "Requests of teams with a rate limit, by what the limit did with them.", "team", "result"),
+		teamCredit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "team_credit", Help: "Shares and credit of the rate limits of teams, by kind.",
+		}, []string{"team", "kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.teamAdmissions, m.teamCredit, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -95,7 +101,10 @@
 
 // ForgetTeam drops the metrics of a team.
 func (m *Metrics) ForgetTeam(team string) {
-	m.teamRequests.DeletePartialMatch(prometheus.Labels{"team": team})
+	labels := prometheus.Labels{"team": team}
+	m.teamRequests.DeletePartialMatch(labels)
+	m.teamAdmissions.DeletePartialMatch(labels)
+	m.teamCredit.DeletePartialMatch(labels)
 }
 
 // RequestRead counts a request whose head was read. Each of them is counted by Request when it ends.
@@ -139,6 +148,16 @@
 	m.placement.WithLabelValues(kind).Set(float64(value))
 }
 
+// TeamAdmission counts what the rate limit of a team did with a request.
+func (m *Metrics) TeamAdmission(team, result string) {
+	m.teamAdmissions.WithLabelValues(team, result).Inc()
+}
+
+// TeamCredit sets a figure of the rate limit of a team.
+func (m *Metrics) TeamCredit(team, kind string, value float64) {
+	m.teamCredit.WithLabelValues(team, kind).Set(value)
+}
+
 // SetHostView sets a count, a version or an age in seconds that describes the host's view of the platform.
 func (m *Metrics) SetHostView(kind string, value float64) {
 	m.hostView.WithLabelValues(kind).Set(value)
