feat(pick): draw upstreams by load expected from the age of the news

Cause: Choose took the one upstream of lowest cost from counts that are some time old, so all hosts sent to the same upstream until the next news. Change: package spread estimates from the age of the counts how many requests have ended and arrived, and draws among the upstreams below the level that the arrivals fill, in proportion to what ends there. Heartbeats and feeds state the mean age of their counts. Speeds are learned from run times per token, apart from waiting. The cost of crossing data centres falls away with the difference in load. QueueTime uses the expected load.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -42,7 +42,7 @@
 
 // choose returns an upstream for the request. For a service with models it waits until the model is loaded on one.
 func (n *Node) choose(ctx context.Context, c *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
-	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session}
+	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session, Tokens: c.Output}
 	missing, named := "", ""
 	for id := range exclude {
 		missing = id // The controller checks whether the upstream still holds the model and is reachable.
@@ -57,7 +57,7 @@
 		}
 		if queue > 0 {
 			return t, codes.Newf(codes.OverCapacity, "upstream %s has a queue of %v", t.Choice.Upstream, queue.Round(time.Millisecond)).
-				WithRetryAfter(spread(queue))
+				WithRetryAfter(jitter(queue))
 		}
 		if q.Key.Model == "" {
 			if c.Rounds++; len(exclude) == 0 || available == 0 || c.Rounds > maxRounds {
@@ -106,8 +106,8 @@
 	return left * time.Duration(1+cfg.Ranks(c.Service, c.Route.Priority))
 }
 
-// spread returns a time within a quarter of d, so that callers who are refused together do not return together.
-func spread(d time.Duration) time.Duration {
+// jitter returns a time within a quarter of d, so that callers who are refused together do not return together.
+func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64())) //nolint:gosec // need not be unpredictable
 }
 
@@ -224,7 +224,7 @@
 func (n *Node) move(t relay.Ticket, c *relay.Call) (next relay.Ticket, err error) {
 	if !n.control.Ask(func() {
 		now := time.Now()
-		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session}
+		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session, Tokens: c.Output}
 		choice, stuck := n.table.Stuck(now, t.Attempt, q)
 		v := n.blame.Judge(now, c.Parts)
 		switch {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -55,6 +55,7 @@
 		Put        []fleet.Upstream
 		Removed    []string
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
+		RunningAge time.Duration  // mean age of Running
 		Alive      []HostStatus
 		// Members are the hosts that were added or restarted since the query's MembersGeneration.
 		Members           []Member
@@ -104,7 +105,8 @@
 	bootTime := n.bootNow()
 	f := Feed{
 		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
-		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
+		RunningAge: n.table.ReportAge(now),
+		Era:        n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
@@ -160,7 +162,7 @@
 	if current {
 		n.outage.reset()
 	}
-	n.table.SetPeerRequests(hub.Name, f.Running)
+	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, f.Running)
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
@@ -226,15 +228,18 @@
 	m.lastSeen, m.ready, m.stopping, m.missedHeartbeats = now.Add(-s.Age), s.Ready, s.Stopping, 0
 }
 
-// mergedUses returns the summed uses of this host and of the hosts that depend on it.
-func (n *Node) mergedUses(now time.Time) []place.Use {
+// mergedUses returns the summed uses of this host and of the hosts that depend on it, and the mean age of the requests in them.
+func (n *Node) mergedUses(now time.Time) ([]place.Use, time.Duration) {
 	type key struct {
 		upstream string
 		key      place.Key
 	}
 	sums := make(map[key]place.Use)
-	add := func(list []place.Use) {
+	total, ages := 0, time.Duration(0)
+	add := func(list []place.Use, age time.Duration) {
 		for _, u := range list {
+			total += u.Running
+			ages += time.Duration(u.Running) * age
 			k := key{u.Upstream, u.Key}
 			x := sums[k]
 			x.Upstream, x.Key = u.Upstream, u.Key
@@ -243,10 +248,10 @@
 			sums[k] = x
 		}
 	}
-	add(n.table.Uses())
+	add(n.table.Uses(), 0)
 	for _, m := range n.members {
 		if now.Sub(m.lastQuery) < livenessTimeout {
-			add(m.uses)
+			add(m.uses, now.Sub(m.lastQuery))
 			for i := range m.uses {
 				m.uses[i].Started = 0 // Started requests are reported only once.
 			}
@@ -256,5 +261,5 @@
 	for _, u := range sums {
 		list = append(list, u)
 	}
-	return list
+	return list, ages / time.Duration(max(total, 1))
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -85,6 +85,7 @@
 		Ready    bool
 		Stopping bool
 		Uses     []place.Use
+		UsesAge  time.Duration // mean age of Uses
 		Lease    LeaseUpdate
 		Children []HostStatus   // hosts that depend on the sender
 		Query    *FeedQuery     // request for updates from a hub; nil in heartbeats between hubs
@@ -269,11 +270,11 @@
 // heartbeat returns the next heartbeat and its recipients.
 func (n *Node) heartbeat(round int) (Heartbeat, []Member) {
 	now := time.Now()
-	uses := n.mergedUses(now)
+	uses, usesAge := n.mergedUses(now)
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
 	b := Heartbeat{
-		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
+		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
 	}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
 	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
@@ -333,7 +334,7 @@
 	for name, m := range n.members {
 		if !m.usesAt.IsZero() && now.Sub(m.usesAt) > usesTimeout {
 			m.usesAt = time.Time{}
-			n.table.SetPeerRequests(name, nil)
+			n.table.SetPeerRequests(now, name, nil)
 			n.placing.RemoveHost(name)
 		}
 	}
@@ -394,7 +395,7 @@
 			x.lastSeen = time.Time{}
 		}
 		if x.missedHeartbeats == silentHeartbeats {
-			n.table.SetPeerRequests(m.Name, nil)
+			n.table.SetPeerRequests(time.Now(), m.Name, nil)
 			n.placing.RemoveHost(m.Name)
 		}
 	})
@@ -475,7 +476,7 @@
 	for _, u := range b.Uses {
 		running[u.Upstream] += u.Running
 	}
-	n.table.SetPeerRequests(m.Name, running)
+	n.table.SetPeerRequests(now.Add(-b.UsesAge), m.Name, running)
 	if b.Query == nil {
 		n.placing.SetUses(now, m.Name, b.Uses)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
 		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), earlyHeads: make(map[string]float64), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
+	n.table.Random = pick.NewRandom(s.Host.Name)
 	leaseSettings := lease.DefaultSettings()
 	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
 	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -84,6 +84,7 @@
 		s.errorRate *= errorDecay
 		s.failures = 0
 		t.recordRun(now, s, a)
+		t.recordStay(now, a)
 	case Errored:
 		s.errorRate = errorDecay*s.errorRate + (1 - errorDecay)
 	case Refused:
@@ -118,6 +119,29 @@
 	s.meanRun, t.meanRun[s.entry.Service] = update(s.meanRun), update(t.meanRun[s.entry.Service])
 }
 
+// recordStay updates the mean time of the attempts at the service with a served attempt, and the speed of its upstream. The speed does not
+// contain the time before the first event, which depends on the queue and the prompt, unless the response came at once.
+func (t *Table) recordStay(now time.Time, a *Attempt) {
+	s, ok := t.upstreams[a.choice.Upstream]
+	if !ok || !a.gotFirst {
+		return
+	}
+	service, stay := t.service(s.entry.Service), now.Sub(a.startedAt).Seconds()
+	if service.meanStay == 0 {
+		service.meanStay = stay
+	}
+	service.meanStay += stayWeight * (stay - service.meanStay)
+	if a.key.Model == "" {
+		service.speeds.Record(a.choice.Upstream, stay, 1)
+		return
+	}
+	run := now.Sub(a.firstAt).Seconds()
+	if run < minRunShare*stay {
+		run = stay
+	}
+	service.speeds.Record(a.choice.Upstream, run, float64(a.tokens))
+}
+
 // QueueTime returns the expected time until a further request at the chosen upstream gets a slot. It is zero if a slot is free or the
 // run times are unknown.
 func (t *Table) QueueTime(c Choice) time.Duration {
@@ -129,8 +153,8 @@
 	if s.meanRun > 0 {
 		run = min(run, s.meanRun) // Models differ in speed; the lower mean keeps a wrong estimate from refusing requests.
 	}
-	waiting := t.running(c.Upstream) + 1 - s.entry.Slots
-	return time.Duration(float64(max(waiting, 0)) * run / float64(s.entry.Slots) * float64(time.Second))
+	waiting := c.expected + 1 - float64(s.entry.Slots)
+	return time.Duration(max(waiting, 0) * run / float64(s.entry.Slots) * float64(time.Second))
 }
 
 // RecordDemand counts a request that the upstream did not get because its queue is too long, so that the controller sees the demand.
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
+	"github.com/fireflycleat/fireflycleat/pkg/spread"
 )
 
 // Results of an attempt at an upstream.
@@ -29,6 +30,7 @@
 
 const (
 	centrePenalty       = 0.08                   // cost of an upstream in another data centre, as a share of slots in use
+	crossingRange       = 0.4                    // difference in load over which centrePenalty ceases to apply
 	errorPenalty        = 1.5                    // weight of the share of failed requests
 	slowPenalty         = 0.15                   // weight of the relative excess of the mean time to the first event over that of the service
 	maxSlowdown         = 4                      // upper limit of that excess
@@ -40,6 +42,10 @@
 	learnedTTL          = 4 * time.Second         // how long learned loads and unloads override the published list
 	maxEfficientRunning = 16                      // With more requests, an engine delays tokens noticeably, however many slots it has.
 	lateFactor          = 4                       // multiple of the mean time to the first event after which an attempt is late
+	preference          = 0.5                     // advantage of the upstream that the controller named, as a share of slots in use
+	sessionPreference   = 0.1                     // advantage of the upstream that may have the prompt of the session cached
+	stayWeight          = 0.05                    // weight of one attempt in the mean time of the attempts at a service
+	minRunShare         = 0.05                    // least share of the time after the first event in the time of an attempt that is a stream
 	refusedPenalty      = 0.5                     // cost of a refusal within the last refusedTTL
 	refusedTTL          = 500 * time.Millisecond
 )
@@ -56,6 +62,7 @@
 		Prefer  string          // ID of an upstream to prefer if it can be used
 		// Session identifies the part of the prompt that the request shares with others and an engine may cache; zero means none.
 		Session uint64
+		Tokens  int // allowed length of the response; zero means unknown
 	}
 
 	// Choice is a chosen upstream.
@@ -64,7 +71,8 @@
 		Born       int64 // start of the process of the upstream, in Unix milliseconds
 		Address    string
 		DataCentre string
-		Running    int // known requests in flight at the upstream, of all hosts
+		Running    int     // known requests in flight at the upstream, of all hosts
+		expected   float64 // requests in flight that are expected by now
 	}
 
 	// Attempt is a request in progress at an upstream.
@@ -77,19 +85,37 @@
 		lastEvent         atomic.Int64  // Unix nanoseconds; zero means none
 		upstreamLastEvent *atomic.Int64 // of all requests of this host at the upstream; Unix nanoseconds
 		gate              *gate
+		tokens            int
 	}
 
 	// Table holds one host's view of the upstreams. It is not safe for concurrent use.
 	Table struct {
 		dataCentre string
 		upstreams  map[string]*upstreamState
-		peers      map[string]map[string]int // requests in flight by peer and upstream
-		peerTotals map[string]int            // sums of peers by upstream
+		// Random returns numbers in [0, 1) that decide between upstreams. Those of different hosts should be independent.
+		Random     func() float64
+		peers      map[string]peerReport
+		peerTotals map[string]int      // sums of peers by upstream
+		services   map[string]*service // by name
 		sessions   map[sessionKey]session
 		meanRun    map[string]float64 // mean time from the first event to the end of an attempt by service, in seconds
 		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave or pause
 	}
 
+	// peerReport is what a peer reported about requests in flight.
+	peerReport struct {
+		running map[string]int // by upstream
+		total   int
+		at      time.Time // mean time for which the numbers hold
+	}
+
+	// service holds the upstreams of a service and what is learned about all of them.
+	service struct {
+		upstreams []*upstreamState // in the order of their IDs
+		speeds    *spread.Speeds
+		meanStay  float64 // mean time of an attempt, in seconds; zero means unknown
+	}
+
 	upstreamState struct {
 		entry          fleet.Upstream
 		removed        bool // no longer in the published list
@@ -132,8 +158,9 @@
 // New returns an empty table for a host in the data centre.
 func New(dataCentre string) *Table {
 	return &Table{
-		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]map[string]int), peerTotals: make(map[string]int),
-		sessions: make(map[sessionKey]session), meanRun: make(map[string]float64), signed: make(map[Process]*gate),
+		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]peerReport), peerTotals: make(map[string]int),
+		services: make(map[string]*service), sessions: make(map[sessionKey]session), meanRun: make(map[string]float64),
+		signed: make(map[Process]*gate), Random: NewRandom(dataCentre),
 	}
 }
 
@@ -150,6 +177,7 @@
 	for id, e := range list {
 		s, ok := t.upstreams[id]
 		if !ok || s.entry.Born != e.Born {
+			t.service(e.Service).speeds.Forget(id)
 			s = &upstreamState{
 				inFlight: make(map[*Attempt]bool), started: make(map[place.Key]int), learned: make(map[place.Key]learned), lastEvent: new(atomic.Int64),
 				gate: t.gate(Process{id, e.Born}),
@@ -158,29 +186,32 @@
 		}
 		s.entry, s.removed = e, false
 	}
+	t.groupUpstreams()
 }
 
-// SetPeerRequests replaces the numbers of requests that a peer has in flight at each upstream.
-func (t *Table) SetPeerRequests(host string, running map[string]int) {
-	for id, n := range t.peers[host] {
+// SetPeerRequests replaces the numbers of requests that a peer has in flight at each upstream, which hold for the given time.
+func (t *Table) SetPeerRequests(at time.Time, host string, running map[string]int) {
+	for id, n := range t.peers[host].running {
 		if t.peerTotals[id] -= n; t.peerTotals[id] == 0 {
 			delete(t.peerTotals, id)
 		}
 	}
+	total := 0
 	for id, n := range running {
 		t.peerTotals[id] += n
+		total += n
 	}
 	if len(running) == 0 {
 		delete(t.peers, host)
 		return
 	}
-	t.peers[host] = running
+	t.peers[host] = peerReport{running, total, at}
 }
 
 // Running returns the number of requests in flight at each upstream, except those of one host.
 func (t *Table) Running(except string) map[string]int {
 	sums := maps.Clone(t.peerTotals)
-	for id, n := range t.peers[except] {
+	for id, n := range t.peers[except].running {
 		if sums[id] -= n; sums[id] == 0 {
 			delete(sums, id)
 		}
@@ -233,40 +264,6 @@
 	return n
 }
 
-// Choose returns the upstream with the lowest cost for the request, or false if none can be used. An upstream that is silent or
-// has just failed is chosen only if no other can be used.
-func (t *Table) Choose(now time.Time, q Query) (Choice, bool) {
-	serviceMean := t.meanFirstEvent(q.Service)
-	sessionUpstream := t.sessionUpstream(now, q)
-	var best *upstreamState
-	lowest, bestAvoided := 0.0, true
-	for id, s := range t.upstreams {
-		if !s.serves(now, q) || q.Exclude[id] || !s.gate.open(now) {
-			continue
-		}
-		avoided := now.Before(s.avoidedUntil) || s.silent(now)
-		slots := s.entry.Slots
-		if q.Key.Model != "" {
-			slots = min(slots, maxEfficientRunning)
-		}
-		cost := s.cost(now, t.dataCentre, float64(t.running(id))/float64(max(slots, 1)), serviceMean)
-		switch id {
-		case q.Prefer:
-			cost -= 0.5
-		case sessionUpstream:
-			cost -= 0.1
-		}
-		if best == nil || bestAvoided && !avoided || bestAvoided == avoided && (cost < lowest || cost == lowest && id < best.entry.ID) {
-			best, lowest, bestAvoided = s, cost, avoided
-		}
-	}
-	if best == nil {
-		return Choice{}, false
-	}
-	e := best.entry
-	return Choice{e.ID, e.Born, e.Address, e.DataCentre, t.running(e.ID)}, true
-}
-
 // sessionUpstream returns the upstream that last served the session and may still have its prompt cached, or an empty string if
 // there is none.
 func (t *Table) sessionUpstream(now time.Time, q Query) string {
@@ -288,35 +285,6 @@
 	return n
 }
 
-// meanFirstEvent returns the mean time to the first event over the upstreams of a service, in seconds.
-func (t *Table) meanFirstEvent(service string) float64 {
-	sum, n := 0.0, 0
-	for _, s := range t.upstreams {
-		if s.entry.Service == service && s.meanFirstEvent > 0 {
-			sum += s.meanFirstEvent
-			n++
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / float64(n)
-}
-
-func (s *upstreamState) cost(now time.Time, dataCentre string, load, serviceMean float64) float64 {
-	cost := load + errorPenalty*s.errorRate
-	if s.entry.DataCentre != dataCentre {
-		cost += centrePenalty
-	}
-	if serviceMean > 0 && s.meanFirstEvent > serviceMean {
-		cost += slowPenalty * min(s.meanFirstEvent/serviceMean-1, maxSlowdown)
-	}
-	if now.Sub(s.refusedAt) < refusedTTL {
-		cost += refusedPenalty
-	}
-	return cost
-}
-
 // serves reports whether the upstream is one that may get the request, apart from Query.Exclude and what it said in answers.
 func (s *upstreamState) serves(now time.Time, q Query) bool {
 	return s.entry.Service == q.Service && !s.removed && !s.entry.Leaving && s.holds(now, q.Key)
@@ -327,7 +295,11 @@
 	if k.Model == "" {
 		return true
 	}
-	l, ok := s.learned[k]
+	var l learned
+	ok := false
+	if len(s.learned) > 0 {
+		l, ok = s.learned[k]
+	}
 	if k.Adapter != "" {
 		if m, ok := s.learned[place.Key{Model: k.Model}]; ok && now.Sub(m.at) < learnedTTL && !m.holds && !m.at.Before(l.at) {
 			return false // The model was unloaded after the adapter was loaded.
