feat(pick): hosts share the speeds of upstreams that they learn together

Cause: a host of a large service sees one answer of an upstream in 40 s and can not learn its speed; with unknown speeds the draw keeps no level. Change: uses count the served requests, hubs derive from them and from the requests in flight the rate at which requests end at each upstream, and feeds state the speeds that differ by a tenth or more from the mean of the service. No message is added. This replaces the speeds that a host learned by itself.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -42,7 +42,7 @@
 
 // choose returns an upstream for the request. For a service with models it waits until the model is loaded on one.
 func (n *Node) choose(ctx context.Context, c *relay.Call, exclude map[string]bool) (relay.Ticket, error) {
-	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session, Tokens: c.Output}
+	q := pick.Query{Service: c.Service, Key: c.Key, Exclude: exclude, Session: c.Session}
 	missing, named := "", ""
 	for id := range exclude {
 		missing = id // The controller checks whether the upstream still holds the model and is reachable.
@@ -224,7 +224,7 @@
 func (n *Node) move(t relay.Ticket, c *relay.Call) (next relay.Ticket, err error) {
 	if !n.control.Ask(func() {
 		now := time.Now()
-		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session, Tokens: c.Output}
+		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session}
 		choice, stuck := n.table.Stuck(now, t.Attempt, q)
 		v := n.blame.Judge(now, c.Parts)
 		switch {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -56,6 +56,7 @@
 		Removed    []string
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
 		RunningAge time.Duration  // mean age of Running
+		Speeds     map[string]int // of the upstreams that differ from the mean of their service, in percent of it
 		Alive      []HostStatus
 		// Members are the hosts that were added or restarted since the query's MembersGeneration.
 		Members           []Member
@@ -105,8 +106,8 @@
 	bootTime := n.bootNow()
 	f := Feed{
 		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
-		RunningAge: n.table.ReportAge(now),
-		Era:        n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
+		RunningAge: n.table.ReportAge(now), Speeds: n.table.Speeds(),
+		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
@@ -163,6 +164,7 @@
 		n.outage.reset()
 	}
 	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, f.Running)
+	n.table.SetSpeeds(f.Speeds)
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
@@ -245,6 +247,7 @@
 			x.Upstream, x.Key = u.Upstream, u.Key
 			x.Running += u.Running
 			x.Started += u.Started
+			x.Served += u.Served
 			sums[k] = x
 		}
 	}
@@ -253,7 +256,7 @@
 		if now.Sub(m.lastQuery) < livenessTimeout {
 			add(m.uses, now.Sub(m.lastQuery))
 			for i := range m.uses {
-				m.uses[i].Started = 0 // Started requests are reported only once.
+				m.uses[i].Started, m.uses[i].Served = 0, 0 // These are reported only once.
 			}
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -271,6 +271,7 @@
 func (n *Node) heartbeat(round int) (Heartbeat, []Member) {
 	now := time.Now()
 	uses, usesAge := n.mergedUses(now)
+	n.table.UpdateRates(now)
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
 	b := Heartbeat{
@@ -291,6 +292,7 @@
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
+	n.table.LearnSpeeds()
 	b.Children = n.childStatuses(now)
 	b.Evidence, b.Leaving = n.blame.Export(now, true), n.table.ExportLeaving(now, false)
 	n.hubs = n.chooseHubs(false)
@@ -475,6 +477,7 @@
 	running := make(map[string]int, len(b.Uses))
 	for _, u := range b.Uses {
 		running[u.Upstream] += u.Running
+		n.table.RecordServed(u.Upstream, u.Served)
 	}
 	n.table.SetPeerRequests(now.Add(-b.UsesAge), m.Name, running)
 	if b.Query == nil {
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -84,7 +84,7 @@
 		s.errorRate *= errorDecay
 		s.failures = 0
 		t.recordRun(now, s, a)
-		t.recordStay(now, a)
+		t.recordStay(now, s, a)
 	case Errored:
 		s.errorRate = errorDecay*s.errorRate + (1 - errorDecay)
 	case Refused:
@@ -119,27 +119,15 @@
 	s.meanRun, t.meanRun[s.entry.Service] = update(s.meanRun), update(t.meanRun[s.entry.Service])
 }
 
-// recordStay updates the mean time of the attempts at the service with a served attempt, and the speed of its upstream. The speed does not
-// contain the time before the first event, which depends on the queue and the prompt, unless the response came at once.
-func (t *Table) recordStay(now time.Time, a *Attempt) {
-	s, ok := t.upstreams[a.choice.Upstream]
-	if !ok || !a.gotFirst {
-		return
-	}
+// recordStay records a served attempt, with the mean time of those at the service.
+func (t *Table) recordStay(now time.Time, s *upstreamState, a *Attempt) {
+	s.served[a.key]++
+	t.rates.Served(s.entry.ID, 1)
 	service, stay := t.service(s.entry.Service), now.Sub(a.startedAt).Seconds()
 	if service.meanStay == 0 {
 		service.meanStay = stay
 	}
 	service.meanStay += stayWeight * (stay - service.meanStay)
-	if a.key.Model == "" {
-		service.speeds.Record(a.choice.Upstream, stay, 1)
-		return
-	}
-	run := now.Sub(a.firstAt).Seconds()
-	if run < minRunShare*stay {
-		run = stay
-	}
-	service.speeds.Record(a.choice.Upstream, run, float64(a.tokens))
 }
 
 // QueueTime returns the expected time until a further request at the chosen upstream gets a slot. It is zero if a slot is free or the
--- a/pkg/pick/choose.go
+++ b/pkg/pick/choose.go
@@ -38,7 +38,7 @@
 	list := make([]spread.Upstream, len(usable))
 	for i, s := range usable {
 		u := spread.Upstream{
-			Places: float64(s.places(q)), Speed: service.speeds.Of(s.entry.ID), Own: float64(len(s.inFlight)),
+			Places: float64(s.places(q)), Speed: s.speed, Own: float64(len(s.inFlight)),
 			Others: float64(t.peerTotals[s.entry.ID]), Age: age, Stay: stay, Cost: s.slowness(mean), Bias: s.unreliability(now),
 		}
 		if s.entry.DataCentre != t.dataCentre {
@@ -90,7 +90,7 @@
 func (t *Table) service(name string) *service {
 	s, ok := t.services[name]
 	if !ok {
-		s = &service{speeds: spread.NewSpeeds()}
+		s = new(service)
 		t.services[name] = s
 	}
 	return s
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -45,7 +45,6 @@
 	preference          = 0.5                     // advantage of the upstream that the controller named, as a share of slots in use
 	sessionPreference   = 0.1                     // advantage of the upstream that may have the prompt of the session cached
 	stayWeight          = 0.05                    // weight of one attempt in the mean time of the attempts at a service
-	minRunShare         = 0.05                    // least share of the time after the first event in the time of an attempt that is a stream
 	refusedPenalty      = 0.5                     // cost of a refusal within the last refusedTTL
 	refusedTTL          = 500 * time.Millisecond
 )
@@ -62,7 +61,6 @@
 		Prefer  string          // ID of an upstream to prefer if it can be used
 		// Session identifies the part of the prompt that the request shares with others and an engine may cache; zero means none.
 		Session uint64
-		Tokens  int // allowed length of the response; zero means unknown
 	}
 
 	// Choice is a chosen upstream.
@@ -85,7 +83,6 @@
 		lastEvent         atomic.Int64  // Unix nanoseconds; zero means none
 		upstreamLastEvent *atomic.Int64 // of all requests of this host at the upstream; Unix nanoseconds
 		gate              *gate
-		tokens            int
 	}
 
 	// Table holds one host's view of the upstreams. It is not safe for concurrent use.
@@ -97,6 +94,7 @@
 		peers      map[string]peerReport
 		peerTotals map[string]int      // sums of peers by upstream
 		services   map[string]*service // by name
+		rates      *spread.Rates
 		sessions   map[sessionKey]session
 		meanRun    map[string]float64 // mean time from the first event to the end of an attempt by service, in seconds
 		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave or pause
@@ -112,8 +110,7 @@
 	// service holds the upstreams of a service and what is learned about all of them.
 	service struct {
 		upstreams []*upstreamState // in the order of their IDs
-		speeds    *spread.Speeds
-		meanStay  float64 // mean time of an attempt, in seconds; zero means unknown
+		meanStay  float64          // mean time of an attempt, in seconds; zero means unknown
 	}
 
 	upstreamState struct {
@@ -121,6 +118,8 @@
 		removed        bool // no longer in the published list
 		inFlight       map[*Attempt]bool
 		started        map[place.Key]int
+		served         map[place.Key]int
+		speed          float64 // relative to the mean of the service
 		learned        map[place.Key]learned
 		errorRate      float64 // moving average
 		meanFirstEvent float64 // in seconds; zero means unknown
@@ -159,7 +158,7 @@
 func New(dataCentre string) *Table {
 	return &Table{
 		dataCentre: dataCentre, upstreams: make(map[string]*upstreamState), peers: make(map[string]peerReport), peerTotals: make(map[string]int),
-		services: make(map[string]*service), sessions: make(map[sessionKey]session), meanRun: make(map[string]float64),
+		services: make(map[string]*service), rates: spread.NewRates(), sessions: make(map[sessionKey]session), meanRun: make(map[string]float64),
 		signed: make(map[Process]*gate), Random: NewRandom(dataCentre),
 	}
 }
@@ -177,9 +176,9 @@
 	for id, e := range list {
 		s, ok := t.upstreams[id]
 		if !ok || s.entry.Born != e.Born {
-			t.service(e.Service).speeds.Forget(id)
+			t.rates.Forget(id)
 			s = &upstreamState{
-				inFlight: make(map[*Attempt]bool), started: make(map[place.Key]int), learned: make(map[place.Key]learned), lastEvent: new(atomic.Int64),
+				speed: 1, inFlight: make(map[*Attempt]bool), started: make(map[place.Key]int), served: make(map[place.Key]int), learned: make(map[place.Key]learned), lastEvent: new(atomic.Int64),
 				gate: t.gate(Process{id, e.Born}),
 			}
 			t.upstreams[id] = s
@@ -334,7 +333,7 @@
 	return false
 }
 
-// Uses returns, by upstream and key, the requests that this host has in flight and those that it started since the last call.
+// Uses returns, by upstream and key, the requests that this host has in flight and those that it started, and that were served, since the last call.
 func (t *Table) Uses() []place.Use {
 	var list []place.Use
 	for id, s := range t.upstreams {
@@ -353,6 +352,10 @@
 		for k, n := range s.started {
 			use(k).Started = n
 		}
+		for k, u := range counts { // Without other use of the key, the served requests are reported with the next one.
+			u.Served = s.served[k]
+			delete(s.served, k)
+		}
 		clear(s.started)
 		for _, u := range counts {
 			list = append(list, *u)
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -86,6 +86,7 @@
 		Key      Key
 		Running  int
 		Started  int // number of requests sent since the host's previous report
+		Served   int // number of requests served since then
 	}
 
 	// Forecast says where a pending request can run now, or when it can run.
