--- a/pkg/spread/draw.go
+++ b/pkg/spread/draw.go
@@ -1,9 +1,7 @@
 package spread
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -28,11 +26,11 @@
 	}
 
 	filling struct {
-		index  int
 		places float64
 		load   float64 // share of the places in use without arrivals since the report, and the cost
 		rate   float64 // at which each request ends
 		gap    float64 // arrivals a second since the report that raise the load by one
+		weight float64 // share in the draw
 	}
 )
 
@@ -46,45 +44,43 @@
 func Draw(list []Upstream, random float64) (index int, load float64) {
 	fillings, arriving := make([]filling, len(list)), 0.0
 	for i, u := range list {
-		fillings[i] = u.filling(i)
+		fillings[i] = u.filling()
 		arriving += u.Others * fillings[i].rate
 	}
-	level, rise := fill(slices.Clone(fillings), arriving)
+	level, rise := fill(fillings, arriving)
 	lowest := math.Inf(1)
 	for i, f := range fillings {
 		lowest = min(lowest, max(f.load, level)+list[i].Bias)
 	}
-	weight := func(f filling) float64 {
+	sum := 0.0
+	for i := range fillings {
+		f := &fillings[i]
 		switch {
-		case max(f.load, level)+list[f.index].Bias > lowest+tolerance:
-			return 0
+		case max(f.load, level)+list[i].Bias > lowest+tolerance:
+			f.weight = 0
 		case f.load > level+tolerance:
-			return f.places
+			f.weight = f.places
 		default:
-			return f.places * (rise + f.rate*level + tolerance)
+			f.weight = f.places * (rise + f.rate*level + tolerance)
 		}
-	}
-	sum := 0.0
-	for _, f := range fillings {
-		sum += weight(f)
+		sum += f.weight
 	}
 	rest := random * sum
-	for _, f := range fillings {
-		w := weight(f)
-		if w > 0 {
-			index = f.index
+	for i, f := range fillings {
+		if f.weight > 0 {
+			index = i
 		}
-		if rest -= w; rest < 0 {
+		if rest -= f.weight; rest < 0 {
 			break
 		}
 	}
 	return index, max(fillings[index].load, level) - list[index].Cost
 }
 
-func (u Upstream) filling(index int) filling {
+func (u Upstream) filling() filling {
 	places, age := max(u.Places, 1), max(u.Age, minAge).Seconds()
-	f, kept := filling{index: index, places: places, gap: places / age}, 1.0
-	if u.Stay > 0 {
+	f, kept := filling{places: places, gap: places / age}, 1.0
+	if u.Stay > 0 && u.Speed > 0 {
 		f.rate = u.Speed / u.Stay.Seconds()
 		kept = math.Exp(-f.rate * age)
 		f.gap = places * f.rate / (1 - kept)
@@ -93,19 +89,24 @@
 	return f
 }
 
-// fill returns the level to which the arrivals have raised the lowest loads, and the rate at which they raise it. It sorts the list.
+// fill returns the level to which the arrivals have raised the lowest loads, and the rate at which they raise it.
 func fill(list []filling, arriving float64) (level, rise float64) {
-	slices.SortFunc(list, func(a, b filling) int { return cmp.Compare(a.load, b.load) })
-	sum, gaps, ending, places := arriving, 0.0, 0.0, 0.0
-	for _, f := range list {
-		if gaps > 0 && f.load >= sum/gaps {
-			break
+	level = math.Inf(1)
+	for filled, before := 0, len(list)+1; filled != before; {
+		sum, gaps, ending, places, n := arriving, 0.0, 0.0, 0.0, 0
+		for _, f := range list {
+			// The lowest load stays in the sums if rounding puts the level below it.
+			if f.load < level+tolerance {
+				sum += f.gap * f.load
+				gaps += f.gap
+				ending += f.places * f.rate
+				places += f.places
+				n++
+			}
 		}
-		sum += f.gap * f.load
-		gaps += f.gap
-		ending += f.places * f.rate
-		places += f.places
+		filled, before = n, filled
+		level = sum / gaps
+		rise = max(arriving-ending*level, 0) / places
 	}
-	level = sum / gaps
-	return level, max(arriving-ending*level, 0) / places
+	return level, rise
 }
