--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -57,7 +57,7 @@
 		}
 		if queue > 0 {
 			return t, codes.Newf(codes.OverCapacity, "upstream %s has a queue of %v", t.Choice.Upstream, queue.Round(time.Millisecond)).
-				WithRetryAfter(spread(queue))
+				WithRetryAfter(jitter(queue))
 		}
 		if q.Key.Model == "" {
 			if c.Rounds++; len(exclude) == 0 || available == 0 || c.Rounds > maxRounds {
@@ -106,8 +106,8 @@
 	return left * time.Duration(1+cfg.Ranks(c.Service, c.Urgency))
 }
 
-// spread returns a time within a quarter of d, so that callers who are refused together do not return together.
-func spread(d time.Duration) time.Duration {
+// jitter returns a time within a quarter of d, so that callers who are refused together do not return together.
+func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64())) //nolint:gosec // need not be unpredictable
 }
 
