--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -138,7 +138,7 @@
 			x.limited++
 		}
 	})
-	return codes.New(codes.TeamLimit, reason).WithRetryAfter(spread(d.RetryAfter))
+	return codes.New(codes.TeamLimit, reason).WithRetryAfter(jitter(d.RetryAfter))
 }
 
 // settle gives back the credit of a request that did not run.
