fix(place): a model that is being unloaded gets no requests

An unload waits for the requests in progress, and until it ends reports and the list still show the model. Change: a model whose unload was accepted is no replica until a report that is not busy, or the acceptance of a later order, shows the end. A report whose count of orders includes the last one is taken at once, whatever its age, unless the end of a load is only assumed.

--- a/pkg/place/answers.go
+++ b/pkg/place/answers.go
@@ -19,6 +19,12 @@
 	switch a {
 	case Accepted:
 		u.accepted++
+		if o.Key.Adapter == "" {
+			u.unloading, u.assumedAt = "", time.Time{} // An upstream carries out one order for a model at a time.
+			if o.Op == Unload {
+				u.unloading = o.Key.Model
+			}
+		}
 		c.apply(now, u, o)
 		if o.Op == Unload && o.Key.Adapter != "" {
 			// Requests unknown to this controller still use the adapter.
@@ -39,6 +45,9 @@
 			u.conflicts, u.inDoubt = 0, false
 			u.known = false
 			u.reportAt = now.Add(c.settings.ReportLag)
+			if u.unloading != "" { // Its requests in progress were not known here.
+				u.drainingSince, u.reportAt = now, now.Add(reportRetry)
+			}
 		}
 	case NoAnswer:
 		// Another order may follow immediately: both expect the same number of accepted orders, so only one of them takes effect.
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -67,9 +67,9 @@
 // because other controllers may have issued orders in between.
 func (c *Controller) BeginTerm(now time.Time) {
 	for _, u := range c.upstreams {
-		u.known, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, nil, false, "", time.Time{}
+		u.known, u.counted, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, false, nil, false, "", time.Time{}
 		u.reportAt = now
-		u.load = nil
+		u.load, u.unloading = nil, ""
 		c.adopt(u, u.entry.Held)
 	}
 }
@@ -129,7 +129,7 @@
 	if u.load != nil && now.Sub(u.load.acceptedAt) > c.settings.ReportLag && slices.Contains(heldModels(e.Held), u.load.model) {
 		c.finishLoad(now, u)
 	}
-	switch quiesced := u.order == nil && u.load == nil && !u.inDoubt && now.Sub(u.lastOrderAt) > c.settings.QuietTime; {
+	switch quiesced := u.order == nil && u.load == nil && !u.inDoubt && now.Sub(u.lastOrderAt) > c.settings.QuietTime && now.Sub(u.assumedAt) > c.settings.QuietTime; {
 	case !u.known:
 		c.adopt(u, e.Held)
 	case quiesced && u.differs(e.Held) && u.reportAt.IsZero():
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -80,11 +80,14 @@
 	deleteUpstream(c.index.holders, model, u)
 }
 
-// adopt replaces the upstream's replicas with those listed.
+// adopt replaces the upstream's replicas with those listed, without the model that is being unloaded: it accepts no requests any more.
 func (c *Controller) adopt(u *upstream, held []fleet.Held) {
 	before := u.replicas
 	u.replicas = make(map[string]*replica, len(held))
 	for _, h := range held {
+		if h.Model == u.unloading {
+			continue
+		}
 		r := &replica{adapters: make(map[string]time.Time, len(h.Adapters))}
 		prev := before[h.Model]
 		if prev != nil {
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -95,7 +95,7 @@
 		}
 		if u.load != nil && !u.load.fromStore && !now.Before(u.load.due.Add(diskMargin)) {
 			c.finishLoad(now, u)
-			u.lastOrderAt, u.reportAt = now, now.Add(c.settings.ReportLag) // Older reports are ignored; the next one corrects an error.
+			u.assumedAt, u.reportAt = now, now.Add(c.settings.ReportLag) // Older reports are ignored; the next one corrects an error.
 		}
 	}
 }
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -21,7 +21,7 @@
 	if u.order != nil {
 		return
 	}
-	stale := requestedAt.Sub(u.lastOrderAt) < c.settings.ReportLag
+	stale := c.mayBeStale(requestedAt, u, r)
 	switch {
 	case u.known && r.Accepted < u.accepted:
 		u.reportAt = now.Add(reportRetry) // The report is older than the last order.
@@ -36,11 +36,21 @@
 		u.reportAt = now.Add(reportRetry)
 		return
 	}
-	u.known, u.accepted, u.inDoubt = true, r.Accepted, false
+	u.known, u.counted, u.accepted, u.inDoubt = true, true, r.Accepted, false
 	c.setCopies(u, r.InMemory, r.OnDisk)
 	c.reconcile(now, u, r)
 }
 
+// mayBeStale reports whether the content of the report may be from before the last order or before the assumed end of a load.
+func (c *Controller) mayBeStale(requestedAt time.Time, u *upstream, r Report) bool {
+	if requestedAt.Sub(u.assumedAt) < c.settings.ReportLag {
+		return true
+	}
+	// The number of accepted orders shows that the content is from after the last one.
+	counted := u.counted && !u.inDoubt && r.Accepted == u.accepted
+	return !counted && requestedAt.Sub(u.lastOrderAt) < c.settings.ReportLag
+}
+
 // reconcile updates the upstream's load and replicas from the report.
 func (c *Controller) reconcile(now time.Time, u *upstream, r Report) {
 	held := heldModels(r.Held)
@@ -56,6 +66,9 @@
 			u.reportAt = now.Add(reportRetry)
 		}
 	}
+	if !r.Busy {
+		u.unloading = ""
+	}
 	if u.load == nil {
 		c.adopt(u, r.Held)
 	}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -29,6 +29,7 @@
 		entry         fleet.Upstream
 		accepted      int64 // number of orders that the upstream has accepted; valid if known is set
 		known         bool  // set while the state is known from a report
+		counted       bool  // whether accepted was reported in this term; it stays set while known is cleared
 		replicas      map[string]*replica
 		memory        map[string]bool // models cached in host memory
 		disk          map[string]bool // models cached on disk
@@ -46,6 +47,8 @@
 		reportAt      time.Time // when to request the next report; zero means none
 		requestedAt   time.Time // when the outstanding report was requested; zero means none
 		failedAt      time.Time // when a load last failed or an order was last refused
+		assumedAt     time.Time // when the end of a load was assumed; zero once the upstream accepted a later order for a model
+		unloading     string    // model whose unload was accepted and may still wait for requests in progress; reports list it until it ends
 		drainingSince time.Time // when an unload was accepted that waits for requests in progress; zero if there is none
 		victims       []victim  // result of Controller.victims in the plan victimsPlan
 		victimsPlan   int
@@ -54,7 +57,7 @@
 	replica struct {
 		adapters map[string]time.Time // time when each adapter becomes usable, or unloading
 		lastUsed time.Time
-		loadedAt time.Time // when the model was loaded; zero once a host has reported a request for it
+		loadedAt time.Time // when the model was loaded or last assigned; zero once a host has reported a request for it
 		since    time.Time // when the model was loaded; zero if it was loaded before this controller's term
 	}
 
