feat(place): waiting requests count once, copies that are full for a moment stay in forecasts, the store spares only copies

Now the expected wait grows with the time that it has waited, so that the store counts as soon as it is faster and not before. - A request stayed pending for 2 s after it was given an upstream: its model could not be unloaded meanwhile and its rate was counted twice, which asked for second replicas of rarely used models. Now it ends with the answer, and the model is kept until a host reports a request for it. - A load from the weight store keeps an upstream from any other order for 10 s and more. It now goes to one with few copies that no other upstream has. Tests: TestAssignedRequestIsNotPending, TestRequestCountsOnce, TestBlockedCopyStaysInTheForecast, TestStoreLoadSparesOnlyCopies; all failed before.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -49,6 +49,7 @@
 
 	trackedRequest struct {
 		PendingRequest
+		addedAt   time.Time
 		expiresAt time.Time // when the request is dropped unless it is repeated
 	}
 )
@@ -156,18 +157,32 @@
 }
 
 // AddRequest adds or renews a pending request, and returns where it can run now or when it can run. Unless it is repeated, the
-// request stays pending for the hold time or for Settings.RequestTTL, whichever is longer.
+// request stays pending for the hold time or for Settings.RequestTTL, whichever is longer. A request that can run now is not pending:
+// its host sends it there, and reports it with its next uses.
 func (c *Controller) AddRequest(now time.Time, p PendingRequest, hold time.Duration) Forecast {
 	tracked, ok := c.pending[p.Request]
 	if !ok {
-		tracked = new(trackedRequest)
+		tracked = &trackedRequest{addedAt: now}
 		c.pending[p.Request] = tracked
 		c.pendingByModel[p.Key.Model]++
 		c.pendingByKey[p.Key]++
 		c.rate(p.Key.Model).add(now, 1, c.settings.RateTimeConstant)
 	}
 	tracked.PendingRequest, tracked.expiresAt = p, now.Add(max(hold, c.settings.RequestTTL))
-	return c.BestUpstream(now, p)
+	f := c.BestUpstream(now, p)
+	if f.Upstream != "" {
+		c.assign(now, tracked, f.Upstream)
+	}
+	return f
+}
+
+// assign ends the wait of a request that can run on the upstream now, and keeps the model there until a host reports a request for it.
+func (c *Controller) assign(now time.Time, p *trackedRequest, id string) {
+	c.rate(p.Key.Model).remove(now, p.addedAt, c.settings.RateTimeConstant) // The host counts it as started.
+	c.RemoveRequest(p.Request)
+	if r, ok := c.upstreams[id].replicas[p.Key.Model]; ok {
+		r.lastUsed, r.loadedAt = now, now
+	}
 }
 
 // RemoveRequest removes a pending request.
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -85,6 +85,7 @@
 		copying    map[string]bool // models that some upstream loads or is reserved for
 		needed     map[string]int  // number of replicas that the load of a model requires
 		candidates map[string][]candidate
+		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
 	}
 
@@ -263,6 +264,12 @@
 	r.value += float64(n) / timeConstant.Seconds()
 }
 
+// remove takes back a request that was added at the given time.
+func (r *rate) remove(now, added time.Time, timeConstant time.Duration) {
+	r.decay(now, timeConstant)
+	r.value = max(r.value-math.Exp(-now.Sub(added).Seconds()/timeConstant.Seconds())/timeConstant.Seconds(), 0)
+}
+
 func (r *rate) decay(now time.Time, timeConstant time.Duration) {
 	if d := now.Sub(r.at); d > 0 {
 		r.value *= math.Exp(-d.Seconds() / timeConstant.Seconds())
--- a/pkg/place/swap_test.go
+++ b/pkg/place/swap_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,3 +86,93 @@
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Op, qt.Equals, place.Load)
 }
+
+// TestAssignedRequestIsNotPending guards against models that keep their memory, and get a second replica, for requests that have been
+// served: a rarely used model would count as twice as popular as it is.
+func TestAssignedRequestIsNotPending(t *testing.T) {
+	list := map[string]fleet.Upstream{"u": upstream("u", "m0"), "v": upstream("v")}
+	c := controller(engine(2), start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: []string{"m0", "m1"}})
+	}
+	for i := range 3 {
+		f := c.AddRequest(start, place.PendingRequest{
+			Request: fmt.Sprint("r", i), Service: "s", DataCentre: "a", Key: place.Key{Model: "m0"}, Deadline: start.Add(time.Minute),
+		}, 0)
+		qt.Assert(t, f.Upstream, qt.Equals, "u")
+	}
+	qt.Assert(t, c.Stats().PendingRequests, qt.Equals, 0)
+	qt.Assert(t, orders(c.Plan(start)), qt.HasLen, 0)
+	c.SetUses(start, "h", []place.Use{{Upstream: "u", Key: place.Key{Model: "m0"}, Running: 2, Started: 2}})
+	qt.Assert(t, orders(c.Plan(start)), qt.HasLen, 0)
+}
+
+// TestRequestCountsOnce guards against a rate that counts a request twice, when it waits and when its host reports it as started.
+func TestRequestCountsOnce(t *testing.T) {
+	u := upstream("u")
+	u.OnDisk = []string{"m0"}
+	v := upstream("v")
+	v.OnDisk = []string{"m0"}
+	c := controller(engine(1), start, map[string]fleet.Upstream{"u": u, "v": v})
+	c.Plan(start)
+	for _, id := range []string{"u", "v"} {
+		c.Report(start, start, id, place.Report{Born: 1, OnDisk: u.OnDisk})
+	}
+	request := func(now time.Time) (waiting bool) {
+		for i := range 2 {
+			f := c.AddRequest(now, place.PendingRequest{
+				Request: fmt.Sprint("r", i), Service: "s", DataCentre: "a", Key: place.Key{Model: "m0"}, Deadline: start.Add(time.Minute),
+			}, 0)
+			waiting = waiting || f.Upstream == ""
+		}
+		return waiting
+	}
+	qt.Assert(t, request(start), qt.IsTrue)
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	c.ApplyAnswer(start, list[0], place.Accepted)
+	now := start.Add(1050 * time.Millisecond)
+	c.Plan(now)
+	qt.Assert(t, request(now), qt.IsFalse)
+	c.SetUses(now, "h", []place.Use{{Upstream: list[0].Upstream, Key: place.Key{Model: "m0"}, Running: 2, Started: 2}})
+	qt.Assert(t, orders(c.Plan(now)), qt.HasLen, 0) // Two requests in three seconds are fewer than one a second.
+}
+
+// TestBlockedCopyStaysInTheForecast guards against requests that are refused with the time of a load from a slow weight store,
+// although an upstream with a copy is only full for the moment.
+func TestBlockedCopyStaysInTheForecast(t *testing.T) {
+	e := engine(3)
+	for name, m := range e.Models {
+		m.FromStore = 30 * time.Second
+		e.Models[name] = m
+	}
+	full, empty := upstream("full", "m0", "m1"), upstream("empty")
+	full.OnDisk = []string{"m2"}
+	c := controller(e, start, map[string]fleet.Upstream{"full": full, "empty": empty})
+	c.Report(start, start, "full", place.Report{Born: 1, Held: full.Held, OnDisk: full.OnDisk})
+	c.Report(start, start, "empty", place.Report{Born: 1})
+	uses := []place.Use{{Upstream: "full", Key: place.Key{Model: "m0"}, Running: 1}, {Upstream: "full", Key: place.Key{Model: "m1"}, Running: 1}}
+	for at := time.Duration(0); at < 8*time.Second; at += 500 * time.Millisecond {
+		now := start.Add(at)
+		c.SetUses(now, "h", uses)
+		f := addRequest(c, now, "m2", "")
+		qt.Assert(t, f.ReadyAt.Sub(now) <= at+4*time.Second, qt.IsTrue, qt.Commentf("at %v: ready after %v", at, f.ReadyAt.Sub(now)))
+		qt.Assert(t, orders(c.Plan(now)), qt.HasLen, 0)
+	}
+}
+
+// TestStoreLoadSparesOnlyCopies guards against a load from the weight store, during which an upstream takes no other order, on the
+// upstream that alone has copies of other models.
+func TestStoreLoadSparesOnlyCopies(t *testing.T) {
+	busy, spare := upstream("a"), upstream("b")
+	busy.OnDisk, spare.OnDisk = []string{"m0", "m1", "m2", "m3"}, []string{"m3"}
+	c := controller(engine(5), start, map[string]fleet.Upstream{"a": busy, "b": spare})
+	c.Plan(start)
+	c.Report(start, start, "a", place.Report{Born: 1, OnDisk: busy.OnDisk})
+	c.Report(start, start, "b", place.Report{Born: 1, OnDisk: spare.OnDisk})
+	addRequest(c, start, "m4", "")
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "b")
+}
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -11,12 +11,12 @@
 
 const (
 	blockedWait    = 2 * time.Second        // expected time until a full upstream can free memory; most responses take less
-	maxBlockedWait = 4 * time.Second        // how long a model waits for a full upstream with a copy before it is loaded elsewhere
 	unloadTime     = 150 * time.Millisecond // expected time of an unload without requests in progress
 	minLoadWait    = 50 * time.Millisecond  // expected time until the end of a load that is overdue
 	lossWeight     = 0.5                    // weight of the cost of unloads relative to the waiting time of pending requests
 	runningCost    = 0.1                    // cost, in seconds of load time, of each request in progress on the target
 	preemptRatio   = 3                      // ratio of pending requests at which a model may take an upstream reserved for another
+	onlyCopyCost   = 0.5                    // cost, in seconds, of each model whose only copy is on an upstream that loads from the weight store
 	surplusCost    = 1e-3                   // base cost of unloading a replica that its model does not need
 	boundTolerance = 1e-9                   // allows for rounding when a bound is compared with a cost, in seconds
 )
@@ -81,7 +81,25 @@
 
 // cost returns the cost of a load on the target in seconds.
 func (c *Controller) cost(t target) float64 {
-	return (t.wait + t.duration).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[t.upstream.entry.ID])
+	cost := (t.wait + t.duration).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[t.upstream.entry.ID])
+	if t.fromStore {
+		cost += c.storeBlockCost(t.upstream)
+	}
+	return cost
+}
+
+// storeBlockCost returns the cost of a load from the weight store for the models whose only copy is on the upstream: it takes no other
+// order meanwhile.
+func (c *Controller) storeBlockCost(u *upstream) float64 {
+	if c.plan.onlyCopies == nil {
+		c.plan.onlyCopies = make(map[string]int)
+		for _, list := range c.index.copies {
+			if len(list) == 1 {
+				c.plan.onlyCopies[list[0].entry.ID]++
+			}
+		}
+	}
+	return onlyCopyCost * float64(c.plan.onlyCopies[u.entry.ID])
 }
 
 // candidates returns the upstreams that may load a model from the weight store, those with the lowest bound of the cost first.
@@ -95,7 +113,7 @@
 			continue
 		}
 		wait := c.waitTime(now, u)
-		bound := wait.Seconds() + runningCost*float64(c.running.upstream[u.entry.ID])
+		bound := wait.Seconds() + runningCost*float64(c.running.upstream[u.entry.ID]) + c.storeBlockCost(u)
 		if u.usedMemory(e, c.capacity[e])+c.smallest[e] > c.capacity[e] {
 			victims := c.victimsOf(now, u, e)
 			if len(victims) == 0 {
@@ -186,13 +204,15 @@
 }
 
 // blockedTarget returns the costs of loading the model on an upstream that is full or reserved. Only an upstream with a copy is
-// worth waiting for, and only for a limited time: its requests in progress may take long.
+// worth waiting for. The longer the model has waited, the longer it may still have to, so that the weight store is faster in the end.
 func (c *Controller) blockedTarget(now time.Time, t target, model string) (target, bool) {
-	since, ok := c.blockedSince[model]
-	if t.fromStore || ok && now.Sub(since) > maxBlockedWait {
+	if t.fromStore {
 		return target{}, false
 	}
 	t.wait = max(t.wait, blockedWait)
+	if since, ok := c.blockedSince[model]; ok {
+		t.wait = max(t.wait, now.Sub(since))
+	}
 	t.victims, t.loss = nil, 0
 	return t, true
 }
