--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -49,6 +49,7 @@
 
 	trackedRequest struct {
 		PendingRequest
+		addedAt   time.Time
 		expiresAt time.Time // when the request is dropped unless it is repeated
 	}
 )
@@ -67,9 +68,9 @@
 // because other controllers may have issued orders in between.
 func (c *Controller) BeginTerm(now time.Time) {
 	for _, u := range c.upstreams {
-		u.known, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, nil, false, "", time.Time{}
+		u.known, u.counted, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, false, nil, false, "", time.Time{}
 		u.reportAt = now
-		u.load = nil
+		u.load, u.unloading = nil, ""
 		c.adopt(u, u.entry.Held)
 	}
 }
@@ -129,7 +130,7 @@
 	if u.load != nil && now.Sub(u.load.acceptedAt) > c.settings.ReportLag && slices.Contains(heldModels(e.Held), u.load.model) {
 		c.finishLoad(now, u)
 	}
-	switch quiesced := u.order == nil && u.load == nil && !u.inDoubt && now.Sub(u.lastOrderAt) > c.settings.QuietTime; {
+	switch quiesced := u.order == nil && u.load == nil && !u.inDoubt && now.Sub(u.lastOrderAt) > c.settings.QuietTime && now.Sub(u.assumedAt) > c.settings.QuietTime; {
 	case !u.known:
 		c.adopt(u, e.Held)
 	case quiesced && u.differs(e.Held) && u.reportAt.IsZero():
@@ -156,18 +157,32 @@
 }
 
 // AddRequest adds or renews a pending request, and returns where it can run now or when it can run. Unless it is repeated, the
-// request stays pending for the hold time or for Settings.RequestTTL, whichever is longer.
+// request stays pending for the hold time or for Settings.RequestTTL, whichever is longer. A request that can run now is not pending:
+// its host sends it there, and reports it with its next uses.
 func (c *Controller) AddRequest(now time.Time, p PendingRequest, hold time.Duration) Forecast {
 	tracked, ok := c.pending[p.Request]
 	if !ok {
-		tracked = new(trackedRequest)
+		tracked = &trackedRequest{addedAt: now}
 		c.pending[p.Request] = tracked
 		c.pendingByModel[p.Key.Model]++
 		c.pendingByKey[p.Key]++
 		c.rate(p.Key.Model).add(now, 1, c.settings.RateTimeConstant)
 	}
 	tracked.PendingRequest, tracked.expiresAt = p, now.Add(max(hold, c.settings.RequestTTL))
-	return c.BestUpstream(now, p)
+	f := c.BestUpstream(now, p)
+	if f.Upstream != "" {
+		c.assign(now, tracked, f.Upstream)
+	}
+	return f
+}
+
+// assign ends the wait of a request that can run on the upstream now, and keeps the model there until a host reports a request for it.
+func (c *Controller) assign(now time.Time, p *trackedRequest, id string) {
+	c.rate(p.Key.Model).remove(now, p.addedAt, c.settings.RateTimeConstant) // The host counts it as started.
+	c.RemoveRequest(p.Request)
+	if r, ok := c.upstreams[id].replicas[p.Key.Model]; ok {
+		r.lastUsed, r.loadedAt = now, now
+	}
 }
 
 // RemoveRequest removes a pending request.
