feat(ledger): one account of the memory and connections of clients

Cause: each client could hold a head of 1 MB (the limit of the configuration was not applied), a body of the largest size without a time-out and a buffered response, and clients could take all descriptors, so that what a host holds grew with the number of its clients. Change: pkg/ledger accounts for what each client connection holds; internal/intake charges heads by the line and bodies part by part before they are held, keeps a reserve for small requests and interrupts the connection that holds most without progress when room is short (408; 503 with Retry-After for a request that finds no room). A quarter of host.memoryMB is the budget. Clients' connections get 0.6 of host.maxFiles. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration apply as they come. Responses are buffered only while there is room. A large body is sent part by part without a copy. Codes 1008 and 3017, event 207, metric clients_refused_total.

--- a/internal/cmds/host.go
+++ b/internal/cmds/host.go
@@ -14,13 +14,6 @@
 	plat "github.com/fireflycleat/fireflycleat/platform"
 )
 
-const (
-	// gcMemoryLimitShare is the share of the host's memory setting that becomes the soft limit of the Go runtime; the garbage
-	// collector works harder close to it.
-	gcMemoryLimitShare = 0.7
-	bytesPerMB         = 1 << 20
-)
-
 func newHost() *cobra.Command {
 	var file string
 	c := &cobra.Command{
@@ -41,8 +34,8 @@
 			if err != nil {
 				return err
 			}
-			if s.Host.MemoryMB > 0 {
-				debug.SetMemoryLimit(int64(s.Host.MemoryMB * gcMemoryLimitShare * bytesPerMB))
+			if limit := s.Host.GCLimit(); limit > 0 {
+				debug.SetMemoryLimit(limit)
 			}
 			queue := telem.NewQueue(os.Stdout)
 			defer queue.Close()
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -50,7 +50,7 @@
 
 func newRequest(address string) *conns.Request {
 	return &conns.Request{
-		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("b"),
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}, Body: [][]byte{[]byte("b")},
 		HasBody: true, MaxIdle: time.Minute, Echo: "Id",
 	}
 }
--- a/internal/conns/do.go
+++ b/internal/conns/do.go
@@ -22,6 +22,8 @@
 	// maxHeadBytes limits the bytes of a response before its body, interim (1xx) responses included. An upstream in trouble may send
 	// a head without end, which would otherwise fill the memory of the host.
 	maxHeadBytes = 64 << 10
+	// maxCopiedBody is the size up to which a body is copied behind the head of its request, which saves writes.
+	maxCopiedBody = 64 << 10
 )
 
 type (
@@ -32,7 +34,7 @@
 		Target  string // path and query, encoded as sent
 		Host    string
 		Header  http.Header
-		Body    []byte
+		Body    [][]byte      // parts of the body
 		HasBody bool          // whether the request has a body, possibly an empty one; Content-Length is then always sent
 		MaxIdle time.Duration // maximum idle time of a reused connection; zero always opens a new one
 		// Echo is the name of a header with an id that the response must return with the same value as in the request. If the request has
@@ -104,7 +106,7 @@
 		}
 		return nil, &Failure{sent, err}
 	}
-	message := q.encode()
+	message, rest := q.encode()
 	if q.Permit != nil && !q.Permit() {
 		return fail(false, ErrNotPermitted)
 	}
@@ -112,6 +114,11 @@
 	if err != nil {
 		return fail(n > 0, err)
 	}
+	for _, part := range rest {
+		if _, err := c.Write(part); err != nil {
+			return fail(true, err)
+		}
+	}
 	for mismatched := 0; ; mismatched++ {
 		r, err := c.readResponse(q)
 		if err != nil {
@@ -204,9 +211,17 @@
 	return nil
 }
 
-// encode returns the request in the wire format of HTTP/1.1.
-func (q *Request) encode() []byte {
-	b := make([]byte, 0, 512+len(q.Body))
+// encode returns the request in the wire format of HTTP/1.1, without the parts of the body that are returned as rest: a large body is not copied.
+func (q *Request) encode() (message []byte, rest [][]byte) {
+	length := 0
+	for _, part := range q.Body {
+		length += len(part)
+	}
+	copied := length
+	if length > maxCopiedBody {
+		copied = 0
+	}
+	b := make([]byte, 0, 512+copied)
 	b = append(b, q.Method...)
 	b = append(b, ' ')
 	b = append(b, q.Target...)
@@ -221,13 +236,19 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if q.HasBody || len(q.Body) > 0 {
+	if q.HasBody || length > 0 {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(q.Body)), 10)
+		b = strconv.AppendInt(b, int64(length), 10)
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	return append(b, q.Body...)
+	if copied < length {
+		return b, q.Body
+	}
+	for _, part := range q.Body {
+		b = append(b, part...)
+	}
+	return b, nil
 }
 
 // StripHop removes the hop-by-hop headers and those that define the length of a body.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/intake"
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 )
 
@@ -28,6 +29,7 @@
 	// request's head, net/http takes a kept connection for idle.
 	callerServer struct {
 		http.Server
+		gate     *intake.Gate // nil means that connections have no limits
 		mu       sync.Mutex
 		stopping bool
 		conns    map[*callerConn]http.ConnState
@@ -43,6 +45,7 @@
 	callerConn struct {
 		net.Conn
 		server   *callerServer
+		account  *intake.Conn // nil if the connection has no limits
 		inputErr atomic.Pointer[error]
 		idle     bool // whether nothing was read since the last response; guarded by server.mu
 		late     bool // whether the connection was opened after the stop began; guarded by server.mu
@@ -51,9 +54,10 @@
 	callerConnKey struct{}
 )
 
-func newCallerServer(h http.Handler) *callerServer {
-	s := &callerServer{conns: make(map[*callerConn]http.ConnState)}
-	s.Handler, s.ConnState = h, s.setState
+// newCallerServer returns a server of connections that the gate limits, unless it is nil.
+func newCallerServer(h http.Handler, g *intake.Gate) *callerServer {
+	s := &callerServer{gate: g, conns: make(map[*callerConn]http.ConnState)}
+	s.Handler, s.ConnState = limitRequests(h), s.setState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, callerConnKey{}, c)
 	}
@@ -81,7 +85,9 @@
 			c.late = s.stopping
 		}
 		s.conns[c] = state
-		c.idle = state == http.StateIdle
+		if c.idle = state == http.StateIdle; c.idle {
+			c.account.SetIdle()
+		}
 	}
 }
 
@@ -122,13 +128,19 @@
 	return found
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room.
 func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: conn, server: l.server}
+		if l.server.gate == nil || c.open() {
+			return c, nil
+		}
+		_ = conn.Close()
 	}
-	return &callerConn{Conn: c, server: l.server}, nil
 }
 
 // Read implements net.Conn.
@@ -136,9 +148,16 @@
 	if c.isClosing() {
 		return 0, io.EOF
 	}
+	if c.account.Interrupted() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.begin()
+		if refusal := c.account.Receive(b[:n]); refusal != nil {
+			c.refuse(refusal, b)
+			return 0, io.EOF
+		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.inputErr.CompareAndSwap(nil, &err)
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -52,7 +52,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
-	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), nil)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(callerListener{l, s}) }()
 	busy, idle := dialCaller(c, inner), dialCaller(c, inner)
@@ -83,7 +83,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	l := pausedListener{inner, new(atomic.Bool), make(chan struct{}, 10)}
-	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	s := newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), nil)
 	go func() { _ = s.Serve(callerListener{l, s}) }()
 	busy, silent := dialCaller(c, inner), dialCaller(c, inner)
 	time.Sleep(6500 * time.Millisecond)
@@ -111,7 +111,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		_, _ = fmt.Fprint(w, q.Context().Err())
-	}))
+	}), nil)
 	go func() { _ = s.Serve(callerListener{l, s}) }()
 	x := dialCaller(c, inner)
 	c.Assert(x.request(), qt.IsNil)
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -16,6 +16,7 @@
 	eventBroken         = 204 // The connection of an attempt ended before its response did.
 	eventSilent         = 205 // The upstream of a resumable stream is silent.
 	eventPanic          = 206 // The handler of a request panicked.
+	eventClientRefused  = 207 // A client's connection was refused or interrupted because of a limit.
 	eventConfig         = 300
 	eventSkipped        = 301
 	eventUpstream       = 302
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/fireflycleat/fireflycleat/internal/conns"
 	"github.com/fireflycleat/fireflycleat/internal/ctrl"
+	"github.com/fireflycleat/fireflycleat/internal/intake"
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
@@ -39,8 +40,8 @@
 	// because it does not read, which is no sign of a dead connection.
 	callerUserTimeout = 5 * time.Second
 
-	headerTimeout     = 10 * time.Second
-	idleTimeout       = time.Minute // longer than callers keep an idle connection open
+	headerTimeout     = 10 * time.Second // without a configured limit
+	idleTimeout       = time.Minute      // the same; longer than callers keep an idle connection open
 	tickInterval      = 100 * time.Millisecond
 	gaugeTicks        = 20 // ticks between two updates of the gauges
 	millicoresPerCore = 1000
@@ -59,6 +60,7 @@
 		logs         *telem.Logs
 		metrics      *telem.Metrics
 		pool         *conns.Pool
+		gate         *intake.Gate
 		peerClient   *peers.Client
 		relay        *relay.Relay
 		config       atomic.Pointer[fleet.Config]
@@ -154,6 +156,7 @@
 	n.placing = place.New(placeSettings)
 	n.stop.ctx, n.stop.cancel = context.WithCancel(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
+	n.gate = intake.New(s.Host.clientLimits(), n.reportRefusal)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
@@ -162,7 +165,7 @@
 		Config: n.config.Load, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
-		Signs: n.recordSigns, Paused: n.paused, Ending: n.stop.ctx,
+		Signs: n.recordSigns, Paused: n.paused, Intake: intakeOf, Ending: n.stop.ctx,
 	}, pool)
 	return n
 }
@@ -240,10 +243,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for HTTP")
 	}
-	s := newCallerServer(h)
-	s.ReadHeaderTimeout, s.IdleTimeout, s.ErrorLog = headerTimeout, idleTimeout, slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)
+	s := newCallerServer(h, n.gate)
+	s.ErrorLog = slog.NewLogLogger(n.log("http").Handler(), slog.LevelDebug)
 	if address == n.settings.Listen.Traffic {
-		n.stop.server = s
+		n.stop.server = s // Its time-outs follow the configuration.
+	} else {
+		s.ReadTimeout, s.IdleTimeout = headerTimeout, idleTimeout
 	}
 	stopped := make(chan struct{})
 	g.Add(func() error {
@@ -314,6 +319,9 @@
 	n.chooseSource()
 	n.logOldUpdates()
 	n.observeEra()
+	if n.tickCount%expiryTicks == 0 {
+		n.expireClients()
+	}
 	if n.tickCount++; n.tickCount%gaugeTicks == 0 {
 		n.recordGauges()
 	}
@@ -329,6 +337,9 @@
 	m.SetHostView("listAge", n.bootNow().Sub(n.listAt).Seconds())
 	m.SetHostView("configurationAge", n.bootNow().Sub(n.configAt).Seconds())
 	opened, reused := n.pool.ConnCounts()
+	bytes, clients := n.gate.Used()
+	m.SetHostView("clientBytes", float64(bytes))
+	m.SetHostView("clientConnections", float64(clients))
 	m.SetHostView("connectionsOpened", float64(opened))
 	m.SetHostView("connectionsReused", float64(reused))
 	if n.term == 0 {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -28,6 +28,7 @@
 		Cores      float64 `toml:"cores"`     // processor share, in cores
 		CoreSpeed  float64 `toml:"coreSpeed"` // factor by which Cores is multiplied to get the capacity of the host
 		MemoryMB   float64 `toml:"memoryMB"`  // memory limit of the process, in megabytes
+		MaxFiles   int     `toml:"maxFiles"`  // limit on open descriptors; zero means that of the process
 		Bootstrap  bool    `toml:"bootstrap"` // whether all hosts of the system start for the first time
 	}
 
@@ -146,6 +147,8 @@
 		key        string
 		value, min float64
 	}{
+		{"host.memoryMB", s.Host.MemoryMB, 0},
+		{"host.maxFiles", float64(s.Host.MaxFiles), 0},
 		{"limits.graceS", s.Limits.GraceS, 0.1},
 		{"limits.leaseMS", float64(s.Limits.LeaseMS), 1},
 		{"limits.repeatRatio", s.Limits.RepeatRatio, 0},
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -135,6 +135,7 @@
 		return
 	}
 	n.config.Store(c)
+	n.gate.SetHeadBytes(c.Limits().HeaderBytes)
 	engines := make(map[string]*fleet.Engine)
 	for name, s := range c.Services() {
 		if s.Engine != nil {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -57,7 +57,7 @@
 		writer        http.ResponseWriter
 		request       *http.Request
 		caller        *caller
-		body          []byte
+		body          [][]byte // parts of the request's body
 		call          *Call
 		headSent      bool   // whether the status line and headers have been sent to the caller
 		mayHaveRun    bool   // whether an upstream may have run the request
@@ -397,29 +397,30 @@
 	return false, attemptError(codes.UpstreamFailed, err)
 }
 
-// relayBuffered relays a response that is not a stream. Up to maxBufferedBody it is read completely first, so that the caller
-// never receives a truncated response as a complete one.
+// relayBuffered relays a response that is not a stream. Up to maxBufferedBody it is read completely first, unless the host is
+// short of memory, so that the caller never receives a truncated response as a complete one.
 func (a *attempt) relayBuffered(r *conns.Response, class ResponseClass) (bool, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBody))
+	body, complete, err := a.readBuffered(r)
 	if err == nil {
 		err = r.CheckTrailingData()
 	}
 	if err != nil {
 		return a.handleBroken(err)
 	}
-	a.writeHead(r, int64(len(body)) < maxBufferedBody, int64(len(body)))
+	a.writeHead(r, complete, int64(len(body)))
 	if _, err := a.writer.Write(body); err != nil {
 		a.relay.control.EndAttempt(a.ticket, pick.Served)
 		return false, codes.New(codes.CallerLeft, err.Error())
 	}
-	if len(body) == maxBufferedBody {
-		caller := &errorWriter{Writer: a.writer}
-		rest, err := io.Copy(caller, io.LimitReader(r, maxRelayedBody-maxBufferedBody))
+	if !complete {
+		caller, limit := &errorWriter{Writer: a.writer}, int64(maxRelayedBody-len(body))
+		body = nil
+		rest, err := io.Copy(caller, io.LimitReader(r, limit))
 		if caller.err != nil {
 			a.relay.control.EndAttempt(a.ticket, pick.Abandoned)
 			return false, codes.New(codes.CallerLeft, caller.err.Error())
 		}
-		if err == nil && rest == maxRelayedBody-maxBufferedBody {
+		if err == nil && rest == limit {
 			err = errEndlessBody
 		}
 		if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,11 +84,9 @@
 	if cfg != nil && cfg.Limits().BodyBytes > 0 {
 		limit = cfg.Limits().BodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	if err != nil {
-		return bodyError(err)
+	if err := x.readBody(limit); err != nil {
+		return err
 	}
-	x.body = body
 	if cfg == nil {
 		return codes.New(codes.NotReady, "host has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
@@ -99,9 +97,11 @@
 		return codes.Newf(codes.NotFound, "no route matches in configuration version %d", cfg.Version())
 	}
 	c.Route, c.Urgency = route, route.Priority
-	if c.RequestHeaders, err = x.relay.dialect.Decode(x.request.Header); err != nil {
+	headers, err := x.relay.dialect.Decode(x.request.Header)
+	if err != nil {
 		return err
 	}
+	c.RequestHeaders = headers
 	c.Service = route.Pick(rand.Float64()) //nolint:gosec // the choice of a service need not be unpredictable
 	c.Deadline = c.Arrived.Add(route.Timeout)
 	if c.Budget > 0 && c.Budget < route.Timeout {
@@ -118,14 +118,6 @@
 	return nil
 }
 
-func bodyError(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return codes.New(codes.TooLarge, err.Error()).WithField("body")
-	}
-	return codes.New(codes.BadRequest, err.Error()).WithField("body")
-}
-
 // run makes attempts until the request has a response or may not be repeated.
 func (x *exchange) run() error {
 	ctx, cancel := context.WithDeadline(x.caller.ctx, x.call.Deadline)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/intake"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
@@ -120,6 +121,8 @@
 		Ending context.Context
 		// CallerInput returns how the input of the caller's connection ended, and nothing while it is open.
 		CallerInput func(q *http.Request) string
+		// Intake returns the account of the caller's connection. It may be nil, and so may its result.
+		Intake func(q *http.Request) *intake.Conn
 		// Silent records that the upstream of an attempt is silent. The request moves to another upstream unless err tells why it stays.
 		Silent func(c *Call, t Ticket, next Ticket, err error)
 		// Panicked records a panic in the handler of a request.
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -21,6 +21,7 @@
 	requestsRead *prometheus.CounterVec
 	firstToken   *prometheus.HistogramVec
 	attempts     *prometheus.CounterVec
+	refused      *prometheus.CounterVec
 	appends      *prometheus.CounterVec
 	peerCalls    *prometheus.CounterVec
 	controlBytes *prometheus.CounterVec
@@ -46,6 +47,7 @@
 		requests:     counter("requests_total", "Requests ended, by door and result code.", "door", "code"),
 		requestsRead: counter("requests_read_total", "Requests whose head was read, by door.", "door"),
 		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
+		refused:      counter("clients_refused_total", "Clients' connections refused or interrupted because of a limit, by reason.", "reason"),
 		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
 		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
 		controlBytes: counter("control_bytes_total", "Bytes of control, by link and direction.", "link", "direction"),
@@ -70,7 +72,7 @@
 			Namespace: namespace, Name: "believed", Help: "Numbers, versions and ages, in seconds, of what a host of the users' platform knows.",
 		}, []string{"kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestsRead, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.attempts, m.refused, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -97,6 +99,9 @@
 // Attempt counts an attempt at an upstream.
 func (m *Metrics) Attempt(result string) { m.attempts.WithLabelValues(result).Inc() }
 
+// ClientRefused counts a client's connection that was refused or interrupted.
+func (m *Metrics) ClientRefused(reason string) { m.refused.WithLabelValues(reason).Inc() }
+
 // Append counts an append to the log.
 func (m *Metrics) Append(kind, result string) { m.appends.WithLabelValues(kind, result).Inc() }
 
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -18,6 +18,7 @@
 	BadPeerMessage Code = 1005
 	TooLarge       Code = 1006
 	TooSlow        Code = 1007
+	HeadTooLarge   Code = 1008
 
 	Unauthorized Code = 2001
 	Forbidden    Code = 2002
@@ -42,6 +43,7 @@
 	CrashingPart    Code = 3014
 	NotConfigured   Code = 3015
 	UpstreamsPaused Code = 3016
+	OverMemory      Code = 3017
 
 	UpstreamFailed  Code = 4001
 	UpstreamUnknown Code = 4002
@@ -98,6 +100,7 @@
 		{BadPeerMessage, "peer message is invalid", NotRun, http.StatusBadRequest, 2},
 		{TooLarge, "request is too large", NotRun, http.StatusRequestEntityTooLarge, 2},
 		{TooSlow, "request arrived too slowly", NotRun, http.StatusRequestTimeout, 2},
+		{HeadTooLarge, "head of the request is too large", NotRun, http.StatusRequestHeaderFieldsTooLarge, 2},
 		{Unauthorized, "credentials are missing or unknown", NotRun, http.StatusUnauthorized, 3},
 		{Forbidden, "team may not call this model or service", NotRun, http.StatusForbidden, 3},
 		{UnknownModel, "model is unknown", NotRun, http.StatusNotFound, 3},
@@ -120,6 +123,7 @@
 		{CrashingPart, "a part of the prompt crashes upstreams", NotRun, http.StatusServiceUnavailable, 4},
 		{NotConfigured, "model is not in the configuration", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamsPaused, "upstreams want no requests for now", NotRun, http.StatusServiceUnavailable, 4},
+		{OverMemory, "host is short of memory", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamFailed, "upstream failed while running the request", Ran, http.StatusBadGateway, 5},
 		{UpstreamUnknown, "upstream's answer is missing", Unknown, http.StatusGatewayTimeout, 5},
 		{StreamBroken, "answer ended early", Ran, http.StatusBadGateway, 5},
