--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,14 +97,14 @@
 	if cfg.Limits().BodyBytes > 0 {
 		limit = cfg.Limits().BodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	if err != nil {
-		return bodyError(err)
+	if err := x.readBody(limit); err != nil {
+		return err
 	}
-	x.body = body
-	if c.RequestHeaders, err = x.relay.dialect.Decode(x.request.Header); err != nil {
+	headers, err := x.relay.dialect.Decode(x.request.Header)
+	if err != nil {
 		return err
 	}
+	c.RequestHeaders = headers
 	c.Service = route.Pick(rand.Float64()) //nolint:gosec // the choice of a service need not be unpredictable
 	c.Deadline = c.Arrived.Add(route.Timeout)
 	if c.Budget > 0 && c.Budget < route.Timeout {
@@ -139,14 +139,6 @@
 	return nil
 }
 
-func bodyError(err error) error {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return codes.New(codes.TooLarge, err.Error()).WithField("body")
-	}
-	return codes.New(codes.BadRequest, err.Error()).WithField("body")
-}
-
 // run makes attempts until the request has a response or may not be repeated.
 func (x *exchange) run() error {
 	ctx, cancel := context.WithDeadline(x.caller.ctx, x.call.Deadline)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -73,7 +73,9 @@
 		{"choice", func(k *relay.Control) {
 			k.Choose = func(context.Context, *relay.Call, map[string]bool) (relay.Ticket, error) { panic("choice") }
 		}},
-		{"attempt", func(k *relay.Control) { k.Sound = func(*relay.Call, relay.Ticket, relay.Completion) { panic("attempt") } }},
+		{"attempt", func(k *relay.Control) {
+			k.Sound = func(*relay.Call, relay.Ticket, relay.Completion) { panic("attempt") }
+		}},
 	} {
 		c.Run(x.name, func(c *qt.C) {
 			k := newControl(c, fleet.Safe, upstream.Listener.Addr().String())
--- a/internal/telem/metrics.go
+++ b/internal/telem/metrics.go
@@ -34,6 +34,7 @@
 	hostView       *prometheus.GaugeVec
 	teamAdmissions *prometheus.CounterVec
 	teamCredit     *prometheus.GaugeVec
+	refused        *prometheus.CounterVec
 }
 
 // NewMetrics returns a new registry of metrics, including those of the Go runtime and the process.
@@ -50,6 +51,7 @@
 		requestsRead: counter("requests_read_total", "Requests whose head was read, by door.", "door"),
 		teamRequests: counter("team_requests_total", "Requests ended, by team and result code.", "team", "code"),
 		attempts:     counter("attempts_total", "Attempts at upstreams, by result.", "result"),
+		refused:      counter("clients_refused_total", "Clients' connections refused or interrupted because of a limit, by reason.", "reason"),
 		appends:      counter("log_appends_total", "Appends to the log, by record kind and result.", "kind", "result"),
 		peerCalls:    counter("peer_calls_total", "Calls to peers, by method and result.", "method", "result"),
 		controlBytes: counter("control_bytes_total", "Bytes of control, by link and direction.", "link", "direction"),
@@ -78,7 +80,7 @@
 			Namespace: namespace, Name: "team_credit", Help: "Shares and credit of the rate limits of teams, by kind.",
 		}, []string{"team", "kind"}),
 	}
-	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.teamAdmissions, m.teamCredit, m.attempts, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
+	m.registry.MustRegister(m.requests, m.requestsRead, m.teamRequests, m.teamAdmissions, m.teamCredit, m.attempts, m.refused, m.appends, m.peerCalls, m.controlBytes, m.firstToken, m.controlStep, m.modelCalls, m.inFlight,
 		m.offset, m.ready, m.placement, m.hostView, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -118,6 +120,9 @@
 // Attempt counts an attempt at an upstream.
 func (m *Metrics) Attempt(result string) { m.attempts.WithLabelValues(result).Inc() }
 
+// ClientRefused counts a client's connection that was refused or interrupted.
+func (m *Metrics) ClientRefused(reason string) { m.refused.WithLabelValues(reason).Inc() }
+
 // Append counts an append to the log.
 func (m *Metrics) Append(kind, result string) { m.appends.WithLabelValues(kind, result).Inc() }
 
