--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -216,6 +216,9 @@
 }
 
 func (n *Node) recordEnd(t relay.Ticket, r pick.Result) {
+	if r == pick.Refused {
+		n.metrics.Attempt("refused")
+	}
 	n.control.Post(func() { n.table.EndAttempt(time.Now(), t.Attempt, r) })
 }
 
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -164,7 +164,6 @@
 		n.outage.reset()
 	}
 	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, f.Running)
-	n.table.SetSpeeds(f.Speeds)
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
@@ -177,6 +176,7 @@
 		}
 		n.applyListFeed(now, f)
 	}
+	n.table.SetSpeeds(f.Speeds)
 	return current
 }
 
--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/place"
 )
 
 // TestUpstreamSkippedInAFeedComesBack guards against an upstream that a dependent host lacks for good: its hub read an entry from a copy of the
@@ -84,3 +85,29 @@
 	n.applyListRead(bootNow(), ListChanges{Complete: true, Put: both[:1], Cursor: Cursor{Era: 2, Next: 51}})
 	qt.Assert(t, n.upstreams, qt.HasLen, 2)
 }
+
+// TestFeedTellsTheAgeOfTheLoad guards against hosts that take requests in flight for current that a hub got from others a while ago, and
+// against served requests that are counted twice or not at all on their way over hubs.
+func TestFeedTellsTheAgeOfTheLoad(t *testing.T) {
+	t.Parallel()
+	s := Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}}
+	n, hub := newTestNode(s), newTestNode(s)
+	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
+	hub.listAt, hub.configAt = bootNow(), bootNow()
+	hub.applyList(time.Now(), map[string]fleet.Upstream{"u": {ID: "u", Born: 1, Service: "s", Slots: 4}})
+	uses := []place.Use{{Upstream: "u", Running: 3, Started: 2, Served: 5}}
+	hub.applyHeartbeat(&Heartbeat{From: Member{Name: "hub2", Incarnation: "hub2.1"}, Uses: uses, UsesAge: 400 * time.Millisecond})
+	f := hub.buildFeed("h", FeedQuery{From: n.feedHub})
+	qt.Check(t, f.Running, qt.DeepEquals, map[string]int{"u": 3})
+	qt.Check(t, f.RunningAge >= 400*time.Millisecond && f.RunningAge < time.Second, qt.IsTrue, qt.Commentf("%v", f.RunningAge))
+	f.Speeds = map[string]int{"u": 50}
+	qt.Assert(t, n.applyFeed(hub.self, &f, bootNow()), qt.IsTrue)
+	qt.Check(t, n.table.ReportAge(time.Now()) >= f.RunningAge, qt.IsTrue, qt.Commentf("%v", n.table.ReportAge(time.Now())))
+	qt.Check(t, n.table.Speeds(), qt.DeepEquals, f.Speeds)
+	child := hub.addMember(Member{Name: "child", Incarnation: "child.1"})
+	child.lastQuery, child.uses = time.Now(), uses
+	for _, want := range []place.Use{{Upstream: "u", Running: 3, Started: 2, Served: 5}, {Upstream: "u", Running: 3}} {
+		merged, _ := hub.mergedUses(time.Now())
+		qt.Check(t, merged, qt.DeepEquals, []place.Use{want})
+	}
+}
--- a/pkg/pick/choose.go
+++ b/pkg/pick/choose.go
@@ -139,6 +139,21 @@
 	return max(now.Sub(t.reportedAt()), 0) * time.Duration(others) / time.Duration(own+others)
 }
 
+// Loads returns the mean and the highest share of the slots in use over the upstreams that accept requests, as far as this host knows.
+func (t *Table) Loads() (mean, highest float64) {
+	running, slots := 0, 0
+	for id, s := range t.upstreams {
+		if s.removed || s.entry.Leaving || s.entry.Slots <= 0 {
+			continue
+		}
+		n := t.running(id)
+		running += n
+		slots += s.entry.Slots
+		highest = max(highest, float64(n)/float64(s.entry.Slots))
+	}
+	return float64(running) / float64(max(slots, 1)), highest
+}
+
 // meanFirstEvent returns the mean time to the first event over the upstreams, in seconds.
 func (s *service) meanFirstEvent() float64 {
 	sum, n := 0.0, 0
--- a/pkg/pick/choose_test.go
+++ b/pkg/pick/choose_test.go
@@ -125,6 +125,9 @@
 	qt.Check(t, table.ReportAge(start.Add(time.Second)).Round(time.Millisecond), qt.Equals, 900*time.Millisecond)
 	table.StartAttempt(start, pick.Choice{Upstream: "u", Born: 1}, pick.Query{})
 	qt.Check(t, table.ReportAge(start.Add(time.Second)).Round(time.Millisecond), qt.Equals, 720*time.Millisecond)
+	mean, highest := table.Loads()
+	qt.Check(t, mean, qt.Equals, 5.0/48)
+	qt.Check(t, highest, qt.Equals, 5.0/48)
 }
 
 // BenchmarkChoose measures a choice among the replicas of a model, in a service with many upstreams.
