feat(check): a check of a configuration before it is published

Operators learned only from hosts that a part of a configuration never takes effect. The command check decodes a file with the code of the hosts, reports dead entries and contradictions, and lists what differs from the version in force, from a file or the store.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -31,7 +31,7 @@
 		SilenceUsage:  true,
 	}
 	c.SetFlagErrorFunc(usageError)
-	c.AddCommand(newDev(), newServe(), newHost(), newExplain(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(),
+	c.AddCommand(newDev(), newServe(), newHost(), newExplain(), newCheck(), newConfig(), newTemplate(), newTeam(), newHosts(), newStatus(),
 		newDecisions(), newStop(), newLogLevel(), newAsk(), newStandin(), newBench())
 	c.InitDefaultHelpCmd()
 	c.InitDefaultCompletionCmd()
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -19,6 +19,7 @@
 	TooLarge       Code = 1006
 	TooSlow        Code = 1007
 	HeadTooLarge   Code = 1008
+	Findings       Code = 1009
 
 	Unauthorized Code = 2001
 	Forbidden    Code = 2002
@@ -101,6 +102,7 @@
 		{TooLarge, "request is too large", NotRun, http.StatusRequestEntityTooLarge, 2},
 		{TooSlow, "request arrived too slowly", NotRun, http.StatusRequestTimeout, 2},
 		{HeadTooLarge, "head of the request is too large", NotRun, http.StatusRequestHeaderFieldsTooLarge, 2},
+		{Findings, "configuration has findings", NotRun, http.StatusUnprocessableEntity, 1},
 		{Unauthorized, "credentials are missing or unknown", NotRun, http.StatusUnauthorized, 3},
 		{Forbidden, "team may not call this model or service", NotRun, http.StatusForbidden, 3},
 		{UnknownModel, "model is unknown", NotRun, http.StatusNotFound, 3},
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -87,6 +87,7 @@
 	Config struct {
 		version    int64
 		routes     map[string][]Route
+		all        []Route // in the order of the configuration
 		services   map[string]Service
 		limits     Limits
 		teams      map[string]Team
@@ -98,7 +99,7 @@
 
 // NewConfig builds a configuration. It returns a BadRecord error that names the first invalid field.
 func NewConfig(version int64, routes []Route, services []Service, l Limits) (*Config, error) {
-	c := &Config{version: version, routes: make(map[string][]Route), services: make(map[string]Service), limits: l, leastUrgent: make(map[string]int)}
+	c := &Config{version: version, routes: make(map[string][]Route), services: make(map[string]Service), limits: l, all: routes, leastUrgent: make(map[string]int)}
 	for _, s := range services {
 		if s.Name == "" {
 			return nil, codes.New(codes.BadRecord, "must not be empty").WithField("services.name")
@@ -170,14 +171,11 @@
 	return max(c.leastUrgent[service]-priority, 0)
 }
 
+// Routes returns all routes, in the order of the configuration; the list must not be modified.
+func (c *Config) Routes() []Route { return c.all }
+
 // RouteCount returns the number of routes.
-func (c *Config) RouteCount() int {
-	n := 0
-	for _, list := range c.routes {
-		n += len(list)
-	}
-	return n
-}
+func (c *Config) RouteCount() int { return len(c.all) }
 
 // Match returns the route of the host whose prefix is the longest match for the path; a port in host is ignored.
 func (c *Config) Match(host, path string) (Route, bool) {
