--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -74,7 +74,9 @@
 			reads++
 			count := int64(1)
 			if c.Next > 0 {
-				for end := time.Now().Add(wait); changes() < c.Next && time.Now().Before(end) && sleep(ctx, gap/4); {
+				end := time.Now().Add(wait)
+				for changes() < c.Next && time.Now().Before(end) && ctx.Err() == nil {
+					sleep(ctx, gap/4)
 				}
 				count = changes() - c.Next + 1
 			}
