fix(intake): a connection does not make room for itself, and responses unread by callers are bounded

Cause: the first search for a connection that makes room could choose the one that asks (found by TestRoomForNewBodies, seen to fail).

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -103,7 +103,7 @@
 	a, err := g.ledger.Open(address, now)
 	var victim *Conn
 	if err != nil || g.ledger.Crowded() {
-		victim = g.victim(netip.Addr{}, now)
+		victim = g.victim(nil, netip.Addr{}, now)
 	}
 	var c *Conn
 	if err == nil {
@@ -134,12 +134,12 @@
 	}
 }
 
-// victim returns the connection that has to make room, or nil. The lock must be held.
-func (g *Gate) victim(address netip.Addr, now time.Time) *Conn {
+// victim returns the connection that has to make room for another one, or nil. The lock must be held.
+func (g *Gate) victim(other *ledger.Account, address netip.Addr, now time.Time) *Conn {
 	if now.Before(g.nextScan) {
 		return nil
 	}
-	a := g.ledger.Victim(address, now)
+	a := g.ledger.Victim(other, address, now)
 	if a == nil {
 		g.nextScan = now.Add(scanInterval)
 		return nil
@@ -328,7 +328,7 @@
 	if errors.Is(err, ledger.ErrAddress) {
 		address = c.account.Address()
 	}
-	victim := g.victim(address, time.Now())
+	victim := g.victim(c.account, address, time.Now())
 	var freed chan struct{}
 	if begins := !g.ledger.IsSmall(held+n) && g.ledger.IsSmall(held); !begins || g.leaving > 0 {
 		if g.freed == nil {
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -91,8 +91,8 @@
 func (x *exchange) readBuffered(r *conns.Response) (body []byte, complete bool, err error) {
 	c := x.intakeOf()
 	size := int64(firstResponsePart)
-	if r.Length >= 0 && r.Length < maxBufferedBody {
-		size = r.Length + 1 // One byte more than expected shows the end of the body.
+	if r.Length >= 0 {
+		size = min(r.Length+1, maxBufferedBody) // One byte more than expected shows the end of the body.
 	}
 	if size > firstResponsePart && !c.ReserveResponse(size) {
 		size = firstResponsePart
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -164,14 +164,14 @@
 // SetPhase records what the connection does from now on.
 func (l *Ledger) SetPhase(a *Account, p Phase, now time.Time) { a.phase, a.since = p, now }
 
-// Victim returns the account that has to make room: the one that holds most in proportion to its recent progress, if it waits for its client
-// and has stalled. If the address is valid, it returns only accounts of that address. It marks the account as evicted and returns nil if
-// there is none.
-func (l *Ledger) Victim(address netip.Addr, now time.Time) *Account {
+// Victim returns the account that has to make room for another one, which may be nil: the account that holds most in proportion to its recent
+// progress, if it waits for its client and has stalled. If the address is valid, only accounts of that address have to. It marks the account as
+// evicted, and returns nil if there is none.
+func (l *Ledger) Victim(other *Account, address netip.Addr, now time.Time) *Account {
 	var victim *Account
 	best := minScore
 	for a := range l.accounts {
-		if a.evicted || a.phase == Serving || address.IsValid() && a.address != address {
+		if a == other || a.evicted || a.phase == Serving || address.IsValid() && a.address != address {
 			continue
 		}
 		if score := float64(l.limits.Connection+a.request) / (1 + a.progressAt(now)); score > best {
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -74,10 +74,10 @@
 		l.Receive(slow, 60<<10, start.Add(time.Duration(i)*100*time.Millisecond))
 	}
 	now := start.Add(3 * time.Second)
-	qt.Check(t, l.Victim(two, start), qt.IsNil)
-	qt.Check(t, l.Victim(netip.Addr{}, now) == stalled, qt.IsTrue)
+	qt.Check(t, l.Victim(nil, two, start), qt.IsNil)
+	qt.Check(t, l.Victim(nil, netip.Addr{}, now) == stalled, qt.IsTrue)
 	l.Close(stalled)
-	qt.Check(t, l.Victim(netip.Addr{}, now), qt.IsNil)
+	qt.Check(t, l.Victim(nil, netip.Addr{}, now), qt.IsNil)
 }
 
 // TestExpired guards against connections that stay open beyond the time-outs of the configuration, and against the end of those within them.
@@ -114,7 +114,7 @@
 		case 2:
 			_ = l.ReserveResponse(a, random.Int64N(64<<10))
 		case 3:
-			if v := l.Victim(netip.Addr{}, now); v != nil {
+			if v := l.Victim(nil, netip.Addr{}, now); v != nil {
 				l.Close(v)
 				list = append([]*Account{}, list...)
 				for j, x := range list {
