fix(pick): forget the rates of upstreams that are gone

Cause: samples of removed upstreams were kept, and the test of a restart passed without Forget. Change: Replace forgets them, and the test learns the speeds after the restart; it fails without Forget.

--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -122,7 +122,9 @@
 // recordStay records a served attempt, with the mean time of those at the service.
 func (t *Table) recordStay(now time.Time, s *upstreamState, a *Attempt) {
 	s.served[a.key]++
-	t.rates.Served(s.entry.ID, 1)
+	if !s.removed {
+		t.rates.Served(s.entry.ID, 1)
+	}
 	service, stay := t.service(s.entry.Service), now.Sub(a.startedAt).Seconds()
 	if service.meanStay == 0 {
 		service.meanStay = stay
--- a/pkg/pick/choose_test.go
+++ b/pkg/pick/choose_test.go
@@ -111,8 +111,9 @@
 	qt.Check(t, host.Speeds(), qt.DeepEquals, speeds)
 	host.SetSpeeds(nil)
 	qt.Check(t, host.Speeds(), qt.HasLen, 0)
-	restarted := map[string]fleet.Upstream{"fast": {ID: "fast", Service: "s", Born: 2}}
+	restarted := map[string]fleet.Upstream{"fast": {ID: "fast", Service: "s", Born: 2}, "slow": {ID: "slow", Service: "s", Born: 1}}
 	hub.Replace(restarted)
+	hub.LearnSpeeds()
 	qt.Check(t, hub.Speeds()["fast"], qt.Equals, 0)
 }
 
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -168,6 +168,7 @@
 	for id, s := range t.upstreams {
 		if _, ok := list[id]; !ok {
 			s.removed = true
+			t.rates.Forget(id)
 			if len(s.inFlight) == 0 {
 				delete(t.upstreams, id)
 			}
