feat(node): proof that the earlier lender of credit has stopped

The controller tells its lender when the process that held the lease before refuses connections, was replaced, or knows the new lease, so that hosts get credit of teams without a further wait of some 2.5 s after a take-over.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -392,6 +392,7 @@
 		x.missedHeartbeats++
 		if peers.Refused(err) {
 			x.lastSeen = time.Time{}
+			n.observeRefusal(m.Name)
 		}
 		if x.missedHeartbeats == silentHeartbeats {
 			n.table.SetPeerRequests(m.Name, nil)
@@ -455,6 +456,7 @@
 		bootNow := n.now()
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
 	}
+	n.observeLender(b)
 	if b.Config != nil && len(b.Config.Record) > 0 {
 		// The store may have come back from a copy without the newest configuration, which stays in force.
 		n.applyConfigRecord(b.Config.Record)
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -8,6 +8,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/lease"
 	"github.com/fireflycleat/fireflycleat/pkg/rates"
 )
 
@@ -35,14 +36,26 @@
 	// teamRates is the part of the control state that limits the rates of teams.
 	teamRates struct {
 		host     *rates.Host
-		lender   *rates.Lender // nil unless this host is the controller
-		term     int64         // fence of the lease under which the lender lends
+		lender   *rates.Lender // of the newest term of this host as the controller; nil before the first
+		term     int64         // fence of the lease in that term
 		version  int64         // configuration from which the limits were taken
 		limits   map[string]rates.Limit
 		alarm    *ctrl.Alarm
 		waiting  map[int64]chan rates.Decision
 		refusals map[string]*refusalCount
 		ready    bool // whether the lender was ready at the last tick
+
+		// predecessor is the last record of the lease that another process wrote, and replaced that of the lender's beginning. stopped is set
+		// if the lender needs no proof any more that the process has stopped lending.
+		predecessor, replaced lease.Record
+		stopped               bool
+		proof                 stopProof
+	}
+
+	// stopProof proves that a process has not lent since a time; it is zero without proof.
+	stopProof struct {
+		at    time.Time
+		ended bool // whether the process had ended, and no other has its place
 	}
 
 	// refusalCount counts the refused requests of a team since the last log line.
@@ -181,6 +194,7 @@
 func (n *Node) stepRates() {
 	n.updateLimits()
 	n.updateLender()
+	n.checkPredecessor()
 	if len(n.rates.limits) == 0 && len(n.rates.waiting) == 0 {
 		return
 	}
@@ -208,17 +222,70 @@
 	}
 }
 
-// updateLender begins or ends the term of the lender with that of the controller.
+// updateLender begins a new lender with each term of the controller.
 func (n *Node) updateLender() {
 	switch {
-	case n.term == 0 || len(n.rates.limits) == 0:
+	case len(n.rates.limits) == 0:
 		n.rates.lender = nil
-	case n.rates.lender == nil || n.rates.term != n.term:
+	case n.term != 0 && (n.rates.lender == nil || n.rates.term != n.term):
+		// Without another process in between, the loans of this one's last lender are in force.
+		n.rates.stopped = n.rates.term != 0 && n.rates.predecessor == n.rates.replaced
+		n.rates.replaced = n.rates.predecessor
 		n.rates.lender, n.rates.term, n.rates.ready = rates.NewLender(), n.term, false
 		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
 	}
 }
 
+// observeLender records what a heartbeat shows about the process that held the lease before this host.
+func (n *Node) observeLender(b *Heartbeat) {
+	p := n.rates.predecessor
+	if b.From.Name != p.Holder {
+		return
+	}
+	r := b.Lease.Newest.Record
+	knows := b.Lease.Known && r.Holder == n.self.Name && r.Incarnation == n.self.Incarnation
+	switch {
+	case !knows && b.From.Incarnation == p.Incarnation:
+		n.rates.proof = stopProof{}
+	case n.rates.proof.at.IsZero() || n.rates.proof.ended:
+		n.rates.proof = stopProof{at: n.bootNow()}
+	}
+}
+
+// observeRefusal records that no process listens at the address of a host.
+func (n *Node) observeRefusal(host string) {
+	if host == n.rates.predecessor.Holder && n.rates.proof.at.IsZero() {
+		n.rates.proof = stopProof{n.bootNow(), true}
+	}
+}
+
+// checkPredecessor tells the lender if the process that held the lease before this host has provably stopped lending.
+func (n *Node) checkPredecessor() {
+	newest, _, known := n.lease.Newest(n.now())
+	r, p := newest.Record, &n.rates.predecessor
+	if own := r.Holder == n.self.Name && r.Incarnation == n.self.Incarnation; known && !own && r != *p {
+		if r.Holder != p.Holder || r.Incarnation != p.Incarnation {
+			n.rates.proof = stopProof{}
+		}
+		*p = r
+	}
+	if n.rates.lender == nil || n.rates.stopped || p.Holder == "" {
+		return
+	}
+	proof := n.rates.proof
+	switch {
+	case !proof.at.IsZero():
+	case p.Holder == n.self.Name: // It was an earlier process of this host.
+		proof.at = n.bootNow().Add(-time.Since(n.startedAt))
+	case p.Released:
+		proof.at = n.bootNow()
+	default:
+		return
+	}
+	n.rates.stopped = true
+	n.rates.lender.StopPredecessor(proof.at, proof.ended)
+}
+
 // callLender reports to the controller and applies its answer.
 func (n *Node) callLender(now time.Time) {
 	args := CreditArgs{Fence: n.lease.Fence(), Call: n.rates.host.Begin(now)}
@@ -232,12 +299,17 @@
 		n.rates.host.Failed(now, args.Call.Seq)
 		return
 	}
-	address := holder.Peers
+	address, name := holder.Peers, holder.Name
 	n.background(func(ctx context.Context) {
 		reply := new(CreditReply)
 		if err := n.peerClient.CallWithin(ctx, rates.CallTimeout, address, peers.ServiceName+".Credit", &args, reply); err != nil {
 			n.log("rates").Debug("controller did not answer", "peers", address, "err", err)
-			n.control.Post(func() { n.applyCredit(args, CreditReply{}, err) })
+			n.control.Post(func() {
+				if peers.Refused(err) {
+					n.observeRefusal(name)
+				}
+				n.applyCredit(args, CreditReply{}, err)
+			})
 			return
 		}
 		n.control.Post(func() { n.applyCredit(args, *reply, nil) })
@@ -270,7 +342,7 @@
 // store and most hosts, or if either of the two knows a later lease than the other.
 func (n *Node) answerCredit(a CreditArgs) (CreditReply, error) {
 	now := n.now()
-	if _, held := n.lease.Held(now); !held || n.rates.lender == nil || a.Fence != n.rates.term {
+	if _, held := n.lease.Held(now); !held || n.term == 0 || n.rates.lender == nil || a.Fence != n.rates.term {
 		return CreditReply{}, codes.New(codes.StaleLease, errNotController.Error())
 	}
 	if a.Call.Host != n.self.Name && n.members[a.Call.Host] == nil {
@@ -293,7 +365,7 @@
 			"rateShare", rate, "credit", level, "demand", demand, "perSecond", n.rates.limits[team].PerSecond)
 		*x = refusalCount{loggedAt: now}
 	}
-	if l := n.rates.lender; l != nil {
+	if l := n.rates.lender; l != nil && n.term != 0 {
 		if ready, known := l.Ready(n.bootNow()); ready && !n.rates.ready {
 			n.rates.ready = true
 			n.log("rates").Info("controller lends credit", "event", eventLending, "fence", n.rates.term, "allLoansKnown", known)
@@ -310,7 +382,7 @@
 		n.metrics.TeamCredit(team, "hostCredit", level)
 		n.metrics.TeamCredit(team, "hostDemand", demand)
 	}
-	if n.rates.lender == nil {
+	if n.rates.lender == nil || n.term == 0 {
 		return
 	}
 	for team, s := range n.rates.lender.Stats(now) {
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -36,8 +36,8 @@
 	// earlier lender may have gone on and its grants are valid, unless that one has provably stopped. It does not know the loans of that lender before all hosts have reported, or
 	// the loans have expired; until then it lends only what hosts report to hold, and what no lender may lend.
 	Lender struct {
-		hosts    map[string]*borrower
-		pools    map[string]*pool
+		hosts   map[string]*borrower
+		pools   map[string]*pool
 		readyAt time.Time // when this lender may grant credit; zero while that is unknown
 		knownAt time.Time // when all loans are known
 		gone    int       // number of hosts that hold nothing because their processes have ended
--- a/pkg/rates/world_test.go
+++ b/pkg/rates/world_test.go
@@ -38,8 +38,8 @@
 		runs      map[string][]run
 		wanted    map[string]float64
 		maxShare  float64 // highest sum of the rates that hosts held
-		calls int // of hosts to lenders
-		arrivals map[string][]arrival
+		calls     int     // of hosts to lenders
+		arrivals  map[string][]arrival
 		limits    map[string]rates.Limit
 	}
 
