feat(rates): a new lender knows all loans once all hosts have reported

A host that knows the new lease takes no credit from an earlier lender, so that nothing is left to wait for once all have reported to the new one. Its own bucket fills from the time at which the earlier lender stopped. A stopping host gives its credit back: it was counted as lent for up to 15 s, which adds up when hosts restart in turn. A host that has ended counts as reported only until another process of it reports; the model test had found rates that added up to 0.92 (host 2 cut off while the ended lender's host was back). The model test has bursts and times in which nothing runs (150 cases, go test ./pkg/rates -run NoWindow -rapid.checks=150).

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -48,6 +48,7 @@
 		// predecessor is the last record of the lease that another process wrote, and replaced that of the lender's beginning. stopped is set
 		// if the lender needs no proof any more that the process has stopped lending.
 		predecessor, replaced lease.Record
+		predecessorAt         time.Time // when the record was first known to exist
 		stopped               bool
 		proof                 stopProof
 	}
@@ -198,6 +199,9 @@
 	if len(n.rates.limits) == 0 && len(n.rates.waiting) == 0 {
 		return
 	}
+	if _, stopping := n.stop.state(); stopping {
+		n.rates.host.SetStopping()
+	}
 	now := n.bootNow()
 	if at, ok := n.rates.host.NextCall(now); ok && !at.After(now) {
 		n.callLender(now)
@@ -261,13 +265,13 @@
 
 // checkPredecessor tells the lender if the process that held the lease before this host has provably stopped lending.
 func (n *Node) checkPredecessor() {
-	newest, _, known := n.lease.Newest(n.now())
+	newest, age, known := n.lease.Newest(n.now())
 	r, p := newest.Record, &n.rates.predecessor
 	if own := r.Holder == n.self.Name && r.Incarnation == n.self.Incarnation; known && !own && r != *p {
 		if r.Holder != p.Holder || r.Incarnation != p.Incarnation {
 			n.rates.proof = stopProof{}
 		}
-		*p = r
+		*p, n.rates.predecessorAt = r, n.bootNow().Add(-age)
 	}
 	if n.rates.lender == nil || n.rates.stopped || p.Holder == "" {
 		return
@@ -278,12 +282,16 @@
 	case p.Holder == n.self.Name: // It was an earlier process of this host.
 		proof.at = n.bootNow().Add(-time.Since(n.startedAt))
 	case p.Released:
-		proof.at = n.bootNow()
+		proof.at = n.rates.predecessorAt
 	default:
 		return
 	}
 	n.rates.stopped = true
-	n.rates.lender.StopPredecessor(proof.at, proof.ended)
+	ended := ""
+	if proof.ended {
+		ended = p.Holder
+	}
+	n.rates.lender.StopPredecessor(proof.at, ended)
 }
 
 // callLender reports to the controller and applies its answer.
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -75,6 +75,7 @@
 		lastCall time.Time
 		notSoon  time.Time // before this time no call is made, because the last one failed
 		lost     bool      // whether the last call failed
+		stopping bool
 		lostAt   time.Time // when the first of the calls was made that failed since the last reply
 	}
 
@@ -139,6 +140,9 @@
 	}
 }
 
+// SetStopping makes the host give back its credit, apart from what requests that still arrive need.
+func (h *Host) SetStopping() { h.stopping = true }
+
 // Admit takes credit for a request of a team, which must have a limit. If there is none, the request waits for it up to the given time if it
 // may come by then. The ID identifies a waiting request.
 func (h *Host) Admit(now time.Time, team string, cost float64, wait time.Duration) (Decision, int64) {
@@ -263,6 +267,9 @@
 	for name, a := range h.teams {
 		a.accrue(now)
 		need := a.need(now)
+		if h.stopping {
+			need = 0
+		}
 		r := Report{Rate: a.rate, Capacity: a.capacity, Mean: math.Ceil(a.mean)}
 		if need > 0 {
 			r.Demand = roundUp(a.demand, creditUnit)
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -40,7 +40,7 @@
 		pools   map[string]*pool
 		readyAt time.Time // when this lender may grant credit; zero while that is unknown
 		knownAt time.Time // when all loans are known
-		gone    int       // number of hosts that hold nothing because their processes have ended
+		gone    string    // host whose process had ended, so that it holds nothing unless it has reported since
 		sweptAt time.Time
 	}
 
@@ -212,7 +212,7 @@
 	p.level = min(p.level, l.room(now, p))
 	if !l.isReady(now) {
 		if r.Must > 0 {
-			answer.Wait = CallInterval
+			answer.Wait = max(min(l.readyAt.Sub(now), CallInterval), minDenial)
 		}
 		return answer
 	}
@@ -254,32 +254,41 @@
 // Ready reports whether this lender may grant credit, and whether it knows all loans.
 func (l *Lender) Ready(now time.Time) (ready, known bool) { return l.isReady(now), l.isKnown(now) }
 
-// StopPredecessor records that the earlier lender has not lent since the given time, and whether its process has ended. Without such proof a
-// new lender waits until most hosts have reported to it.
-func (l *Lender) StopPredecessor(at time.Time, ended bool) {
-	if ended {
-		l.gone = 1
-	}
+// StopPredecessor records that the earlier lender has not lent since the given time. If its process has ended, ended is the name of its host,
+// and otherwise empty. Without such proof a new lender waits until most hosts have reported to it.
+func (l *Lender) StopPredecessor(at time.Time, ended string) {
+	l.gone = ended
 	l.beginAfter(at)
 }
 
-// beginAfter sets when this lender may grant credit, given the time after which no earlier lender lends.
+// beginAfter sets when this lender may grant credit, given the time after which no earlier lender lends. Its own bucket fills from then on.
 func (l *Lender) beginAfter(at time.Time) {
 	ready := at.Add(GrantTime + expiryMargin)
 	if !l.readyAt.IsZero() && !ready.Before(l.readyAt) {
 		return
 	}
 	l.readyAt, l.knownAt = ready, at.Add(LoanTime+expiryMargin)
+	for _, p := range l.pools {
+		p.at = at
+	}
 }
 
-// updateReady notes when most or all hosts have reported.
+// updateReady notes when most or all hosts have reported. Once all have, they take credit from no earlier lender, and what they hold is known.
 func (l *Lender) updateReady(now time.Time, hosts int) {
 	if l.readyAt.IsZero() && len(l.hosts) > hosts/2 {
 		l.beginAfter(now.Add(reporterTime))
 	}
-	if len(l.hosts) >= hosts-l.gone && !l.readyAt.IsZero() && now.Before(l.knownAt) {
-		l.knownAt = later(l.readyAt, now)
+	heard := len(l.hosts)
+	if l.gone != "" && l.hosts[l.gone] == nil {
+		heard++
+	}
+	if heard < hosts || l.isKnown(now) {
+		return
+	}
+	for _, p := range l.pools {
+		p.at = earlier(p.at, now)
 	}
+	l.readyAt, l.knownAt = earlier(l.readyAt, now), now
 }
 
 func (l *Lender) isReady(now time.Time) bool { return !l.readyAt.IsZero() && !now.Before(l.readyAt) }
@@ -303,11 +312,14 @@
 	if !l.isKnown(now) {
 		lent = max(lent, maxLentRate)
 	}
-	if d := now.Sub(p.at); d > 0 && l.isReady(now) {
+	if !l.isReady(now) {
+		return
+	}
+	if d := now.Sub(p.at); d > 0 {
 		p.level += max(1-lent, 0) * p.limit.PerSecond * d.Seconds()
+		p.at = now
 	}
 	p.level = min(p.level, l.room(now, p))
-	p.at = later(p.at, now)
 }
 
 // room returns the credit that the lender may hold beside all loans.
--- a/pkg/rates/model_test.go
+++ b/pkg/rates/model_test.go
@@ -43,7 +43,7 @@
 			at := time.Duration(rapid.IntRange(0, int(length/time.Millisecond)).Draw(t, "at")) * time.Millisecond
 			until := at + time.Duration(rapid.IntRange(50, 20000).Draw(t, "lasts"))*time.Millisecond
 			n := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
-			kind := rapid.SampledFrom([]string{"kill", "freeze", "cut", "half", "lender", "take over", "store", "lower", "move"}).Draw(t, "kind")
+			kind := rapid.SampledFrom([]string{"kill", "freeze", "cut", "half", "lender", "take over", "store", "lower", "move", "burst", "refuse"}).Draw(t, "kind")
 			add := func(at time.Duration, do func()) { w.events = append(w.events, event{at, do, kind}) }
 			switch kind {
 			case "kill":
@@ -83,6 +83,22 @@
 			case "store":
 				add(at, func() { w.storeDown = true })
 				add(until, func() { w.storeDown = false })
+			case "burst":
+				times := func(factor float64) func() {
+					return func() {
+						for _, n := range w.hosts {
+							for _, s := range n.teams {
+								s.perSecond *= factor
+							}
+						}
+					}
+				}
+				add(at, times(20))
+				add(at+(until-at)/20, times(1.0/20))
+			case "refuse": // No request runs, and credit is returned.
+				usual := w.returns
+				add(at, func() { w.returns = 1 })
+				add(at+(until-at)/4, func() { w.returns = usual })
 			case "lower":
 				if lowered > 0 {
 					continue
--- a/pkg/rates/world_test.go
+++ b/pkg/rates/world_test.go
@@ -135,9 +135,9 @@
 	l := rates.NewLender()
 	if len(w.lenders) > 0 {
 		if h := w.holder(); h.host.down || h.host.incarnation != h.incarnation {
-			l.StopPredecessor(w.now, true)
+			l.StopPredecessor(w.now, h.host.name)
 		} else if h.host.fence > h.fence {
-			l.StopPredecessor(w.now, false)
+			l.StopPredecessor(w.now, "")
 		}
 	}
 	l.SetLimits(w.now, n.limits)
