feat(place): replicas by the mean rate, adapters before models, forecasts that know evicted memory and busy upstreams

Changes: a replica gets no more than 1.5 times the mean rate of an upstream; adapters that requests wait for are ordered before models, and their forecast includes what the upstream does first; an accepted load clears what is known of host memory until a report or a list that is younger; an upstream whose unload waits for requests is asked for a report each 0.1 s. Tests: TestReplicasFollowTheMeanRate, TestAdapterGoesBeforeModels, TestLoadEvictsMemoryCopies.

--- a/pkg/place/answers.go
+++ b/pkg/place/answers.go
@@ -46,7 +46,7 @@
 			u.known = false
 			u.reportAt = now.Add(c.settings.ReportLag)
 			if u.unloading != "" { // Its requests in progress were not known here.
-				u.drainingSince, u.reportAt = now, now.Add(reportRetry)
+				u.drainingSince, u.reportAt = now, now.Add(drainPoll)
 			}
 		}
 	case NoAnswer:
@@ -75,6 +75,7 @@
 			c.plan.storeLoads = c.countStoreLoads()
 			u.load.concurrent = c.acceptedStoreLoads()
 		}
+		c.forgetMemory(now, u)
 		u.load.due = now.Add(c.speed.expectedTime(u.load))
 		u.reportAt = now.Add(full + 10*time.Millisecond)
 		u.reservedFor = ""
@@ -88,7 +89,7 @@
 		c.removeReplica(u, k.Model)
 		if c.running.replica[upstreamKey{u.entry.ID, k}] > 0 {
 			// The upstream accepts no other order until its requests for the model have ended, which a report shows.
-			u.drainingSince, u.known, u.reportAt = now, false, now.Add(c.settings.ReportLag)
+			u.drainingSince, u.known, u.reportAt = now, false, now.Add(drainPoll)
 		} else {
 			u.notBefore = now.Add(idleUnloadDelay)
 		}
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -126,7 +126,9 @@
 	if !updated {
 		return
 	}
-	c.setCopies(u, e.InMemory, e.OnDisk)
+	if now.Sub(u.lastLoadAt) > c.settings.QuietTime { // The published state may be from before the load.
+		c.setCopies(u, e.InMemory, e.OnDisk)
+	}
 	if u.load != nil && now.Sub(u.load.acceptedAt) > c.settings.ReportLag && slices.Contains(heldModels(e.Held), u.load.model) {
 		c.finishLoad(now, u)
 	}
@@ -236,7 +238,7 @@
 		if at, ok := u.replicas[p.Key.Model].adapters[p.Key.Adapter]; ok && !at.Equal(unloading) {
 			consider(at)
 		} else {
-			consider(now.Add(c.settings.AdapterTime))
+			consider(now.Add(c.waitTime(now, u) + c.settings.AdapterTime))
 		}
 	}
 	if c.plan.loading == nil {
--- a/pkg/place/index.go
+++ b/pkg/place/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -126,6 +127,13 @@
 	}
 }
 
+// forgetMemory drops what the upstream has in host memory when it accepts a load: the load evicts the least recently used weights, and
+// a forecast by the time of a load from memory would be too early. The next report tells what is left.
+func (c *Controller) forgetMemory(now time.Time, u *upstream) {
+	u.lastLoadAt = now
+	c.setCopies(u, nil, slices.Collect(maps.Keys(u.disk)))
+}
+
 // addDiskCopy records that the upstream has the weights of the model on disk.
 func (c *Controller) addDiskCopy(u *upstream, model string) {
 	u.disk[model] = true
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -12,6 +12,7 @@
 const (
 	diskMargin   = 20 * time.Millisecond // added to the configured time of a load from a local copy, which other loads do not slow
 	minGainRatio = 1.5                   // ratio of gain to loss that a load without a pending request must reach
+	evenShare    = 1.5                   // ratio of a replica's request rate to the mean of all upstreams above which the model needs another one
 	busyReplicas = 2                     // minimum for a model in steady use, which then survives the loss of one upstream
 	urgentRatio  = 2                     // ratio of needed to existing replicas above which a shortage is urgent
 	maxDrains    = 2                     // multiple of the expected drain time for which a reservation lasts longer
@@ -21,10 +22,12 @@
 func (c *Controller) Plan(now time.Time) []Action {
 	c.expire(now)
 	c.preparePlan()
+	needs := c.sortedNeeds()
 	var actions []Action
+	actions = c.planAdapters(now, needs, actions)
 	actions = c.planReserved(now, actions)
 	actions = c.planReplicas(now, actions, true)
-	actions = c.planPending(now, actions)
+	actions = c.planPending(now, needs, actions)
 	actions = c.planReplicas(now, actions, false)
 	actions = c.planCopies(now, actions)
 	return c.planReports(now, actions)
@@ -35,7 +38,7 @@
 	plan := planState{
 		number: c.plan.number + 1, storeLoads: c.countStoreLoads(), loads: make(map[string]int), loading: make(map[string]int),
 		copying: make(map[string]bool), needed: make(map[string]int), candidates: make(map[string][]candidate),
-		deadlines: make(map[string][]modelDeadline),
+		deadlines: make(map[string][]modelDeadline), replicaRates: make(map[*fleet.Engine]float64),
 	}
 	for _, u := range c.upstreams {
 		if u.load != nil {
@@ -122,15 +125,17 @@
 	return actions
 }
 
-// planPending orders loads for pending requests, for the models and adapters with the most pending requests first.
-func (c *Controller) planPending(now time.Time, actions []Action) []Action {
-	type need struct {
-		service  string
-		key      Key
-		count    int
-		deadline time.Time
-		avoid    []string // upstreams that none of the requests can use
-	}
+// need is a model or adapter that requests wait for.
+type need struct {
+	service  string
+	key      Key
+	count    int
+	deadline time.Time
+	avoid    []string // upstreams that none of the requests can use
+}
+
+// sortedNeeds returns the models and adapters that requests wait for, those with the most pending requests first.
+func (c *Controller) sortedNeeds() []*need {
 	needs := make(map[Key]*need)
 	for _, p := range c.pending {
 		n, ok := needs[p.Key]
@@ -144,26 +149,35 @@
 			n.deadline = p.Deadline
 		}
 	}
-	sorted := slices.SortedFunc(maps.Values(needs), func(a, b *need) int {
+	return slices.SortedFunc(maps.Values(needs), func(a, b *need) int {
 		return cmp.Or(cmp.Compare(b.count, a.count), a.deadline.Compare(b.deadline), cmp.Compare(a.key.Model, b.key.Model), cmp.Compare(a.key.Adapter, b.key.Adapter))
 	})
-	for _, n := range sorted {
-		e := c.engines[n.service]
-		if e == nil {
-			continue
+}
+
+// usableHolders returns the upstreams that hold the model and can be used by some of the requests.
+func (c *Controller) usableHolders(n *need) []*upstream {
+	return slices.DeleteFunc(c.holders(n.service, n.key.Model), func(u *upstream) bool { return slices.Contains(n.avoid, u.entry.ID) })
+}
+
+// planAdapters orders the adapters that requests wait for. They go before models: an upstream that loads a model takes no other order for
+// a second and more, and an adapter takes milliseconds.
+func (c *Controller) planAdapters(now time.Time, needs []*need, actions []Action) []Action {
+	for _, n := range needs {
+		if e := c.engines[n.service]; n.key.Adapter != "" && e != nil && hasModel(e, n.key.Model) {
+			actions = c.planAdapter(now, e, n.key, c.usableHolders(n), actions)
 		}
-		if _, ok := e.Models[n.key.Model]; !ok {
+	}
+	return actions
+}
+
+// planPending orders loads of the models that requests wait for.
+func (c *Controller) planPending(now time.Time, needs []*need, actions []Action) []Action {
+	for _, n := range needs {
+		e := c.engines[n.service]
+		if e == nil || !hasModel(e, n.key.Model) || c.plan.loading[n.key.Model] > 0 || len(c.usableHolders(n)) > 0 {
 			continue
 		}
-		holders := slices.DeleteFunc(c.holders(n.service, n.key.Model), func(u *upstream) bool { return slices.Contains(n.avoid, u.entry.ID) })
-		switch {
-		case len(holders) == 0:
-			if c.plan.loading[n.key.Model] == 0 {
-				actions = c.planLoad(now, n.service, e, n.key.Model, actions)
-			}
-		case n.key.Adapter != "":
-			actions = c.planAdapter(now, e, n.key, holders, actions)
-		}
+		actions = c.planLoad(now, n.service, e, n.key.Model, actions)
 	}
 	return actions
 }
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -34,6 +34,9 @@
 		}
 	case stale:
 		u.reportAt = now.Add(reportRetry)
+		if u.unloading != "" {
+			u.reportAt = now.Add(drainPoll)
+		}
 		return
 	}
 	u.known, u.counted, u.accepted, u.inDoubt = true, true, r.Accepted, false
@@ -88,9 +91,12 @@
 		u.drainingSince = time.Time{}
 	}
 	if r.Busy && u.load == nil {
-		// Another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
+		// An unload waits for requests, or another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
 		u.known = false
 		u.reportAt = now.Add(reportRetry)
+		if u.unloading != "" {
+			u.reportAt = now.Add(drainPoll)
+		}
 	}
 }
 
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -15,8 +15,10 @@
 	drainWeight     = 0.3                    // weight of the last unload in the expected drain time
 	maxConflicts    = 3                      // number of consecutive conflicts after which a report is requested
 	reportRetry     = 250 * time.Millisecond // interval between requests for a report from one upstream
-	maxUnanswered   = 2                      // number of consecutive unanswered orders after which a report is requested
-	reservationTTL  = 3 * time.Second        // how long an upstream stays reserved for a load that needs an unload first
+	// drainPoll replaces reportRetry while an unload waits for requests in progress: the upstream takes no other order meanwhile.
+	drainPoll      = 100 * time.Millisecond
+	maxUnanswered  = 2               // number of consecutive unanswered orders after which a report is requested
+	reservationTTL = 3 * time.Second // how long an upstream stays reserved for a load that needs an unload first
 )
 
 // unloading replaces the time at which an adapter becomes usable while its unload waits for its last requests. The adapter
@@ -31,7 +33,7 @@
 		known         bool  // set while the state is known from a report
 		counted       bool  // whether accepted was reported in this term; it stays set while known is cleared
 		replicas      map[string]*replica
-		memory        map[string]bool // models cached in host memory
+		memory        map[string]bool // models cached in host memory; see Controller.forgetMemory
 		disk          map[string]bool // models cached on disk
 		order         *Order
 		lastOrderAt   time.Time // when the last order was sent or answered
@@ -47,6 +49,7 @@
 		reportAt      time.Time // when to request the next report; zero means none
 		requestedAt   time.Time // when the outstanding report was requested; zero means none
 		failedAt      time.Time // when a load last failed or an order was last refused
+		lastLoadAt    time.Time // when the upstream last accepted a load of a model
 		assumedAt     time.Time // when the end of a load was assumed; zero once the upstream accepted a later order for a model
 		unloading     string    // model whose unload was accepted and may still wait for requests in progress; reports list it until it ends
 		drainingSince time.Time // when an unload was accepted that waits for requests in progress; zero if there is none
@@ -87,6 +90,8 @@
 		candidates map[string][]candidate
 		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
+		// replicaRates holds the request rate that one replica may get.
+		replicaRates map[*fleet.Engine]float64
 	}
 
 	// candidate is an upstream with a lower bound of the cost of a load from the weight store, without the time of the load.
--- a/pkg/place/swap_test.go
+++ b/pkg/place/swap_test.go
@@ -176,3 +176,75 @@
 	qt.Assert(t, list, qt.HasLen, 1)
 	qt.Assert(t, list[0].Upstream, qt.Equals, "b")
 }
+
+// TestLoadEvictsMemoryCopies guards against forecasts by the time of a load from host memory for weights that an earlier load has evicted:
+// requests are sent before the model is ready. The published list is from before that load.
+func TestLoadEvictsMemoryCopies(t *testing.T) {
+	e := engine(2)
+	for name, m := range e.Models {
+		m.FromMemory = 500 * time.Millisecond
+		e.Models[name] = m
+	}
+	u := upstream("u")
+	u.OnDisk, u.InMemory = []string{"m0", "m1"}, []string{"m0", "m1"}
+	c := controller(e, start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, OnDisk: u.OnDisk, InMemory: u.InMemory})
+	qt.Assert(t, addRequest(c, start, "m0", "").ReadyAt.Sub(start), qt.Equals, 500*time.Millisecond)
+	list := orders(c.Plan(start))
+	qt.Assert(t, list, qt.HasLen, 1)
+	c.ApplyAnswer(start, list[0], place.Accepted)
+	now := start.Add(600 * time.Millisecond)
+	u.Beat = 2
+	c.SetUpstreams(now, map[string]fleet.Upstream{"u": u})
+	c.Plan(now)
+	qt.Assert(t, addRequest(c, now, "m1", "").ReadyAt.Sub(now), qt.Equals, time.Second)
+	now = now.Add(time.Second)
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 1, Held: []fleet.Held{{Model: "m0"}}, OnDisk: u.OnDisk, InMemory: []string{"m0", "m1"}})
+	qt.Assert(t, addRequest(c, now, "m1", "").ReadyAt.Sub(now), qt.Equals, 500*time.Millisecond)
+}
+
+// TestAdapterGoesBeforeModels guards against requests for an adapter that wait while the only upstream with its model loads another model:
+// it takes no other order meanwhile.
+func TestAdapterGoesBeforeModels(t *testing.T) {
+	u := upstream("u", "m0")
+	u.OnDisk = []string{"m0", "m1"}
+	c := controller(engine(2), start, map[string]fleet.Upstream{"u": u})
+	c.Plan(start)
+	c.Report(start, start, "u", place.Report{Born: 1, Held: u.Held, OnDisk: u.OnDisk})
+	for i := range 3 {
+		c.AddRequest(start, place.PendingRequest{
+			Request: fmt.Sprint("r", i), Service: "s", DataCentre: "a", Key: place.Key{Model: "m1"}, Deadline: start.Add(time.Minute),
+		}, 0)
+	}
+	addRequest(c, start, "m0", "a1")
+	for _, key := range []place.Key{{Model: "m0", Adapter: "a1"}, {Model: "m1"}} {
+		list := orders(c.Plan(start))
+		qt.Assert(t, list, qt.HasLen, 1)
+		qt.Assert(t, list[0].Key, qt.Equals, key)
+		c.ApplyAnswer(start, list[0], place.Accepted)
+	}
+	// A forecast for an adapter that has to wait for the load tells so.
+	qt.Assert(t, addRequest(c, start, "m0", "a2").ReadyAt.Sub(start) > time.Second, qt.IsTrue)
+}
+
+// TestReplicasFollowTheMeanRate guards against one upstream that gets several times the requests of the others, whose prompts delay each
+// response there, while others have memory for a replica. The load pattern is popular models, each on few upstreams.
+func TestReplicasFollowTheMeanRate(t *testing.T) {
+	list := make(map[string]fleet.Upstream)
+	for i := range 8 {
+		id := fmt.Sprint("u", i)
+		list[id] = upstream(id)
+	}
+	list["u0"], list["u1"] = upstream("u0", "m0"), upstream("u1", "m0")
+	c := controller(engine(1), start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: []string{"m0"}})
+	}
+	// 12 requests a second in all are 1.5 for each upstream, and 6 for each replica.
+	c.SetUses(start, "h", []place.Use{{Upstream: "u0", Key: place.Key{Model: "m0"}, Started: 18}, {Upstream: "u1", Key: place.Key{Model: "m0"}, Started: 18}})
+	loads := orders(c.Plan(start))
+	qt.Assert(t, len(loads) >= 3, qt.IsTrue, qt.Commentf("%d replicas ordered", len(loads)))
+	qt.Assert(t, len(loads) <= 4, qt.IsTrue, qt.Commentf("%d replicas ordered", len(loads)))
+}
