feat(place): counts of loads by tier, of only copies and of blocked models; shortages computed once a plan

Cause: an operator could not see whether models come from the weight store, a disk or memory, nor how many have one copy. Change: fireflycleat_placement gets loadsFromStore, loadsFromDisk, loadsFromMemory, onlyCopies, blocked and drains. The list of models with too few replicas was computed twice in each plan.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -337,7 +337,8 @@
 	s := n.placing.Stats()
 	for kind, value := range map[string]int{
 		"loading": s.Loading, "storeLoads": s.StoreLoads, "inDoubt": s.InDoubt, "waiting": s.PendingRequests, "loads": s.Loads, "unloads": s.Unloads,
-		"copied": s.CopiedModels,
+		"copied": s.CopiedModels, "onlyCopies": s.OnlyCopies, "blocked": s.Blocked, "drains": s.Drains,
+		"loadsFromStore": s.StoreLoaded, "loadsFromDisk": s.DiskLoaded, "loadsFromMemory": s.MemoryLoaded,
 	} {
 		m.Placement(kind, value)
 	}
--- a/pkg/place/answers.go
+++ b/pkg/place/answers.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
 
 // ApplyAnswer applies the answer to an order.
 func (c *Controller) ApplyAnswer(now time.Time, o Order, a Answer) {
@@ -63,6 +67,19 @@
 	}
 }
 
+// countLoad counts a load by where it reads the weights from.
+func (c *Controller) countLoad(u *upstream, m fleet.Model) {
+	c.stats.Loads++
+	switch d, fromStore := u.loadTime(m); {
+	case fromStore:
+		c.stats.StoreLoaded++
+	case u.memory[m.Name] && d == m.FromMemory:
+		c.stats.MemoryLoaded++
+	default:
+		c.stats.DiskLoaded++
+	}
+}
+
 // apply updates the upstream after an order that took effect.
 func (c *Controller) apply(now time.Time, u *upstream, o Order) {
 	k := o.Key
@@ -75,11 +92,11 @@
 			c.plan.storeLoads = c.countStoreLoads()
 			u.load.concurrent = c.acceptedStoreLoads()
 		}
-		c.forgetMemory(now, u)
 		u.load.due = now.Add(c.speed.expectedTime(u.load))
 		u.reportAt = now.Add(full + 10*time.Millisecond)
 		u.reservedFor = ""
-		c.stats.Loads++
+		c.countLoad(u, m)
+		c.forgetMemory(now, u)
 	case o.Op == Load:
 		if r, ok := u.replicas[k.Model]; ok {
 			r.adapters[k.Adapter] = now.Add(c.settings.AdapterTime)
@@ -90,6 +107,7 @@
 		if c.running.replica[upstreamKey{u.entry.ID, k}] > 0 {
 			// The upstream accepts no other order until its requests for the model have ended, which a report shows.
 			u.drainingSince, u.known, u.reportAt = now, false, now.Add(drainPoll)
+			c.stats.Drains++
 		} else {
 			u.notBefore = now.Add(idleUnloadDelay)
 		}
--- a/pkg/place/bench_test.go
+++ b/pkg/place/bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkPlan measures one plan for a deployment of the given number of upstreams: three models per upstream, nine hubs that
 // report five uses per upstream, and half as many models with pending requests as upstreams.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []int{60, 240, 960} {
+	for _, size := range []int{60, 140, 240, 960} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) { benchmarkPlan(b, size) })
 	}
 }
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -402,6 +402,11 @@
 			copied[m] = true
 		}
 	}
-	s.CopiedModels = len(copied)
+	s.CopiedModels, s.Blocked = len(copied), len(c.blockedSince)
+	for _, list := range c.index.copies {
+		if len(list) == 1 {
+			s.OnlyCopies++
+		}
+	}
 	return s
 }
--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -81,9 +81,18 @@
 // urgent reports whether the model needs more than urgentRatio times its replicas.
 func (s shortage) urgent() bool { return s.have*urgentRatio < s.needed }
 
-// shortages returns the models with too few replicas, the most overloaded first.
+// shortages returns the models with too few replicas, the most overloaded first. Within a plan, models only leave the list.
 func (c *Controller) shortages(now time.Time) []shortage {
-	var list []shortage
+	if c.plan.shortages != nil {
+		list := c.plan.shortages[:0]
+		for _, s := range c.plan.shortages {
+			if s.have = c.heldCount(s.model) + c.plan.loading[s.model]; s.have < s.needed {
+				list = append(list, s)
+			}
+		}
+		return list
+	}
+	list := []shortage{}
 	for service, e := range c.engines {
 		for model := range c.rates {
 			if _, ok := e.Models[model]; !ok {
@@ -98,6 +107,7 @@
 	slices.SortFunc(list, func(a, b shortage) int {
 		return cmp.Or(cmp.Compare(b.needed*a.have, a.needed*b.have), cmp.Compare(b.needed, a.needed), cmp.Compare(a.model, b.model))
 	})
+	c.plan.shortages = list
 	return list
 }
 
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -90,6 +90,7 @@
 		candidates map[string][]candidate
 		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
+		shortages  []shortage // result of Controller.shortages; nil until it is needed
 		// replicaRates holds the request rate that one replica may get.
 		replicaRates map[*fleet.Engine]float64
 	}
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -144,7 +144,13 @@
 		InDoubt         int // number of upstreams with an order in doubt
 		PendingRequests int // number of requests that wait for a model or adapter
 		Loads           int // total number of accepted loads of models
+		StoreLoaded     int // total number of those that read from the weight store
+		DiskLoaded      int // total number of those that read from the upstream's disk
+		MemoryLoaded    int // total number of those that read from the upstream's host memory
 		Unloads         int // total number of accepted unloads of models
+		Drains          int // total number of those that waited for requests in progress known to the controller
+		Blocked         int // number of models with pending requests that wait for memory on an upstream with a copy
+		OnlyCopies      int // number of models with a copy on one upstream only
 		CopiedModels    int // number of models that some upstream has loaded or on disk
 	}
 )
