fix(place): a report during a load tells nothing about host memory after it

The report before it was taken while another load ran, whose end evicts weights. Change: host memory counts from reports of an upstream that carries out no order. Test: TestLoadEvictsMemoryCopies with such a report; it failed before.

--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -40,6 +40,9 @@
 		return
 	}
 	u.known, u.counted, u.accepted, u.inDoubt = true, true, r.Accepted, false
+	if r.Busy {
+		r.InMemory = nil // The end of a load evicts the least recently used weights.
+	}
 	c.setCopies(u, r.InMemory, r.OnDisk)
 	c.reconcile(now, u, r)
 }
--- a/pkg/place/swap_test.go
+++ b/pkg/place/swap_test.go
@@ -194,7 +194,9 @@
 	list := orders(c.Plan(start))
 	qt.Assert(t, list, qt.HasLen, 1)
 	c.ApplyAnswer(start, list[0], place.Accepted)
-	now := start.Add(600 * time.Millisecond)
+	now := start.Add(400 * time.Millisecond)
+	c.Report(now, now, "u", place.Report{Born: 1, Accepted: 1, Busy: true, OnDisk: u.OnDisk, InMemory: u.InMemory})
+	now = start.Add(600 * time.Millisecond)
 	u.Beat = 2
 	c.SetUpstreams(now, map[string]fleet.Upstream{"u": u})
 	c.Plan(now)
