--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -40,13 +40,36 @@
 	if r.value > c.settings.SecondReplicaRate {
 		n = busyReplicas
 	}
-	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
+	n = max(n, int(math.Ceil(r.value/c.replicaRate(now, e))))
 	requests := float64(c.running.model[model] + c.pendingRequests(model))
 	n = max(n, int(math.Ceil(requests/min(c.settings.ReplicaUtilisation*float64(max(e.Slots, 1)), c.settings.ReplicaRequests))))
 	c.plan.needed[model] = n
 	return n
 }
 
+// replicaRate returns the request rate that one replica may get: no more than evenShare times the mean of all upstreams, because the
+// prompts that an upstream reads delay the responses of all its models, and no more than Settings.ReplicaRate.
+func (c *Controller) replicaRate(now time.Time, e *fleet.Engine) float64 {
+	if v, ok := c.plan.replicaRates[e]; ok {
+		return v
+	}
+	rates, upstreams := 0.0, 0
+	for _, model := range c.models[e] {
+		if r, ok := c.rates[model]; ok {
+			r.decay(now, c.settings.RateTimeConstant)
+			rates += r.value
+		}
+	}
+	for _, u := range c.upstreams {
+		if u.usable() && c.engines[u.entry.Service] == e {
+			upstreams++
+		}
+	}
+	v := min(max(evenShare*rates/float64(max(upstreams, 1)), 2*c.settings.SecondReplicaRate), c.settings.ReplicaRate)
+	c.plan.replicaRates[e] = v
+	return v
+}
+
 // shortage is a model with fewer replicas than its load requires.
 type shortage struct {
 	service string
@@ -58,9 +81,18 @@
 // urgent reports whether the model needs more than urgentRatio times its replicas.
 func (s shortage) urgent() bool { return s.have*urgentRatio < s.needed }
 
-// shortages returns the models with too few replicas, the most overloaded first.
+// shortages returns the models with too few replicas, the most overloaded first. Within a plan, models only leave the list.
 func (c *Controller) shortages(now time.Time) []shortage {
-	var list []shortage
+	if c.plan.shortages != nil {
+		list := c.plan.shortages[:0]
+		for _, s := range c.plan.shortages {
+			if s.have = c.heldCount(s.model) + c.plan.loading[s.model]; s.have < s.needed {
+				list = append(list, s)
+			}
+		}
+		return list
+	}
+	list := []shortage{}
 	for service, e := range c.engines {
 		for model := range c.rates {
 			if _, ok := e.Models[model]; !ok {
@@ -75,6 +107,7 @@
 	slices.SortFunc(list, func(a, b shortage) int {
 		return cmp.Or(cmp.Compare(b.needed*a.have, a.needed*b.have), cmp.Compare(b.needed, a.needed), cmp.Compare(a.model, b.model))
 	})
+	c.plan.shortages = list
 	return list
 }
 
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -34,9 +34,15 @@
 		}
 	case stale:
 		u.reportAt = now.Add(reportRetry)
+		if u.unloading != "" {
+			u.reportAt = now.Add(drainPoll)
+		}
 		return
 	}
 	u.known, u.counted, u.accepted, u.inDoubt = true, true, r.Accepted, false
+	if r.Busy {
+		r.InMemory = nil // The end of a load evicts the least recently used weights.
+	}
 	c.setCopies(u, r.InMemory, r.OnDisk)
 	c.reconcile(now, u, r)
 }
@@ -88,9 +94,12 @@
 		u.drainingSince = time.Time{}
 	}
 	if r.Busy && u.load == nil {
-		// Another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
+		// An unload waits for requests, or another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
 		u.known = false
 		u.reportAt = now.Add(reportRetry)
+		if u.unloading != "" {
+			u.reportAt = now.Add(drainPoll)
+		}
 	}
 }
 
