feat(node): hosts learn of a new controller sooner if they need credit

A new controller sends its next heartbeat at once, and a host whose call for credit fails sends one every 300 ms in place of 600 ms. Unit tests for a lender that is not confirmed, for the expiry of credit and for a request larger than the bucket; each was seen to fail with its rule removed.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -43,7 +43,8 @@
 		alarm    *ctrl.Alarm
 		waiting  map[int64]chan rates.Decision
 		refusals map[string]*refusalCount
-		ready    bool // whether the lender was ready at the last tick
+		ready    bool      // whether the lender was ready at the last tick
+		askedAt  time.Time // when the last heartbeat was requested because the controller did not answer
 
 		// predecessor is the last record of the lease that another process wrote, and replaced that of the lender's beginning. stopped is set
 		// if the lender needs no proof any more that the process has stopped lending.
@@ -237,6 +238,7 @@
 		n.rates.replaced = n.rates.predecessor
 		n.rates.lender, n.rates.term, n.rates.ready = rates.NewLender(), n.term, false
 		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
+		n.requestHeartbeat() // Hosts get credit once they know the new controller.
 	}
 }
 
@@ -328,6 +330,10 @@
 func (n *Node) applyCredit(args CreditArgs, reply CreditReply, err error) {
 	if err != nil || reply.Fence < n.lease.Fence() {
 		n.rates.host.Failed(n.bootNow(), args.Call.Seq)
+		if now := time.Now(); now.Sub(n.rates.askedAt) >= heartbeatInterval/2 {
+			n.rates.askedAt = now
+			n.requestHeartbeat() // The hub may know another controller.
+		}
 	} else {
 		n.rates.host.Apply(n.bootNow(), reply.Reply)
 	}
--- /dev/null
+++ b/pkg/rates/rates_test.go
@@ -0,0 +1,101 @@
+package rates_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/rates"
+)
+
+var start = time.Unix(1000, 0)
+
+func newHost(name string, limits map[string]rates.Limit) *rates.Host {
+	h := rates.NewHost(name, name+".1", 1)
+	h.SetLimits(start, limits)
+	return h
+}
+
+// readyLender returns a lender without a predecessor that has filled its bucket.
+func readyLender(limits map[string]rates.Limit) *rates.Lender {
+	l := rates.NewLender()
+	l.SetLimits(start, limits)
+	l.StopPredecessor(start.Add(-time.Minute), "")
+	return l
+}
+
+// TestUnconfirmedLender guards against two lenders at once: one that can't tell whether another host has the lease must not lend unless most
+// hosts report to it.
+func TestUnconfirmedLender(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": tokenLimit(10000)}
+	l := readyLender(limits)
+	call := func(now time.Time, h *rates.Host, confirmed bool) error {
+		_, err := l.Answer(now, h.Begin(now), 5, confirmed)
+		return err
+	}
+	var hosts []*rates.Host
+	for _, name := range []string{"a", "b", "c"} {
+		hosts = append(hosts, newHost(name, limits))
+	}
+	qt.Check(t, call(start, hosts[0], true), qt.IsNil)
+	qt.Check(t, codes.Is(call(start, hosts[0], false), codes.StaleLease), qt.IsTrue)
+	qt.Check(t, codes.Is(call(start, hosts[1], false), codes.StaleLease), qt.IsTrue)
+	qt.Check(t, call(start, hosts[2], false), qt.IsNil)
+	later := start.Add(5 * time.Second)
+	qt.Check(t, codes.Is(call(later, hosts[2], false), codes.StaleLease), qt.IsTrue)
+}
+
+// TestCreditExpires guards against a host that goes on with credit which the lender has lent to others by then.
+func TestCreditExpires(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": tokenLimit(10000)}
+	l := readyLender(limits)
+	draw := func(name string, cost float64) (*rates.Host, rates.Loan) {
+		h := newHost(name, limits)
+		h.Admit(start, "t", cost, time.Second)
+		reply, err := l.Answer(start, h.Begin(start), 2, true)
+		qt.Assert(t, err, qt.IsNil)
+		h.Apply(start, reply)
+		return h, reply.Teams["t"]
+	}
+	a, loan := draw("a", 6000)
+	b, grant := draw("b", 8000) // What is left is too little for a loan.
+	qt.Assert(t, loan.Rate > 0 && grant.Rate == 0 && grant.Grant >= 8000, qt.IsTrue, qt.Commentf("%+v %+v", loan, grant))
+	_, level, _ := b.Held(start.Add(rates.GrantTime-time.Millisecond), "t")
+	qt.Check(t, level, qt.Equals, grant.Grant)
+	_, level, _ = b.Held(start.Add(rates.GrantTime), "t")
+	qt.Check(t, level, qt.Equals, 0.0)
+	rate, _, _ := a.Held(start.Add(rates.LoanTime-time.Millisecond), "t")
+	qt.Check(t, rate, qt.Equals, loan.Rate)
+	rate, level, _ = a.Held(start.Add(rates.LoanTime), "t")
+	qt.Check(t, rate+level, qt.Equals, 0.0)
+}
+
+// TestLargeRequest guards against a request that is never admitted because it is larger than the bucket, and against a second one that is
+// admitted before the first is paid for.
+func TestLargeRequest(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": {PerSecond: 100, Burst: 100, Window: 8 * time.Second}}
+	l, h := readyLender(limits), newHost("a", limits)
+	admit := func(now time.Time) bool {
+		d, id := h.Admit(now, "t", 150, time.Second)
+		reply, err := l.Answer(now, h.Begin(now), 1, true)
+		qt.Assert(t, err, qt.IsNil)
+		h.Apply(now, reply)
+		if decided, ok := h.TakeDecided(now)[id]; ok {
+			d = decided
+		}
+		h.Cancel("t", id)
+		return d.Result == rates.Admitted
+	}
+	qt.Check(t, admit(start.Add(2*time.Second)), qt.IsTrue)
+	qt.Check(t, admit(start.Add(3*time.Second)), qt.IsFalse)
+	admitted := false
+	for i := range 60 {
+		admitted = admitted || admit(start.Add(4*time.Second+time.Duration(i)*200*time.Millisecond))
+	}
+	qt.Check(t, admitted, qt.IsTrue)
+}
