feat(rates): requests with a long objective wait for the next controller

While the controller changes, hosts refused what they had no credit for at once, also requests that may take seconds. A host whose clock was set back before its restart is answered once the loans of its earlier process have expired; it was refused for the rest of the term.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxCreditWait limits the time for which a request waits for credit, and objectiveShare sets it in proportion to the objective.
+	// maxCreditWait limits the time for which a request waits for credit, and maxChangeWait that time while the controller changes.
+	// objectiveShare sets both in proportion to the objective.
 	maxCreditWait  = 300 * time.Millisecond
+	maxChangeWait  = 2400 * time.Millisecond
 	objectiveShare = 0.5
 	// refusalLogInterval is the time between two log lines about refused requests of a team.
 	refusalLogInterval = time.Second
@@ -76,11 +78,10 @@
 
 // admit takes credit for a request of a team with a limited rate, and waits for it if necessary.
 func (n *Node) admit(ctx context.Context, c *relay.Call) error {
-	wait := maxCreditWait
+	wait := time.Until(c.AbandonAt)
 	if o := c.Route.Objective; o > 0 {
 		wait = min(wait, time.Duration(objectiveShare*float64(o)))
 	}
-	wait = min(wait, time.Until(c.AbandonAt))
 	cost := c.Team.Rate.Cost(c.Prompt + c.Output)
 	var d rates.Decision
 	var id int64
@@ -88,6 +89,11 @@
 	if !n.control.Ask(func() {
 		n.updateLimits()
 		now := n.bootNow()
+		if n.rates.host.Changing(now) {
+			wait = min(wait, maxChangeWait)
+		} else {
+			wait = min(wait, maxCreditWait)
+		}
 		if d, id = n.rates.host.Admit(now, c.Team.Name, cost, wait); d.Result == rates.Waiting {
 			decided = make(chan rates.Decision, 1)
 			n.rates.waiting[id] = decided
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -76,7 +76,9 @@
 		notSoon  time.Time // before this time no call is made, because the last one failed
 		lost     bool      // whether the last call failed
 		stopping bool
-		lostAt   time.Time // when the first of the calls was made that failed since the last reply
+		// beginning is set while the lender may not grant credit yet.
+		beginning bool
+		lostAt    time.Time // when the first of the calls was made that failed since the last reply
 	}
 
 	// account is the credit of one team.
@@ -140,6 +142,11 @@
 	}
 }
 
+// Changing reports whether the lender was lost so recently that another one can be expected soon.
+func (h *Host) Changing(now time.Time) bool {
+	return (h.lost || h.beginning) && now.Sub(h.lostAt) < changeTime
+}
+
 // SetStopping makes the host give back its credit, apart from what requests that still arrive need.
 func (h *Host) SetStopping() { h.stopping = true }
 
@@ -156,7 +163,9 @@
 		return Decision{Result: Admitted, At: now}, 0
 	}
 	next := a.creditAt(now, a.missing()+cost)
-	if !h.lost && (a.deniedUntil.IsZero() || a.deniedUntil.Before(next)) {
+	if h.Changing(now) {
+		next = now
+	} else if !h.lost && (a.deniedUntil.IsZero() || a.deniedUntil.Before(next)) {
 		next = a.deniedUntil
 	}
 	giveUp := now.Add(wait)
@@ -218,6 +227,9 @@
 		if credit := a.creditAt(now, r.cost); credit.Before(next) || h.lost {
 			next = credit
 		}
+		if h.Changing(now) {
+			next = now
+		}
 		switch {
 		case a.take(r.cost):
 			h.decided[r.id] = Decision{Result: Admitted, At: now}
@@ -299,7 +311,10 @@
 	if p == nil || p.seq != r.Seq || now.Sub(p.at) >= CallTimeout {
 		return
 	}
-	h.pending, h.lost, h.notSoon = nil, false, time.Time{}
+	if r.Beginning && !h.lost && !h.beginning {
+		h.lostAt = p.at
+	}
+	h.pending, h.lost, h.beginning, h.notSoon = nil, false, r.Beginning, time.Time{}
 	for name, a := range h.teams {
 		level, reported := p.levels[name]
 		if !reported {
@@ -323,7 +338,7 @@
 	if h.pending == nil || h.pending.seq != seq {
 		return
 	}
-	if !h.lost {
+	if !h.lost && !h.beginning {
 		h.lostAt = h.pending.at
 	}
 	h.pending, h.lost, h.notSoon = nil, true, now.Add(failedCallGap)
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -126,6 +126,10 @@
 		first = b == nil
 		b = &borrower{incarnation: c.Incarnation, started: c.Started, loans: make(map[string]*loan)}
 		l.hosts[c.Host] = b
+	case c.Incarnation != b.incarnation && now.Sub(b.lastCall) >= LoanTime: // The clock of the host was set back.
+		l.forget(now, b)
+		b = &borrower{incarnation: c.Incarnation, started: c.Started, loans: make(map[string]*loan)}
+		l.hosts[c.Host] = b
 	case c.Incarnation != b.incarnation || c.Seq <= b.seq:
 		return Reply{}, codes.New(codes.StaleLease, "call is older than an earlier one")
 	}
@@ -135,7 +139,7 @@
 	if !confirmed && l.reporters(now) <= hosts/2 {
 		return Reply{}, codes.New(codes.StaleLease, "lease is not confirmed")
 	}
-	reply := Reply{Seq: c.Seq, Teams: make(map[string]Loan, len(c.Teams))}
+	reply := Reply{Seq: c.Seq, Beginning: !l.isReady(now), Teams: make(map[string]Loan, len(c.Teams))}
 	for name, r := range c.Teams {
 		if p := l.pools[name]; p != nil {
 			reply.Teams[name] = l.lend(now, p, b.loans[name], r)
--- a/pkg/rates/types.go
+++ b/pkg/rates/types.go
@@ -70,8 +70,9 @@
 
 	// Reply is the answer to a Call. A team that it does not list has no loan.
 	Reply struct {
-		Seq   int64
-		Teams map[string]Loan
+		Seq       int64
+		Beginning bool // whether the lender may not grant credit yet
+		Teams     map[string]Loan
 	}
 )
 
