--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxCreditWait limits the time for which a request waits for credit, and objectiveShare sets it in proportion to the objective.
+	// maxCreditWait limits the time for which a request waits for credit, and maxChangeWait that time while the controller changes.
+	// objectiveShare sets both in proportion to the objective.
 	maxCreditWait  = 300 * time.Millisecond
+	maxChangeWait  = 2400 * time.Millisecond
 	objectiveShare = 0.5
 	// refusalLogInterval is the time between two log lines about refused requests of a team.
 	refusalLogInterval = time.Second
@@ -43,7 +45,8 @@
 		alarm    *ctrl.Alarm
 		waiting  map[int64]chan rates.Decision
 		refusals map[string]*refusalCount
-		ready    bool // whether the lender was ready at the last tick
+		ready    bool      // whether the lender was ready at the last tick
+		askedAt  time.Time // when the last heartbeat was requested because the controller did not answer
 
 		// predecessor is the last record of the lease that another process wrote, and replaced that of the lender's beginning. stopped is set
 		// if the lender needs no proof any more that the process has stopped lending.
@@ -75,11 +78,10 @@
 
 // admit takes credit for a request of a team with a limited rate, and waits for it if necessary.
 func (n *Node) admit(ctx context.Context, c *relay.Call) error {
-	wait := maxCreditWait
+	wait := time.Until(c.AbandonAt)
 	if o := c.Route.Objective; o > 0 {
 		wait = min(wait, time.Duration(objectiveShare*float64(o)))
 	}
-	wait = min(wait, time.Until(c.AbandonAt))
 	cost := c.Team.Rate.Cost(c.Prompt + c.Output)
 	var d rates.Decision
 	var id int64
@@ -87,6 +89,11 @@
 	if !n.control.Ask(func() {
 		n.updateLimits()
 		now := n.bootNow()
+		if n.rates.host.Changing(now) {
+			wait = min(wait, maxChangeWait)
+		} else {
+			wait = min(wait, maxCreditWait)
+		}
 		if d, id = n.rates.host.Admit(now, c.Team.Name, cost, wait); d.Result == rates.Waiting {
 			decided = make(chan rates.Decision, 1)
 			n.rates.waiting[id] = decided
@@ -237,6 +244,7 @@
 		n.rates.replaced = n.rates.predecessor
 		n.rates.lender, n.rates.term, n.rates.ready = rates.NewLender(), n.term, false
 		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
+		n.requestHeartbeat() // Hosts get credit once they know the new controller.
 	}
 }
 
@@ -328,6 +336,10 @@
 func (n *Node) applyCredit(args CreditArgs, reply CreditReply, err error) {
 	if err != nil || reply.Fence < n.lease.Fence() {
 		n.rates.host.Failed(n.bootNow(), args.Call.Seq)
+		if now := time.Now(); now.Sub(n.rates.askedAt) >= heartbeatInterval/2 {
+			n.rates.askedAt = now
+			n.requestHeartbeat() // The hub may know another controller.
+		}
 	} else {
 		n.rates.host.Apply(n.bootNow(), reply.Reply)
 	}
