feat(rates): a stopping host gives up its loans, and need not be heard

While hosts restart in turn, some are always down, so that a new controller knew all loans only 15 s after it began. A host gives up its loans as its stop begins, and the controller leaves stopping hosts out once grants have expired.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -206,10 +206,10 @@
 	if len(n.rates.limits) == 0 && len(n.rates.waiting) == 0 {
 		return
 	}
+	now := n.bootNow()
 	if _, stopping := n.stop.state(); stopping {
-		n.rates.host.SetStopping()
+		n.rates.host.SetStopping(now)
 	}
-	now := n.bootNow()
 	if at, ok := n.rates.host.NextCall(now); ok && !at.After(now) {
 		n.callLender(now)
 	}
@@ -386,6 +386,7 @@
 		*x = refusalCount{loggedAt: now}
 	}
 	if l := n.rates.lender; l != nil && n.term != 0 {
+		n.markStopping(l)
 		if ready, known := l.Ready(n.bootNow()); ready && !n.rates.ready {
 			n.rates.ready = true
 			n.log("rates").Info("controller lends credit", "event", eventLending, "fence", n.rates.term, "allLoansKnown", known)
@@ -393,6 +394,20 @@
 	}
 }
 
+// markStopping tells the lender which hosts gave up their loans because they stop. The grants that they may still have expire before it
+// takes this into account.
+func (n *Node) markStopping(l *rates.Lender) {
+	ready, known := l.Ready(n.bootNow())
+	if !ready || known {
+		return
+	}
+	for name, m := range n.members {
+		if m.stopping {
+			l.MarkGone(name)
+		}
+	}
+}
+
 // recordRates sets the metrics of teams.
 func (n *Node) recordRates() {
 	now := n.bootNow()
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -147,8 +147,18 @@
 	return (h.lost || h.beginning) && now.Sub(h.lostAt) < changeTime
 }
 
-// SetStopping makes the host give back its credit, apart from what requests that still arrive need.
-func (h *Host) SetStopping() { h.stopping = true }
+// SetStopping gives up all loans. From then on the host draws only what requests that still arrive need.
+func (h *Host) SetStopping(now time.Time) {
+	if h.stopping {
+		return
+	}
+	h.stopping = true
+	for _, a := range h.teams {
+		a.accrue(now)
+		a.rate, a.capacity, a.ceiling = 0, 0, a.level
+		a.grantUntil = earlier(a.loanUntil, now.Add(GrantTime))
+	}
+}
 
 // Admit takes credit for a request of a team, which must have a limit. If there is none, the request waits for it up to the given time if it
 // may come by then. The ID identifies a waiting request.
@@ -323,6 +333,9 @@
 		l := r.Teams[name]
 		a.accrue(now)
 		a.rate, a.capacity = l.Rate, l.Capacity
+		if h.stopping {
+			a.rate, a.capacity = 0, 0
+		}
 		a.loanUntil, a.grantUntil = p.at.Add(LoanTime), p.at.Add(GrantTime)
 		a.ceiling = max(a.capacity*a.limit.Capacity(), level+l.Grant)
 		a.level = min(a.level+l.Grant, a.ceiling)
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -33,14 +33,15 @@
 	//
 	// Two lenders may exist while the lease changes hands. A lender lends only while its lease is confirmed, or while most hosts report to it,
 	// which they do only if they know of no later lease. A new lender waits until most hosts have reported to it, and then for as long as an
-	// earlier lender may have gone on and its grants are valid, unless that one has provably stopped. It does not know the loans of that lender before all hosts have reported, or
-	// the loans have expired; until then it lends only what hosts report to hold, and what no lender may lend.
+	// earlier lender may have gone on and its grants are valid, unless that one has provably stopped. It does not know the loans of that
+	// lender before all hosts have reported, or the loans have expired; until then it lends only what hosts report to hold, and what no
+	// lender may lend.
 	Lender struct {
 		hosts   map[string]*borrower
 		pools   map[string]*pool
-		readyAt time.Time // when this lender may grant credit; zero while that is unknown
-		knownAt time.Time // when all loans are known
-		gone    string    // host whose process had ended, so that it holds nothing unless it has reported since
+		readyAt time.Time       // when this lender may grant credit; zero while that is unknown
+		knownAt time.Time       // when all loans are known
+		gone    map[string]bool // hosts that have held no loan since their process ended or began to stop, unless they called since
 		sweptAt time.Time
 	}
 
@@ -87,7 +88,7 @@
 
 // NewLender returns a lender that begins with a new lease.
 func NewLender() *Lender {
-	return &Lender{hosts: make(map[string]*borrower), pools: make(map[string]*pool)}
+	return &Lender{hosts: make(map[string]*borrower), gone: make(map[string]bool), pools: make(map[string]*pool)}
 }
 
 // SetLimits sets the limits of all teams. Credit of a team with a lower limit shrinks in proportion.
@@ -261,10 +262,15 @@
 // StopPredecessor records that the earlier lender has not lent since the given time. If its process has ended, ended is the name of its host,
 // and otherwise empty. Without such proof a new lender waits until most hosts have reported to it.
 func (l *Lender) StopPredecessor(at time.Time, ended string) {
-	l.gone = ended
+	if ended != "" {
+		l.MarkGone(ended)
+	}
 	l.beginAfter(at)
 }
 
+// MarkGone records that a host has held no loan since its process ended or is stopping, so that this lender need not hear from it.
+func (l *Lender) MarkGone(host string) { l.gone[host] = true }
+
 // beginAfter sets when this lender may grant credit, given the time after which no earlier lender lends. Its own bucket fills from then on.
 func (l *Lender) beginAfter(at time.Time) {
 	ready := at.Add(GrantTime + expiryMargin)
@@ -283,8 +289,10 @@
 		l.beginAfter(now.Add(reporterTime))
 	}
 	heard := len(l.hosts)
-	if l.gone != "" && l.hosts[l.gone] == nil {
-		heard++
+	for host := range l.gone {
+		if l.hosts[host] == nil {
+			heard++
+		}
 	}
 	if heard < hosts || l.isKnown(now) {
 		return
--- a/pkg/rates/model_test.go
+++ b/pkg/rates/model_test.go
@@ -43,7 +43,7 @@
 			at := time.Duration(rapid.IntRange(0, int(length/time.Millisecond)).Draw(t, "at")) * time.Millisecond
 			until := at + time.Duration(rapid.IntRange(50, 20000).Draw(t, "lasts"))*time.Millisecond
 			n := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
-			kind := rapid.SampledFrom([]string{"kill", "freeze", "cut", "half", "lender", "take over", "store", "lower", "move", "burst", "refuse"}).Draw(t, "kind")
+			kind := rapid.SampledFrom([]string{"kill", "freeze", "cut", "half", "lender", "take over", "store", "lower", "move", "burst", "refuse", "stop"}).Draw(t, "kind")
 			add := func(at time.Duration, do func()) { w.events = append(w.events, event{at, do, kind}) }
 			switch kind {
 			case "kill":
@@ -53,6 +53,19 @@
 						w.boot(n)
 					}
 				})
+			case "stop":
+				add(at, func() {
+					if !n.down && !n.frozen {
+						n.host.SetStopping(w.now)
+						n.stoppingAt = w.now
+					}
+				})
+				add(at+(until-at)/4, func() { n.down = n.down || !n.stoppingAt.IsZero() })
+				add(until, func() {
+					if n.down {
+						w.boot(n)
+					}
+				})
 			case "freeze":
 				add(at, func() { n.frozen = true })
 				add(until, func() { n.frozen = false })
--- a/pkg/rates/world_test.go
+++ b/pkg/rates/world_test.go
@@ -50,6 +50,7 @@
 		incarnation int64
 		fence       int64 // newest lease that the host knows
 		down, cut   bool
+		stoppingAt  time.Time // zero unless the host is stopping, or ended after that
 		frozen      bool
 		teams       map[string]*source
 		waiting     map[int64]request
@@ -119,7 +120,7 @@
 // boot starts a process of the host, which knows the newest lease.
 func (w *world) boot(n *node) {
 	n.incarnation++
-	n.down, n.frozen, n.fence = false, false, w.fence
+	n.down, n.frozen, n.fence, n.stoppingAt = false, false, w.fence, time.Time{}
 	n.host = rates.NewHost(n.name, fmt.Sprint(n.name, ".", n.incarnation), w.now.UnixNano())
 	n.waiting = make(map[int64]request)
 	n.limits = w.limits
@@ -273,6 +274,11 @@
 			if t.host.incarnation != t.incarnation || t.host.fence != fence {
 				return
 			}
+			for _, m := range w.hosts {
+				if ready, _ := t.lender.Ready(w.now); ready && !m.stoppingAt.IsZero() && w.now.Sub(m.stoppingAt) > newsDelay {
+					t.lender.MarkGone(m.name)
+				}
+			}
 			reply, err := t.lender.Answer(w.now, c, len(w.hosts), w.now.Before(t.confirmedUntil))
 			w.send(t.host, n, func() {
 				if err != nil || fence < n.fence {
