--- a/pkg/rates/bench_test.go
+++ b/pkg/rates/bench_test.go
@@ -40,7 +40,7 @@
 		name     string
 		requests float64 // usual requests a second
 		hosts    int     // with callers of the team
-	}{{"big", 170, 80}, {"middle", 20, 40}, {"small", 1.7, 8}}
+	}{{"big", 170, 80}, {"middle", 20, 40}, {"small", 1.7, 8}, {"sparse", 1.7, 20}}
 	for _, situation := range []string{"calm", "six times its usual", "35 percent cut off", "lender lost"} {
 		for _, size := range sizes {
 			b.Run(fmt.Sprintf("%s/%s", situation, size.name), func(b *testing.B) {
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -199,6 +199,7 @@
 	var answer Loan
 	if x.need > 0 {
 		rate := demandFactor * x.demand / max(p.limit.PerSecond, demandFactor*p.demand/maxRate)
+		rate *= min(1, x.demand*aheadTime.Seconds()/r.Mean) // A host with rare requests would not use it.
 		size := x.need / max(capacity, p.need/maxCapacity)
 		if size*capacity < r.Mean {
 			size = x.need / capacity // Few hosts get a loan, but one that fits a request.
