fix(intake): a request waits for its client until its body is complete

Cause: net/http reads the rest of a body that a handler leaves unread, before it sends the response. Until now only the relay's own read of a body counted as waiting for the client, so that a handler which refuses a request by its head would leave a connection that neither expires nor makes room. Change: the connection counts as waiting for its client from the head of a request with a body until the body was read.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -209,13 +209,18 @@
 	return codes.Newf(codes.HeadTooLarge, "more than %d bytes", c.gate.HeadBytes())
 }
 
-// BeginRequest records that the head of a request, of the given size, is complete.
-func (c *Conn) BeginRequest(head int64) error {
+// BeginRequest records that the head of a request, of the given size, is complete, and whether a body follows. A body that its handler does not
+// read is discarded by net/http, which waits for the client too.
+func (c *Conn) BeginRequest(head int64, body bool) error {
 	if c == nil {
 		return nil
 	}
 	c.head = 0
-	c.setPhase(ledger.Serving)
+	phase := ledger.Serving
+	if body {
+		phase = ledger.Body
+	}
+	c.setPhase(phase)
 	switch {
 	case c.Interrupted():
 		return codes.New(codes.TooSlow, "connection made room for others")
@@ -225,9 +230,6 @@
 	return nil
 }
 
-// BeginBody records that the body of a request is read from now on.
-func (c *Conn) BeginBody() { c.setPhase(ledger.Body) }
-
 // EndBody records that the body of a request is complete. It reports false if the connection was interrupted before.
 func (c *Conn) EndBody() bool {
 	c.setPhase(ledger.Serving)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -37,8 +37,7 @@
 	var c *Conn
 	c, ok := f.Open(one, func() { go c.EndRequest() })
 	qt.Assert(f.t, ok, qt.IsTrue)
-	qt.Assert(f.t, c.BeginRequest(100), qt.IsNil)
-	c.BeginBody()
+	qt.Assert(f.t, c.BeginRequest(100, true), qt.IsNil)
 	for sent := int64(0); sent < n; sent += 16 << 10 {
 		qt.Assert(f.t, c.Reserve(f.t.Context(), 16<<10), qt.IsNil)
 		qt.Assert(f.t, c.Receive(make([]byte, 16<<10)), qt.IsNil)
@@ -113,13 +112,13 @@
 		for range 2 {
 			qt.Assert(t, c.Receive([]byte("GET / HTTP/1.1\r\nA: b\r\n")), qt.IsNil)
 			qt.Check(t, c.Held() > 2*lineBytes, qt.IsTrue)
-			qt.Assert(t, c.BeginRequest(8000), qt.IsNil)
+			qt.Assert(t, c.BeginRequest(8000, false), qt.IsNil)
 			qt.Assert(t, c.Receive(make([]byte, 20_000)), qt.IsNil, qt.Commentf("not a head"))
 			c.EndRequest()
 			c.SetIdle()
 			qt.Check(t, c.Held(), qt.Equals, int64(0))
 		}
-		qt.Check(t, codes.Is(c.BeginRequest(8001), codes.HeadTooLarge), qt.IsTrue)
+		qt.Check(t, codes.Is(c.BeginRequest(8001, false), codes.HeadTooLarge), qt.IsTrue)
 		c.SetIdle()
 		var err error
 		read := 0
@@ -130,3 +129,14 @@
 		qt.Check(t, read <= 8000+headSlack+1000, qt.IsTrue)
 	})
 }
+
+// TestUnreadBody guards against a connection that never ends because its handler answers without reading the body, for whose rest net/http waits.
+func TestUnreadBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		c := f.body(0)
+		time.Sleep(16 * time.Second)
+		f.Expire(3*time.Second, 15*time.Second)
+		qt.Check(t, c.Interrupted(), qt.IsTrue)
+	})
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -130,7 +130,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		a := intakeOf(q)
 		defer a.EndRequest()
-		if err := a.BeginRequest(headSize(q)); err != nil {
+		if err := a.BeginRequest(headSize(q), q.Body != http.NoBody); err != nil {
 			e := codes.From(err)
 			w.Header().Set("Content-Type", "application/json")
 			w.Header().Set("Connection", "close")
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -35,7 +35,6 @@
 		return nil
 	}
 	c := x.intakeOf()
-	c.BeginBody()
 	err := x.readParts(c, limit)
 	if in := c.EndBody(); !in && !codes.Is(err, codes.OverMemory) {
 		err = codes.New(codes.TooSlow, "body made no progress").WithField("body")
