--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +62,8 @@
 		n := newTestNode(Settings{Host: HostSettings{LinkMbps: linkMbps}, Limits: LimitSettings{LeaveMS: 2000, ConfigMS: 2000, ContactMS: 3000}})
 		n.bootNow = time.Now
 		n.platform.DecodeConfig = func([]byte) (*fleet.Config, error) { return nil, errors.New("not decoded here") }
-		start, read, reads := time.Now(), 0, 0
+		start := time.Now()
+		var read, reads, newest atomic.Int64 // bytes and number of reads, and the newest record that was read
 		const gap = 80 * time.Millisecond
 		changes := func() int64 { return int64(min(time.Since(start), 4*time.Second) / gap) } // one every gap
 		record := func(i int64) []byte {
@@ -69,9 +71,8 @@
 			binary.BigEndian.PutUint64(data, uint64(i))
 			return data
 		}
-		newest := int64(-1)
 		n.platform.Config = func(ctx context.Context, c Cursor, wait time.Duration) ([]byte, Cursor, error) {
-			reads++
+			reads.Add(1)
 			count := int64(1)
 			if c.Next > 0 {
 				end := time.Now().Add(wait)
@@ -83,22 +84,23 @@
 			if count <= 0 {
 				return nil, c, nil
 			}
-			read += size * int(count)
-			newest = changes()
-			return record(newest), Cursor{Next: newest + 1}, nil
+			read.Add(size * count)
+			i := changes()
+			newest.Store(i)
+			return record(i), Cursor{Next: i + 1}, nil
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = n.control.Run() }()
 		go n.watchConfig(ctx)
 		n.direct.Store(true)
 		time.Sleep(4 * time.Second)
-		share := float64(8*read) / (linkMbps * 1e6 * 4)
-		qt.Check(t, share < 0.5, qt.IsTrue, qt.Commentf("%.2f of the link in %d reads", share, reads))
+		share := float64(8*read.Load()) / (linkMbps * 1e6 * 4)
+		qt.Check(t, share < 0.5, qt.IsTrue, qt.Commentf("%.2f of the link in %d reads", share, reads.Load()))
 		time.Sleep(n.poll.configPollWait)
-		qt.Check(t, newest, qt.Equals, changes())
-		calm := reads
+		qt.Check(t, newest.Load(), qt.Equals, changes())
+		calm := reads.Load()
 		time.Sleep(10 * time.Second)
-		qt.Check(t, reads-calm <= int(10*time.Second/n.poll.configPollWait), qt.IsTrue, qt.Commentf("%d reads in 10 s without a change", reads-calm))
+		qt.Check(t, reads.Load()-calm <= int64(10*time.Second/n.poll.configPollWait), qt.IsTrue, qt.Commentf("%d reads in 10 s without a change", reads.Load()-calm))
 		cancel()
 		n.control.Stop()
 		synctest.Wait()
