fix(rates): a host that is gone keeps back only the largest loan it can hold

A loan is now at most a small multiple of an even share, so that a new lender only leaves room for the loans that hosts it has not heard may hold.

--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -24,6 +24,10 @@
 	overloadWait = time.Second
 	// sweepInterval is the time between two searches for expired loans.
 	sweepInterval = 500 * time.Millisecond
+	// A loan is at most these multiples of an even share of the rate and of the capacity, so that a new lender can bound the loans of hosts that
+	// it has not heard, which may be gone. It assumes the higher multiples, because the number of hosts may have changed.
+	maxRateMultiple, maxCapacityMultiple         = 4, 10
+	unheardRateMultiple, unheardCapacityMultiple = 5, 12
 	// minRate is the lowest rate by which the time until there is credit is worked out.
 	minRate = 1e-6
 )
@@ -43,6 +47,8 @@
 		knownAt time.Time       // when all loans are known
 		gone    map[string]bool // hosts that have held no loan since their process ended or began to stop, unless they called since
 		sweptAt time.Time
+		count   int // number of hosts that may hold credit; zero before the first call
+		unheard int // number of those whose loans are not known
 	}
 
 	// borrower is what the lender knows about a host.
@@ -72,8 +78,6 @@
 		rate, capacity float64
 		granted        float64
 		demand, need   float64
-		// knownRate and knownCapacity are the sums of the loans that hosts reported in their first calls to this lender.
-		knownRate, knownCapacity float64
 	}
 
 	// PoolStats are figures of one team at the lender.
@@ -118,13 +122,12 @@
 // The error is a StaleLease error if the lender may not lend now, or the call is older than one that was answered.
 func (l *Lender) Answer(now time.Time, c Call, hosts int, confirmed bool) (Reply, error) {
 	l.sweep(now)
-	b, first := l.hosts[c.Host], false
+	b := l.hosts[c.Host]
 	switch {
 	case b == nil || c.Started > b.started || c.Started == b.started && c.Incarnation != b.incarnation:
 		if b != nil {
 			l.forget(now, b) // Only one process of a host runs at a time.
 		}
-		first = b == nil
 		b = &borrower{incarnation: c.Incarnation, started: c.Started, loans: make(map[string]*loan)}
 		l.hosts[c.Host] = b
 	case c.Incarnation != b.incarnation && now.Sub(b.lastCall) >= LoanTime: // The clock of the host was set back.
@@ -135,7 +138,7 @@
 		return Reply{}, codes.New(codes.StaleLease, "call is older than an earlier one")
 	}
 	b.seq, b.lastCall = c.Seq, now
-	l.record(now, b, c, first)
+	l.record(now, b, c)
 	l.updateReady(now, hosts)
 	if !confirmed && l.reporters(now) <= hosts/2 {
 		return Reply{}, codes.New(codes.StaleLease, "lease is not confirmed")
@@ -150,7 +153,7 @@
 }
 
 // record replaces what is known about the host by the reports of a call.
-func (l *Lender) record(now time.Time, b *borrower, c Call, first bool) {
+func (l *Lender) record(now time.Time, b *borrower, c Call) {
 	for name, x := range b.loans {
 		if _, ok := c.Teams[name]; !ok {
 			l.remove(now, name, x)
@@ -178,10 +181,6 @@
 			x.need = r.Demand*aheadTime.Seconds() + r.Mean
 		}
 		p.add(x, 1)
-		if first {
-			p.knownRate += r.Rate
-			p.knownCapacity += r.Capacity
-		}
 		if l.isReady(now) {
 			p.level += r.Returned
 		}
@@ -191,10 +190,9 @@
 
 // lend determines the loan of a host for one team.
 func (l *Lender) lend(now time.Time, p *pool, x *loan, r Report) Loan {
-	maxRate, maxCapacity := maxLentRate, maxLentCapacity
-	if !l.isKnown(now) {
-		maxRate, maxCapacity = min(maxRate, p.knownRate), min(maxCapacity, p.knownCapacity)
-	}
+	unheardRate, unheardCapacity := l.unheardLoans(now)
+	maxRate, maxCapacity := maxLentRate-unheardRate, maxLentCapacity-unheardCapacity
+	evenShare := 1 / float64(max(l.count, 1))
 	capacity := p.limit.Capacity()
 	var answer Loan
 	if x.need > 0 {
@@ -204,8 +202,8 @@
 		if size*capacity < r.Mean {
 			size = x.need / capacity // Few hosts get a loan, but one that fits a request.
 		}
-		answer.Rate = roundDown(min(rate, maxRate-(p.rate-x.rate)), shareUnit)
-		answer.Capacity = roundDown(min(size, maxCapacity-(p.capacity-x.capacity)), shareUnit)
+		answer.Rate = roundDown(min(rate, maxRate-(p.rate-x.rate), maxRateMultiple*evenShare), shareUnit)
+		answer.Capacity = roundDown(min(size, maxCapacity-(p.capacity-x.capacity), maxCapacityMultiple*evenShare), shareUnit)
 		if answer.Rate == 0 || answer.Capacity*capacity < r.Mean {
 			answer.Rate, answer.Capacity = 0, 0
 		}
@@ -284,6 +282,18 @@
 	}
 }
 
+// unheardLoans returns the highest shares of the rate and of the capacity that hosts may hold whose loans are not known.
+func (l *Lender) unheardLoans(now time.Time) (rate, capacity float64) {
+	if l.isKnown(now) {
+		return 0, 0
+	}
+	if l.count == 0 {
+		return maxLentRate, maxLentCapacity
+	}
+	share := float64(l.unheard) / float64(l.count)
+	return min(unheardRateMultiple*share, maxLentRate), min(unheardCapacityMultiple*share, maxLentCapacity)
+}
+
 // updateReady notes when most or all hosts have reported. Once all have, they take credit from no earlier lender, and what they hold is known.
 func (l *Lender) updateReady(now time.Time, hosts int) {
 	if l.readyAt.IsZero() && len(l.hosts) > hosts/2 {
@@ -295,7 +305,8 @@
 			heard++
 		}
 	}
-	if heard < hosts || l.isKnown(now) {
+	l.count, l.unheard = hosts, max(hosts-heard, 0)
+	if l.unheard > 0 || l.isKnown(now) {
 		return
 	}
 	for _, p := range l.pools {
@@ -321,10 +332,8 @@
 
 // accrue brings the lender's credit up to the given time.
 func (l *Lender) accrue(now time.Time, p *pool) {
-	lent := p.rate
-	if !l.isKnown(now) {
-		lent = max(lent, maxLentRate)
-	}
+	unheard, _ := l.unheardLoans(now)
+	lent := p.rate + unheard
 	if !l.isReady(now) {
 		return
 	}
@@ -337,10 +346,8 @@
 
 // room returns the credit that the lender may hold beside all loans.
 func (l *Lender) room(now time.Time, p *pool) float64 {
-	lent := p.capacity
-	if !l.isKnown(now) {
-		lent = max(lent, maxLentCapacity)
-	}
+	_, unheard := l.unheardLoans(now)
+	lent := p.capacity + unheard
 	return max((1-lent)*p.limit.Capacity()-p.granted, 0)
 }
 
--- a/pkg/rates/rates_test.go
+++ b/pkg/rates/rates_test.go
@@ -1,6 +1,7 @@
 package rates_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -114,3 +115,38 @@
 	qt.Check(t, d.Result, qt.Equals, rates.Refused)
 	qt.Check(t, d.Reason, qt.Equals, rates.NoLender)
 }
+
+// TestHostThatIsGoneKeepsLittleBack guards against a limit of which only a fifth is used for 15 s after a change of the lender, because one host
+// does not report any more and its loans are not known.
+func TestHostThatIsGoneKeepsLittleBack(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": tokenLimit(200_000)}
+	const count = 40 // of which one is gone
+	l := rates.NewLender()
+	l.SetLimits(start, limits)
+	hosts := make([]*rates.Host, count-1)
+	for i := range hosts {
+		hosts[i] = newHost(fmt.Sprint("h", i), limits)
+	}
+	admitted := 0.0
+	for at := time.Duration(0); at < 10*time.Second; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		for _, h := range hosts {
+			// Together the hosts want four fifths of the limit.
+			if d, _ := h.Admit(now, "t", 200, 0); d.Result == rates.Admitted && at >= 4*time.Second {
+				admitted += 200
+			}
+			if due, ok := h.NextCall(now); ok && !now.Before(due) {
+				c := h.Begin(now)
+				r, err := l.Answer(now, c, count, true)
+				if err != nil {
+					h.Failed(now, c.Seq)
+					continue
+				}
+				h.Apply(now, r)
+			}
+		}
+	}
+	share := admitted / (6 * 200_000)
+	qt.Assert(t, share > 0.7, qt.IsTrue, qt.Commentf("%.2f of the limit is used, 0.78 is wanted", share))
+}
