fix(node): a list of thousands of upstreams reaches hosts with slow links

A hub answered a host without a list with all entries in plain gob. With 3,000 upstreams that hold 20 copies each, the answer has 1,091,516 B: more than peers.MaxMessageBytes, and more than a link of 10 Mbit/s carries in the 500 ms of a heartbeat, so that no host got the list from its hub and all read it from the store.

Hosts state that they understand a packed list. The hub packs the list once for all that need it, off the control thread, and adds the changes since. Hosts of earlier builds get the entries as before.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
@@ -37,6 +38,7 @@
 		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
 		MembersFrom       string
 		MembersGeneration int64
+		Packed            bool // whether the host understands Feed.Packed
 	}
 
 	// Feed contains the updates that a hub sends to a dependent host.
@@ -50,7 +52,8 @@
 		Position   int64
 		Rate       float64
 		Recovered  time.Duration // time since the list became readable after an outage; zero means that no outage is known
-		Whole      bool          // whether Put is the complete list
+		Whole      bool          // whether Put is the complete list, or Packed with the changes in Put and Removed
+		Packed     []byte        // complete list in the form of packUpstreams; only for a host that understands it
 		Generation int64
 		Put        []fleet.Upstream
 		Removed    []string
@@ -100,6 +103,22 @@
 	}
 }
 
+// countSince returns the number of upstreams that changed or were removed after a generation.
+func (f *changeLog) countSince(generation int64) int {
+	count := 0
+	for _, g := range f.changed {
+		if g > generation {
+			count++
+		}
+	}
+	for _, r := range f.removed {
+		if r.generation > generation {
+			count++
+		}
+	}
+	return count
+}
+
 // buildFeed returns the updates that a host lacks.
 func (n *Node) buildFeed(host string, q FeedQuery) Feed {
 	now := time.Now()
@@ -115,14 +134,21 @@
 	if c := n.config.Load(); c != nil && c.Version() > q.Version {
 		f.Config = n.configRecord
 	}
-	f.Whole = q.From != n.self.Incarnation || q.Generation < n.changes.pruned
-	for id, u := range n.upstreams {
-		if f.Whole || n.changes.changed[id] > q.Generation {
-			f.Put = append(f.Put, u)
+	f.Whole = n.needsWhole(q)
+	since, all := q.Generation, f.Whole
+	if f.Whole && q.Packed && n.packedUsable() {
+		f.Packed, since, all = n.packed.bytes, n.packed.generation, false
+	}
+	if all {
+		f.Put = slices.AppendSeq(f.Put, maps.Values(n.upstreams))
+	}
+	for id, g := range n.changes.changed {
+		if !all && g > since {
+			f.Put = append(f.Put, n.upstreams[id])
 		}
 	}
 	for id, r := range n.changes.removed {
-		if !f.Whole && r.generation > q.Generation {
+		if !all && r.generation > since {
 			f.Removed = append(f.Removed, id)
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -147,7 +147,7 @@
 			})
 		}
 		query := message
-		query.Query = &FeedQuery{}
+		query.Query = &FeedQuery{Packed: true}
 		for _, m := range seeds {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &query) })
 		}
@@ -206,7 +206,7 @@
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		b.Query.Version = n.configVersion()
+		b.Query.Version, b.Query.Packed = n.configVersion(), true
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
@@ -287,6 +287,9 @@
 func (n *Node) sendHeartbeat(ctx context.Context, m Member, b *Heartbeat) bool {
 	reply, start := new(Heartbeat), n.bootNow()
 	err := n.peerClient.CallWithin(ctx, heartbeatTimeout, m.Peers, peers.ServiceName+".Beat", b, reply)
+	if err == nil && reply.Feed != nil {
+		err = reply.Feed.unpack()
+	}
 	n.control.Post(func() {
 		if err == nil {
 			n.applyHeartbeat(reply)
@@ -338,6 +341,9 @@
 
 // Beat handles the heartbeat of another host. It returns context.Canceled if this host has stopped.
 func (s *peerService) Beat(b *Heartbeat, reply *Heartbeat) error {
+	if b.Query != nil {
+		s.node.packList(*b.Query)
+	}
 	if !s.node.control.Ask(func() {
 		s.node.applyHeartbeat(b)
 		_, stopping := s.node.stop.state()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 		configAt          time.Time                 // boot time as of which the configuration is current
 		listAt            time.Time                 // boot time as of which the list is current
 		changes           changeLog
+		packed            packedList
 		feedHub           string    // incarnation of the hub whose list was applied last
 		feedGeneration    int64     // generation of the list from feedHub
 		hubStale          bool      // whether the hubs of this host were silent or stale, and none has been current since
--- /dev/null
+++ b/internal/node/packed_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"encoding/gob"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+)
+
+// slowLinkBytes is what a link of 10 Mbit/s carries in half of heartbeatTimeout.
+const slowLinkBytes = 312_500
+
+// query has a hub answer the query of a host, and the host apply the answer, as in a call. It returns the size of the answer.
+func query(t *testing.T, host, hub *Node, packed bool) int {
+	t.Helper()
+	q := FeedQuery{From: host.feedHub, Generation: host.feedGeneration, MembersFrom: host.membersHub, MembersGeneration: host.membersGeneration, Packed: packed}
+	hub.listAt, hub.configAt = bootNow(), bootNow()
+	hub.packList(q)
+	var f Feed
+	var w countingWriter
+	hub.control.Ask(func() { f = hub.buildFeed("h", q) })
+	qt.Assert(t, gob.NewEncoder(&w).Encode(f), qt.IsNil)
+	qt.Assert(t, f.unpack(), qt.IsNil)
+	qt.Assert(t, host.applyFeed(hub.self, &f, bootNow()), qt.IsTrue)
+	return w.bytes
+}
+
+// runControl runs the control thread of a node until the test ends.
+func runControl(t *testing.T, n *Node) {
+	go func() { _ = n.control.Run() }()
+	t.Cleanup(n.control.Stop)
+}
+
+// TestListOfThousandsReachesAHostWithASlowLink guards against hosts that never get the list of a deployment with 3,000 upstreams from their
+// hub: it was larger than peers.MaxMessageBytes and than a link of 10 Mbit/s carries before the call times out, so that hundreds of
+// hosts read it from the store, which took longer still.
+func TestListOfThousandsReachesAHostWithASlowLink(t *testing.T) {
+	t.Parallel()
+	hub, n := benchHub(), newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
+	runControl(t, hub)
+	size := query(t, n, hub, true)
+	qt.Check(t, size < slowLinkBytes, qt.IsTrue, qt.Commentf("%d bytes", size))
+	qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
+}
+
+// TestPackedListIsCurrent guards against a host that gets an outdated list: one packed earlier, without the changes since, or with upstreams that
+// have disappeared since.
+func TestPackedListIsCurrent(t *testing.T) {
+	t.Parallel()
+	s := Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}}
+	hub := newTestNode(s)
+	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
+	runControl(t, hub)
+	list := make(map[string]fleet.Upstream)
+	for i := range 100 {
+		u := benchUpstream(i, 1)
+		list[u.ID] = u
+	}
+	apply := func(change func(map[string]fleet.Upstream)) {
+		next := make(map[string]fleet.Upstream)
+		for id, u := range list {
+			next[id] = u
+		}
+		change(next)
+		list = next
+		hub.control.Ask(func() { hub.applyList(time.Now(), next) })
+	}
+	apply(func(map[string]fleet.Upstream) {})
+	query(t, newTestNode(s), hub, true)
+	packed := hub.packed.generation
+	for i := range 30 {
+		apply(func(next map[string]fleet.Upstream) {
+			u := benchUpstream(i, 2)
+			u.Leaving = true
+			next[u.ID] = u
+			delete(next, benchID(i+50))
+		})
+		for _, understands := range []bool{true, false} {
+			n := newTestNode(s)
+			query(t, n, hub, understands)
+			qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams, qt.Commentf("change %d", i))
+		}
+	}
+	qt.Check(t, hub.packed.generation > packed, qt.IsTrue, qt.Commentf("after many changes the list is packed again"))
+	hub.packed.at = time.Now().Add(-2 * maxPackedAge)
+	qt.Check(t, hub.packedUsable(), qt.IsFalse, qt.Commentf("an old list has old heartbeats"))
+}
+
+// TestMalformedPackedList guards against a host that takes a list that is cut off for a complete one, and drops the other upstreams.
+func TestMalformedPackedList(t *testing.T) {
+	t.Parallel()
+	packed, err := packUpstreams(map[string]fleet.Upstream{"u": {ID: "u"}, "v": {ID: "v"}})
+	qt.Assert(t, err, qt.IsNil)
+	for i := range len(packed) - 1 {
+		f := Feed{Whole: true, Packed: packed[:i+1]}
+		if f.unpack() == nil {
+			qt.Assert(t, f.Put, qt.HasLen, 2)
+		}
+	}
+}
