fix(node): requests in progress reach dependent hosts under short numbers

The hub numbers the upstreams once and sends varints for them; a host states which numbers it knows.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -55,7 +55,7 @@
 // benchHub returns a hub that knows all hosts and upstreams and the requests of the other hubs, with its children's uses.
 func benchHub() *Node {
 	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
-	n.self = Member{Name: "hub0", Incarnation: "hub0.1a2b3c4d", DataCentre: "taipei-a"}
+	n.self = Member{Name: "hub0", Incarnation: "hub0.1a2b3c4d", DataCentre: "taipei-a", Capacity: 900}
 	n.parent = ""
 	list := make(map[string]fleet.Upstream)
 	for i := range benchUpstreams {
@@ -86,7 +86,7 @@
 	var uses []place.Use
 	for i := range benchUpstreams {
 		for j := range benchRunning {
-			if (i*benchRunning+j)%hosts == host%hosts {
+			if (i*benchRunning+j)*7919%10007%hosts == host%hosts {
 				uses = append(uses, place.Use{Upstream: benchID(i), Key: place.Key{Model: benchModel(i % benchModels)}, Running: 1, Started: 1, Served: 1})
 			}
 		}
@@ -115,9 +115,9 @@
 func BenchmarkDeployment(b *testing.B) {
 	n := benchHub()
 	child := "front-taipei-a-1"
+	go func() { _ = n.control.Run() }()
+	defer n.control.Stop()
 	b.Run("wholeFeed", func(b *testing.B) {
-		go func() { _ = n.control.Run() }()
-		defer n.control.Stop()
 		encodeRepeatedly(b, func() any {
 			n.packed.bytes = nil
 			n.packList(FeedQuery{Packed: true})
@@ -125,12 +125,18 @@
 		})
 	})
 	b.Run("feed", func(b *testing.B) {
-		encodeRepeatedly(b, func() any {
-			return n.buildFeed(child, FeedQuery{From: n.self.Incarnation, Generation: n.changes.generation, MembersFrom: n.self.Incarnation, MembersGeneration: n.memberGeneration})
-		})
+		q := FeedQuery{From: n.self.Incarnation, Generation: n.changes.generation, MembersFrom: n.self.Incarnation, MembersGeneration: n.memberGeneration}
+		q.Packed, q.NumbersFrom, q.NumbersEpoch, q.NumbersKnown = true, n.self.Incarnation, n.numbered.epoch, len(n.numbered.ids)
+		encodeRepeatedly(b, func() any { return n.buildFeed(child, q) })
 	})
 	b.Run("heartbeatOfHub", func(b *testing.B) {
-		encodeRepeatedly(b, func() any { m, _ := n.heartbeat(0); return m })
+		encodeRepeatedly(b, func() any {
+			for i := 1; i < benchHosts/benchHubs; i++ {
+				n.members[fmt.Sprintf("front-taipei-a-%d", i)].lastQuery = time.Now()
+			}
+			m, _ := n.heartbeat(0)
+			return m
+		})
 	})
 	b.Run("heartbeatOfHost", func(b *testing.B) {
 		encodeRepeatedly(b, func() any { return Heartbeat{From: n.self, Uses: benchUses(1, benchHosts), Query: &FeedQuery{}} })
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -38,7 +38,11 @@
 		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
 		MembersFrom       string
 		MembersGeneration int64
-		Packed            bool // whether the host understands Feed.Packed
+		Packed            bool // whether the host understands Feed.Packed and Feed.Loads
+		// NumbersFrom is the incarnation of the hub whose numbering the host knows, up to NumbersKnown in NumbersEpoch.
+		NumbersFrom  string
+		NumbersEpoch int64
+		NumbersKnown int
 	}
 
 	// Feed contains the updates that a hub sends to a dependent host.
@@ -60,6 +64,7 @@
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
 		RunningAge time.Duration  // mean age of Running
 		Speeds     map[string]int // of the upstreams that differ from the mean of their service, in percent of it
+		Loads      *Loads         // in place of Running and Speeds, for a host that understands it
 		Alive      []HostStatus
 		// Members are the hosts that were added or restarted since the query's MembersGeneration.
 		Members           []Member
@@ -119,14 +124,26 @@
 	return count
 }
 
+// query returns the query of this host to its hub.
+func (n *Node) query() FeedQuery {
+	return FeedQuery{
+		Version: n.configVersion(), From: n.feedHub, Generation: n.feedGeneration, MembersFrom: n.membersHub, MembersGeneration: n.membersGeneration,
+		Packed: true, NumbersFrom: n.known.hub, NumbersEpoch: n.known.epoch, NumbersKnown: len(n.known.ids),
+	}
+}
+
 // buildFeed returns the updates that a host lacks.
 func (n *Node) buildFeed(host string, q FeedQuery) Feed {
 	now := time.Now()
 	bootTime := n.bootNow()
 	f := Feed{
-		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
-		RunningAge: n.table.ReportAge(now), Speeds: n.table.Speeds(),
-		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
+		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation,
+		RunningAge: n.table.ReportAge(now), Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
+	}
+	if q.Packed {
+		f.Loads = n.loads(host, q)
+	} else {
+		f.Running, f.Speeds = n.table.Running(host), n.table.Speeds()
 	}
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
@@ -189,7 +206,8 @@
 	if current {
 		n.outage.reset()
 	}
-	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, f.Running)
+	running, speeds := n.decodeLoads(hub, f)
+	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, running)
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
@@ -202,7 +220,7 @@
 		}
 		n.applyListFeed(now, f)
 	}
-	n.table.SetSpeeds(f.Speeds)
+	n.table.SetSpeeds(speeds)
 	return current
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -202,11 +202,11 @@
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
 		// Hubs rank first, because they already receive the uses of all hosts and have more processor time.
 		n.lease.SetRank(len(n.chooseHubs(false)))
-		b.Query = &FeedQuery{From: n.feedHub, Generation: n.feedGeneration, MembersFrom: n.membersHub, MembersGeneration: n.membersGeneration}
+		query := n.query()
+		b.Query = &query
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		b.Query.Version, b.Query.Packed = n.configVersion(), true
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
--- a/internal/node/packed_test.go
+++ b/internal/node/packed_test.go
@@ -16,7 +16,8 @@
 // query has a hub answer the query of a host, and the host apply the answer, as in a call. It returns the size of the answer.
 func query(t *testing.T, host, hub *Node, packed bool) int {
 	t.Helper()
-	q := FeedQuery{From: host.feedHub, Generation: host.feedGeneration, MembersFrom: host.membersHub, MembersGeneration: host.membersGeneration, Packed: packed}
+	q := host.query()
+	q.Packed = packed
 	hub.listAt, hub.configAt = bootNow(), bootNow()
 	hub.packList(q)
 	var f Feed
--- a/pkg/pick/speeds.go
+++ b/pkg/pick/speeds.go
@@ -35,7 +35,7 @@
 func (t *Table) Speeds() map[string]int {
 	speeds := make(map[string]int)
 	for id, s := range t.upstreams {
-		if x := int(math.Round(100 * s.speed)); x <= 100-reportedDifference || x >= 100+reportedDifference {
+		if x := s.reportedSpeed(); x != 100 {
 			speeds[id] = x
 		}
 	}
@@ -51,3 +51,27 @@
 		}
 	}
 }
+
+// VisitLoads calls visit with the index of each of the upstreams that has requests in flight, except those of one host, or a speed that
+// differs from the mean of its service, with these requests and the speed in percent of the mean.
+func (t *Table) VisitLoads(except string, upstreams []string, visit func(index, running, speed int)) {
+	own := t.peers[except].running
+	for i, id := range upstreams {
+		running, speed := t.peerTotals[id]-own[id], 100
+		if s, ok := t.upstreams[id]; ok {
+			running += len(s.inFlight)
+			speed = s.reportedSpeed()
+		}
+		if running > 0 || speed != 100 {
+			visit(i, running, speed)
+		}
+	}
+}
+
+// reportedSpeed returns the speed in percent of the mean of the service, of which it is 100 percent if it differs little.
+func (s *upstreamState) reportedSpeed() int {
+	if x := int(math.Round(100 * s.speed)); x <= 100-reportedDifference || x >= 100+reportedDifference {
+		return x
+	}
+	return 100
+}
