perf(node): a hub measures the loads of upstreams once for all its hosts

Each answer to a dependent host took the requests and speeds of 3,000 upstreams anew. They are measured once in 100 ms, and the age of what was measured is part of the age in the answer.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/gob"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -158,9 +160,23 @@
 			n.applyListRead(bootNow(), ListChanges{Put: put, Cursor: Cursor{Era: 1, Next: beat}})
 		}
 	})
-	b.Run("tick", func(b *testing.B) {
-		for b.Loop() {
-			n.tick()
+	b.Run("applyFeed", func(b *testing.B) {
+		host := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
+		f := Feed{Whole: true, Put: slices.Collect(maps.Values(n.upstreams)), Generation: 1, }
+		f.Loads, _ = n.loads(time.Now(), child, FeedQuery{})
+		host.applyFeed(n.self, &f, bootNow())
+		for beat := int64(2); b.Loop(); beat++ {
+			f := Feed{Generation: beat}
+			f.Loads, _ = n.loads(time.Now(), child, host.query())
+			for i := range benchUpstreams / 100 {
+				u := benchUpstream(i*100+int(beat)%100, beat)
+				u.OnDisk = u.OnDisk[:19]
+				f.Put = append(f.Put, u)
+			}
+			time.Sleep(time.Millisecond)
+			if !host.applyFeed(n.self, &f, bootNow()) {
+				b.Fatal("feed is stale")
+			}
 		}
 	})
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -138,12 +138,12 @@
 	bootTime := n.bootNow()
 	f := Feed{
 		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation,
-		RunningAge: n.table.ReportAge(now), Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
+		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
 	if q.Packed {
-		f.Loads = n.loads(host, q)
+		f.Loads, f.RunningAge = n.loads(now, host, q)
 	} else {
-		f.Running, f.Speeds = n.table.Running(host), n.table.Speeds()
+		f.Running, f.Speeds, f.RunningAge = n.table.Running(host), n.table.Speeds(), n.table.ReportAge(now)
 	}
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +16,8 @@
 	// maxNumberedRatio limits the numbers of a hub's numbering, as a multiple of the number of upstreams. Upstreams that are replaced leave
 	// numbers without use.
 	maxNumberedRatio = 2
+	// maxLoadsAge is the age at which a hub measures the loads of upstreams again; that of what it knows about them is several times as long.
+	maxLoadsAge = tickInterval
 )
 
 var errMalformedLoads = errors.New("loads in a feed are malformed")
@@ -27,6 +31,15 @@
 		numbers map[string]int // by ID; only at the host that assigns them
 	}
 
+	// measuredLoads are the loads of upstreams, by the numbers of a numbering.
+	measuredLoads struct {
+		at              time.Time
+		epoch           int64                     // of the numbering
+		age             time.Duration             // mean age of the requests when they were measured
+		running, speeds []int                     // by number; speeds are in percent
+		peers           map[string]map[string]int // requests of other hosts in running, by host and upstream
+	}
+
 	// Loads contains, for a host that understands it, what Feed.Running and Feed.Speeds contain for others.
 	Loads struct {
 		Epoch int64    // of the hub's numbering
@@ -52,26 +65,48 @@
 	}
 }
 
-// loads returns the requests and speeds for a host that has sent the query.
-func (n *Node) loads(host string, q FeedQuery) *Loads {
-	n.numbered.assign(n.upstreams)
+// measureLoads returns the loads of the upstreams, which are measured again when they are older than maxLoadsAge: a hub answers tens of hosts in that
+// time.
+func (n *Node) measureLoads(now time.Time) *measuredLoads {
+	m := &n.measured
+	if epoch := n.numbered.epoch; m.at.IsZero() || now.Sub(m.at) >= maxLoadsAge || len(n.numbered.ids) != len(m.running) || m.epoch != epoch {
+		m.at, m.epoch, m.age, m.peers = now, epoch, n.table.ReportAge(now), n.table.PeerRequests()
+		m.running, m.speeds = n.table.UpstreamLoads(n.numbered.ids)
+	}
+	return m
+}
+
+// loads returns the requests, except those of the host, and the speeds for a host that has sent the query, and the mean age of the requests.
+func (n *Node) loads(now time.Time, host string, q FeedQuery) (*Loads, time.Duration) {
 	l := &Loads{Epoch: n.numbered.epoch, First: q.NumbersKnown}
 	if q.NumbersFrom != n.self.Incarnation || q.NumbersEpoch != l.Epoch || l.First > len(n.numbered.ids) {
 		l.First = 0
 	}
 	l.IDs = n.numbered.ids[l.First:]
+	m := n.measureLoads(now)
+	running := slices.Clone(m.running)
+	for id, count := range m.peers[host] {
+		if number, ok := n.numbered.numbers[id]; ok {
+			running[number] -= count
+		}
+	}
 	last := 0
-	n.table.VisitLoads(host, n.numbered.ids, func(number, running, speed int) {
-		l.Data = binary.AppendUvarint(l.Data, uint64(number-last)) //nolint:gosec // numbers are visited in ascending order
+	for number, count := range running {
+		speed := m.speeds[number]
+		if count <= 0 && speed == meanSpeed {
+			continue
+		}
+		l.Data = binary.AppendUvarint(l.Data, uint64(number-last)) //nolint:gosec // numbers ascend
 		last = number
+		requests := uint64(max(count, 0)) << 1 //nolint:gosec // not negative
 		if speed == meanSpeed {
-			l.Data = binary.AppendUvarint(l.Data, uint64(running)<<1) //nolint:gosec // a number of requests
-			return
+			l.Data = binary.AppendUvarint(l.Data, requests)
+			continue
 		}
-		l.Data = binary.AppendUvarint(l.Data, uint64(running)<<1|1) //nolint:gosec // a number of requests
-		l.Data = binary.AppendUvarint(l.Data, uint64(speed))        //nolint:gosec // a positive share
-	})
-	return l
+		l.Data = binary.AppendUvarint(l.Data, requests|1)
+		l.Data = binary.AppendUvarint(l.Data, uint64(speed)) //nolint:gosec // a positive share
+	}
+	return l, m.age + now.Sub(m.at)
 }
 
 // decodeLoads returns the requests and speeds in a feed by upstream ID.
--- a/internal/node/loads_test.go
+++ b/internal/node/loads_test.go
@@ -18,8 +18,9 @@
 	hub, n := benchHub(), newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
 	runControl(t, hub)
 	query(t, n, hub, true)
-	qt.Check(t, len(hub.loads("h", n.query()).Data) < 3*benchUpstreams, qt.IsTrue)
-	qt.Check(t, hub.loads("h", n.query()).IDs, qt.HasLen, 0)
+	l, _ := hub.loads(time.Now(), "h", n.query())
+	qt.Check(t, len(l.Data) < 3*benchUpstreams, qt.IsTrue)
+	qt.Check(t, l.IDs, qt.HasLen, 0)
 }
 
 // TestLoadsReachDependentHosts guards against requests that a host counts at the wrong upstream, or not at all, after its hub has restarted, has
@@ -48,10 +49,12 @@
 			if rapid.IntRange(0, 9).Draw(r, "restart") == 0 {
 				hub.self.Incarnation += "1"
 				hub.numbered = numbering{}
+				hub.numbered.assign(list)
 			}
 			queries = append(queries, n.query())
 			q := queries[len(queries)-rapid.IntRange(1, min(2, len(queries))).Draw(r, "late")]
-			f := Feed{Loads: hub.loads("h", q)}
+			var f Feed
+			f.Loads, _ = hub.loads(time.Now().Add(time.Duration(len(queries))*maxLoadsAge), "h", q)
 			f.Loads.IDs = append([]string(nil), f.Loads.IDs...)
 			running, speeds := n.decodeLoads(hub.self, &f)
 			if running == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 		packed            packedList
 		numbered          numbering // of this host as a hub
 		known             numbering // of the hub of this host
+		measured          measuredLoads
 		feedHub           string    // incarnation of the hub whose list was applied last
 		feedGeneration    int64     // generation of the list from feedHub
 		hubStale          bool      // whether the hubs of this host were silent or stale, and none has been current since
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -273,6 +273,7 @@
 	n.changes.recordChanges(n.upstreams, current)
 	n.list.RecordChanges(now, n.upstreams, current)
 	n.upstreams, n.hasList = current, true
+	n.numbered.assign(current)
 	n.table.Replace(current)
 	n.placing.SetUpstreams(now, current)
 	n.resolveUnclear(now)
--- a/pkg/pick/speeds.go
+++ b/pkg/pick/speeds.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// reportedDifference is the least difference of a speed from the mean of its service, in percent, that hosts report to each other.
-const reportedDifference = 10
+const (
+	// meanSpeed is the mean of a service in percent of it.
+	meanSpeed = 100
+	// reportedDifference is the least difference of a speed from the mean of its service, in percent, that hosts report to each other.
+	reportedDifference = 10
+)
 
 // RecordServed records requests of another host that an upstream served.
 func (t *Table) RecordServed(upstream string, n int) {
@@ -35,7 +39,7 @@
 func (t *Table) Speeds() map[string]int {
 	speeds := make(map[string]int)
 	for id, s := range t.upstreams {
-		if x := s.reportedSpeed(); x != 100 {
+		if x := s.reportedSpeed(); x != meanSpeed {
 			speeds[id] = x
 		}
 	}
@@ -52,26 +56,32 @@
 	}
 }
 
-// VisitLoads calls visit with the index of each of the upstreams that has requests in flight, except those of one host, or a speed that
-// differs from the mean of its service, with these requests and the speed in percent of the mean.
-func (t *Table) VisitLoads(except string, upstreams []string, visit func(index, running, speed int)) {
-	own := t.peers[except].running
+// UpstreamLoads returns the requests in flight at each of the upstreams, and their speeds in percent of the mean of their service.
+func (t *Table) UpstreamLoads(upstreams []string) (running, speeds []int) {
+	running, speeds = make([]int, len(upstreams)), make([]int, len(upstreams))
 	for i, id := range upstreams {
-		running, speed := t.peerTotals[id]-own[id], 100
+		running[i], speeds[i] = t.peerTotals[id], meanSpeed
 		if s, ok := t.upstreams[id]; ok {
-			running += len(s.inFlight)
-			speed = s.reportedSpeed()
-		}
-		if running > 0 || speed != 100 {
-			visit(i, running, speed)
+			running[i] += len(s.inFlight)
+			speeds[i] = s.reportedSpeed()
 		}
 	}
+	return running, speeds
+}
+
+// PeerRequests returns the numbers of requests that each peer has in flight, by upstream. They must not be changed.
+func (t *Table) PeerRequests() map[string]map[string]int {
+	all := make(map[string]map[string]int, len(t.peers))
+	for host, p := range t.peers {
+		all[host] = p.running
+	}
+	return all
 }
 
 // reportedSpeed returns the speed in percent of the mean of the service, of which it is 100 percent if it differs little.
 func (s *upstreamState) reportedSpeed() int {
-	if x := int(math.Round(100 * s.speed)); x <= 100-reportedDifference || x >= 100+reportedDifference {
+	if x := int(math.Round(100 * s.speed)); x <= meanSpeed-reportedDifference || x >= meanSpeed+reportedDifference {
 		return x
 	}
-	return 100
+	return meanSpeed
 }
