perf(node): less work for each list of upstreams at hosts that depend on a hub

A host that depends on a hub does not apply the list to the placement of models any more, which only controllers use; it does so when it becomes a hub. The first list of a process is one line in the log in place of one for each upstream.

TestLeavingUpstreamGetsNoOrders now runs on a hub: other hosts give no orders.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -196,7 +196,11 @@
 		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
 	}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
+	before := n.parent
 	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
+	if before != "" && n.parent == "" {
+		n.updatePlacing(now)
+	}
 	n.dependent.Store(n.parent != "")
 	n.chooseSource()
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
--- a/internal/node/packed_test.go
+++ b/internal/node/packed_test.go
@@ -102,3 +102,16 @@
 		}
 	}
 }
+
+// TestHubKnowsUpstreamsForPlacement guards against a controller without upstreams: a host that depends on a hub does not apply the list to its
+// placement, and may become a hub and then the controller.
+func TestHubKnowsUpstreamsForPlacement(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
+	n.placing.Configure(map[string]*fleet.Engine{"s": {}})
+	n.applyList(time.Now(), map[string]fleet.Upstream{"u": {ID: "u", Service: "s", Born: 1}})
+	qt.Assert(t, n.placing.Stats().Upstreams, qt.Equals, 0)
+	n.heartbeat(0)
+	qt.Assert(t, n.parent, qt.Equals, "", qt.Commentf("the hosts are few, so that each is a hub"))
+	qt.Assert(t, n.placing.Stats().Upstreams, qt.Equals, 1)
+}
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -96,6 +96,7 @@
 	switch {
 	case held && fence != n.term:
 		n.term = fence
+		n.updatePlacing(time.Now())
 		n.placing.BeginTerm(time.Now())
 		n.log("lease").Info("lease taken", "event", eventLease, "fence", fence)
 		n.plan()
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -83,6 +83,7 @@
 func TestLeavingUpstreamGetsNoOrders(t *testing.T) {
 	t.Parallel()
 	n := newTestNode(Settings{})
+	n.parent = "" // Only a hub can become the controller.
 	n.placing.Configure(map[string]*fleet.Engine{"s": {
 		Slots: 8, MemoryMB: 100, LoadsPerSecond: 4, Models: map[string]fleet.Model{"m": {Name: "m", WeightMB: 40, FromStore: time.Second}},
 	}})
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -170,7 +170,7 @@
 		}
 	}
 	n.placing.Configure(engines)
-	n.placing.SetUpstreams(time.Now(), n.upstreams)
+	n.updatePlacing(time.Now())
 	n.updateReady()
 	n.forgetTeams(old, c)
 	n.log("node").Info("configuration applied", "event", eventConfig, "version", c.Version(), "routes", c.RouteCount(), "teams", len(c.Teams()))
@@ -275,14 +275,26 @@
 	n.upstreams, n.hasList = current, true
 	n.numbered.assign(current)
 	n.table.Replace(current)
-	n.placing.SetUpstreams(now, current)
+	n.updatePlacing(now)
 	n.resolveUnclear(now)
 	n.updateReady()
 	n.schedulePlan()
 }
 
+// updatePlacing applies the list to the placement of models, unless this host depends on a hub, so that it can't become the controller: the work
+// grows with the number of upstreams, and most hosts have a small share of a core.
+func (n *Node) updatePlacing(now time.Time) {
+	if n.parent == "" || n.term != 0 {
+		n.placing.SetUpstreams(now, n.upstreams)
+	}
+}
+
 // logListChanges logs upstreams that appear, start leaving or disappear, and closes the idle connections to those that are gone.
 func (n *Node) logListChanges(before, after map[string]fleet.Upstream) {
+	if len(before) == 0 {
+		n.log("list").Info("first list of upstreams", "event", eventUpstream, "upstreams", len(after))
+		return
+	}
 	for id, u := range after {
 		if old, ok := before[id]; !ok || old.Leaving != u.Leaving || old.Born != u.Born {
 			n.log("list").Info("upstream added or changed", "event", eventUpstream, "upstream", id, "service", u.Service,
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -165,17 +165,20 @@
 
 // Replace applies the published list of all upstreams. An upstream that is no longer listed is kept until its requests end.
 func (t *Table) Replace(list map[string]fleet.Upstream) {
+	regroup := false
 	for id, s := range t.upstreams {
 		if _, ok := list[id]; !ok {
 			s.removed = true
 			t.rates.Forget(id)
 			if len(s.inFlight) == 0 {
 				delete(t.upstreams, id)
+				regroup = true
 			}
 		}
 	}
 	for id, e := range list {
 		s, ok := t.upstreams[id]
+		regroup = regroup || !ok || s.entry.Born != e.Born || s.entry.Service != e.Service
 		if !ok || s.entry.Born != e.Born {
 			t.rates.Forget(id)
 			s = &upstreamState{
@@ -186,7 +189,13 @@
 		}
 		s.entry, s.removed = e, false
 	}
-	t.groupUpstreams()
+	grouped := 0 // also those that were deleted when their last attempt ended
+	for _, s := range t.services {
+		grouped += len(s.upstreams)
+	}
+	if regroup || grouped != len(t.upstreams) {
+		t.groupUpstreams()
+	}
 }
 
 // SetPeerRequests replaces the numbers of requests that a peer has in flight at each upstream, which hold for the given time.
