--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -162,7 +162,7 @@
 	})
 	b.Run("applyFeed", func(b *testing.B) {
 		host := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
-		f := Feed{Whole: true, Put: slices.Collect(maps.Values(n.upstreams)), Generation: 1, }
+		f := Feed{Whole: true, Put: slices.Collect(maps.Values(n.upstreams)), Generation: 1}
 		f.Loads, _ = n.loads(time.Now(), child, FeedQuery{})
 		host.applyFeed(n.self, &f, bootNow())
 		for beat := int64(2); b.Loop(); beat++ {
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -57,6 +57,7 @@
 		Removed  []string
 		Cursor   Cursor
 		Skipped  []SkippedEntry // an earlier entry of the same upstream still holds
+		Begun    bool           // with an error, whether the store had sent a part of the complete list
 	}
 
 	// SkippedEntry is a published entry that could not be decoded.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -25,6 +25,9 @@
 	listTimeout      = 600 * time.Millisecond
 	// initialListTimeout limits the first reads of a host that turns to the store: what it has may be about to be too old.
 	initialListTimeout = 400 * time.Millisecond
+	// longListTimeout limits a read of the complete list after one that ended within the list: the store answers, but the list is long or many
+	// hosts read it.
+	longListTimeout = 2 * time.Second
 	// retryDelay is the delay after a first failed call, and maxRetryDelay the longest delay after several: refused calls have a
 	// cost too.
 	retryDelay    = 150 * time.Millisecond
@@ -178,10 +181,10 @@
 
 // watchList keeps the list of upstreams up to date.
 func (n *Node) watchList(ctx context.Context) {
-	cursor := Cursor{}
+	cursor, begun := Cursor{}, false
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
-			cursor, failed = Cursor{}, 0
+			cursor, failed, begun = Cursor{}, 0, false
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -190,6 +193,9 @@
 		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialListTimeout
 		}
+		if begun {
+			timeout = longListTimeout
+		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		changes, err := n.platform.Upstreams(callCtx, cursor)
 		cancel()
@@ -205,6 +211,7 @@
 			n.applyListRead(start, changes)
 		})
 		n.listLost.Store(err != nil)
+		begun = err != nil && changes.Begun
 		if err != nil {
 			failed++
 			sleep(ctx, n.storeRetryDelay(failed))
