fix(node): a host with a slow link does not read a list that the link can't carry

A host whose hubs are stale reads the store itself. With 3,000 upstreams the complete list has 2 to 3 MB, which a link of 10 Mbit/s can't carry in the 600 ms of a read: such reads of hundreds of hosts failed, took the links from reads of the configuration and from callers, and took the store's link from the hubs. Hubs tell the size of the list, and a host that depends on them goes on asking them; it still reads the configuration. Where the list fits the link nothing changes.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -58,6 +58,7 @@
 		Recovered  time.Duration // time since the list became readable after an outage; zero means that no outage is known
 		Whole      bool          // whether Put is the complete list, or Packed with the changes in Put and Removed
 		Packed     []byte        // complete list in the form of packUpstreams; only for a host that understands it
+		ListBytes  int           // size of the complete list when it is read from the store; zero means unknown
 		Generation int64
 		Put        []fleet.Upstream
 		Removed    []string
@@ -148,6 +149,7 @@
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
 	}
+	f.ListBytes = int(n.listBytes.Load())
 	if c := n.config.Load(); c != nil && c.Version() > q.Version {
 		f.Config = n.configRecord
 	}
@@ -194,6 +196,9 @@
 		}
 	}
 	n.membersHub, n.membersGeneration = hub.Incarnation, f.MembersGeneration
+	if f.ListBytes > 0 {
+		n.listBytes.Store(int64(f.ListBytes))
+	}
 	for _, s := range f.Alive {
 		n.applyHostStatus(now, s)
 	}
--- a/internal/node/longlist_test.go
+++ b/internal/node/longlist_test.go
@@ -39,3 +39,42 @@
 		synctest.Wait()
 	})
 }
+
+// TestHostWithASlowLinkLeavesALongListToHubs guards against hundreds of hosts that read a list from the store, because their hubs are stale, which their
+// links of 10 Mbit/s can't carry in the time of a read: they learned of a configuration more than 4 s late, and hubs got no list either.
+func TestHostWithASlowLinkLeavesALongListToHubs(t *testing.T) {
+	for _, x := range []struct {
+		mbps          float64
+		bytes         int
+		dependent, to bool
+	}{{10, 2_800_000, true, false}, {10, 2_800_000, false, true}, {200, 2_800_000, true, true}, {10, 60_000, true, true}, {0, 2_800_000, true, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newTestNode(Settings{Host: HostSettings{LinkMbps: x.mbps}, Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000, ContactMS: 4000}})
+			n.bootNow = time.Now
+			lists, configs := 0, 0
+			n.platform.Upstreams = func(context.Context, Cursor) (ListChanges, error) {
+				lists++
+				return ListChanges{}, context.DeadlineExceeded
+			}
+			n.platform.Config = func(context.Context, Cursor, time.Duration) ([]byte, Cursor, error) {
+				configs++
+				return nil, Cursor{}, context.DeadlineExceeded
+			}
+			n.applyFeed(Member{Name: "hub", Incarnation: "hub.1"}, &Feed{ListBytes: x.bytes}, time.Now())
+			n.direct.Store(true)
+			n.dependent.Store(x.dependent)
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = n.control.Run() }()
+			go n.watchList(ctx)
+			go n.watchConfig(ctx)
+			time.Sleep(time.Second)
+			qt.Check(t, lists > 0, qt.Equals, x.to, qt.Commentf("%+v", x))
+			active := false
+			n.control.Ask(func() { active = n.outage.active(time.Now()) })
+			qt.Check(t, active || x.to, qt.IsTrue, qt.Commentf("%d failed reads of the configuration show an outage", configs))
+			cancel()
+			n.control.Stop()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,10 +71,11 @@
 		cancelBase   context.CancelFunc
 		tasks        sync.WaitGroup
 		requests     sync.WaitGroup
-		direct       atomic.Bool // whether this host reads the store itself
-		dependent    atomic.Bool // whether this host depends on a hub
-		listLost     atomic.Bool // whether the last read of the list failed
-		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none does
+		direct       atomic.Bool  // whether this host reads the store itself
+		dependent    atomic.Bool  // whether this host depends on a hub
+		listLost     atomic.Bool  // whether the last read of the list failed
+		listBytes    atomic.Int64 // size of the complete list when it is read from the store; zero means unknown
+		peersAsked   atomic.Bool  // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
 		settingsFile string
 
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -57,6 +57,7 @@
 		Removed  []string
 		Cursor   Cursor
 		Skipped  []SkippedEntry // an earlier entry of the same upstream still holds
+		Bytes    int            // size of the complete list on the link
 		Begun    bool           // with an error, whether the store had sent a part of the complete list
 	}
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -66,7 +66,12 @@
 		cancel()
 		end := n.bootNow()
 		if err != nil {
-			n.control.Post(func() { n.recordDependency("configuration", err) })
+			n.control.Post(func() {
+				n.recordDependency("configuration", err)
+				if n.listTooLong() { // Reads of the list don't show that the store is silent.
+					n.outage.recordFailure(time.Now())
+				}
+			})
 			failed++
 			n.awaitConfigRetry(ctx, failed)
 			continue
@@ -74,6 +79,9 @@
 		readAt := configReadAt(start, end, wait, len(record) > 0)
 		n.control.Post(func() {
 			n.recordDependency("configuration", nil)
+			if n.listTooLong() {
+				n.outage.reset()
+			}
 			if len(record) > 0 {
 				n.applyConfigRecord(record)
 			}
@@ -188,6 +196,10 @@
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
+		if cursor == (Cursor{}) && n.listTooLong() {
+			sleep(ctx, sourceCheckInterval)
+			continue
+		}
 		start := n.bootNow()
 		timeout := listTimeout
 		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
@@ -222,6 +234,13 @@
 	}
 }
 
+// listTooLong reports whether this host depends on a hub and its link can't carry the complete list within the time of a read. Such a read would fail,
+// and take the link from callers and from reads of the configuration meanwhile, and the store's link from the hubs, which can read the list.
+func (n *Node) listTooLong() bool {
+	bitsPerSecond := n.settings.Host.LinkMbps * bitsPerMegabit
+	return n.dependent.Load() && bitsPerSecond > 0 && bitsPerByte*float64(n.listBytes.Load()) > bitsPerSecond*listTimeout.Seconds()
+}
+
 // backoff returns the delay after a number of consecutive failed calls.
 func backoff(failed int) time.Duration {
 	return min(retryDelay<<min(max(failed-1, 0), 8), maxRetryDelay)
@@ -242,6 +261,7 @@
 			}
 		}
 		n.list.Reset(now, c.Put)
+		n.listBytes.Store(int64(c.Bytes))
 	} else {
 		for _, u := range c.Put {
 			n.list.Put(u)
--- a/pkg/place/bench_test.go
+++ b/pkg/place/bench_test.go
@@ -53,6 +53,7 @@
 func BenchmarkFewModels(b *testing.B) {
 	const upstreams, models, hubs = 3000, 120, 9
 	e := engine(models)
+	e.Slots = 64
 	list := make(map[string]fleet.Upstream)
 	for i := range upstreams {
 		u := upstream(fmt.Sprintf("u%04d", i), fmt.Sprintf("m%d", i%models))
