--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
@@ -37,6 +38,11 @@
 		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
 		MembersFrom       string
 		MembersGeneration int64
+		Packed            bool // whether the host understands Feed.Packed and Feed.Loads
+		// NumbersFrom is the incarnation of the hub whose numbering the host knows, up to NumbersKnown in NumbersEpoch.
+		NumbersFrom  string
+		NumbersEpoch int64
+		NumbersKnown int
 	}
 
 	// Feed contains the updates that a hub sends to a dependent host.
@@ -50,13 +56,16 @@
 		Position   int64
 		Rate       float64
 		Recovered  time.Duration // time since the list became readable after an outage; zero means that no outage is known
-		Whole      bool          // whether Put is the complete list
+		Whole      bool          // whether Put is the complete list, or Packed with the changes in Put and Removed
+		Packed     []byte        // complete list in the form of packUpstreams; only for a host that understands it
+		ListBytes  int           // size of the complete list when it is read from the store; zero means unknown
 		Generation int64
 		Put        []fleet.Upstream
 		Removed    []string
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
 		RunningAge time.Duration  // mean age of Running
 		Speeds     map[string]int // of the upstreams that differ from the mean of their service, in percent of it
+		Loads      *Loads         // in place of Running and Speeds, for a host that understands it
 		Alive      []HostStatus
 		// Members are the hosts that were added or restarted since the query's MembersGeneration.
 		Members           []Member
@@ -100,29 +109,65 @@
 	}
 }
 
+// countSince returns the number of upstreams that changed or were removed after a generation.
+func (f *changeLog) countSince(generation int64) int {
+	count := 0
+	for _, g := range f.changed {
+		if g > generation {
+			count++
+		}
+	}
+	for _, r := range f.removed {
+		if r.generation > generation {
+			count++
+		}
+	}
+	return count
+}
+
+// query returns the query of this host to its hub.
+func (n *Node) query() FeedQuery {
+	return FeedQuery{
+		Version: n.configVersion(), From: n.feedHub, Generation: n.feedGeneration, MembersFrom: n.membersHub, MembersGeneration: n.membersGeneration,
+		Packed: true, NumbersFrom: n.known.hub, NumbersEpoch: n.known.epoch, NumbersKnown: len(n.known.ids),
+	}
+}
+
 // buildFeed returns the updates that a host lacks.
 func (n *Node) buildFeed(host string, q FeedQuery) Feed {
 	now := time.Now()
 	bootTime := n.bootNow()
 	f := Feed{
-		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation, Running: n.table.Running(host),
-		RunningAge: n.table.ReportAge(now), Speeds: n.table.Speeds(),
+		ConfigAge: bootTime.Sub(n.configAt), ListAge: bootTime.Sub(n.listAt), Generation: n.changes.generation,
 		Era: n.progress.Era, Position: n.progress.Position, Rate: n.progress.Rate,
 	}
+	if q.Packed {
+		f.Loads, f.RunningAge = n.loads(now, host, q)
+	} else {
+		f.Running, f.Speeds, f.RunningAge = n.table.Running(host), n.table.Speeds(), n.table.ReportAge(now)
+	}
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
 	}
+	f.ListBytes = int(n.listBytes.Load())
 	if c := n.config.Load(); c != nil && c.Version() > q.Version {
 		f.Config = n.configRecord
 	}
-	f.Whole = q.From != n.self.Incarnation || q.Generation < n.changes.pruned
-	for id, u := range n.upstreams {
-		if f.Whole || n.changes.changed[id] > q.Generation {
-			f.Put = append(f.Put, u)
+	f.Whole = n.needsWhole(q)
+	since, all := q.Generation, f.Whole
+	if f.Whole && q.Packed && n.packedUsable() {
+		f.Packed, since, all = n.packed.bytes, n.packed.generation, false
+	}
+	if all {
+		f.Put = slices.AppendSeq(f.Put, maps.Values(n.upstreams))
+	}
+	for id, g := range n.changes.changed {
+		if !all && g > since {
+			f.Put = append(f.Put, n.upstreams[id])
 		}
 	}
 	for id, r := range n.changes.removed {
-		if !f.Whole && r.generation > q.Generation {
+		if !all && r.generation > since {
 			f.Removed = append(f.Removed, id)
 		}
 	}
@@ -151,6 +196,9 @@
 		}
 	}
 	n.membersHub, n.membersGeneration = hub.Incarnation, f.MembersGeneration
+	if f.ListBytes > 0 {
+		n.listBytes.Store(int64(f.ListBytes))
+	}
 	for _, s := range f.Alive {
 		n.applyHostStatus(now, s)
 	}
@@ -163,7 +211,8 @@
 	if current {
 		n.outage.reset()
 	}
-	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, f.Running)
+	running, speeds := n.decodeLoads(hub, f)
+	n.table.SetPeerRequests(now.Add(-f.RunningAge), hub.Name, running)
 	if m, ok := n.members[hub.Name]; ok {
 		m.usesAt = now
 	}
@@ -176,7 +225,7 @@
 		}
 		n.applyListFeed(now, f)
 	}
-	n.table.SetSpeeds(f.Speeds)
+	n.table.SetSpeeds(speeds)
 	return current
 }
 
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -147,7 +147,7 @@
 			})
 		}
 		query := message
-		query.Query = &FeedQuery{}
+		query.Query = &FeedQuery{Packed: true}
 		for _, m := range seeds {
 			n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &query) })
 		}
@@ -196,17 +196,21 @@
 		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
 	}
 	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
+	before := n.parent
 	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
+	if before != "" && n.parent == "" {
+		n.updatePlacing(now)
+	}
 	n.dependent.Store(n.parent != "")
 	n.chooseSource()
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
 		// Hubs rank first, because they already receive the uses of all hosts and have more processor time.
 		n.lease.SetRank(len(n.chooseHubs(false)))
-		b.Query = &FeedQuery{From: n.feedHub, Generation: n.feedGeneration, MembersFrom: n.membersHub, MembersGeneration: n.membersGeneration}
+		query := n.query()
+		b.Query = &query
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		b.Query.Version = n.configVersion()
 		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
@@ -287,6 +291,9 @@
 func (n *Node) sendHeartbeat(ctx context.Context, m Member, b *Heartbeat) bool {
 	reply, start := new(Heartbeat), n.bootNow()
 	err := n.peerClient.CallWithin(ctx, heartbeatTimeout, m.Peers, peers.ServiceName+".Beat", b, reply)
+	if err == nil && reply.Feed != nil {
+		err = reply.Feed.unpack()
+	}
 	n.control.Post(func() {
 		if err == nil {
 			n.applyHeartbeat(reply)
@@ -338,6 +345,9 @@
 
 // Beat handles the heartbeat of another host. It returns context.Canceled if this host has stopped.
 func (s *peerService) Beat(b *Heartbeat, reply *Heartbeat) error {
+	if b.Query != nil {
+		s.node.packList(*b.Query)
+	}
 	if !s.node.control.Ask(func() {
 		s.node.applyHeartbeat(b)
 		_, stopping := s.node.stop.state()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,10 +71,11 @@
 		cancelBase   context.CancelFunc
 		tasks        sync.WaitGroup
 		requests     sync.WaitGroup
-		direct       atomic.Bool // whether this host reads the store itself
-		dependent    atomic.Bool // whether this host depends on a hub
-		listLost     atomic.Bool // whether the last read of the list failed
-		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none does
+		direct       atomic.Bool  // whether this host reads the store itself
+		dependent    atomic.Bool  // whether this host depends on a hub
+		listLost     atomic.Bool  // whether the last read of the list failed
+		listBytes    atomic.Int64 // size of the complete list when it is read from the store; zero means unknown
+		peersAsked   atomic.Bool  // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
 		settingsFile string
 
@@ -90,6 +91,10 @@
 		configAt          time.Time                 // boot time as of which the configuration is current
 		listAt            time.Time                 // boot time as of which the list is current
 		changes           changeLog
+		packed            packedList
+		numbered          numbering // of this host as a hub
+		known             numbering // of the hub of this host
+		measured          measuredLoads
 		feedHub           string    // incarnation of the hub whose list was applied last
 		feedGeneration    int64     // generation of the list from feedHub
 		hubStale          bool      // whether the hubs of this host were silent or stale, and none has been current since
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -25,6 +25,9 @@
 	listTimeout      = 600 * time.Millisecond
 	// initialListTimeout limits the first reads of a host that turns to the store: what it has may be about to be too old.
 	initialListTimeout = 400 * time.Millisecond
+	// longListTimeout limits a read of the complete list after one that ended within the list: the store answers, but the list is long or many
+	// hosts read it.
+	longListTimeout = 2 * time.Second
 	// retryDelay is the delay after a first failed call, and maxRetryDelay the longest delay after several: refused calls have a
 	// cost too.
 	retryDelay    = 150 * time.Millisecond
@@ -63,7 +66,12 @@
 		cancel()
 		end := n.bootNow()
 		if err != nil {
-			n.control.Post(func() { n.recordDependency("configuration", err) })
+			n.control.Post(func() {
+				n.recordDependency("configuration", err)
+				if n.listTooLong() { // Reads of the list don't show that the store is silent.
+					n.outage.recordFailure(time.Now())
+				}
+			})
 			failed++
 			n.awaitConfigRetry(ctx, failed)
 			continue
@@ -71,6 +79,9 @@
 		readAt := configReadAt(start, end, wait, len(record) > 0)
 		n.control.Post(func() {
 			n.recordDependency("configuration", nil)
+			if n.listTooLong() {
+				n.outage.reset()
+			}
 			if len(record) > 0 {
 				n.applyConfigRecord(record)
 			}
@@ -170,7 +181,7 @@
 		}
 	}
 	n.placing.Configure(engines)
-	n.placing.SetUpstreams(time.Now(), n.upstreams)
+	n.updatePlacing(time.Now())
 	n.updateReady()
 	n.forgetTeams(old, c)
 	n.log("node").Info("configuration applied", "event", eventConfig, "version", c.Version(), "routes", c.RouteCount(), "teams", len(c.Teams()))
@@ -178,10 +189,14 @@
 
 // watchList keeps the list of upstreams up to date.
 func (n *Node) watchList(ctx context.Context) {
-	cursor := Cursor{}
+	cursor, begun := Cursor{}, false
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
-			cursor, failed = Cursor{}, 0
+			cursor, failed, begun = Cursor{}, 0, false
+			sleep(ctx, sourceCheckInterval)
+			continue
+		}
+		if cursor == (Cursor{}) && n.listTooLong() {
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -190,6 +205,9 @@
 		if cursor == (Cursor{}) && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialListTimeout
 		}
+		if begun {
+			timeout = longListTimeout
+		}
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		changes, err := n.platform.Upstreams(callCtx, cursor)
 		cancel()
@@ -205,6 +223,7 @@
 			n.applyListRead(start, changes)
 		})
 		n.listLost.Store(err != nil)
+		begun = err != nil && changes.Begun
 		if err != nil {
 			failed++
 			sleep(ctx, n.storeRetryDelay(failed))
@@ -215,6 +234,13 @@
 	}
 }
 
+// listTooLong reports whether this host depends on a hub and its link can't carry the complete list within the time of a read. Such a read would fail,
+// and take the link from callers and from reads of the configuration meanwhile, and the store's link from the hubs, which can read the list.
+func (n *Node) listTooLong() bool {
+	bitsPerSecond := n.settings.Host.LinkMbps * bitsPerMegabit
+	return n.dependent.Load() && bitsPerSecond > 0 && bitsPerByte*float64(n.listBytes.Load()) > bitsPerSecond*listTimeout.Seconds()
+}
+
 // backoff returns the delay after a number of consecutive failed calls.
 func backoff(failed int) time.Duration {
 	return min(retryDelay<<min(max(failed-1, 0), 8), maxRetryDelay)
@@ -235,6 +261,7 @@
 			}
 		}
 		n.list.Reset(now, c.Put)
+		n.listBytes.Store(int64(c.Bytes))
 	} else {
 		for _, u := range c.Put {
 			n.list.Put(u)
@@ -273,15 +300,28 @@
 	n.changes.recordChanges(n.upstreams, current)
 	n.list.RecordChanges(now, n.upstreams, current)
 	n.upstreams, n.hasList = current, true
+	n.numbered.assign(current)
 	n.table.Replace(current)
-	n.placing.SetUpstreams(now, current)
+	n.updatePlacing(now)
 	n.resolveUnclear(now)
 	n.updateReady()
 	n.schedulePlan()
 }
 
+// updatePlacing applies the list to the placement of models, unless this host depends on a hub, so that it can't become the controller: the work
+// grows with the number of upstreams, and most hosts have a small share of a core.
+func (n *Node) updatePlacing(now time.Time) {
+	if n.parent == "" || n.term != 0 {
+		n.placing.SetUpstreams(now, n.upstreams)
+	}
+}
+
 // logListChanges logs upstreams that appear, start leaving or disappear, and closes the idle connections to those that are gone.
 func (n *Node) logListChanges(before, after map[string]fleet.Upstream) {
+	if len(before) == 0 {
+		n.log("list").Info("first list of upstreams", "event", eventUpstream, "upstreams", len(after))
+		return
+	}
 	for id, u := range after {
 		if old, ok := before[id]; !ok || old.Leaving != u.Leaving || old.Born != u.Born {
 			n.log("list").Info("upstream added or changed", "event", eventUpstream, "upstream", id, "service", u.Service,
