fix(hubs): a hub is the parent of a share of the hosts that follows its capacity

While one of the two large hosts of a data centre restarts, a host with 0.192 core and a link of 10 Mbit/s takes its place.

Hosts choose among the hubs in proportion to their capacity (weighted rendezvous hashing). Hubs of equal capacity have equal shares as before.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -197,8 +197,7 @@
 	b := Heartbeat{
 		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: n.record.state(n.configVersion(), nil),
 	}
-	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
-	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
+	n.parent, n.hubsChosen = hubs.Parent(n.candidates(false), n.self.DataCentre, n.self.Name), true
 	n.dependent.Store(n.parent != "")
 	n.chooseSource()
 	if _, holds := n.lease.Held(n.now()); n.parent != "" && !holds {
