fix(node): a host with a slow link reads the list before the configuration

A host that turns to the store read the whole list and the configuration at once. The list goes first, for 0.2 s at the most, unless a record of the configuration takes little time on the link.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,10 +71,12 @@
 		cancelBase   context.CancelFunc
 		tasks        sync.WaitGroup
 		requests     sync.WaitGroup
-		direct       atomic.Bool // whether this host reads the store itself
-		dependent    atomic.Bool // whether this host depends on a hub
-		listLost     atomic.Bool // whether the last read of the list failed
-		peersAsked   atomic.Bool // whether another host answered a heartbeat, or none does
+		direct       atomic.Bool  // whether this host reads the store itself
+		dependent    atomic.Bool  // whether this host depends on a hub
+		listLost     atomic.Bool  // whether the last read of the list failed
+		listRead     atomic.Bool  // whether a read of the list has ended since this host turned to the store
+		recordSize   atomic.Int64 // size of the configuration record in force
+		peersAsked   atomic.Bool  // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
 		settingsFile string
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -20,6 +20,10 @@
 	minConfigPause = 100 * time.Millisecond
 	bitsPerMegabit = 1e6
 	bitsPerByte    = 8
+	// listHeadStart is how long a host with a slow link lets its first read of the list go before that of the configuration. Together they
+	// take longer than initialListTimeout on such a link, and requests go to upstreams that leave until the list is read.
+	listHeadStart = 200 * time.Millisecond
+	turnChecks    = 20 // checks of the list within listHeadStart
 	// fullTimeoutEvery is the interval, in first requests, at which one gets the full timeout, in case the store is slow.
 	fullTimeoutEvery = 3
 	listTimeout      = 600 * time.Millisecond
@@ -56,6 +60,7 @@
 		timeout := wait + configMargin
 		if cursor == (Cursor{}) && last == nil && failed%fullTimeoutEvery != fullTimeoutEvery-1 {
 			timeout = initialConfigTimeout
+			n.awaitListRead(ctx)
 		}
 		start := n.bootNow()
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -91,6 +96,19 @@
 	}
 }
 
+// awaitListRead waits until this host has read the list since it turned to the store, for listHeadStart at the most. It does not wait if the
+// host has a fast link, or no configuration.
+func (n *Node) awaitListRead(ctx context.Context) {
+	if n.configPause(int(n.recordSize.Load())) == 0 {
+		return
+	}
+	for until := time.Now().Add(listHeadStart); !n.listRead.Load() && time.Now().Before(until); {
+		if !sleep(ctx, listHeadStart/turnChecks) {
+			return
+		}
+	}
+}
+
 // configPause returns the pause after a configuration record of the given size, so that a storm of changes leaves room on the link of a small
 // host for the list of upstreams and for callers. It is zero on a fast link.
 func (n *Node) configPause(size int) time.Duration {
@@ -141,6 +159,7 @@
 	switch old := n.config.Load(); {
 	case old == nil || c.Version() > old.Version():
 		n.record = configRecord{plain: record}
+		n.recordSize.Store(int64(len(record)))
 	case c.Version() < old.Version():
 		n.log("node").Info("configuration is older than the one in force, keeping that", "event", eventConfigOlder, "version", c.Version(), "current", old.Version())
 	}
@@ -182,6 +201,7 @@
 	for failed := 0; ctx.Err() == nil; {
 		if !n.direct.Load() {
 			cursor, failed = Cursor{}, 0
+			n.listRead.Store(false)
 			sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -205,6 +225,7 @@
 			n.applyListRead(start, changes)
 		})
 		n.listLost.Store(err != nil)
+		n.listRead.Store(true)
 		if err != nil {
 			failed++
 			sleep(ctx, n.storeRetryDelay(failed))
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -106,3 +106,53 @@
 		synctest.Wait()
 	})
 }
+
+// TestListIsReadBeforeTheConfiguration guards against a host with a slow link that turns to the store and gets neither list nor configuration in
+// time, because both large answers share the link. The configuration still doesn't wait for a list that does not come.
+func TestListIsReadBeforeTheConfiguration(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		linkMbps float64
+		list     time.Duration // of a read of the list
+		earliest time.Duration // of the read of the configuration, after that of the list
+	}{
+		{"slow link", 10, 150 * time.Millisecond, 150 * time.Millisecond},
+		{"no list", 10, time.Hour, listHeadStart},
+		{"fast link", 200, 150 * time.Millisecond, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newTestNode(Settings{Host: HostSettings{LinkMbps: x.linkMbps}, Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000, ContactMS: 4000}})
+				n.bootNow = time.Now
+				n.recordSize.Store(165_000)
+				var list, config time.Time
+				n.platform.Upstreams = func(ctx context.Context, _ Cursor) (ListChanges, error) {
+					if list.IsZero() {
+						list = time.Now()
+					}
+					sleep(ctx, x.list)
+					return ListChanges{}, ctx.Err()
+				}
+				n.platform.Config = func(ctx context.Context, _ Cursor, _ time.Duration) ([]byte, Cursor, error) {
+					if config.IsZero() {
+						config = time.Now()
+					}
+					<-ctx.Done()
+					return nil, Cursor{}, ctx.Err()
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = n.control.Run() }()
+				go n.watchList(ctx)
+				go n.watchConfig(ctx)
+				n.direct.Store(true)
+				time.Sleep(time.Second)
+				synctest.Wait()
+				wait := config.Sub(list)
+				qt.Check(t, wait >= x.earliest-sourceCheckInterval && wait <= x.earliest+sourceCheckInterval, qt.IsTrue, qt.Commentf("%v", wait))
+				cancel()
+				n.control.Stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
