fix(relay): no 404 for an unknown route while the configuration may be too old

A host whose configuration is older than the operator's bound (limits.configMS) can't know whether a route that it lacks has been added.

--- a/internal/node/ages_test.go
+++ b/internal/node/ages_test.go
@@ -122,3 +122,19 @@
 	n.applyFeed(fresh, &Feed{Put: []fleet.Upstream{{ID: "left", Beat: 6}}, Generation: 1}, bootNow())
 	qt.Assert(t, n.upstreams, qt.HasLen, 3, qt.Commentf("it has registered again"))
 }
+
+// TestOldConfigurationIsNoted guards against a host that refuses requests for routes as unknown although its configuration is older than the
+// operator's bound, and against one that takes a current configuration for old.
+func TestOldConfigurationIsNoted(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
+	n.configAt = bootNow().Add(-2500 * time.Millisecond)
+	n.checkConfigAge()
+	qt.Assert(t, n.configOld.Load(), qt.IsFalse)
+	n.configAt = bootNow().Add(-3 * time.Second)
+	n.checkConfigAge()
+	qt.Assert(t, n.configOld.Load(), qt.IsTrue)
+	n.settings.Limits.ConfigMS = 0
+	n.checkConfigAge()
+	qt.Assert(t, n.configOld.Load(), qt.IsFalse, qt.Commentf("there is no bound"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,7 @@
 		dependent    atomic.Bool  // whether this host depends on a hub
 		listLost     atomic.Bool  // whether the last read of the list failed
 		listRead     atomic.Bool  // whether a read of the list has ended since this host turned to the store
+		configOld    atomic.Bool  // whether the configuration is older than the operator's bound
 		recordSize   atomic.Int64 // size of the configuration record in force
 		peersAsked   atomic.Bool  // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
@@ -169,7 +170,7 @@
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
+		Config: n.config.Load, ConfigOld: n.configOld.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 		Signs: n.recordSigns, Paused: n.paused, Intake: intakeOf, Ending: n.stop.ctx,
@@ -325,6 +326,7 @@
 	n.blame.Expire(now)
 	n.updateReady()
 	n.chooseSource()
+	n.checkConfigAge()
 	n.logOldUpdates()
 	n.observeEra()
 	n.tickRates()
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -59,6 +59,12 @@
 	return now.Sub(n.listAt) > n.poll.listAgeLimit || now.Sub(n.configAt) > n.poll.configAgeLimit
 }
 
+// checkConfigAge notes whether the configuration is older than the operator's bound. A route that it lacks may then exist.
+func (n *Node) checkConfigAge() {
+	bound := time.Duration(n.settings.Limits.ConfigMS) * time.Millisecond
+	n.configOld.Store(bound > 0 && n.bootNow().Sub(n.configAt) > bound-tickInterval)
+}
+
 // setDirect makes this host read the store itself, or stop doing so.
 func (n *Node) setDirect(direct bool) {
 	if n.direct.Swap(direct) == direct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// notReadyRetryAfter is sent to callers while this host has no configuration; outages of the store last seconds.
+	// notReadyRetryAfter is sent to callers while this host has no configuration, or none that is current; outages of the store last seconds.
 	notReadyRetryAfter = 2 * time.Second
 	// stoppingRetryAfter is sent to callers while this host stops; another host accepts the retry.
 	stoppingRetryAfter = 50 * time.Millisecond
@@ -86,6 +86,10 @@
 	c := x.call
 	c.Version = cfg.Version()
 	route, ok := cfg.Match(x.request.Host, x.request.URL.Path)
+	if !ok && x.relay.control.ConfigOld != nil && x.relay.control.ConfigOld() {
+		return codes.Newf(codes.NotCurrent, "no route matches in configuration version %d, and a later one may be in force", cfg.Version()).
+			WithRetryAfter(notReadyRetryAfter)
+	}
 	if !ok {
 		return codes.Newf(codes.NotFound, "no route matches in configuration version %d", cfg.Version())
 	}
--- a/internal/relay/signs_test.go
+++ b/internal/relay/signs_test.go
@@ -213,3 +213,27 @@
 		}
 	}
 }
+
+// TestUnknownRouteOfAnOldConfiguration guards against a 404 for a route that was added while the host could not read the configuration: callers
+// do not send such a request again.
+func TestUnknownRouteOfAnOldConfiguration(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		old    func() bool
+		status int
+	}{
+		{nil, http.StatusNotFound},
+		{func() bool { return false }, http.StatusNotFound},
+		{func() bool { return true }, http.StatusServiceUnavailable},
+	} {
+		url := startRelay(t, fleet.Route{Kind: fleet.Safe, Timeout: 3 * time.Second}, relay.Control{ConfigOld: x.old})
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url+"/x", http.NoBody)
+		qt.Assert(t, err, qt.IsNil)
+		q.Host = "other.example"
+		r, err := http.DefaultClient.Do(q)
+		qt.Assert(t, err, qt.IsNil)
+		_ = r.Body.Close()
+		qt.Check(t, r.StatusCode, qt.Equals, x.status)
+		qt.Check(t, r.Header.Get("Retry-After") != "", qt.Equals, x.status == http.StatusServiceUnavailable)
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -87,6 +87,8 @@
 	Control struct {
 		// Config returns the configuration in force, or nil.
 		Config func() *fleet.Config
+		// ConfigOld reports whether a later configuration may have been in force for longer than the operator's bound. It may be nil.
+		ConfigOld func() bool
 		// Admit admits a request against the rate of its team, waiting for credit if necessary. A refusal is a coded error with a
 		// Retry-After time.
 		Admit func(ctx context.Context, c *Call) error
