fix(node): a hub sends the whole list of upstreams compressed

When a hub stops, the hosts that depend on it turn to the next one together, and each gets the whole list. A generated list of 150 upstreams with 15 models on each disk takes less than a third compressed. It is compressed once for each state of the list; changes of the list are sent as before, and hosts of earlier builds get the list as before.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -22,6 +22,8 @@
 		pruned     int64              // generation up to which removals have been dropped
 		changed    map[string]int64   // generation of the last change, by upstream ID
 		removed    map[string]removal // by upstream ID
+		packed     []byte             // whole list as of packedAt, for Feed.PackedPut
+		packedAt   int64              // generation
 	}
 
 	removal struct {
@@ -37,7 +39,7 @@
 		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
 		MembersFrom       string
 		MembersGeneration int64
-		Unpacks           bool // whether the host accepts Feed.Packed in place of Feed.Config
+		Unpacks           bool // whether the host accepts Feed.Packed and Feed.PackedPut
 	}
 
 	// Feed contains the updates that a hub sends to a dependent host.
@@ -55,6 +57,7 @@
 		Whole      bool          // whether Put is the complete list
 		Generation int64
 		Put        []fleet.Upstream
+		PackedPut  []byte // Put in gob and DEFLATE format, in place of it
 		Removed    []string
 		Running    map[string]int // requests of all other hosts at each upstream, by its ID
 		RunningAge time.Duration  // mean age of Running
@@ -120,8 +123,11 @@
 		f.Config = n.record.plain
 	}
 	f.Whole = q.From != n.self.Incarnation || q.Generation < n.changes.pruned
+	if f.Whole && q.Unpacks {
+		f.PackedPut = n.changes.pack(n.upstreams)
+	}
 	for id, u := range n.upstreams {
-		if f.Whole || n.changes.changed[id] > q.Generation {
+		if f.PackedPut == nil && (f.Whole || n.changes.changed[id] > q.Generation) {
 			f.Put = append(f.Put, u)
 		}
 	}
@@ -143,6 +149,10 @@
 // applyFeed applies the updates of a hub and reports whether they are current enough to rely on. The ages in them are those at the hub,
 // which may have built the feed at any moment after queriedAt, the boot time of the query.
 func (n *Node) applyFeed(hub Member, f *Feed, queriedAt time.Time) bool {
+	if err := f.unpackList(); err != nil {
+		n.log("members").Warn("list of another host is invalid", "event", eventSkipped, "entry", hub.Name, "err", err)
+		return false
+	}
 	now := time.Now()
 	listAt, configAt, bootTime := queriedAt.Add(-f.ListAge), queriedAt.Add(-f.ConfigAge), n.bootNow()
 	n.applySentRecord(f.Config, f.Packed)
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -3,13 +3,19 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/gob"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/fireflycleat/fireflycleat/internal/peers"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
-// maxUnpackedBytes limits the size of a configuration record that another host sends compressed. It is the limit on answers of the store.
+// maxUnpackedBytes limits the size of what another host sends compressed. It is the limit on answers of the store.
 const maxUnpackedBytes = 4 << 20
 
 // configRecord is the encoded configuration in force. Hosts send it to each other compressed, because many of them have slow links and the
@@ -20,7 +26,7 @@
 }
 
 var (
-	errRecordTooLarge = errors.Newf("configuration record exceeds %d bytes", maxUnpackedBytes)
+	errTooLarge = errors.Newf("compressed data exceeds %d bytes", maxUnpackedBytes)
 
 	// packers keeps compressors, which have buffers of about 1 MB.
 	packers = sync.Pool{New: func() any {
@@ -32,17 +38,54 @@
 // pack returns the compressed record, or nil if there is no record.
 func (r *configRecord) pack() []byte {
 	if r.packed == nil && len(r.plain) > 0 {
-		var b bytes.Buffer
-		w := packers.Get().(*flate.Writer)
-		w.Reset(&b)
-		_, _ = w.Write(r.plain) // Writing to memory does not fail.
-		_ = w.Close()
-		packers.Put(w)
-		r.packed = b.Bytes()
+		r.packed = deflate(r.plain)
 	}
 	return r.packed
 }
 
+// deflate returns the data in DEFLATE format.
+func deflate(data []byte) []byte {
+	var b bytes.Buffer
+	w := packers.Get().(*flate.Writer)
+	w.Reset(&b)
+	_, _ = w.Write(data) // Writing to memory does not fail.
+	_ = w.Close()
+	packers.Put(w)
+	return b.Bytes()
+}
+
+// inflate returns data that deflate compressed.
+func inflate(packed []byte) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err == nil && len(data) > maxUnpackedBytes {
+		err = errTooLarge
+	}
+	return data, err
+}
+
+// pack returns the complete list, compressed for hosts that lack it: several turn to a hub together when another one stops.
+func (f *changeLog) pack(list map[string]fleet.Upstream) []byte {
+	if f.packed == nil || f.packedAt != f.generation {
+		var b bytes.Buffer
+		_ = gob.NewEncoder(&b).Encode(slices.Collect(maps.Values(list))) // It fails only for types without a gob encoding.
+		f.packed, f.packedAt = deflate(b.Bytes()), f.generation
+	}
+	return f.packed
+}
+
+// unpackList sets Put to the list in PackedPut, if there is one.
+func (f *Feed) unpackList() error {
+	if len(f.PackedPut) == 0 {
+		return nil
+	}
+	data, err := inflate(f.PackedPut)
+	if err != nil {
+		return err
+	}
+	f.Put, f.PackedPut = nil, nil
+	return peers.Decode(data, &f.Put)
+}
+
 // state returns what a heartbeat says about the configuration of a version. It includes the record if the receiver is known to have an
 // earlier one, compressed if the receiver can unpack it.
 func (r *configRecord) state(version int64, receiver *ConfigState) *ConfigState {
@@ -65,11 +108,7 @@
 	if len(packed) == 0 {
 		return plain, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
-	if err == nil && len(data) > maxUnpackedBytes {
-		err = errRecordTooLarge
-	}
-	return data, err
+	return inflate(packed)
 }
 
 // applySentRecord applies a configuration record that another host sent, plain or compressed.
--- a/internal/node/record_test.go
+++ b/internal/node/record_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bytes"
+	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -90,3 +93,49 @@
 	n.applySentRecord(nil, next.pack())
 	qt.Assert(t, n.configVersion(), qt.Equals, int64(8))
 }
+
+// TestHubSendsSmallLists guards against a small hub that can't send the list to all hosts that turn to it when another hub stops, so that they take
+// it for silent and turn to the store. An earlier build still gets the list as it is.
+func TestHubSendsSmallLists(t *testing.T) {
+	t.Parallel()
+	hub := newRecordNode()
+	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
+	size := func(f Feed) int {
+		var b bytes.Buffer
+		qt.Assert(t, gob.NewEncoder(&b).Encode(f), qt.IsNil)
+		return b.Len()
+	}
+	var list []fleet.Upstream
+	for i := range 150 {
+		u := fleet.Upstream{ID: fmt.Sprintf("i-%010x", i*2654435761), Born: 1, Service: "clock", Address: fmt.Sprint("10.128.0.", i, ":8080"), Slots: 12}
+		for j := range 15 {
+			u.OnDisk = append(u.OnDisk, fmt.Sprintf("dial-%05d", (i*7+j*j)%500))
+		}
+		list = append(list, u)
+	}
+	hub.applyListRead(bootNow(), ListChanges{Complete: true, Put: list, Cursor: Cursor{Next: 1000}})
+	plain := hub.buildFeed("h", FeedQuery{})
+	qt.Assert(t, plain.Put, qt.HasLen, 150)
+	f := hub.buildFeed("h", FeedQuery{Unpacks: true})
+	qt.Assert(t, 3*size(f) < size(plain), qt.IsTrue, qt.Commentf("%d of %d bytes", size(f), size(plain)))
+	newHost := func() *Node {
+		n := newRecordNode()
+		n.listAt = bootNow().Add(-time.Second)
+		return n
+	}
+	for _, f := range []Feed{plain, f} {
+		n := newHost()
+		qt.Assert(t, n.applyFeed(hub.self, &f, bootNow()), qt.IsTrue)
+		qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
+	}
+	hub.applyListRead(bootNow(), ListChanges{Put: []fleet.Upstream{{ID: list[0].ID, Born: 1, Beat: 1, Leaving: true}}, Cursor: Cursor{Next: 1001}})
+	f = hub.buildFeed("h", FeedQuery{Unpacks: true})
+	n := newHost()
+	n.applyFeed(hub.self, &f, bootNow())
+	qt.Assert(t, n.upstreams[list[0].ID].Leaving, qt.IsTrue, qt.Commentf("the list of a later read is sent"))
+	f = hub.buildFeed("h", FeedQuery{From: hub.self.Incarnation, Generation: hub.changes.generation - 1, Unpacks: true})
+	qt.Assert(t, f.Put, qt.HasLen, 1)
+	broken := Feed{Whole: true, PackedPut: []byte{0xff}}
+	qt.Assert(t, n.applyFeed(hub.self, &broken, bootNow()), qt.IsFalse)
+	qt.Assert(t, n.upstreams, qt.HasLen, 150)
+}
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/gob"
 	"io"
 	"net"
@@ -75,13 +76,18 @@
 
 // decode converts a panic of gob into an error: gob panics on some malformed messages while it skips a value (found by
 // FuzzServer), and a faulty peer must not crash the daemon.
-func (c *codec) decode(into any) (err error) {
+func (c *codec) decode(into any) error { return decode(c.decoder, into) }
+
+// Decode decodes a value that is encoded apart from the messages of a connection.
+func Decode(data []byte, into any) error { return decode(gob.NewDecoder(bytes.NewReader(data)), into) }
+
+func decode(d *gob.Decoder, into any) (err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			err = errors.Newf("peer message is malformed: %v", r)
 		}
 	}()
-	return c.decoder.Decode(into)
+	return d.Decode(into)
 }
 
 func (c *codec) write(header, body any) error {
