--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -38,7 +38,7 @@
 		// MembersFrom is the incarnation of the hub whose members the host applied last, up to MembersGeneration.
 		MembersFrom       string
 		MembersGeneration int64
-		Packed            bool // whether the host understands Feed.Packed and Feed.Loads
+		Packed            bool // whether the host understands Feed.Packed, Feed.ConfigPacked and Feed.Loads
 		// NumbersFrom is the incarnation of the hub whose numbering the host knows, up to NumbersKnown in NumbersEpoch.
 		NumbersFrom  string
 		NumbersEpoch int64
@@ -47,9 +47,11 @@
 
 	// Feed contains the updates that a hub sends to a dependent host.
 	Feed struct {
-		Config    []byte // configuration record, if it is newer than that of the host
-		ConfigAge time.Duration
-		ListAge   time.Duration // time since the request for the hub's list was sent
+		Config []byte // configuration record, if it is newer than that of the host
+		// ConfigPacked is the configuration record in DEFLATE format, in place of Config.
+		ConfigPacked []byte
+		ConfigAge    time.Duration
+		ListAge      time.Duration // time since the request for the hub's list was sent
 		// Era, Position and Rate are the progress of the published list when the hub's list was read. Era is zero if the hub does not
 		// know it.
 		Era        int64
@@ -150,8 +152,10 @@
 		f.Recovered = now.Sub(at)
 	}
 	f.ListBytes = int(n.listBytes.Load())
-	if c := n.config.Load(); c != nil && c.Version() > q.Version {
-		f.Config = n.configRecord
+	if c := n.config.Load(); c != nil && c.Version() > q.Version && q.Packed {
+		f.ConfigPacked = n.record.pack()
+	} else if c != nil && c.Version() > q.Version {
+		f.Config = n.record.plain
 	}
 	f.Whole = n.needsWhole(q)
 	since, all := q.Generation, f.Whole
@@ -186,9 +190,7 @@
 func (n *Node) applyFeed(hub Member, f *Feed, queriedAt time.Time) bool {
 	now := time.Now()
 	listAt, configAt, bootTime := queriedAt.Add(-f.ListAge), queriedAt.Add(-f.ConfigAge), n.bootNow()
-	if len(f.Config) > 0 {
-		n.applyConfigRecord(f.Config)
-	}
+	n.applySentRecord(f.Config, f.ConfigPacked)
 	for _, m := range f.Members {
 		// The hub may not know yet that a host restarted from which this one has received a heartbeat.
 		if x, ok := n.members[m.Name]; !ok || now.Sub(x.lastSeen) > livenessTimeout {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -87,6 +87,8 @@
 	ConfigState struct {
 		Version int64
 		Record  []byte // encoded configuration, only if the receiver is known to have an older one
+		Unpacks bool   // whether the sender accepts Packed in place of Record
+		Packed  []byte // Record in DEFLATE format
 	}
 
 	// LeaseUpdate reports the newest lease record known to a host.
@@ -193,11 +195,10 @@
 	n.placing.SetUses(now, n.self.Name, uses)
 	_, stopping := n.stop.state()
 	b := Heartbeat{
-		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: &ConfigState{Version: n.configVersion()},
+		From: n.self, Ready: n.ready.Load(), Stopping: stopping, Uses: uses, UsesAge: usesAge, Lease: n.leaseUpdate(), Config: n.record.state(n.configVersion(), nil),
 	}
-	localHubs := hubs.Choose(n.candidates(false), n.self.DataCentre)
 	before := n.parent
-	n.parent, n.hubsChosen = hubs.Parent(localHubs, n.self.Name), true
+	n.parent, n.hubsChosen = hubs.Parent(n.candidates(false), n.self.DataCentre, n.self.Name), true
 	if before != "" && n.parent == "" {
 		n.updatePlacing(now)
 	}
@@ -335,11 +336,11 @@
 // at the usual time.
 func (n *Node) sendLackingConfig(m Member, b, reply *Heartbeat) {
 	v := n.configVersion()
-	if reply.Config == nil || reply.Config.Version == 0 || reply.Config.Version >= v || b.Config == nil || len(b.Config.Record) > 0 {
+	if reply.Config == nil || reply.Config.Version == 0 || reply.Config.Version >= v || b.Config == nil || b.Config.hasRecord() {
 		return
 	}
 	_, stopping := n.stop.state()
-	update := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Config: &ConfigState{v, n.configRecord}}
+	update := Heartbeat{From: n.self, Ready: n.ready.Load(), Stopping: stopping, Config: n.record.state(v, reply.Config)}
 	n.background(func(ctx context.Context) { n.sendHeartbeat(ctx, m, &update) })
 }
 
@@ -355,11 +356,11 @@
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
 		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
-		if v := s.node.configVersion(); b.Config != nil {
-			reply.Config = &ConfigState{Version: v}
-			if v > b.Config.Version && b.Query == nil { // Otherwise the feed contains the record.
-				reply.Config.Record = s.node.configRecord
+		if receiver := b.Config; receiver != nil {
+			if b.Query != nil {
+				receiver = nil // The feed contains the record.
 			}
+			reply.Config = s.node.record.state(s.node.configVersion(), receiver)
 		}
 		if m, ok := s.node.members[b.From.Name]; ok && b.Query != nil {
 			if now := time.Now(); now.Sub(m.lastQuery) > livenessTimeout {
@@ -388,9 +389,9 @@
 		n.lease.Observe(bootNow, b.Lease.Newest, b.Lease.Age)
 	}
 	n.observeLender(b)
-	if b.Config != nil && len(b.Config.Record) > 0 {
+	if b.Config != nil {
 		// The store may have come back from a copy without the newest configuration, which stays in force.
-		n.applyConfigRecord(b.Config.Record)
+		n.applySentRecord(b.Config.Record, b.Config.Packed)
 	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
 	n.mergeLeaving(now, b.From.Name, b.Leaving)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,9 @@
 		dependent    atomic.Bool  // whether this host depends on a hub
 		listLost     atomic.Bool  // whether the last read of the list failed
 		listBytes    atomic.Int64 // size of the complete list when it is read from the store; zero means unknown
+		listRead     atomic.Bool  // whether a read of the list has ended since this host turned to the store
+		configOld    atomic.Bool  // whether the configuration is older than the operator's bound
+		recordSize   atomic.Int64 // size of the configuration record in force
 		peersAsked   atomic.Bool  // whether another host answered a heartbeat, or none does
 		reload       chan os.Signal
 		settingsFile string
@@ -87,7 +90,7 @@
 		hasList           bool
 		progress          fleet.Progress            // of the published list, as of listAt
 		upstreams         map[string]fleet.Upstream // list that was applied last, by upstream ID
-		configRecord      []byte                    // encoded configuration in force
+		record            configRecord              // encoded configuration in force
 		configAt          time.Time                 // boot time as of which the configuration is current
 		listAt            time.Time                 // boot time as of which the list is current
 		changes           changeLog
@@ -172,7 +175,7 @@
 	source, _ := netip.ParseAddrPort(s.Listen.Peers) // ParseSettings has checked the address.
 	n.peerClient = peers.NewClient(source.Addr(), m.Link(telem.PeerLink))
 	n.relay = relay.New(p.Dialect, relay.Control{
-		Config: n.config.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
+		Config: n.config.Load, ConfigOld: n.configOld.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
 		Signs: n.recordSigns, Paused: n.paused, Intake: intakeOf, Ending: n.stop.ctx,
@@ -328,6 +331,7 @@
 	n.blame.Expire(now)
 	n.updateReady()
 	n.chooseSource()
+	n.checkConfigAge()
 	n.logOldUpdates()
 	n.observeEra()
 	n.tickRates()
--- a/internal/node/packed.go
+++ b/internal/node/packed.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"cmp"
-	"compress/flate"
 	"encoding/gob"
-	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -13,14 +11,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
 const (
-	// packLevel is the level of compression of a packed list. Lists repeat the names of models and services, and are sent to hosts with slow links.
-	packLevel = 5
-	// maxUnpackedBytes limits the memory that a packed list can allocate.
-	maxUnpackedBytes = 64 << 20
+	// maxListBytes limits the memory that a packed list can allocate.
+	maxListBytes = 64 << 20
 	// repackShare is the share of the upstreams whose entries may differ from a packed list before it is packed again.
 	repackShare = 0.1
 	// maxPackedAge is the age at which a list is packed again. A host that has seen an upstream disappear ignores entries with an earlier heartbeat
@@ -28,8 +25,6 @@
 	maxPackedAge = 2 * time.Second
 )
 
-var errPackedTooLarge = errors.New("packed list exceeds the size limit")
-
 // packedList is a complete list that a hub has packed for the hosts that need it. All get the same bytes, together with the changes since.
 type packedList struct {
 	packing    sync.Mutex // held while a list is packed, so that hosts that need it at the same time wait for one packing
@@ -45,27 +40,20 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, packLevel)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress the list")
-	}
-	if err := gob.NewEncoder(w).Encode(sorted); err != nil {
+	if err := gob.NewEncoder(&b).Encode(sorted); err != nil {
 		return nil, errors.Wrap(err, "encode the list")
 	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress the list")
-	}
-	return b.Bytes(), nil
+	return deflate(b.Bytes()), nil
 }
 
 // unpackUpstreams is the inverse of packUpstreams.
 func unpackUpstreams(packed []byte) ([]fleet.Upstream, error) {
-	r := &io.LimitedReader{R: flate.NewReader(bytes.NewReader(packed)), N: maxUnpackedBytes}
+	data, err := inflate(packed, maxListBytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack the list")
+	}
 	var list []fleet.Upstream
-	if err := gob.NewDecoder(r).Decode(&list); err != nil {
-		if r.N <= 0 {
-			err = errPackedTooLarge
-		}
+	if err := peers.Decode(data, &list); err != nil {
 		return nil, errors.Wrap(err, "decode the list")
 	}
 	return list, nil
