feat(place): replicas beyond the needed ones by the delay that they save

Cause: a replica got at most 1.5 times the mean rate of an upstream, at any cost up to the whole rate of the model, and replicas below that limit were kept against waiting requests. On upstreams with memory for two models that took the memory of rare models in use. Change: a model needs as many replicas as before that limit. Further ones are loaded from local copies where the delay that they save, prompts met by the requests in progress, is 1.5 times what gives way costs, and give way when waiting requests lose more.

--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -12,7 +12,6 @@
 const (
 	diskMargin   = 20 * time.Millisecond // added to the configured time of a load from a local copy, which other loads do not slow
 	minGainRatio = 1.5                   // ratio of gain to loss that a load without a pending request must reach
-	evenShare    = 1.5                   // ratio of a replica's request rate to the mean of all upstreams above which the model needs another one
 	busyReplicas = 2                     // minimum for a model in steady use, which then survives the loss of one upstream
 	urgentRatio  = 2                     // ratio of needed to existing replicas above which a shortage is urgent
 	maxDrains    = 2                     // multiple of the expected drain time for which a reservation lasts longer
@@ -29,6 +28,7 @@
 	actions = c.planReplicas(now, actions, true)
 	actions = c.planPending(now, needs, actions)
 	actions = c.planReplicas(now, actions, false)
+	actions = c.planSpread(now, actions)
 	actions = c.planCopies(now, actions)
 	return c.planReports(now, actions)
 }
@@ -38,7 +38,7 @@
 	plan := planState{
 		number: c.plan.number + 1, storeLoads: c.countStoreLoads(), loads: make(map[string]int), loading: make(map[string]int),
 		copying: make(map[string]bool), needed: make(map[string]int), candidates: make(map[string][]candidate),
-		deadlines: make(map[string][]modelDeadline), replicaRates: make(map[*fleet.Engine]float64),
+		deadlines: make(map[string][]modelDeadline),
 	}
 	for _, u := range c.upstreams {
 		if u.load != nil {
--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -40,36 +40,13 @@
 	if r.value > c.settings.SecondReplicaRate {
 		n = busyReplicas
 	}
-	n = max(n, int(math.Ceil(r.value/c.replicaRate(now, e))))
+	n = max(n, int(math.Ceil(r.value/c.settings.ReplicaRate)))
 	requests := float64(c.running.model[model] + c.pendingRequests(model))
 	n = max(n, int(math.Ceil(requests/min(c.settings.ReplicaUtilisation*float64(max(e.Slots, 1)), c.settings.ReplicaRequests))))
 	c.plan.needed[model] = n
 	return n
 }
 
-// replicaRate returns the request rate that one replica may get: no more than evenShare times the mean of all upstreams, because the
-// prompts that an upstream reads delay the responses of all its models, and no more than Settings.ReplicaRate.
-func (c *Controller) replicaRate(now time.Time, e *fleet.Engine) float64 {
-	if v, ok := c.plan.replicaRates[e]; ok {
-		return v
-	}
-	rates, upstreams := 0.0, 0
-	for _, model := range c.models[e] {
-		if r, ok := c.rates[model]; ok {
-			r.decay(now, c.settings.RateTimeConstant)
-			rates += r.value
-		}
-	}
-	for _, u := range c.upstreams {
-		if u.usable() && c.engines[u.entry.Service] == e {
-			upstreams++
-		}
-	}
-	v := min(max(evenShare*rates/float64(max(upstreams, 1)), 2*c.settings.SecondReplicaRate), c.settings.ReplicaRate)
-	c.plan.replicaRates[e] = v
-	return v
-}
-
 // shortage is a model with fewer replicas than its load requires.
 type shortage struct {
 	service string
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -90,9 +90,8 @@
 		candidates map[string][]candidate
 		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
-		shortages  []shortage // result of Controller.shortages; nil until it is needed
-		// replicaRates holds the request rate that one replica may get.
-		replicaRates map[*fleet.Engine]float64
+		shortages  []shortage            // result of Controller.shortages; nil until it is needed
+		rates      map[*upstream]float64 // result of Controller.upstreamRate; nil until it is needed
 	}
 
 	// candidate is an upstream with a lower bound of the cost of a load from the weight store, without the time of the load.
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -268,7 +268,7 @@
 	r.decay(now, c.settings.RateTimeConstant)
 	others := c.replicaCount(model) - 1
 	if others >= c.neededReplicas(now, e, model) {
-		return surplusCost * (1 + r.value/float64(others+1))
+		return max(surplusCost*(1+r.value/float64(others+1)), c.spreadGain(now, u, model))
 	}
 	m := e.Models[model]
 	reload, _ := u.loadTime(m)
--- a/pkg/place/types.go
+++ b/pkg/place/types.go
@@ -122,6 +122,8 @@
 		DrainTime time.Duration
 		// RateTimeConstant is the time constant of the moving average of the request rates.
 		RateTimeConstant time.Duration
+		// PromptTime is the mean time that an engine reads one prompt, which delays the responses in progress there.
+		PromptTime time.Duration
 		// ReplicaRate is the number of requests per second that one replica serves without long queues.
 		ReplicaRate float64
 		// ReplicaUtilisation is the target share of a replica's slots in use, from 0 to 1.
@@ -170,6 +172,7 @@
 		BusyResidency:      4 * time.Second,         // a few responses, so that two models do not take turns faster than they serve
 		DrainTime:          2 * time.Second,
 		RateTimeConstant:   3 * time.Second,
+		PromptTime:         60 * time.Millisecond,
 		ReplicaRate:        7, // A prompt of 1,500 tokens takes 80 ms of engine time, and its chunks delay other requests' tokens.
 		ReplicaUtilisation: 0.25,
 		ReplicaRequests:    12,
