fix(place): replicas are kept until the demand is known

Cause: a controller that starts without rates, after a start of all hosts or before the first traffic, takes one replica of each model as enough. Other replicas of popular models are then evicted first for the first rare model that is requested, or for copies in the background, and are loaded again a few seconds later. Change: until requests have been observed for the time constant of the rates, an eviction costs as if the rate of a model were in proportion to its replicas. Test: TestStartKeepsReplicas fails before.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -32,6 +32,7 @@
 		stats          Stats
 		ready          []Ready
 		speed          storeSpeed
+		demandSince    time.Time     // when the first request was observed; zero before
 		drainTime      time.Duration // expected time of an unload that waits for requests in progress
 		// blockedSince maps a model to the time when it began to wait for an upstream that has a copy of it but no free memory.
 		blockedSince     map[string]time.Time
@@ -164,6 +165,7 @@
 func (c *Controller) AddRequest(now time.Time, p PendingRequest, hold time.Duration) Forecast {
 	tracked, ok := c.pending[p.Request]
 	if !ok {
+		c.observeDemand(now)
 		tracked = &trackedRequest{addedAt: now}
 		c.pending[p.Request] = tracked
 		c.pendingByModel[p.Key.Model]++
@@ -307,6 +309,7 @@
 	c.running.add(uses, 1)
 	for _, x := range uses {
 		if x.Started > 0 {
+			c.observeDemand(now)
 			c.rate(x.Key.Model).add(now, x.Started, c.settings.RateTimeConstant)
 		}
 		if u, ok := c.upstreams[x.Upstream]; ok {
--- a/pkg/place/spread_test.go
+++ b/pkg/place/spread_test.go
@@ -78,3 +78,24 @@
 	})
 	qt.Assert(t, orders(c.Plan(now)), qt.Not(qt.HasLen), 0)
 }
+
+// TestStartKeepsReplicas guards against a start of all hosts, such as after a power failure, at which the replicas of popular models are
+// evicted first, because no rate is known yet: the first requests to wait are those for rare models.
+func TestStartKeepsReplicas(t *testing.T) {
+	list := make(map[string]fleet.Upstream)
+	for i := range 3 {
+		u := upstream(fmt.Sprint("u", i), "m0", fmt.Sprint("m", i+1))
+		u.OnDisk = []string{"m0", "m1", "m2", "m3", "m4"}
+		list[u.ID] = u
+	}
+	c := controller(engine(5), start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: u.OnDisk})
+	}
+	addRequest(c, start, "m4", "")
+	unloads := orders(c.Plan(start))
+	qt.Assert(t, unloads, qt.HasLen, 1)
+	qt.Assert(t, unloads[0].Op, qt.Equals, place.Unload)
+	qt.Assert(t, unloads[0].Key.Model, qt.Not(qt.Equals), "m0")
+}
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -267,17 +267,32 @@
 	r := c.rate(model)
 	r.decay(now, c.settings.RateTimeConstant)
 	others := c.replicaCount(model) - 1
-	if others >= c.neededReplicas(now, e, model) {
-		return max(surplusCost*(1+r.value/float64(others+1)), c.spreadGain(now, u, model))
-	}
 	m := e.Models[model]
 	reload, _ := u.loadTime(m)
-	if others > 0 {
+	switch {
+	case others >= c.neededReplicas(now, e, model) && c.demandKnown(now):
+		return max(surplusCost*(1+r.value/float64(others+1)), c.spreadGain(now, u, model))
+	case others >= c.neededReplicas(now, e, model):
+		return float64(others+1) * c.priorRate(m) * reload.Seconds()
+	case others > 0:
 		reload /= 2
 	}
 	return max(r.value, c.priorRate(m)) * reload.Seconds()
 }
 
+// demandKnown reports whether requests have been observed for long enough to tell which replicas are in use. Until then, such as after a start
+// of all hosts, a model counts as the more popular, the more replicas it has.
+func (c *Controller) demandKnown(now time.Time) bool {
+	return !c.demandSince.IsZero() && now.Sub(c.demandSince) >= c.settings.RateTimeConstant
+}
+
+// observeDemand records that a request was observed.
+func (c *Controller) observeDemand(now time.Time) {
+	if c.demandSince.IsZero() {
+		c.demandSince = now
+	}
+}
+
 // priorRate returns the minimum request rate assumed for a model. The number of adapters indicates how many teams use it.
 func (c *Controller) priorRate(m fleet.Model) float64 {
 	return c.settings.MinRate * (1 + math.Sqrt(float64(m.Adapters)))
