fix(node): a request refused for a long queue is told when to return

Cause: tryChoose returns before it counts the upstreams that accept requests if the queue outlasts the caller's patience, and choose looked at that count first. The caller got code 3008 (no upstream is listed) and Retry-After 1 s in place of code 3001 and the time of the queue. Change: the queue is looked at first. TestLongQueueIsRefusedWithItsTime failed before.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -52,13 +52,13 @@
 		if t.Attempt != nil || err != nil {
 			return t, err
 		}
-		if available == 0 && len(exclude) == 0 {
-			return t, codes.New(codes.NoUpstream, "no upstream is listed for the service").WithRetryAfter(noUpstreamRetryAfter)
-		}
 		if queue > 0 {
 			return t, codes.Newf(codes.OverCapacity, "upstream %s has a queue of %v", t.Choice.Upstream, queue.Round(time.Millisecond)).
 				WithRetryAfter(jitter(queue))
 		}
+		if available == 0 && len(exclude) == 0 {
+			return t, codes.New(codes.NoUpstream, "no upstream is listed for the service").WithRetryAfter(noUpstreamRetryAfter)
+		}
 		if q.Key.Model == "" {
 			if c.Rounds++; len(exclude) == 0 || available == 0 || c.Rounds > maxRounds {
 				return t, codes.Newf(codes.NoUpstream, "no upstream can take the request, %d are listed for the service", available).
