fix(place): an upstream that stays busy is not the next to accept an order

Cause: an upstream that carries out a load of an earlier controller is expected to accept an order within 60 ms, however long it has been busy, and so is one whose unload or load is overdue. A model on its disk is then never loaded elsewhere: its place looks best in each plan, but takes no order, and each forecast tells waiting requests that the model is ready in a second. Change: what takes longer than expected is expected to take as long again, as with upstreams that have no room.

--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -70,7 +70,7 @@
 	for _, u := range c.upstreams {
 		u.known, u.counted, u.order, u.inDoubt, u.reservedFor, u.drainingSince = false, false, nil, false, "", time.Time{}
 		u.reportAt = now
-		u.load, u.unloading = nil, ""
+		u.load, u.unloading, u.busySince = nil, "", time.Time{}
 		c.adopt(u, u.entry.Held)
 	}
 }
@@ -247,7 +247,7 @@
 	if c.plan.copying[p.Key.Model] {
 		for _, u := range c.sortedUpstreams() {
 			if u.load != nil && u.load.model == p.Key.Model && u.entry.Service == p.Service && u.usable() && !slices.Contains(p.Avoid, u.entry.ID) {
-				consider(u.load.due)
+				consider(now.Add(c.busyTime(now, u)))
 			}
 		}
 	}
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -93,7 +93,13 @@
 		c.drainTime += time.Duration(drainWeight * float64(now.Sub(u.drainingSince)-c.drainTime))
 		u.drainingSince = time.Time{}
 	}
+	if !r.Busy || u.load != nil {
+		u.busySince = time.Time{}
+	}
 	if r.Busy && u.load == nil {
+		if u.busySince.IsZero() {
+			u.busySince = now
+		}
 		// An unload waits for requests, or another controller ordered a load. Its model is not listed until it is ready, so the free memory is unknown.
 		u.known = false
 		u.reportAt = now.Add(reportRetry)
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -53,6 +53,7 @@
 		assumedAt     time.Time // when the end of a load was assumed; zero once the upstream accepted a later order for a model
 		unloading     string    // model whose unload was accepted and may still wait for requests in progress; reports list it until it ends
 		drainingSince time.Time // when an unload was accepted that waits for requests in progress; zero if there is none
+		busySince     time.Time // since when reports show the upstream busy with an order that this controller doesn't know; zero if they don't
 		victims       []victim  // result of Controller.victims in the plan victimsPlan
 		victimsPlan   int
 	}
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -190,13 +190,16 @@
 	return max(c.busyTime(now, u), u.pausedUntil.Sub(now))
 }
 
-// busyTime is waitTime of an upstream that does not pause.
+// busyTime is waitTime of an upstream that does not pause. What takes longer than expected is expected to take as long again, so that an
+// upstream that stays busy does not hold a model that another one can load.
 func (c *Controller) busyTime(now time.Time, u *upstream) time.Duration {
 	switch {
 	case u.load != nil:
-		return max(u.load.due.Sub(now), minLoadWait)
+		return max(u.load.due.Sub(now).Abs(), minLoadWait)
 	case !u.drainingSince.IsZero():
-		return max(u.drainingSince.Add(c.drainTime).Sub(now), conflictBackoff)
+		return max(u.drainingSince.Add(c.drainTime).Sub(now).Abs(), conflictBackoff)
+	case !u.busySince.IsZero():
+		return max(now.Sub(u.busySince), conflictBackoff)
 	case !c.acceptsOrder(now, u):
 		return conflictBackoff
 	}
