fix(pick): a model that is being unloaded gets no requests until the unload ends

Cause: an unload waits for the responses in progress, and the list shows the model until then. Hosts forgot the controller's message after 4 s and sent requests, which the upstream refused. Change: the message counts until the list no longer shows the model, at most 15 s in case the order was not carried out. TestLongUnloadGetsNoRequests failed before.

--- a/pkg/pick/pick_test.go
+++ b/pkg/pick/pick_test.go
@@ -160,6 +160,33 @@
 	qt.Assert(t, choose(t, table, start, pick.Query{Key: k}), qt.Equals, "u")
 }
 
+// TestLongUnloadGetsNoRequests guards against requests that an upstream refuses because it unloads their model: while the unload waits for a
+// long response, the list goes on showing the model. Once the list has shown the end, a later load counts as soon as the list shows it.
+func TestLongUnloadGetsNoRequests(t *testing.T) {
+	held := fleet.Upstream{ID: "u", Service: "s", Slots: 48, Born: 1, Held: []fleet.Held{{Model: "m", Adapters: []string{"a1"}}}}
+	empty := held
+	empty.Held = nil
+	list := func(u fleet.Upstream) map[string]fleet.Upstream { return map[string]fleet.Upstream{"u": u} }
+	k := place.Key{Model: "m"}
+	for _, q := range []pick.Query{{Key: k}, {Key: place.Key{Model: "m", Adapter: "a1"}}} {
+		table := newTable(held)
+		table.Update(start, "u", k, false, pick.Stamp{Fence: 1, Number: 1})
+		now := start
+		for ; now.Before(start.Add(12 * time.Second)); now = now.Add(time.Second) {
+			table.Replace(list(held))
+			table.Expire(now)
+			qt.Assert(t, choose(t, table, now, q), qt.Equals, "", qt.Commentf("after %v", now.Sub(start)))
+		}
+		table.Replace(list(empty))
+		table.Expire(now)
+		table.Replace(list(held))
+		qt.Assert(t, choose(t, table, now, q), qt.Equals, "u")
+	}
+	table := newTable(held) // The upstream did not carry out the order.
+	table.Update(start, "u", k, false, pick.Stamp{Fence: 1, Number: 1})
+	qt.Assert(t, choose(t, table, start.Add(16*time.Second), pick.Query{Key: k}), qt.Equals, "u")
+}
+
 // TestUnloadRemovesAdapters guards against requests for an adapter that was reported as loaded, after its model was unloaded.
 func TestUnloadRemovesAdapters(t *testing.T) {
 	table := newTable(fleet.Upstream{ID: "u"})
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -40,6 +40,7 @@
 	maxAvoidance        = 5 * time.Second
 	silenceLimit        = 1200 * time.Millisecond // time without an event after which an upstream counts as silent
 	learnedTTL          = 4 * time.Second         // how long learned loads and unloads override the published list
+	maxDrain            = 15 * time.Second        // how long a controller's unload overrides a list that goes on showing the model; its order may fail
 	maxEfficientRunning = 16                      // With more requests, an engine delays tokens noticeably, however many slots it has.
 	lateFactor          = 4                       // multiple of the mean time to the first event after which an attempt is late
 	preference          = 0.5                     // advantage of the upstream that the controller named, as a share of slots in use
@@ -132,9 +133,10 @@
 	}
 
 	learned struct {
-		holds bool
-		at    time.Time
-		stamp Stamp // of the last update of a controller
+		holds    bool
+		at       time.Time
+		stamp    Stamp // of the last update of a controller
+		draining bool  // whether a controller unloads the model: the list shows it until its requests have ended
 	}
 
 	// Stamp orders the updates of controllers.
@@ -228,10 +230,10 @@
 // holds an adapter also holds its model.
 func (t *Table) Learn(now time.Time, upstream string, k place.Key, holds bool) {
 	if s, ok := t.upstreams[upstream]; ok {
-		s.learned[k] = learned{holds, now, s.learned[k].stamp}
+		s.learned[k] = learned{holds: holds, at: now, stamp: s.learned[k].stamp}
 		if holds && k.Adapter != "" {
 			model := place.Key{Model: k.Model}
-			s.learned[model] = learned{true, now, s.learned[model].stamp}
+			s.learned[model] = learned{holds: true, at: now, stamp: s.learned[model].stamp}
 		}
 	}
 }
@@ -245,10 +247,16 @@
 	}
 	t.Learn(now, upstream, k, holds)
 	l := s.learned[k]
-	l.stamp = stamp
+	l.stamp, l.draining = stamp, !holds && k.Adapter == ""
 	s.learned[k] = l
 }
 
+// overrides reports whether what was learned is newer than the published list.
+func (l learned) overrides(now time.Time) bool {
+	age := now.Sub(l.at)
+	return age < learnedTTL || l.draining && age < maxDrain
+}
+
 func (s Stamp) before(o Stamp) bool {
 	return s.Fence < o.Fence || s.Fence == o.Fence && s.Number < o.Number
 }
@@ -301,13 +309,18 @@
 		l, ok = s.learned[k]
 	}
 	if k.Adapter != "" {
-		if m, ok := s.learned[place.Key{Model: k.Model}]; ok && now.Sub(m.at) < learnedTTL && !m.holds && !m.at.Before(l.at) {
+		if m, ok := s.learned[place.Key{Model: k.Model}]; ok && m.overrides(now) && !m.holds && !m.at.Before(l.at) {
 			return false // The model was unloaded after the adapter was loaded.
 		}
 	}
-	if ok && now.Sub(l.at) < learnedTTL {
+	if ok && l.overrides(now) {
 		return l.holds
 	}
+	return s.lists(k)
+}
+
+// lists reports whether the published list shows the model or adapter at the upstream.
+func (s *upstreamState) lists(k place.Key) bool {
 	for _, h := range s.entry.Held {
 		if h.Model != k.Model {
 			continue
@@ -365,7 +378,7 @@
 	return list
 }
 
-// Expire removes old sessions, learned loads and unloads that no longer override the published list, and signs that no longer count.
+// Expire removes old sessions, learned loads and unloads that no longer override the published list or that it shows, and signs that no longer count.
 func (t *Table) Expire(now time.Time) {
 	t.expireSigns(now)
 	for k, s := range t.sessions {
@@ -375,7 +388,7 @@
 	}
 	for _, s := range t.upstreams {
 		for k, l := range s.learned {
-			if now.Sub(l.at) > learnedTTL {
+			if !l.overrides(now) || now.Sub(l.at) > learnedTTL && !s.lists(k) {
 				delete(s.learned, k)
 			}
 		}
