fix(place): a refusal shows that an upstream unloads a model for another controller

Cause: a new controller takes a busy upstream for a holder of all models that its reports list, among them the one that it unloads on an order of the controller before. Hosts that ask for an upstream are sent there, refused, and sent there again. Change: a refusal by such an upstream that has free slots counts as the unload. The test failed before.

--- a/pkg/place/busy_test.go
+++ b/pkg/place/busy_test.go
@@ -58,3 +58,33 @@
 	c.Report(now, now, "busy", place.Report{Born: 1, Accepted: 3, OnDisk: []string{"m1"}})
 	qt.Assert(t, orders(c.Plan(now)), qt.HasLen, 1)
 }
+
+// TestRefusalShowsUnloadOfAnotherController guards against requests that are sent again and again to an upstream that unloads their model on the
+// order of an earlier controller: it refuses them, while its reports list the model until the responses in progress have ended.
+func TestRefusalShowsUnloadOfAnotherController(t *testing.T) {
+	busy, other := upstream("busy", "m0"), upstream("other")
+	other.OnDisk = []string{"m0"}
+	c := controller(engine(3), start, map[string]fleet.Upstream{"busy": busy, "other": other})
+	c.Plan(start)
+	report := func(now time.Time) {
+		c.Report(now, now, "busy", place.Report{Born: 1, Accepted: 3, Busy: true, Held: busy.Held})
+	}
+	report(start)
+	c.Report(start, start, "other", place.Report{Born: 1, OnDisk: other.OnDisk})
+	key := place.Key{Model: "m0"}
+	uses := func(running int) []place.Use { return []place.Use{{Upstream: "busy", Key: key, Running: running}} }
+	c.SetUses(start, "h", uses(8))
+	c.RecordRefusal(start, "busy", key)
+	qt.Assert(t, addRequest(c, start, "m0", "").Upstream, qt.Equals, "busy", qt.Commentf("it has no slot"))
+	c.SetUses(start, "h", uses(2))
+	c.RecordRefusal(start, "busy", key)
+	now := start.Add(100 * time.Millisecond)
+	report(now)
+	qt.Assert(t, addRequest(c, now, "m0", "").Upstream, qt.Equals, "")
+	list := orders(c.Plan(now))
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Upstream, qt.Equals, "other")
+	c.Report(now, now, "busy", place.Report{Born: 1, Accepted: 3})
+	c.Report(now.Add(time.Second), now.Add(time.Second), "busy", place.Report{Born: 1, Accepted: 4, Held: busy.Held})
+	qt.Assert(t, addRequest(c, now.Add(time.Second), "m0", "").Upstream, qt.Equals, "busy", qt.Commentf("it has been loaded again"))
+}
--- a/pkg/place/reports.go
+++ b/pkg/place/reports.go
@@ -156,6 +156,10 @@
 	if !ok {
 		return
 	}
+	if _, held := u.replicas[k.Model]; held && c.mayUnload(u, k) {
+		u.unloading, u.drainingSince = k.Model, u.busySince
+		c.removeReplica(u, k.Model)
+	}
 	if r, held := u.replicas[k.Model]; held {
 		if at, ok := r.adapters[k.Adapter]; ok && !at.Equal(unloading) {
 			r.adapters[k.Adapter] = now.Add(c.settings.ReportLag)
@@ -165,3 +169,9 @@
 		}
 	}
 }
+
+// mayUnload reports whether a refusal of a request for the model shows that the upstream unloads it on the order of an earlier controller. Reports
+// list the model until the responses in progress have ended. An upstream refuses others only if it has no slot.
+func (c *Controller) mayUnload(u *upstream, k Key) bool {
+	return !u.busySince.IsZero() && u.unloading == "" && k.Adapter == "" && c.running.upstream[u.entry.ID] < u.entry.Slots
+}
