--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -53,6 +53,7 @@
 		assumedAt     time.Time // when the end of a load was assumed; zero once the upstream accepted a later order for a model
 		unloading     string    // model whose unload was accepted and may still wait for requests in progress; reports list it until it ends
 		drainingSince time.Time // when an unload was accepted that waits for requests in progress; zero if there is none
+		busySince     time.Time // since when reports show the upstream busy with an order that this controller doesn't know; zero if they don't
 		victims       []victim  // result of Controller.victims in the plan victimsPlan
 		victimsPlan   int
 	}
@@ -90,9 +91,8 @@
 		candidates map[string][]candidate
 		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
-		shortages  []shortage // result of Controller.shortages; nil until it is needed
-		// replicaRates holds the request rate that one replica may get.
-		replicaRates map[*fleet.Engine]float64
+		shortages  []shortage            // result of Controller.shortages; nil until it is needed
+		rates      map[*upstream]float64 // result of Controller.upstreamRate; nil until it is needed
 	}
 
 	// candidate is an upstream with a lower bound of the cost of a load from the weight store, without the time of the load.
