fix(node): a controller lends on while its lease is in doubt

The lender needs no confirmed lease while most hosts call it, which they do only if they know of no later lease, so it now goes on until this host knows one or releases its own. A lender whose host gets the lease again without another holder in between is kept.

A caller that was refused during a change of the lender was told to return after 50 ms and was refused again. It is now told when a lender is expected, and returns up to half of that time later, never earlier.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/internal/ctrl"
@@ -18,6 +19,8 @@
 	maxCreditWait  = 300 * time.Millisecond
 	maxChangeWait  = 2400 * time.Millisecond
 	objectiveShare = 0.5
+	// returnSpread is the share of its retry time by which a refused caller returns later at most.
+	returnSpread = 0.5
 	// refusalLogInterval is the time between two log lines about refused requests of a team.
 	refusalLogInterval = time.Second
 )
@@ -37,16 +40,18 @@
 
 	// teamRates is the part of the control state that limits the rates of teams.
 	teamRates struct {
-		host     *rates.Host
-		lender   *rates.Lender // of the newest term of this host as the controller; nil before the first
-		term     int64         // fence of the lease in that term
-		version  int64         // configuration from which the limits were taken
-		limits   map[string]rates.Limit
-		alarm    *ctrl.Alarm
-		waiting  map[int64]chan rates.Decision
-		refusals map[string]*refusalCount
-		ready    bool      // whether the lender was ready at the last tick
-		askedAt  time.Time // when the last heartbeat was requested because the controller did not answer
+		host   *rates.Host
+		lender *rates.Lender // of the newest term of this host as the controller; nil before the first
+		term   int64         // fence of the lease in that term
+		// firstTerm is the fence with which the lender began; its terms since then had no other host's in between.
+		firstTerm int64
+		version   int64 // configuration from which the limits were taken
+		limits    map[string]rates.Limit
+		alarm     *ctrl.Alarm
+		waiting   map[int64]chan rates.Decision
+		refusals  map[string]*refusalCount
+		ready     bool      // whether the lender was ready at the last tick
+		askedAt   time.Time // when the last heartbeat was requested because the controller did not answer
 
 		// predecessor is the last record of the lease that another process wrote, and replaced that of the lender's beginning. stopped is set
 		// if the lender needs no proof any more that the process has stopped lending.
@@ -159,7 +164,12 @@
 			x.limited++
 		}
 	})
-	return codes.New(codes.TeamLimit, reason).WithRetryAfter(jitter(d.RetryAfter))
+	return codes.New(codes.TeamLimit, reason).WithRetryAfter(spread(d.RetryAfter))
+}
+
+// spread returns a time of at least d, so that callers that were refused together do not return together, nor before there is credit.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + returnSpread*rand.Float64())) //nolint:gosec // need not be unpredictable
 }
 
 // settle gives back the credit of a request that did not run.
@@ -242,7 +252,11 @@
 		// Without another process in between, the loans of this one's last lender are in force.
 		n.rates.stopped = n.rates.term != 0 && n.rates.predecessor == n.rates.replaced
 		n.rates.replaced = n.rates.predecessor
-		n.rates.lender, n.rates.term, n.rates.ready = rates.NewLender(), n.term, false
+		if l := n.rates.lender; l != nil && n.rates.stopped && l.Followed(n.bootNow(), n.hostCount()) {
+			n.rates.term = n.term
+			return
+		}
+		n.rates.lender, n.rates.term, n.rates.firstTerm, n.rates.ready = rates.NewLender(), n.term, n.term, false
 		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
 		n.requestHeartbeat() // Hosts get credit once they know the new controller.
 	}
@@ -305,7 +319,7 @@
 // callLender reports to the controller and applies its answer.
 func (n *Node) callLender(now time.Time) {
 	args := CreditArgs{Fence: n.lease.Fence(), Call: n.rates.host.Begin(now)}
-	if n.term != 0 {
+	if n.lends() {
 		reply, err := n.answerCredit(args)
 		n.applyCredit(args, reply, err)
 		return
@@ -358,18 +372,24 @@
 	return err
 }
 
-// answerCredit answers the call of a host for credit of teams. It fails if this host is not the controller, or has lost touch with both the
-// store and most hosts, or if either of the two knows a later lease than the other.
+// lends reports whether this host has the newest lender that it knows. That goes on lending when the lease is in doubt, for example because
+// the store does not answer, while most hosts call it and know of no later lease.
+func (n *Node) lends() bool {
+	return n.rates.lender != nil && n.lease.Leads() && n.lease.Fence() == n.rates.term
+}
+
+// answerCredit answers the call of a host for credit of teams. It fails if this host is not the last known controller, or has lost touch with
+// both the store and most hosts, or if either of the two knows a later lease than the other.
 func (n *Node) answerCredit(a CreditArgs) (CreditReply, error) {
 	now := n.now()
-	if _, held := n.lease.Held(now); !held || n.term == 0 || n.rates.lender == nil || a.Fence != n.rates.term {
+	if !n.lends() || a.Fence < n.rates.firstTerm || a.Fence > n.rates.term {
 		return CreditReply{}, codes.New(codes.StaleLease, errNotController.Error())
 	}
 	if a.Call.Host != n.self.Name && n.members[a.Call.Host] == nil {
 		return CreditReply{}, codes.New(codes.StaleLease, "host is not a known member")
 	}
 	r, err := n.rates.lender.Answer(n.bootNow(), a.Call, n.hostCount(), n.lease.Confirmed(now))
-	return CreditReply{Fence: a.Fence, Reply: r}, err
+	return CreditReply{Fence: n.rates.term, Reply: r}, err
 }
 
 // tickRates makes calls that are due, and logs refused requests.
@@ -385,7 +405,7 @@
 			"rateShare", rate, "credit", level, "demand", demand, "perSecond", n.rates.limits[team].PerSecond)
 		*x = refusalCount{loggedAt: now}
 	}
-	if l := n.rates.lender; l != nil && n.term != 0 {
+	if l := n.rates.lender; n.lends() {
 		n.markStopping(l)
 		if ready, known := l.Ready(n.bootNow()); ready && !n.rates.ready {
 			n.rates.ready = true
@@ -417,7 +437,7 @@
 		n.metrics.TeamCredit(team, "hostCredit", level)
 		n.metrics.TeamCredit(team, "hostDemand", demand)
 	}
-	if n.rates.lender == nil || n.term == 0 {
+	if !n.lends() {
 		return
 	}
 	for team, s := range n.rates.lender.Stats(now) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -118,6 +118,10 @@
 	return l.isHolder() && !l.released && now.Before(l.heldUntil)
 }
 
+// Leads reports whether the newest known term is that of this host and was not released. The lease may be in doubt, so that another host can
+// have taken it over.
+func (l *Lease) Leads() bool { return l.isHolder() && !l.released }
+
 // Fence returns the fence of the newest known term, or zero if none is known.
 func (l *Lease) Fence() int64 {
 	if !l.known {
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -46,7 +46,7 @@
 const (
 	// OverLimit means that the lender has no credit.
 	OverLimit Reason = iota
-	// NoLender means that no lender answers, and that the host has too little credit of its own.
+	// NoLender means that no lender can grant credit, and that the host has too little credit of its own.
 	NoLender
 )
 
@@ -180,7 +180,7 @@
 	}
 	giveUp := now.Add(wait)
 	if wait <= 0 || !next.Before(giveUp) {
-		return h.refusal(now, next), 0
+		return h.refusal(now, next, a, a.missing()+cost), 0
 	}
 	h.lastID++
 	a.waiting = append(a.waiting, request{h.lastID, cost, giveUp})
@@ -244,7 +244,7 @@
 		case a.take(r.cost):
 			h.decided[r.id] = Decision{Result: Admitted, At: now}
 		case !now.Before(r.giveUp) || !next.Before(r.giveUp):
-			h.decided[r.id] = h.refusal(now, next)
+			h.decided[r.id] = h.refusal(now, next, a, r.cost)
 		default:
 			return
 		}
@@ -252,12 +252,20 @@
 	}
 }
 
-func (h *Host) refusal(now, next time.Time) Decision {
-	d := Decision{Result: Refused, RetryAfter: min(max(next.Sub(now), minWait), maxWait)}
-	if h.lost {
-		d.Reason = NoLender
-		d.RetryAfter = min(max(next.Sub(now), minWait), max(h.lostAt.Add(changeTime).Sub(now), noLenderWait))
+// refusal returns the decision on a request that has no credit before next. While no lender can grant credit, the caller is told to return when
+// one is expected.
+func (h *Host) refusal(now, next time.Time, a *account, cost float64) Decision {
+	d := Decision{Result: Refused}
+	if !h.lost && !h.beginning {
+		d.RetryAfter = min(max(next.Sub(now), minWait), maxWait)
+		return d
+	}
+	d.Reason = NoLender
+	lends := later(h.lostAt.Add(changeTime), now.Add(noLenderWait))
+	if h.beginning && now.Before(a.deniedUntil) {
+		lends = a.deniedUntil
 	}
+	d.RetryAfter = max(earlier(a.creditAt(now, cost), lends).Sub(now), minWait)
 	return d
 }
 
@@ -270,6 +278,8 @@
 	for _, a := range h.teams {
 		a.accrue(now)
 		switch {
+		case len(a.waiting) > 0 && h.beginning:
+			at = earlier(at, h.lastCall.Add(refillGap)) // The lender may begin earlier than it expects.
 		case len(a.waiting) > 0:
 			at = earlier(at, later(h.lastCall.Add(minCallGap), a.deniedUntil))
 		case a.level < lowShare*a.need(now):
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -140,7 +140,7 @@
 	b.seq, b.lastCall = c.Seq, now
 	l.record(now, b, c)
 	l.updateReady(now, hosts)
-	if !confirmed && l.reporters(now) <= hosts/2 {
+	if !confirmed && !l.Followed(now, hosts) {
 		return Reply{}, codes.New(codes.StaleLease, "lease is not confirmed")
 	}
 	reply := Reply{Seq: c.Seq, Beginning: !l.isReady(now), Teams: make(map[string]Loan, len(c.Teams))}
@@ -216,7 +216,7 @@
 	p.level = min(p.level, l.room(now, p))
 	if !l.isReady(now) {
 		if r.Must > 0 {
-			answer.Wait = max(min(l.readyAt.Sub(now), CallInterval), minDenial)
+			answer.Wait = l.untilReady(now)
 		}
 		return answer
 	}
@@ -238,6 +238,14 @@
 	return answer
 }
 
+// untilReady returns the time after which this lender is expected to grant credit.
+func (l *Lender) untilReady(now time.Time) time.Duration {
+	if l.readyAt.IsZero() {
+		return reporterTime + GrantTime
+	}
+	return max(l.readyAt.Sub(now), minDenial)
+}
+
 // wait returns the time after which a host that got too little credit calls again.
 func (p *pool) wait(lack float64) time.Duration {
 	s := max(lack, 0) / max((1-p.rate)*p.limit.PerSecond, minRate)
@@ -319,6 +327,9 @@
 
 func (l *Lender) isKnown(now time.Time) bool { return l.isReady(now) && !now.Before(l.knownAt) }
 
+// Followed reports whether most of the given number of hosts have called recently, which they do only if they know of no later lender.
+func (l *Lender) Followed(now time.Time, hosts int) bool { return l.reporters(now) > hosts/2 }
+
 // reporters returns the number of hosts that have called recently.
 func (l *Lender) reporters(now time.Time) int {
 	count := 0
--- a/pkg/rates/rates_test.go
+++ b/pkg/rates/rates_test.go
@@ -101,8 +101,8 @@
 	qt.Check(t, admitted, qt.IsTrue)
 }
 
-// TestWaitsForNewLender guards against requests that are refused although the next lender comes in time, and against those that wait for
-// one that does not come.
+// TestWaitsForNewLender guards against requests that are refused although the next lender comes in time, against those that wait for one that
+// does not come, and against callers that are told to return before it is expected.
 func TestWaitsForNewLender(t *testing.T) {
 	t.Parallel()
 	h := newHost("a", map[string]rates.Limit{"t": tokenLimit(10000)})
@@ -110,7 +110,9 @@
 	d, id := h.Admit(start.Add(time.Second), "t", 1000, 2*time.Second)
 	qt.Assert(t, d.Result, qt.Equals, rates.Waiting)
 	qt.Check(t, h.TakeDecided(start.Add(2*time.Second)), qt.HasLen, 0)
-	qt.Check(t, h.TakeDecided(start.Add(3 * time.Second))[id].Result, qt.Equals, rates.Refused)
+	refused := h.TakeDecided(start.Add(3 * time.Second))[id]
+	qt.Check(t, refused.Result, qt.Equals, rates.Refused)
+	qt.Check(t, refused.RetryAfter >= time.Second, qt.IsTrue, qt.Commentf("%v", refused.RetryAfter))
 	d, _ = h.Admit(start.Add(5*time.Second), "t", 1000, 2*time.Second)
 	qt.Check(t, d.Result, qt.Equals, rates.Refused)
 	qt.Check(t, d.Reason, qt.Equals, rates.NoLender)
