feat(rates): the next controller continues with what the last one lent, or begins sooner without it

The new controller now asks the process that held the lease for the state of its lender, which ends with the answer, and a host whose call reaches a former controller is told the present lease.

Without an answer, it counts from the last answers that hosts got. A lender whose lease is in doubt counts only hosts that confirm its answers, so hosts can tell when it has stopped. TestUnconfirmedLender covers that rule now: hosts count after they got an answer, and calls alone do not keep a lender.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -43,4 +43,5 @@
 	eventConvicted      = 503 // Requests with all of some parts are refused.
 	eventTeamLimit      = 600 // Requests of a team were refused because of its rate limit.
 	eventLending        = 601 // The controller has heard from enough hosts to lend credit of teams.
+	eventHandOver       = 602 // The controller passed on what it lent to its successor.
 )
--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -30,12 +30,18 @@
 	CreditArgs struct {
 		Fence int64 // of the newest lease record that the host knows
 		Call  rates.Call
+		// Successor is set if the call asks for the state of the lender instead. It is the lease that the calling host holds.
+		Successor *LeaseUpdate
 	}
 
 	// CreditReply is the answer to CreditArgs.
 	CreditReply struct {
 		Fence int64
 		Reply rates.Reply
+		// Lease is set instead of Fence and Reply if this host knows a later lease than the calling one.
+		Lease *LeaseUpdate
+		// State answers a call of the successor; it is nil if the state is not known.
+		State *rates.State
 	}
 
 	// teamRates is the part of the control state that limits the rates of teams.
@@ -59,6 +65,8 @@
 		predecessorAt         time.Time // when the record was first known to exist
 		stopped               bool
 		proof                 stopProof
+		stateAskedAt          time.Time // when the predecessor was last asked for its state
+		stateAnswered         bool
 	}
 
 	// stopProof proves that a process has not lent since a time; it is zero without proof.
@@ -212,6 +220,7 @@
 func (n *Node) stepRates() {
 	n.updateLimits()
 	n.updateLender()
+	n.askForState()
 	n.checkPredecessor()
 	if len(n.rates.limits) == 0 && len(n.rates.waiting) == 0 {
 		return
@@ -257,6 +266,7 @@
 			return
 		}
 		n.rates.lender, n.rates.term, n.rates.firstTerm, n.rates.ready = rates.NewLender(), n.term, n.term, false
+		n.rates.stateAskedAt, n.rates.stateAnswered = time.Time{}, false
 		n.rates.lender.SetLimits(n.bootNow(), n.rates.limits)
 		n.requestHeartbeat() // Hosts get credit once they know the new controller.
 	}
@@ -348,6 +358,11 @@
 
 // applyCredit applies the answer to a call, unless it is that of a host that no longer holds the lease.
 func (n *Node) applyCredit(args CreditArgs, reply CreditReply, err error) {
+	if x := reply.Lease; err == nil && x != nil && n.observeLease(x) {
+		n.rates.host.Redirected(args.Call.Seq)
+		n.stepRates()
+		return
+	}
 	if err != nil || reply.Fence < n.lease.Fence() {
 		n.rates.host.Failed(n.bootNow(), args.Call.Seq)
 		if now := time.Now(); now.Sub(n.rates.askedAt) >= heartbeatInterval/2 {
@@ -367,7 +382,15 @@
 	s.node.control.Ask(func() {
 		s.node.updateLimits()
 		s.node.updateLender()
-		*reply, err = s.node.answerCredit(*a)
+		switch {
+		case a.Successor != nil:
+			*reply, err = s.node.handOver(*a)
+		case a.Fence < s.node.lease.Fence() && !s.node.lends():
+			update := s.node.leaseUpdate()
+			reply.Lease, err = &update, nil
+		default:
+			*reply, err = s.node.answerCredit(*a)
+		}
 	})
 	return err
 }
--- a/internal/node/rates_test.go
+++ b/internal/node/rates_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestLenderGoesOnWhileItsLeaseIsInDoubt guards against hosts without credit from the end of the controller's lease until another one lends,
-// although the controller lost touch only with the store, and against one that lends after a later lease is known.
+// although the controller lost touch only with the store, and against one that lends after its successor has asked for its state.
 func TestLenderGoesOnWhileItsLeaseIsInDoubt(t *testing.T) {
 	t.Parallel()
 	n := newTestNode(Settings{})
@@ -21,14 +21,13 @@
 	n.parent = ""
 	limits := map[string]rates.Limit{"t": {PerSecond: 10, Burst: 10, Window: time.Second}}
 	n.rates.limits = limits
-	took := bootNow().Add(-time.Minute)
+	took := bootNow()
 	n.lease.Observe(took, lease.Newest{}, 0)
-	n.lease.Appended(took, n.lease.Step(took), 4) // The lease has not been renewed since.
+	n.lease.Appended(took, n.lease.Step(took), 4)
 	fence := n.lease.Fence()
 	n.term = fence
 	n.updateLender()
-	n.rates.lender.StopPredecessor(took, "")
-	n.term = 0
+	n.rates.lender.StopPredecessor(took.Add(-time.Minute), "")
 	hosts := make([]*rates.Host, 3)
 	for i := range hosts {
 		name := fmt.Sprint("h", i)
@@ -37,14 +36,28 @@
 		hosts[i].SetLimits(bootNow(), limits)
 	}
 	call := func(i int) error {
-		hosts[i].Admit(bootNow(), "t", 1, time.Second)
-		_, err := n.answerCredit(CreditArgs{Fence: fence, Call: hosts[i].Begin(bootNow())})
+		c := hosts[i].Begin(bootNow())
+		reply, err := n.answerCredit(CreditArgs{Fence: fence, Call: c})
+		if err == nil {
+			hosts[i].Apply(bootNow(), reply.Reply)
+		}
 		return err
 	}
-	qt.Check(t, codes.Is(call(0), codes.StaleLease), qt.IsTrue, qt.Commentf("few hosts call it"))
+	for i := range hosts {
+		qt.Assert(t, call(i), qt.IsNil)
+	}
+	own, _, _ := n.lease.Newest(bootNow())
+	n.lease.Invalidate()
+	n.lease.Observe(bootNow(), own, 0)
+	n.updateTerm()
+	qt.Assert(t, n.lease.Confirmed(bootNow()), qt.IsFalse)
+	qt.Check(t, codes.Is(call(0), codes.StaleLease), qt.IsTrue, qt.Commentf("few hosts get its answers"))
 	qt.Check(t, codes.Is(call(1), codes.StaleLease), qt.IsTrue)
 	qt.Check(t, call(2), qt.IsNil)
 	later := lease.Newest{Record: lease.Record{Holder: "h0", Incarnation: "h0.1", Fence: fence + 1}, Offset: 5, End: 6}
-	n.lease.Observe(bootNow(), later, 0)
+	reply, err := n.handOver(CreditArgs{Fence: fence + 1, Successor: &LeaseUpdate{Known: true, Newest: later}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.State, qt.IsNotNil)
+	qt.Check(t, reply.State.Hosts, qt.HasLen, len(hosts))
 	qt.Check(t, codes.Is(call(2), codes.StaleLease), qt.IsTrue)
 }
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -79,6 +79,9 @@
 		// beginning is set while the lender may not grant credit yet.
 		beginning bool
 		lostAt    time.Time // when the first of the calls was made that failed since the last reply
+		// answeredAt is when the last answer came, or when the first call was made; uncounted is set if its lender does not count answers.
+		answeredAt time.Time
+		uncounted  bool
 	}
 
 	// account is the credit of one team.
@@ -294,6 +297,12 @@
 	h.call.Seq++
 	c := h.call
 	c.Teams = make(map[string]Report)
+	if h.answeredAt.IsZero() {
+		h.answeredAt = now
+	}
+	if !h.uncounted {
+		c.SinceAnswer = now.Sub(h.answeredAt)
+	}
 	h.pending = &sentCall{c.Seq, now, make(map[string]float64)}
 	h.lastCall = now
 	for name, a := range h.teams {
@@ -335,6 +344,7 @@
 		h.lostAt = p.at
 	}
 	h.pending, h.lost, h.beginning, h.notSoon = nil, false, r.Beginning, time.Time{}
+	h.call.Answered, h.answeredAt, h.uncounted = p.seq, now, !r.CountsAnswers
 	for name, a := range h.teams {
 		level, reported := p.levels[name]
 		if !reported {
@@ -367,6 +377,13 @@
 	h.pending, h.lost, h.notSoon = nil, true, now.Add(failedCallGap)
 }
 
+// Redirected records that the pending call reached a host that is no lender any more, but knows the present one.
+func (h *Host) Redirected(seq int64) {
+	if h.pending != nil && h.pending.seq == seq {
+		h.pending = nil
+	}
+}
+
 // Held returns the share of the rate, the credit and the demand of a team at this host.
 func (h *Host) Held(now time.Time, team string) (rate, level, demand float64) {
 	a := h.teams[team]
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -1,7 +1,9 @@
 package rates
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -12,6 +14,8 @@
 	expiryMargin = 100 * time.Millisecond
 	// reporterTime is how long a host counts as a reporter after its last call.
 	reporterTime = CallInterval + 250*time.Millisecond
+	// answerTime is how long a host counts as a reporter after its last call of which it confirmed, with the next one, that it got the answer.
+	answerTime = 2*CallInterval + 250*time.Millisecond
 	// demandFactor is the ratio of a lent rate to the demand, if the limit is higher.
 	demandFactor = 1.25
 	// reserveShare is the share of the capacity that the lender keeps for requests that have arrived, and maxWishShare the part of its other
@@ -35,8 +39,8 @@
 type (
 	// Lender divides the limits of all teams among hosts.
 	//
-	// Two lenders may exist while the lease changes hands. A lender lends only while its lease is confirmed, or while most hosts report to it,
-	// which they do only if they know of no later lease. A new lender waits until most hosts have reported to it, and then for as long as an
+	// Two lenders may exist while the lease changes hands. A lender lends only while its lease is confirmed, or while most hosts report to it
+	// and get its answers, which they do only if they know of no later lease. A new lender waits until most hosts have reported to it, and then for as long as an
 	// earlier lender may have gone on and its grants are valid, unless that one has provably stopped. It does not know the loans of that
 	// lender before all hosts have reported, or the loans have expired; until then it lends only what hosts report to hold, and what no
 	// lender may lend.
@@ -47,8 +51,10 @@
 		knownAt time.Time       // when all loans are known
 		gone    map[string]bool // hosts that have held no loan since their process ended or began to stop, unless they called since
 		sweptAt time.Time
-		count   int // number of hosts that may hold credit; zero before the first call
-		unheard int // number of those whose loans are not known
+		// answered is when each host got its last answer of an earlier lender at the latest.
+		answered map[string]time.Time
+		count    int // number of hosts that may hold credit; zero before the first call
+		unheard  int // number of those whose loans are not known
 	}
 
 	// borrower is what the lender knows about a host.
@@ -57,6 +63,7 @@
 		started     int64
 		seq         int64
 		lastCall    time.Time
+		answeredAt  time.Time // of the last call whose answer the host got
 		loans       map[string]*loan
 	}
 
@@ -92,7 +99,7 @@
 
 // NewLender returns a lender that begins with a new lease.
 func NewLender() *Lender {
-	return &Lender{hosts: make(map[string]*borrower), gone: make(map[string]bool), pools: make(map[string]*pool)}
+	return &Lender{hosts: make(map[string]*borrower), gone: make(map[string]bool), pools: make(map[string]*pool), answered: make(map[string]time.Time)}
 }
 
 // SetLimits sets the limits of all teams. Credit of a team with a lower limit shrinks in proportion.
@@ -137,13 +144,19 @@
 	case c.Incarnation != b.incarnation || c.Seq <= b.seq:
 		return Reply{}, codes.New(codes.StaleLease, "call is older than an earlier one")
 	}
+	if b.seq != 0 && c.Answered == b.seq {
+		b.answeredAt = b.lastCall
+	}
+	if _, ok := l.answered[c.Host]; !ok {
+		l.answered[c.Host] = now.Add(-max(c.SinceAnswer, 0))
+	}
 	b.seq, b.lastCall = c.Seq, now
 	l.record(now, b, c)
 	l.updateReady(now, hosts)
 	if !confirmed && !l.Followed(now, hosts) {
 		return Reply{}, codes.New(codes.StaleLease, "lease is not confirmed")
 	}
-	reply := Reply{Seq: c.Seq, Beginning: !l.isReady(now), Teams: make(map[string]Loan, len(c.Teams))}
+	reply := Reply{Seq: c.Seq, Beginning: !l.isReady(now), Teams: make(map[string]Loan, len(c.Teams)), CountsAnswers: true}
 	for name, r := range c.Teams {
 		if p := l.pools[name]; p != nil {
 			reply.Teams[name] = l.lend(now, p, b.loans[name], r)
@@ -307,6 +320,11 @@
 	if l.readyAt.IsZero() && len(l.hosts) > hosts/2 {
 		l.beginAfter(now.Add(reporterTime))
 	}
+	if most := hosts/2 + 1; !l.isReady(now) && len(l.answered) >= most {
+		// An earlier lender can lend as long as most hosts get its answers, and these hosts take none from it any more.
+		times := slices.SortedFunc(maps.Values(l.answered), time.Time.Compare)
+		l.beginAfter(times[most-1].Add(answerTime))
+	}
 	heard := len(l.hosts)
 	for host := range l.gone {
 		if l.hosts[host] == nil {
@@ -327,14 +345,14 @@
 
 func (l *Lender) isKnown(now time.Time) bool { return l.isReady(now) && !now.Before(l.knownAt) }
 
-// Followed reports whether most of the given number of hosts have called recently, which they do only if they know of no later lender.
+// Followed reports whether most of the given number of hosts have called recently and get the answers, which they do only if they know of no later lender.
 func (l *Lender) Followed(now time.Time, hosts int) bool { return l.reporters(now) > hosts/2 }
 
-// reporters returns the number of hosts that have called recently.
+// reporters returns the number of hosts that have called recently and get the answers.
 func (l *Lender) reporters(now time.Time) int {
 	count := 0
 	for _, b := range l.hosts {
-		if now.Sub(b.lastCall) < reporterTime {
+		if now.Sub(b.lastCall) < reporterTime && now.Sub(b.answeredAt) < answerTime {
 			count++
 		}
 	}
--- a/pkg/rates/rates_test.go
+++ b/pkg/rates/rates_test.go
@@ -28,25 +28,63 @@
 }
 
 // TestUnconfirmedLender guards against two lenders at once: one that can't tell whether another host has the lease must not lend unless most
-// hosts report to it.
+// hosts report to it and get its answers.
 func TestUnconfirmedLender(t *testing.T) {
 	t.Parallel()
 	limits := map[string]rates.Limit{"t": tokenLimit(10000)}
 	l := readyLender(limits)
-	call := func(now time.Time, h *rates.Host, confirmed bool) error {
-		_, err := l.Answer(now, h.Begin(now), 5, confirmed)
+	call := func(now time.Time, h *rates.Host, confirmed, lost bool) error {
+		r, err := l.Answer(now, h.Begin(now), 5, confirmed)
+		if err == nil && !lost {
+			h.Apply(now, r)
+		}
 		return err
 	}
 	var hosts []*rates.Host
 	for _, name := range []string{"a", "b", "c"} {
 		hosts = append(hosts, newHost(name, limits))
+		qt.Check(t, call(start, hosts[len(hosts)-1], true, false), qt.IsNil)
+	}
+	next := start.Add(rates.CallInterval)
+	qt.Check(t, codes.Is(call(next, hosts[0], false, false), codes.StaleLease), qt.IsTrue)
+	qt.Check(t, codes.Is(call(next, hosts[1], false, false), codes.StaleLease), qt.IsTrue)
+	qt.Check(t, call(next, hosts[2], false, false), qt.IsNil)
+	for range 3 { // Calls go on arriving, but no answer.
+		next = next.Add(rates.CallInterval)
+		for _, h := range hosts {
+			_ = call(next, h, true, true)
+		}
+	}
+	qt.Check(t, codes.Is(call(next, hosts[2], false, true), codes.StaleLease), qt.IsTrue)
+	later := next.Add(5 * time.Second)
+	qt.Check(t, codes.Is(call(later, hosts[2], false, false), codes.StaleLease), qt.IsTrue)
+}
+
+// TestBeginsSoonAfterALostLender guards against a limit that is not lent for seconds after a take-over, although all but the lost host know that
+// no answer of the earlier lender has come for longer than it may lend without them.
+func TestBeginsSoonAfterALostLender(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": tokenLimit(10000)}
+	for _, x := range []struct {
+		silent time.Duration
+		begins bool
+	}{{5 * time.Second, true}, {3 * time.Second, false}} {
+		earlier, next := readyLender(limits), rates.NewLender()
+		next.SetLimits(start, limits)
+		const count = 5 // of which one is lost
+		var reply rates.Reply
+		for _, name := range []string{"a", "b", "c", "d"} {
+			h := newHost(name, limits)
+			r, err := earlier.Answer(start, h.Begin(start), count, true)
+			qt.Assert(t, err, qt.IsNil)
+			h.Apply(start, r)
+			now := start.Add(x.silent)
+			h.Admit(now, "t", 1000, time.Second)
+			reply, err = next.Answer(now, h.Begin(now), count, true)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Check(t, !reply.Beginning, qt.Equals, x.begins, qt.Commentf("%v after the last answer", x.silent))
 	}
-	qt.Check(t, call(start, hosts[0], true), qt.IsNil)
-	qt.Check(t, codes.Is(call(start, hosts[0], false), codes.StaleLease), qt.IsTrue)
-	qt.Check(t, codes.Is(call(start, hosts[1], false), codes.StaleLease), qt.IsTrue)
-	qt.Check(t, call(start, hosts[2], false), qt.IsNil)
-	later := start.Add(5 * time.Second)
-	qt.Check(t, codes.Is(call(later, hosts[2], false), codes.StaleLease), qt.IsTrue)
 }
 
 // TestCreditExpires guards against a host that goes on with credit which the lender has lent to others by then.
@@ -152,3 +190,34 @@
 	share := admitted / (6 * 200_000)
 	qt.Assert(t, share > 0.7, qt.IsTrue, qt.Commentf("%.2f of the limit is used, 0.78 is wanted", share))
 }
+
+// TestHandOver guards against a change of the lender in which hosts get no credit for seconds, or credit that the earlier lender has lent, although
+// that one can pass on what it lent.
+func TestHandOver(t *testing.T) {
+	t.Parallel()
+	limits := map[string]rates.Limit{"t": {PerSecond: 100, Burst: 100, Window: 8 * time.Second}}
+	earlier, a, b := readyLender(limits), newHost("a", limits), newHost("b", limits)
+	draw := func(l *rates.Lender, now time.Time, h *rates.Host, cost float64) bool {
+		d, id := h.Admit(now, "t", cost, time.Second)
+		reply, err := l.Answer(now, h.Begin(now), 2, true)
+		qt.Assert(t, err, qt.IsNil)
+		h.Apply(now, reply)
+		if decided, ok := h.TakeDecided(now)[id]; ok {
+			d = decided
+		}
+		h.Cancel("t", id)
+		return d.Result == rates.Admitted
+	}
+	qt.Assert(t, draw(earlier, start, a, 60), qt.IsTrue)
+	qt.Assert(t, draw(earlier, start, b, 30), qt.IsTrue)
+	state, ok := earlier.Export(start, 2, true)
+	qt.Assert(t, ok, qt.IsTrue)
+	next := rates.NewLender()
+	next.SetLimits(start, limits)
+	qt.Assert(t, next.Import(start, state), qt.IsTrue)
+	qt.Check(t, draw(next, start, a, 40), qt.IsFalse, qt.Commentf("ten are left of the burst"))
+	qt.Check(t, draw(next, start.Add(time.Second), b, 40), qt.IsTrue)
+	_, ok = next.Export(start.Add(10*time.Second), 2, false)
+	qt.Check(t, ok, qt.IsFalse, qt.Commentf("others may have lent since its lease ended"))
+	qt.Check(t, next.Import(start, state), qt.IsFalse, qt.Commentf("it lends already"))
+}
--- a/pkg/rates/types.go
+++ b/pkg/rates/types.go
@@ -66,6 +66,8 @@
 		Started     int64 // orders the incarnations of a host
 		Seq         int64 // orders the calls of an incarnation
 		Teams       map[string]Report
+		Answered    int64         // newest call of this incarnation whose reply was applied
+		SinceAnswer time.Duration // since that reply came, if its lender counts answers
 	}
 
 	// Reply is the answer to a Call. A team that it does not list has no loan.
@@ -73,6 +75,8 @@
 		Seq       int64
 		Beginning bool // whether the lender may not grant credit yet
 		Teams     map[string]Loan
+		// CountsAnswers is set by a lender that counts only hosts that get its answers as reporters.
+		CountsAnswers bool
 	}
 )
 
--- a/pkg/rates/world_test.go
+++ b/pkg/rates/world_test.go
@@ -39,6 +39,7 @@
 		wanted    map[string]float64
 		maxShare  float64 // highest sum of the rates that hosts held
 		calls     int     // of hosts to lenders
+		handed    int     // states that a lender continued with
 		arrivals  map[string][]arrival
 		limits    map[string]rates.Limit
 	}
@@ -142,6 +143,7 @@
 		}
 	}
 	l.SetLimits(w.now, n.limits)
+	w.handOver(n, l)
 	w.lenders = append(w.lenders, &term{n, n.incarnation, l, w.fence, w.now.Add(leaseHold)})
 	fence := w.fence
 	n.fence = fence
@@ -150,6 +152,30 @@
 	}
 }
 
+// handOver passes the state of the newest lender on to the next one in some of the cases in which it can be reached.
+func (w *world) handOver(n *node, l *rates.Lender) {
+	if len(w.lenders) == 0 || w.random.Float64() < 0.3 {
+		return
+	}
+	h := w.holder()
+	if h.host.down || h.host.frozen || h.host.cut || n.cut || h.host == n || h.host.incarnation != h.incarnation {
+		return
+	}
+	confirmed := w.now.Before(h.confirmedUntil)
+	h.host.fence = w.fence
+	state, ok := h.lender.Export(w.now, len(w.hosts), confirmed)
+	if !ok {
+		return
+	}
+	delay := time.Duration(w.random.Int64N(int64(rates.CallTimeout)))
+	incarnation := n.incarnation
+	w.mail = append(w.mail, message{w.now.Add(delay), n, nil, func() {
+		if n.incarnation == incarnation && l.Import(w.now, state) {
+			w.handed++
+		}
+	}})
+}
+
 // learn makes a host know a lease after a random delay, and again later if it is cut off.
 func (w *world) learn(m *node, fence int64) {
 	incarnation := m.incarnation
