--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -46,7 +46,7 @@
 const (
 	// OverLimit means that the lender has no credit.
 	OverLimit Reason = iota
-	// NoLender means that no lender answers, and that the host has too little credit of its own.
+	// NoLender means that no lender can grant credit, and that the host has too little credit of its own.
 	NoLender
 )
 
@@ -79,6 +79,9 @@
 		// beginning is set while the lender may not grant credit yet.
 		beginning bool
 		lostAt    time.Time // when the first of the calls was made that failed since the last reply
+		// answeredAt is when the last answer came, or when the first call was made; uncounted is set if its lender does not count answers.
+		answeredAt time.Time
+		uncounted  bool
 	}
 
 	// account is the credit of one team.
@@ -180,7 +183,7 @@
 	}
 	giveUp := now.Add(wait)
 	if wait <= 0 || !next.Before(giveUp) {
-		return h.refusal(now, next), 0
+		return h.refusal(now, next, a, a.missing()+cost), 0
 	}
 	h.lastID++
 	a.waiting = append(a.waiting, request{h.lastID, cost, giveUp})
@@ -244,7 +247,7 @@
 		case a.take(r.cost):
 			h.decided[r.id] = Decision{Result: Admitted, At: now}
 		case !now.Before(r.giveUp) || !next.Before(r.giveUp):
-			h.decided[r.id] = h.refusal(now, next)
+			h.decided[r.id] = h.refusal(now, next, a, r.cost)
 		default:
 			return
 		}
@@ -252,12 +255,20 @@
 	}
 }
 
-func (h *Host) refusal(now, next time.Time) Decision {
-	d := Decision{Result: Refused, RetryAfter: min(max(next.Sub(now), minWait), maxWait)}
-	if h.lost {
-		d.Reason = NoLender
-		d.RetryAfter = min(max(next.Sub(now), minWait), max(h.lostAt.Add(changeTime).Sub(now), noLenderWait))
+// refusal returns the decision on a request that has no credit before next. While no lender can grant credit, the caller is told to return when
+// one is expected.
+func (h *Host) refusal(now, next time.Time, a *account, cost float64) Decision {
+	d := Decision{Result: Refused}
+	if !h.lost && !h.beginning {
+		d.RetryAfter = min(max(next.Sub(now), minWait), maxWait)
+		return d
+	}
+	d.Reason = NoLender
+	lends := later(h.lostAt.Add(changeTime), now.Add(noLenderWait))
+	if h.beginning && now.Before(a.deniedUntil) {
+		lends = a.deniedUntil
 	}
+	d.RetryAfter = max(earlier(a.creditAt(now, cost), lends).Sub(now), minWait)
 	return d
 }
 
@@ -270,6 +281,8 @@
 	for _, a := range h.teams {
 		a.accrue(now)
 		switch {
+		case len(a.waiting) > 0 && h.beginning:
+			at = earlier(at, h.lastCall.Add(refillGap)) // The lender may begin earlier than it expects.
 		case len(a.waiting) > 0:
 			at = earlier(at, later(h.lastCall.Add(minCallGap), a.deniedUntil))
 		case a.level < lowShare*a.need(now):
@@ -284,6 +297,12 @@
 	h.call.Seq++
 	c := h.call
 	c.Teams = make(map[string]Report)
+	if h.answeredAt.IsZero() {
+		h.answeredAt = now
+	}
+	if !h.uncounted {
+		c.SinceAnswer = now.Sub(h.answeredAt)
+	}
 	h.pending = &sentCall{c.Seq, now, make(map[string]float64)}
 	h.lastCall = now
 	for name, a := range h.teams {
@@ -325,6 +344,7 @@
 		h.lostAt = p.at
 	}
 	h.pending, h.lost, h.beginning, h.notSoon = nil, false, r.Beginning, time.Time{}
+	h.call.Answered, h.answeredAt, h.uncounted = p.seq, now, !r.CountsAnswers
 	for name, a := range h.teams {
 		level, reported := p.levels[name]
 		if !reported {
@@ -357,6 +377,13 @@
 	h.pending, h.lost, h.notSoon = nil, true, now.Add(failedCallGap)
 }
 
+// Redirected records that the pending call reached a host that is no lender any more, but knows the present one.
+func (h *Host) Redirected(seq int64) {
+	if h.pending != nil && h.pending.seq == seq {
+		h.pending = nil
+	}
+}
+
 // Held returns the share of the rate, the credit and the demand of a team at this host.
 func (h *Host) Held(now time.Time, team string) (rate, level, demand float64) {
 	a := h.teams[team]
