fix(node): a list that arrives late is not sent again with each answer

A host dropped a hub's list that was older than its limit on arrival, and got the whole list again with the next answer, late again: a whole list of 3,000 upstreams takes 0.12 s on a link of 10 Mbit/s and some tenths of a second of a small host's processor. The host now applies a late list that is newer than its own, with its true age, and still turns to another source.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -203,10 +203,11 @@
 		n.applyHostStatus(now, s)
 	}
 	current := bootTime.Sub(listAt) <= n.poll.maxListAge && bootTime.Sub(configAt) <= n.poll.maxConfigAge
-	if !current && (n.hasList || !f.Whole || len(f.Put) == 0) {
+	if !current && !n.hasList && (!f.Whole || len(f.Put) == 0) {
 		return false
 	}
-	// A host without a list applies even a stale one: during an outage of the store no host has a newer one.
+	// A host applies even a stale list if it has none, because during an outage of the store no host has a newer one, or only an older one.
+	// Otherwise a host that gets a long list late would get the whole list again with each answer, and each time late.
 	n.configAt = later(n.configAt, configAt)
 	if current {
 		n.outage.reset()
--- a/internal/node/packed_test.go
+++ b/internal/node/packed_test.go
@@ -115,3 +115,27 @@
 	qt.Assert(t, n.parent, qt.Equals, "", qt.Commentf("the hosts are few, so that each is a hub"))
 	qt.Assert(t, n.placing.Stats().Upstreams, qt.Equals, 1)
 }
+
+// TestStaleListIsNotSentAgain guards against a hub's link that is full of complete lists: a list of thousands of upstreams took so long on the way to
+// a host with a slow link that it was older than the limit there, and the host dropped it and got it again with each answer.
+func TestStaleListIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	s := Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}}
+	n, hub := newTestNode(s), newTestNode(s)
+	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
+	hub.applyList(time.Now(), map[string]fleet.Upstream{"u": {ID: "u"}})
+	now := bootNow()
+	n.listAt, n.upstreams = now.Add(-2900*time.Millisecond), map[string]fleet.Upstream{"old": {ID: "old"}}
+	hub.listAt, hub.configAt = now.Add(-2100*time.Millisecond), now
+	f := hub.buildFeed("h", n.query())
+	qt.Assert(t, f.Whole, qt.IsTrue)
+	qt.Assert(t, n.applyFeed(hub.self, &f, now), qt.IsFalse, qt.Commentf("the host turns to another source"))
+	qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
+	qt.Assert(t, hub.buildFeed("h", n.query()).Whole, qt.IsFalse)
+	// A list that the host has read later stays.
+	n.applyListRead(now, ListChanges{Complete: true, Put: []fleet.Upstream{{ID: "v"}}, Cursor: Cursor{Era: 1, Next: 5}})
+	f = hub.buildFeed("h", n.query())
+	qt.Assert(t, n.applyFeed(hub.self, &f, now), qt.IsFalse)
+	qt.Assert(t, n.upstreams, qt.HasLen, 1)
+	qt.Assert(t, n.upstreams["v"].ID, qt.Equals, "v")
+}
