fix(place): a rare model counts with the mean rate of the rare models

A rare model without a request within the last seconds counted with 0.02 requests a second, where the mean is 0.1 to 0.2, so it was evicted before replicas that hardly saved delay. Change: the minimum rate of a model is the mean of the models that are not in steady use. Test: TestSpareReplicaBeforeRareModel fails before.

--- a/pkg/place/replicas.go
+++ b/pkg/place/replicas.go
@@ -126,7 +126,7 @@
 				continue
 			}
 			t, ok := c.bestTarget(now, service, e, model, search{fromStore: true})
-			gain := c.priorRate(m) * m.FromStore.Seconds()
+			gain := c.priorRate(now, e, m) * m.FromStore.Seconds()
 			if !ok || t.wait > 0 || gain < minGainRatio*t.loss {
 				continue
 			}
--- a/pkg/place/spread_test.go
+++ b/pkg/place/spread_test.go
@@ -15,7 +15,8 @@
 
 // popularBesideRare returns a controller of six upstreams that have memory for two models each. The first ones hold the popular model m0,
 // which gets the given rate; the rest of the memory holds rare models, which get rareRate each and have a request in progress if busy is set.
-func popularBesideRare(replicas int, rate, rareRate float64, busy bool) *place.Controller {
+// All upstreams have copies of m0, m13 and the models of onDisk.
+func popularBesideRare(replicas int, rate, rareRate float64, busy bool, onDisk ...string) *place.Controller {
 	e := engine(14)
 	e.Slots = 128
 	period := place.DefaultSettings().RateTimeConstant.Seconds()
@@ -28,7 +29,11 @@
 		var held []string
 		if i < replicas {
 			held = append(held, "m0")
-			uses = append(uses, place.Use{Upstream: id, Key: place.Key{Model: "m0"}, Running: 1, Started: started(rate / float64(replicas))})
+			use := place.Use{Upstream: id, Key: place.Key{Model: "m0"}, Started: started(rate / float64(replicas))}
+			if busy {
+				use.Running = 1
+			}
+			uses = append(uses, use)
 		}
 		for len(held) < 2 {
 			rare++
@@ -44,7 +49,7 @@
 	c := controller(e, start, list)
 	c.Plan(start)
 	for id, u := range list {
-		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: []string{"m0", "m13"}})
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: append([]string{"m0", "m13"}, onDisk...)})
 	}
 	c.SetUses(start, "h", uses)
 	return c
@@ -99,3 +104,21 @@
 	qt.Assert(t, unloads[0].Op, qt.Equals, place.Unload)
 	qt.Assert(t, unloads[0].Key.Model, qt.Not(qt.Equals), "m0")
 }
+
+// TestSpareReplicaBeforeRareModel guards against the eviction of a rare model that had no request for a while, instead of a replica that
+// hardly saves delay: with many rare models, each has no request most of the time, and together they have many.
+func TestSpareReplicaBeforeRareModel(t *testing.T) {
+	c := popularBesideRare(4, 6, 0, false, "m1")
+	now := start.Add(place.DefaultSettings().RateTimeConstant)
+	uses := []place.Use{{Upstream: "u0", Key: place.Key{Model: "m0"}, Started: 12}}
+	for i := 2; i <= 12; i++ {
+		uses = append(uses, place.Use{Upstream: "v", Key: place.Key{Model: fmt.Sprint("m", i)}, Started: 2})
+	}
+	c.SetUses(now, "h", uses)
+	addRequest(c, now, "m13", "")
+	unloads := orders(c.Plan(now))
+	qt.Assert(t, unloads, qt.Not(qt.HasLen), 0)
+	for _, o := range unloads { // The others make room for models without a copy.
+		qt.Assert(t, o.Key.Model, qt.Equals, "m0")
+	}
+}
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -273,11 +273,11 @@
 	case others >= c.neededReplicas(now, e, model) && c.demandKnown(now):
 		return max(surplusCost*(1+r.value/float64(others+1)), c.spreadGain(now, u, model))
 	case others >= c.neededReplicas(now, e, model):
-		return float64(others+1) * c.priorRate(m) * reload.Seconds()
+		return float64(others+1) * c.minRate(m) * reload.Seconds()
 	case others > 0:
 		reload /= 2
 	}
-	return max(r.value, c.priorRate(m)) * reload.Seconds()
+	return max(r.value, c.priorRate(now, e, m)) * reload.Seconds()
 }
 
 // demandKnown reports whether requests have been observed for long enough to tell which replicas are in use. Until then, such as after a start
@@ -293,7 +293,35 @@
 	}
 }
 
-// priorRate returns the minimum request rate assumed for a model. The number of adapters indicates how many teams use it.
-func (c *Controller) priorRate(m fleet.Model) float64 {
+// priorRate returns the minimum request rate assumed for a model: at least the mean of the models that are not in steady use, because most of
+// them have no requests within the time constant of the rates.
+func (c *Controller) priorRate(now time.Time, e *fleet.Engine, m fleet.Model) float64 {
+	return max(c.minRate(m), c.rareRate(now, e))
+}
+
+// minRate returns the minimum request rate assumed for a model while no rates are known. The number of adapters indicates how many teams use
+// it.
+func (c *Controller) minRate(m fleet.Model) float64 {
 	return c.settings.MinRate * (1 + math.Sqrt(float64(m.Adapters)))
 }
+
+// rareRate returns the mean request rate of the engine's models that are not in steady use.
+func (c *Controller) rareRate(now time.Time, e *fleet.Engine) float64 {
+	if v, ok := c.plan.rareRates[e]; ok {
+		return v
+	}
+	sum, models := 0.0, 0
+	for _, model := range c.models[e] {
+		rate := 0.0
+		if _, ok := c.rates[model]; ok {
+			rate = c.currentRate(now, model)
+		}
+		if rate <= c.settings.SecondReplicaRate {
+			sum += rate
+			models++
+		}
+	}
+	v := sum / float64(max(models, 1))
+	c.plan.rareRates[e] = v
+	return v
+}
