--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -29,7 +29,9 @@
 	// if no lender answers for longer.
 	changeTime   = 4 * time.Second
 	noLenderWait = time.Second
-	minDemand    = 1e-3
+	// slowAnswer is the time without an answer to a call after which the lender is taken for lost.
+	slowAnswer = 200 * time.Millisecond
+	minDemand  = 1e-3
 )
 
 // Results of an admission.
@@ -147,7 +149,19 @@
 
 // Changing reports whether the lender was lost so recently that another one can be expected soon.
 func (h *Host) Changing(now time.Time) bool {
-	return (h.lost || h.beginning) && now.Sub(h.lostAt) < changeTime
+	since, lost := h.lostSince(now)
+	return lost && now.Sub(since) < changeTime
+}
+
+// lostSince returns since when no lender can grant credit; lost is false if one can.
+func (h *Host) lostSince(now time.Time) (since time.Time, lost bool) {
+	switch {
+	case h.lost || h.beginning:
+		return h.lostAt, true
+	case h.pending != nil:
+		return h.pending.at, now.Sub(h.pending.at) >= slowAnswer
+	}
+	return time.Time{}, false
 }
 
 // SetStopping gives up all loans. From then on the host draws only what requests that still arrive need.
@@ -259,12 +273,13 @@
 // one is expected.
 func (h *Host) refusal(now, next time.Time, a *account, cost float64) Decision {
 	d := Decision{Result: Refused}
-	if !h.lost && !h.beginning {
+	since, lost := h.lostSince(now)
+	if !lost {
 		d.RetryAfter = min(max(next.Sub(now), minWait), maxWait)
 		return d
 	}
 	d.Reason = NoLender
-	lends := later(h.lostAt.Add(changeTime), now.Add(noLenderWait))
+	lends := later(since.Add(changeTime), now.Add(noLenderWait))
 	if h.beginning && now.Before(a.deniedUntil) {
 		lends = a.deniedUntil
 	}
--- a/pkg/rates/rates_test.go
+++ b/pkg/rates/rates_test.go
@@ -144,8 +144,14 @@
 func TestWaitsForNewLender(t *testing.T) {
 	t.Parallel()
 	h := newHost("a", map[string]rates.Limit{"t": tokenLimit(10000)})
-	h.Failed(start, h.Begin(start).Seq)
-	d, id := h.Admit(start.Add(time.Second), "t", 1000, 2*time.Second)
+	lost := h.Begin(start).Seq
+	d, id := h.Admit(start.Add(10*time.Millisecond), "t", 1000, 300*time.Millisecond)
+	qt.Assert(t, d.Result, qt.Equals, rates.Waiting)
+	early := h.TakeDecided(start.Add(400 * time.Millisecond))
+	qt.Check(t, early, qt.HasLen, 1)
+	qt.Check(t, early[id].RetryAfter >= 3*time.Second, qt.IsTrue, qt.Commentf("%v", early[id].RetryAfter))
+	h.Failed(start, lost)
+	d, id = h.Admit(start.Add(time.Second), "t", 1000, 2*time.Second)
 	qt.Assert(t, d.Result, qt.Equals, rates.Waiting)
 	qt.Check(t, h.TakeDecided(start.Add(2*time.Second)), qt.HasLen, 0)
 	refused := h.TakeDecided(start.Add(3 * time.Second))[id]
