fix(node): requests wait until a new controller lends if that time is known

After the restart of all hosts no credit is lent for 1.3 s, because other hosts may hold grants. The controller now says when it begins, and a request waits until then if it can be served after that.

A lender that does not yet know all loans hands over too; the next one goes on with the same reserve for the rest.

--- a/internal/node/rates.go
+++ b/internal/node/rates.go
@@ -89,12 +89,24 @@
 	}
 }
 
-// admit takes credit for a request of a team with a limited rate, and waits for it if necessary.
-func (n *Node) admit(ctx context.Context, c *relay.Call) error {
-	wait := time.Until(c.AbandonAt)
+// creditWait returns how long a request may wait for credit. It must run on the control thread.
+func (n *Node) creditWait(c *relay.Call, now time.Time) time.Duration {
+	wait := min(time.Until(c.AbandonAt), maxChangeWait)
+	if at, ok := n.rates.host.ReadyAt(now); ok && at.Sub(now)+maxCreditWait < wait {
+		return at.Sub(now) + maxCreditWait // It need not come back after the change, whose end is known.
+	}
+	if !n.rates.host.Changing(now) {
+		wait = min(wait, maxCreditWait)
+	}
 	if o := c.Route.Objective; o > 0 {
 		wait = min(wait, time.Duration(objectiveShare*float64(o)))
 	}
+	return wait
+}
+
+// admit takes credit for a request of a team with a limited rate, and waits for it if necessary.
+func (n *Node) admit(ctx context.Context, c *relay.Call) error {
+	wait := time.Duration(0)
 	cost := c.Team.Rate.Cost(c.Prompt + c.Output)
 	var d rates.Decision
 	var id int64
@@ -102,11 +114,7 @@
 	if !n.control.Ask(func() {
 		n.updateLimits()
 		now := n.bootNow()
-		if n.rates.host.Changing(now) {
-			wait = min(wait, maxChangeWait)
-		} else {
-			wait = min(wait, maxCreditWait)
-		}
+		wait = n.creditWait(c, now)
 		if d, id = n.rates.host.Admit(now, c.Team.Name, cost, wait); d.Result == rates.Waiting {
 			decided = make(chan rates.Decision, 1)
 			n.rates.waiting[id] = decided
--- a/internal/node/rates_test.go
+++ b/internal/node/rates_test.go
@@ -7,7 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/fireflycleat/fireflycleat/internal/relay"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
+	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
 	"github.com/fireflycleat/fireflycleat/pkg/rates"
 )
@@ -61,3 +63,18 @@
 	qt.Check(t, reply.State.Hosts, qt.HasLen, len(hosts))
 	qt.Check(t, codes.Is(call(2), codes.StaleLease), qt.IsTrue)
 }
+
+// TestWaitsUntilTheLenderBegins guards against requests that are refused, and come back late, although it is known that there is credit in time.
+func TestWaitsUntilTheLenderBegins(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	h := n.rates.host
+	h.SetLimits(bootNow(), map[string]rates.Limit{"t": {PerSecond: 10, Burst: 10, Window: time.Second}})
+	call := &relay.Call{Route: fleet.Route{Objective: 100 * time.Millisecond}, AbandonAt: time.Now().Add(5 * time.Second)}
+	c := h.Begin(bootNow())
+	h.Apply(bootNow(), rates.Reply{Seq: c.Seq, Beginning: true, ReadyIn: time.Second})
+	wait := n.creditWait(call, bootNow())
+	qt.Check(t, wait > time.Second && wait <= time.Second+maxCreditWait, qt.IsTrue, qt.Commentf("%v", wait))
+	call.AbandonAt = time.Now().Add(500 * time.Millisecond)
+	qt.Check(t, n.creditWait(call, bootNow()), qt.Equals, 50*time.Millisecond)
+}
--- a/pkg/rates/host.go
+++ b/pkg/rates/host.go
@@ -80,6 +80,7 @@
 		stopping bool
 		// beginning is set while the lender may not grant credit yet.
 		beginning bool
+		readyAt   time.Time // when a beginning lender may grant credit; zero if unknown
 		lostAt    time.Time // when the first of the calls was made that failed since the last reply
 		// answeredAt is when the last answer came, or when the first call was made; uncounted is set if its lender does not count answers.
 		answeredAt time.Time
@@ -147,23 +148,6 @@
 	}
 }
 
-// Changing reports whether the lender was lost so recently that another one can be expected soon.
-func (h *Host) Changing(now time.Time) bool {
-	since, lost := h.lostSince(now)
-	return lost && now.Sub(since) < changeTime
-}
-
-// lostSince returns since when no lender can grant credit; lost is false if one can.
-func (h *Host) lostSince(now time.Time) (since time.Time, lost bool) {
-	switch {
-	case h.lost || h.beginning:
-		return h.lostAt, true
-	case h.pending != nil:
-		return h.pending.at, now.Sub(h.pending.at) >= slowAnswer
-	}
-	return time.Time{}, false
-}
-
 // SetStopping gives up all loans. From then on the host draws only what requests that still arrive need.
 func (h *Host) SetStopping(now time.Time) {
 	if h.stopping {
@@ -269,24 +253,6 @@
 	}
 }
 
-// refusal returns the decision on a request that has no credit before next. While no lender can grant credit, the caller is told to return when
-// one is expected.
-func (h *Host) refusal(now, next time.Time, a *account, cost float64) Decision {
-	d := Decision{Result: Refused}
-	since, lost := h.lostSince(now)
-	if !lost {
-		d.RetryAfter = min(max(next.Sub(now), minWait), maxWait)
-		return d
-	}
-	d.Reason = NoLender
-	lends := later(since.Add(changeTime), now.Add(noLenderWait))
-	if h.beginning && now.Before(a.deniedUntil) {
-		lends = a.deniedUntil
-	}
-	d.RetryAfter = max(earlier(a.creditAt(now, cost), lends).Sub(now), minWait)
-	return d
-}
-
 // NextCall returns when the next call to the lender is due; ok is false while one is pending or if no team has a limit.
 func (h *Host) NextCall(now time.Time) (at time.Time, ok bool) {
 	if h.pending != nil && now.Sub(h.pending.at) < CallTimeout || len(h.teams) == 0 {
@@ -298,6 +264,9 @@
 		switch {
 		case len(a.waiting) > 0 && h.beginning:
 			at = earlier(at, h.lastCall.Add(refillGap)) // The lender may begin earlier than it expects.
+			if now.Before(h.readyAt) {
+				at = earlier(at, later(h.lastCall.Add(minCallGap), h.readyAt))
+			}
 		case len(a.waiting) > 0:
 			at = earlier(at, later(h.lastCall.Add(minCallGap), a.deniedUntil))
 		case a.level < lowShare*a.need(now):
@@ -359,6 +328,9 @@
 		h.lostAt = p.at
 	}
 	h.pending, h.lost, h.beginning, h.notSoon = nil, false, r.Beginning, time.Time{}
+	if h.readyAt = (time.Time{}); r.Beginning && r.ReadyIn > 0 {
+		h.readyAt = now.Add(r.ReadyIn)
+	}
 	h.call.Answered, h.answeredAt, h.uncounted = p.seq, now, !r.CountsAnswers
 	for name, a := range h.teams {
 		level, reported := p.levels[name]
@@ -392,13 +364,6 @@
 	h.pending, h.lost, h.notSoon = nil, true, now.Add(failedCallGap)
 }
 
-// Redirected records that the pending call reached a host that is no lender any more, but knows the present one.
-func (h *Host) Redirected(seq int64) {
-	if h.pending != nil && h.pending.seq == seq {
-		h.pending = nil
-	}
-}
-
 // Held returns the share of the rate, the credit and the demand of a team at this host.
 func (h *Host) Held(now time.Time, team string) (rate, level, demand float64) {
 	a := h.teams[team]
--- a/pkg/rates/lender.go
+++ b/pkg/rates/lender.go
@@ -157,6 +157,9 @@
 		return Reply{}, codes.New(codes.StaleLease, "lease is not confirmed")
 	}
 	reply := Reply{Seq: c.Seq, Beginning: !l.isReady(now), Teams: make(map[string]Loan, len(c.Teams)), CountsAnswers: true}
+	if reply.Beginning && !l.readyAt.IsZero() {
+		reply.ReadyIn = l.readyAt.Sub(now)
+	}
 	for name, r := range c.Teams {
 		if p := l.pools[name]; p != nil {
 			reply.Teams[name] = l.lend(now, p, b.loans[name], r)
--- a/pkg/rates/rates_test.go
+++ b/pkg/rates/rates_test.go
@@ -84,6 +84,7 @@
 			qt.Assert(t, err, qt.IsNil)
 		}
 		qt.Check(t, !reply.Beginning, qt.Equals, x.begins, qt.Commentf("%v after the last answer", x.silent))
+		qt.Check(t, x.begins || reply.ReadyIn > 500*time.Millisecond && reply.ReadyIn < 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", reply.ReadyIn))
 	}
 }
 
--- a/pkg/rates/state.go
+++ b/pkg/rates/state.go
@@ -7,6 +7,10 @@
 	State struct {
 		Hosts  map[string]HostState
 		Levels map[string]float64 // credit left at the lender, by team
+		// KnownIn is the time until the loans of all other hosts have expired.
+		KnownIn time.Duration
+		// Count is the number of all hosts, and Unheard that of the hosts whose loans are not known.
+		Count, Unheard int
 	}
 
 	// HostState is the part of a State that describes a host.
@@ -24,14 +28,16 @@
 	}
 )
 
-// Export returns the state of this lender, which must not answer any call after that. It reports false if the state may be out of date or
-// incomplete: other lenders could have lent since, or not all loans are known.
+// Export returns the state of this lender, which must not answer any call after that. It reports false if other lenders could have lent since.
 func (l *Lender) Export(now time.Time, hosts int, confirmed bool) (State, bool) {
-	if !l.isKnown(now) || !confirmed && !l.Followed(now, hosts) {
+	if !l.isReady(now) || !confirmed && !l.Followed(now, hosts) {
 		return State{}, false
 	}
 	l.sweep(now)
-	s := State{Hosts: make(map[string]HostState, len(l.hosts)), Levels: make(map[string]float64, len(l.pools))}
+	s := State{
+		Hosts: make(map[string]HostState, len(l.hosts)), Levels: make(map[string]float64, len(l.pools)), KnownIn: max(l.knownAt.Sub(now), 0),
+		Count: l.count, Unheard: l.unheard,
+	}
 	for name, b := range l.hosts {
 		h := HostState{b.incarnation, b.started, b.seq, make(map[string]LoanState, len(b.loans))}
 		for team, x := range b.loans {
@@ -65,7 +71,7 @@
 		}
 		l.hosts[name] = b
 	}
-	l.readyAt, l.knownAt, l.unheard = now, now, 0
+	l.readyAt, l.knownAt, l.count, l.unheard = now, now.Add(s.KnownIn), s.Count, s.Unheard
 	for team, p := range l.pools {
 		p.level, p.at = max(s.Levels[team], 0), now
 	}
--- a/pkg/rates/types.go
+++ b/pkg/rates/types.go
@@ -77,6 +77,7 @@
 		Teams     map[string]Loan
 		// CountsAnswers is set by a lender that counts only hosts that get its answers as reporters.
 		CountsAnswers bool
+		ReadyIn       time.Duration // time until the lender grants credit, if Beginning is set; zero if unknown
 	}
 )
 
