feat(pick): a queue that stands is joined only by requests that can be on time

Load: a popular model has one copy and gets more requests than it serves. Change: hosts notice for how long an upstream has had a queue. One that has lasted for longer than the caller would wait is joined only if the response can be on time; others are refused at once and may return after the time that the caller would have waited. The queue of a burst is joined as before.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -48,13 +48,12 @@
 		missing = id // The controller checks whether the upstream still holds the model and is reachable.
 	}
 	for {
-		t, available, queue, err := n.tryChoose(q, c, n.queueLimit(c, exclude))
+		t, available, after, err := n.tryChoose(q, c, n.callerWait(c, exclude))
 		if t.Attempt != nil || err != nil {
 			return t, err
 		}
-		if queue > 0 {
-			return t, codes.Newf(codes.OverCapacity, "upstream %s has a queue of %v", t.Choice.Upstream, queue.Round(time.Millisecond)).
-				WithRetryAfter(jitter(queue))
+		if after > 0 {
+			return t, codes.Newf(codes.OverCapacity, "the queue of upstream %s is too long", t.Choice.Upstream).WithRetryAfter(jitter(after))
 		}
 		if available == 0 && len(exclude) == 0 {
 			return t, codes.New(codes.NoUpstream, "no upstream is listed for the service").WithRetryAfter(noUpstreamRetryAfter)
@@ -95,15 +94,15 @@
 	}
 }
 
-// queueLimit returns the longest time that the request may spend in the queue of an upstream, or zero for no limit: a caller that
-// expects the first event earlier leaves, and its request only delays others. More urgent requests overtake others in the queue.
-func (n *Node) queueLimit(c *relay.Call, exclude map[string]bool) time.Duration {
-	left := time.Until(c.AbandonAt)
-	if c.Key.Model == "" || len(exclude) > 0 || left <= 0 {
-		return 0
+// callerWait returns how long the caller of a request for a model waits for the first event. A request that was sent before joins any queue.
+func (n *Node) callerWait(c *relay.Call, exclude map[string]bool) pick.Wait {
+	if c.Key.Model == "" || len(exclude) > 0 {
+		return pick.Wait{}
+	}
+	return pick.Wait{
+		Patience: c.AbandonAt.Sub(c.Arrived), Left: time.Until(c.AbandonAt), Objective: time.Until(c.Arrived.Add(c.Route.Objective)),
+		Ranks: n.config.Load().Ranks(c.Service, c.Urgency),
 	}
-	cfg := n.config.Load()
-	return left * time.Duration(1+cfg.Ranks(c.Service, c.Urgency))
 }
 
 // jitter returns a time within a quarter of d, so that callers who are refused together do not return together.
@@ -112,10 +111,10 @@
 }
 
 // tryChoose chooses an upstream that can take the request now, if there is one. It also returns the number of upstreams of the
-// service that accept new work. If the queue of the best upstream is longer than the limit, it returns the expected time in the
-// queue and starts no attempt; zero means no limit.
+// service that accept new work. If the request should not join the queue of the best upstream, it returns after what time the caller may
+// return and starts no attempt.
 // The error is that of a request with a part that crashes upstreams, or of one whose upstreams all want no requests for now.
-func (n *Node) tryChoose(q pick.Query, c *relay.Call, limit time.Duration) (t relay.Ticket, available int, queue time.Duration, err error) {
+func (n *Node) tryChoose(q pick.Query, c *relay.Call, w pick.Wait) (t relay.Ticket, available int, after time.Duration, err error) {
 	n.control.Ask(func() {
 		now := time.Now()
 		if err = n.checkParts(now, c.Parts); err != nil {
@@ -124,18 +123,17 @@
 		choice, ok := n.table.Choose(now, q)
 		if ok {
 			t.Choice = choice
-			if queue = n.table.QueueTime(choice); limit > 0 && queue > limit {
+			if after = n.table.Refuse(now, choice, w); after > 0 {
 				n.table.RecordDemand(choice, q.Key)
 				return
 			}
-			queue = 0
 			t.Attempt = n.table.StartAttempt(now, choice, q)
 		} else if t.Choice.Upstream, err = n.checkPause(now, c); err != nil {
 			n.table.RecordDemand(t.Choice, q.Key)
 		}
 		available = n.table.CountAccepting(q.Service)
 	})
-	return t, available, queue, err
+	return t, available, after, err
 }
 
 // awaitUpstream waits until the controller returns an upstream. It refuses the request as soon as the forecast shows that the
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -132,21 +132,6 @@
 	service.meanStay += stayWeight * (stay - service.meanStay)
 }
 
-// QueueTime returns the expected time until a further request at the chosen upstream gets a slot. It is zero if a slot is free or the
-// run times are unknown.
-func (t *Table) QueueTime(c Choice) time.Duration {
-	s, ok := t.upstreams[c.Upstream]
-	if !ok || s.entry.Slots <= 0 {
-		return 0
-	}
-	run := t.meanRun[s.entry.Service]
-	if s.meanRun > 0 {
-		run = min(run, s.meanRun) // Models differ in speed; the lower mean keeps a wrong estimate from refusing requests.
-	}
-	waiting := c.expected + 1 - float64(s.entry.Slots)
-	return time.Duration(max(waiting, 0) * run / float64(s.entry.Slots) * float64(time.Second))
-}
-
 // RecordDemand counts a request that the upstream did not get because its queue is too long, so that the controller sees the demand.
 func (t *Table) RecordDemand(c Choice, k place.Key) {
 	if s, ok := t.upstreams[c.Upstream]; ok {
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -128,6 +128,7 @@
 		failures       int     // attempts without an answer since the last served one
 		avoidedUntil   time.Time
 		refusedAt      time.Time
+		queuedSince    time.Time // since when more requests are in flight than it has slots; zero if there are no more
 		lastEvent      *atomic.Int64
 		gate           *gate
 	}
@@ -386,7 +387,12 @@
 			delete(t.sessions, k)
 		}
 	}
-	for _, s := range t.upstreams {
+	for id, s := range t.upstreams {
+		if t.running(id) <= s.entry.Slots {
+			s.queuedSince = time.Time{}
+		} else if s.queuedSince.IsZero() {
+			s.queuedSince = now
+		}
 		for k, l := range s.learned {
 			if !l.overrides(now) || now.Sub(l.at) > learnedTTL && !s.lists(k) {
 				delete(s.learned, k)
