feat(serve): one account of what callers, operators and other daemons occupy

serve bounded each request and their number but not their sum, nor connections, and the peers' port of both daemons took any number of connections and messages. The connections, heads and bodies of serve's HTTP ports are now charged to the ledger through internal/intake, which takes over the connection, the handler and the reading of bodies from internal/node and internal/relay. limits.memory states the memory of the process; without it the limits follow from 1 GiB or 32 times limits.requestBytes. internal/peers limits connections and counts messages before gob allocates for them.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -36,6 +36,7 @@
 			if err != nil {
 				return listenError(s, err)
 			}
+			d.SetCollectorLimit()
 			ctx, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 			defer cancel()
 			return listenError(s, d.Run(ctx))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/fireflycleat/fireflycleat/internal/ctrl"
 	"github.com/fireflycleat/fireflycleat/internal/engine"
 	"github.com/fireflycleat/fireflycleat/internal/front"
+	"github.com/fireflycleat/fireflycleat/internal/intake"
 	"github.com/fireflycleat/fireflycleat/internal/logsvc"
 	"github.com/fireflycleat/fireflycleat/internal/peers"
 	"github.com/fireflycleat/fireflycleat/internal/setup"
@@ -50,6 +50,7 @@
 		callerAPI       *front.Callers
 		callerServer    *http.Server
 		operatorServer  *http.Server
+		gate            *intake.Gate
 		decisionHistory decisionHistory
 		published       atomic.Pointer[publishedState]
 		ctx             context.Context
@@ -130,10 +131,15 @@
 	if err != nil {
 		return errors.Wrap(err, "creating the operators' API")
 	}
-	d.callerServer = front.NewServer(callers, d.settings.Limits.HeaderTimeout.Value())
-	d.operatorServer = front.NewServer(operators, d.settings.Limits.HeaderTimeout.Value())
+	d.gate = d.newGate()
+	d.callerServer = front.NewServer(callers, d.settings.Limits.HeaderTimeout.Value(), d.gate)
+	d.operatorServer = front.NewServer(operators, d.settings.Limits.HeaderTimeout.Value(), d.gate)
 	d.peerServer, err = peers.Listen(d.settings.Listen.Peers.String(), &peerService{d}, d.metrics.Link(telem.PeerLink))
-	return err
+	if err != nil {
+		return err
+	}
+	d.peerServer.Limit(d.peerLimits())
+	return nil
 }
 
 func (d *Daemon) newCallerAPI() *front.Callers {
@@ -158,6 +164,7 @@
 	d.addServer(&g, d.operatorServer, d.settings.Listen.Operator.String())
 	g.Add(d.peerServer.Serve, func(error) { d.peerServer.Close() })
 	d.addLoop(&g, d.tailLog)
+	d.addLoop(&g, d.expireClients)
 	d.addLoop(&g, d.pollHostList)
 	d.addLoop(&g, d.pollStatus)
 	d.addLoop(&g, d.pollLoadingEngines)
@@ -175,7 +182,7 @@
 func (d *Daemon) addServer(g *run.Group, s *http.Server, address string) {
 	stopped := make(chan struct{})
 	g.Add(func() error {
-		l, err := net.Listen("tcp", address)
+		l, err := d.listenHTTP(address)
 		if err != nil {
 			return errors.Wrap(err, "listening for HTTP")
 		}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -3,13 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/intake"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
@@ -21,23 +20,26 @@
 	InFlight     int           // maximum number of callers' requests in progress
 }
 
-// readBody reads the whole body, and returns a TooLarge, TooSlow or BadRequest error if it cannot.
-func readBody(w http.ResponseWriter, r *http.Request, l Limits) ([]byte, error) {
+// Numbers of copies of a request's body that are in memory at once: its parts and their sum, and for models also the decoded document and the
+// body with changed fields.
+const (
+	plainCopies = 2
+	modelCopies = 4
+)
+
+// readBody reads the whole body, which will be held in memory the given number of times. It returns a TooLarge, TooSlow, OverMemory or BadRequest
+// error if it cannot.
+func readBody(w http.ResponseWriter, r *http.Request, l Limits, copies int64) ([]byte, error) {
 	c := http.NewResponseController(w)
 	// The error is ignored: only the response recorders of tests do not support deadlines.
 	_ = c.SetReadDeadline(time.Now().Add(l.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.RequestBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		_ = c.SetReadDeadline(time.Time{})
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, codes.Newf(codes.TooLarge, "request body exceeds the limit of %d bytes", l.RequestBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, codes.Newf(codes.TooSlow, "request body did not arrive within %s", l.BodyTimeout)
+	parts, err := intake.AccountOf(r).ReadBody(r.Context(), intake.Body{Reader: r.Body, Length: r.ContentLength, Limit: l.RequestBytes, Copies: copies})
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		return nil, err
 	}
-	return nil, codes.New(codes.BadRequest, err.Error())
+	_ = c.SetReadDeadline(time.Time{})
+	return bytes.Join(parts, nil), nil
 }
 
 // CheckName returns a BadRequest error for the field if the name is empty or invalid.
--- a/internal/front/models.go
+++ b/internal/front/models.go
@@ -50,7 +50,7 @@
 }
 
 func (c *Callers) chat(w http.ResponseWriter, r *http.Request, t spec.Team) error {
-	body, err := readBody(w, r, c.Limits)
+	body, err := readBody(w, r, c.Limits, modelCopies)
 	if err != nil {
 		return err
 	}
@@ -77,7 +77,7 @@
 }
 
 func (c *Callers) completions(w http.ResponseWriter, r *http.Request, t spec.Team) error {
-	body, err := readBody(w, r, c.Limits)
+	body, err := readBody(w, r, c.Limits, modelCopies)
 	if err != nil {
 		return err
 	}
--- a/internal/front/operators.go
+++ b/internal/front/operators.go
@@ -169,7 +169,7 @@
 }
 
 func (o *Operators) decode(r *http.Request, x iris.Context, dst any) error {
-	body, err := readBody(x.ResponseWriter(), r, o.Limits)
+	body, err := readBody(x.ResponseWriter(), r, o.Limits, plainCopies)
 	if err != nil {
 		return err
 	}
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 
@@ -62,7 +61,7 @@
 	p := newProblem(err, requestID(w))
 	w.Header().Set("Content-Type", problemType)
 	if p.RetryAfterSeconds > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfterSeconds))))
+		w.Header().Set("Retry-After", retryAfterSeconds(p.RetryAfterSeconds))
 	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p) // ignored: the caller may have disconnected
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
@@ -33,7 +32,7 @@
 	case len(key) > maxKeyBytes || strings.ContainsFunc(key, notPrintable):
 		return codes.Newf(codes.BadRequest, "must have at most %d printable ASCII characters", maxKeyBytes).WithField(idempotencyKeyHeader)
 	}
-	body, err := readBody(w, r, c.Limits)
+	body, err := readBody(w, r, c.Limits, plainCopies)
 	if err != nil {
 		return err
 	}
@@ -56,8 +55,3 @@
 }
 
 func notPrintable(r rune) bool { return r <= ' ' || r > '~' }
-
-// NewServer returns an HTTP server with timeouts and a header size limit for untrusted clients.
-func NewServer(h http.Handler, headerTimeout time.Duration) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 64 << 10, IdleTimeout: 2 * time.Minute}
-}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,6 +50,7 @@
 		leaving   int // number of connections that make room and have not yet released what they hold
 		headBytes atomic.Int64
 		report    func(Refusal)
+		format    func(*codes.Error) Response
 	}
 
 	// Conn is the account of one client connection. A nil Conn has no limits.
@@ -70,9 +71,10 @@
 	}
 )
 
-// New returns a gate with the limits. The function report is called for each client that is refused or interrupted.
-func New(l ledger.Limits, report func(Refusal)) *Gate {
-	g := &Gate{ledger: ledger.New(l), conns: make(map[*ledger.Account]*Conn), report: report}
+// New returns a gate with the limits. The function report is called for each client that is refused or interrupted, and format returns what a client
+// gets whose request was refused.
+func New(l ledger.Limits, report func(Refusal), format func(*codes.Error) Response) *Gate {
+	g := &Gate{ledger: ledger.New(l), conns: make(map[*ledger.Account]*Conn), report: report, format: format}
 	g.headBytes.Store(defaultHeadBytes)
 	return g
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -28,7 +28,7 @@
 	f := &fixture{t: t}
 	limits := ledger.NewLimits(1<<20, 16)
 	limits.Address = limits.Total
-	f.Gate = New(limits, func(r Refusal) { f.reported = append(f.reported, r) })
+	f.Gate = New(limits, func(r Refusal) { f.reported = append(f.reported, r) }, nil)
 	return f
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -43,9 +43,8 @@
 
 	// callerConn is a caller's connection that records how its input ended: net/http tells its handlers only that it did.
 	callerConn struct {
-		net.Conn
+		*intake.NetConn
 		server   *callerServer
-		account  *intake.Conn // nil if the connection has no limits
 		inputErr atomic.Pointer[error]
 		idle     bool // whether nothing was read since the last response; guarded by server.mu
 		late     bool // whether the connection was opened after the stop began; guarded by server.mu
@@ -57,9 +56,9 @@
 // newCallerServer returns a server of connections that the gate limits, unless it is nil.
 func newCallerServer(h http.Handler, g *intake.Gate) *callerServer {
 	s := &callerServer{gate: g, conns: make(map[*callerConn]http.ConnState)}
-	s.Handler, s.ConnState = limitRequests(h), s.setState
+	s.Handler, s.ConnState = g.Handler(h), s.setState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, callerConnKey{}, c)
+		return context.WithValue(intake.ConnContext(ctx, c), callerConnKey{}, c)
 	}
 	return s
 }
@@ -85,9 +84,8 @@
 			c.late = s.stopping
 		}
 		s.conns[c] = state
-		if c.idle = state == http.StateIdle; c.idle {
-			c.account.SetIdle()
-		}
+		c.idle = state == http.StateIdle
+		intake.ConnState(c, state)
 	}
 }
 
@@ -135,9 +133,8 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{Conn: conn, server: l.server}
-		if l.server.gate == nil || c.open() {
-			return c, nil
+		if c, ok := l.server.gate.Wrap(conn); ok {
+			return &callerConn{NetConn: c, server: l.server}, nil
 		}
 		_ = conn.Close()
 	}
@@ -148,16 +145,9 @@
 	if c.isClosing() {
 		return 0, io.EOF
 	}
-	if c.account.Interrupted() {
-		return 0, os.ErrDeadlineExceeded
-	}
-	n, err := c.Conn.Read(b)
+	n, err := c.NetConn.Read(b)
 	if n > 0 {
 		c.begin()
-		if refusal := c.account.Receive(b[:n]); refusal != nil {
-			c.refuse(refusal, b)
-			return 0, io.EOF
-		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.inputErr.CompareAndSwap(nil, &err)
@@ -182,15 +172,6 @@
 	c.idle = false
 }
 
-// CloseWrite closes the sending side of the connection. net/http calls it so that a caller can read a response before the connection
-// is reset.
-func (c *callerConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
-
 // callerInput returns how the input of the caller's connection ended: relay.InputClosed, "reset" or another error. It is empty while the input
 // is open. A caller that closed only its sending side is "closed" too.
 func callerInput(q *http.Request) string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/fireflycleat/fireflycleat/pkg/blame"
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 	"github.com/fireflycleat/fireflycleat/pkg/lease"
+	"github.com/fireflycleat/fireflycleat/pkg/ledger"
 	"github.com/fireflycleat/fireflycleat/pkg/pick"
 	"github.com/fireflycleat/fireflycleat/pkg/place"
 	"github.com/fireflycleat/fireflycleat/pkg/retry"
@@ -160,7 +161,7 @@
 	n.placing = place.New(placeSettings)
 	n.stop.ctx, n.stop.cancel = context.WithCancel(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
-	n.gate = intake.New(s.Host.clientLimits(), n.reportRefusal)
+	n.gate = intake.New(ledger.LimitsFor(s.Host.bounds()), n.reportRefusal, refusalResponse)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
 	n.rates = n.newTeamRates()
@@ -170,7 +171,7 @@
 		Config: n.config.Load, Admit: n.admit, Settle: n.settle, Choose: n.choose, RecordFirst: n.recordFirstEvent, EndAttempt: n.recordEnd, Move: n.move,
 		AllowRepeat: n.takeRepeat, CountRequest: n.countRequest, Stopping: n.acceptUntil, Retried: n.logRetry, RequestEnded: n.logEnd,
 		Broken: n.recordBroken, Sound: n.recordSound, Guard: n.guard, CallerInput: callerInput, Silent: n.logSilent, Panicked: n.logPanic,
-		Signs: n.recordSigns, Paused: n.paused, Intake: intakeOf, Ending: n.stop.ctx,
+		Signs: n.recordSigns, Paused: n.paused, Intake: intake.AccountOf, Ending: n.stop.ctx,
 	}, pool)
 	return n
 }
@@ -190,6 +191,7 @@
 	if err != nil {
 		return err
 	}
+	server.Limit(n.peerLimits())
 	g.Add(server.Serve, func(error) { server.Close() })
 	ready, directory := n.platform.Handlers(n.ready.Load, n.addresses)
 	for _, x := range []struct {
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -25,6 +25,16 @@
 	boundedReader struct {
 		reader    io.Reader
 		remaining int
+		reserve   func(n int) error // called before a buffer for n bytes of a message is allocated; nil means that they are not counted
+		release   func()            // called when a message was read; set if reserve is
+		frame     frame
+	}
+
+	// frame follows the lengths that gob writes before each part of a message. Its decoder allocates a buffer as soon as it has read one.
+	frame struct {
+		prefix int    // bytes of the length that are missing
+		length uint64 // of the current part, as far as it was read
+		rest   uint64 // bytes of the current part that are missing
 	}
 
 	codec struct {
@@ -56,9 +66,43 @@
 	}
 	n, err := b.reader.Read(p[:min(len(p), b.remaining)])
 	b.remaining -= n
+	if b.reserve == nil {
+		return n, err
+	}
+	switch length := b.frame.read(p[:n]); {
+	case length > uint64(b.remaining): //nolint:gosec // not negative
+		return n, errMessageTooLarge
+	case length > 0:
+		if reserveErr := b.reserve(int(length)); reserveErr != nil { //nolint:gosec // bounded
+			return n, reserveErr
+		}
+	}
 	return n, err
 }
 
+// read follows the bytes, and returns the length of the last part whose length is among them, or zero. Lengths up to 127 are left out.
+func (f *frame) read(p []byte) (length uint64) {
+	for len(p) > 0 {
+		switch {
+		case f.rest > 0:
+			n := min(f.rest, uint64(len(p)))
+			f.rest, p = f.rest-n, p[n:]
+			continue
+		case f.prefix > 0:
+			f.length = f.length<<8 | uint64(p[0])
+			if f.prefix--; f.prefix == 0 {
+				f.rest, length = f.length, f.length
+			}
+		case p[0] <= 0x7f: // The byte is the length.
+			f.rest = uint64(p[0])
+		default: // The byte is the negated number of bytes of the length, at most 8.
+			f.prefix, f.length = -int(int8(p[0])), 0 //nolint:gosec // two's complement
+		}
+		p = p[1:]
+	}
+	return length
+}
+
 // ReadByte implements io.ByteReader. Without it gob adds its own buffer, which would consume bytes of the next message.
 func (b *boundedReader) ReadByte() (byte, error) {
 	var one [1]byte
@@ -110,6 +154,9 @@
 	if err != nil {
 		_ = c.Close()
 	}
+	if c.bounded.release != nil {
+		c.bounded.release()
+	}
 	return err
 }
 
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -24,8 +24,10 @@
 	listener net.Listener
 	link     telem.Link
 	rpc      *rpc.Server
+	limits   Limits
 	mu       sync.Mutex
-	conns    map[net.Conn]bool
+	conns    map[*serverConn]bool
+	used     int64 // sum of serverConn.held
 }
 
 // Listen returns a server that listens on the address and serves the methods of the service.
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	s := &Server{listener: l, link: link, rpc: rpc.NewServer(), conns: make(map[net.Conn]bool)}
+	s := &Server{listener: l, link: link, rpc: rpc.NewServer(), conns: make(map[*serverConn]bool)}
 	if err := s.rpc.RegisterName(ServiceName, service); err != nil {
 		_ = l.Close()
 		return nil, errors.Wrap(err, "register peer service")
@@ -57,10 +59,7 @@
 		if err != nil {
 			return err
 		}
-		s.mu.Lock()
-		s.conns[conn] = true
-		s.mu.Unlock()
-		go s.serve(conn)
+		go s.serve(s.add(conn))
 	}
 }
 
@@ -74,9 +73,12 @@
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
-	s.rpc.ServeCodec(&serverCodec{newCodec(s.link.Wrap(conn))})
+func (s *Server) serve(c *serverConn) {
+	codec := newCodec(s.link.Wrap(c))
+	codec.bounded.reserve, codec.bounded.release = c.reserve, c.release
+	s.rpc.ServeCodec(&serverCodec{codec})
+	c.release()
 	s.mu.Lock()
-	delete(s.conns, conn)
+	delete(s.conns, c)
 	s.mu.Unlock()
 }
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -11,15 +11,8 @@
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
 )
 
-const (
-	// firstBodyPart is the size of the first part of a body; each further one is larger by bodyPartGrowth, up to maxBodyPart. A body is
-	// charged part by part: its announced length says nothing about what the client will send.
-	firstBodyPart  = 4 << 10
-	bodyPartGrowth = 4
-	maxBodyPart    = 64 << 10
-	// firstResponsePart is the size of the first buffer for a response of unknown length; it is not charged.
-	firstResponsePart = 2 << 10
-)
+// firstResponsePart is the size of the first buffer for a response of unknown length; it is not charged.
+const firstResponsePart = 2 << 10
 
 // intakeOf returns the account of the caller's connection, which may be nil.
 func (x *exchange) intakeOf() *intake.Conn {
@@ -34,55 +27,15 @@
 	if x.request.Body == nil || x.request.Body == http.NoBody {
 		return nil
 	}
-	c := x.intakeOf()
-	err := x.readParts(c, limit)
-	if in := c.EndBody(); !in && !codes.Is(err, codes.OverMemory) {
-		err = codes.New(codes.TooSlow, "body made no progress").WithField("body")
-	}
+	var err error
+	x.body, err = x.intakeOf().ReadBody(x.caller.ctx, intake.Body{Reader: x.request.Body, Length: x.request.ContentLength, Limit: limit})
 	if err != nil {
-		x.body = nil
 		x.writer.Header().Set("Connection", "close")
-		c.Refuse()
-	}
-	return err
-}
-
-func (x *exchange) readParts(c *intake.Conn, limit int64) error {
-	length := x.request.ContentLength
-	if length > limit {
-		return tooLarge(limit)
-	}
-	remaining := limit + 1
-	if length >= 0 {
-		remaining = length + 1 // One byte more than expected shows the end of the body.
-	}
-	for size := int64(firstBodyPart); ; size = min(size*bodyPartGrowth, maxBodyPart) {
-		size = min(size, remaining)
-		if err := c.Reserve(x.caller.ctx, size); err != nil {
-			return err
-		}
-		part := make([]byte, size)
-		filled := 0
-		for filled < len(part) {
-			n, err := x.request.Body.Read(part[filled:])
-			filled += n
-			if errors.Is(err, io.EOF) {
-				x.body = append(x.body, part[:filled])
-				return nil
-			}
-			if err != nil {
-				return codes.New(codes.BadRequest, err.Error()).WithField("body")
-			}
-		}
-		x.body = append(x.body, part)
-		if remaining -= size; remaining == 0 {
-			return tooLarge(limit)
+		if !codes.Is(err, codes.OverMemory) {
+			err = codes.From(err).WithField("body")
 		}
 	}
-}
-
-func tooLarge(limit int64) error {
-	return codes.Newf(codes.TooLarge, "more than %d bytes", limit).WithField("body")
+	return err
 }
 
 // readBuffered reads up to maxBufferedBody bytes of a response, fewer if the host is short of memory. It reports whether that was the whole
--- a/internal/setup/check.go
+++ b/internal/setup/check.go
@@ -7,7 +7,11 @@
 	"github.com/fireflycleat/fireflycleat/pkg/spec"
 )
 
-const minTokenLength = 16
+const (
+	minTokenLength = 16
+	minMemory      = 64 * mib
+	maxMemory      = 1024 * gib
+)
 
 type checker struct {
 	problems []Problem
@@ -36,6 +40,9 @@
 	c.duration("caller.addressLifetime", s.Caller.AddressLifetime, 100*time.Millisecond, time.Hour)
 	c.duration("caller.keyLifetime", s.Caller.KeyLifetime, time.Minute, 7*24*time.Hour)
 	c.size("limits.requestBytes", s.Limits.RequestBytes, kib, 64*mib)
+	if s.Limits.Memory.text != "" {
+		c.size("limits.memory", s.Limits.Memory, max(minMemory, memoryFactor*s.Limits.RequestBytes.value), maxMemory)
+	}
 	c.size("limits.replyBytes", s.Limits.ReplyBytes, kib, 768*kib)
 	c.inRange("limits.inFlight", float64(s.Limits.InFlight), 1, 1e6)
 	c.inRange("store.loadsPerSecond", s.Store.LoadsPerSecond, 0.01, 1e6)
--- a/internal/setup/page_test.go
+++ b/internal/setup/page_test.go
@@ -70,7 +70,9 @@
 			c.Check(d, qt.Equals, x.Value(), qt.Commentf("%s", key))
 			continue
 		case Size:
-			text = x.text
+			if text = x.text; text == "" {
+				text = "none"
+			}
 		case Address, []Address, string:
 			if text = strings.Trim(text, "[]"); required[key] {
 				text = "required"
--- a/internal/setup/read_test.go
+++ b/internal/setup/read_test.go
@@ -28,6 +28,7 @@
 		{"host name", `"127.0.0.1:9001"`, `"localhost:9001"`, "f.toml:10: platform.log: must be an IP address"},
 		{"missing unit", "[platform]", "[platform]\nstatusInterval = \"5\"", "f.toml:10: platform.statusInterval: must be a duration"},
 		{"impossible limit", "[platform]", "[store]\nslots = 0\n[platform]", "f.toml:10: store.slots: must be between"},
+		{"memory", "[platform]", "[limits]\nmemory = \"64MiB\"\nrequestBytes = \"4MiB\"\n[platform]", "f.toml:10: limits.memory: must be between 134217728"},
 		{"token", `"127.0.0.1:7003"`, `"10.0.0.1:7003"`, "f.toml:1: operator.token: is required"},
 		{"advertised", "[platform]", "[advertise]\npeers = \"0.0.0.0:1\"\n[platform]", "f.toml:10: advertise.peers: must be an address that"},
 		{"missing key", `log = "127.0.0.1:9001"`, "", "f.toml:9: platform.log: is missing"},
--- a/internal/setup/settings.go
+++ b/internal/setup/settings.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+const (
+	defaultMemory = gib
+	// memoryFactor is the least quotient of the memory and the size of a request: one request may use about a sixth of the memory, and is held
+	// up to four times.
+	memoryFactor = 32
+)
+
 type (
 	// Settings holds the settings of one daemon.
 	Settings struct {
@@ -55,6 +62,7 @@
 
 	// Limits bounds the memory and connections that callers can occupy.
 	Limits struct {
+		Memory        Size     `toml:"memory"` // of the process; see MemoryBytes
 		RequestBytes  Size     `toml:"requestBytes"`
 		ReplyBytes    Size     `toml:"replyBytes"`
 		HeaderTimeout Duration `toml:"headerTimeout"`
@@ -88,6 +96,15 @@
 	return s.Listen.Peers
 }
 
+// MemoryBytes returns the memory from which the limits on clients follow. Without a setting it is the least that lets a request of the largest size
+// be served, and at least defaultMemory.
+func (l Limits) MemoryBytes() int64 {
+	if l.Memory.value > 0 {
+		return l.Memory.value
+	}
+	return max(defaultMemory, memoryFactor*l.RequestBytes.value)
+}
+
 // Default returns the settings that apply where a file does not set a key.
 func Default() Settings {
 	return Settings{
--- a/internal/setup/types.go
+++ b/internal/setup/types.go
@@ -75,6 +75,9 @@
 // MarshalText returns the size as written in the settings.
 func (s Size) MarshalText() ([]byte, error) { return []byte(s.text), nil }
 
+// IsSet reports whether the settings contain a size, valid or not.
+func (s Size) IsSet() bool { return s.text != "" }
+
 // Bytes returns the size in bytes.
 func (s Size) Bytes() int64 { return s.value }
 
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -26,6 +26,18 @@
 	SocketBytes = 16 << 10
 	// processBytes is what a connection costs in the process: buffers, goroutines and a connection to an upstream.
 	processBytes = 16 << 10
+
+	// clientShare is the share of a process's memory for what clients send and what is held for them. gcShare is the soft limit of the Go
+	// runtime, close to which the garbage collector works harder; it leaves room for garbage beside the clients' share, and at least
+	// programBytes for the pages of the program and socketShare for what the kernel holds of connections, which are not the runtime's.
+	clientShare  = 0.25
+	gcShare      = 0.7
+	socketShare  = clientShare / 2
+	programBytes = 26 << 20
+	// connectionShare is the share of the descriptors for clients' connections; each request needs one to an upstream too. reservedFiles are
+	// left out, or a quarter of the descriptors if there are few.
+	connectionShare = 0.6
+	reservedFiles   = 200
 )
 
 // Errors of Open and Reserve.
@@ -84,6 +96,18 @@
 	return l
 }
 
+// LimitsFor returns limits that follow from the memory, in bytes, and the descriptors of a process.
+func LimitsFor(memory int64, files int) Limits {
+	connections := connectionShare * float64(files-min(reservedFiles, files/4))
+	return NewLimits(int64(clientShare*float64(memory)), max(1, int(connections)))
+}
+
+// CollectorLimit returns the soft memory limit of the Go runtime for a process with the given memory, in bytes. It is zero if that is.
+func CollectorLimit(memory int64) int64 {
+	m := float64(memory)
+	return int64(max(min(m*gcShare, m*(1-socketShare)-programBytes), m/2))
+}
+
 // New returns an empty ledger.
 func New(l Limits) *Ledger {
 	return &Ledger{limits: l, accounts: make(map[*Account]bool), addresses: make(map[netip.Addr]int64)}
