--- a/pkg/place/bench_test.go
+++ b/pkg/place/bench_test.go
@@ -76,7 +76,7 @@
 	now := start
 	for name, step := range map[string]func(i int){
 		"plan": func(int) { c.Plan(now) },
-		"list": func(i int) {
+		"list": func(_ int) {
 			for id, u := range list {
 				u.Beat++
 				list[id] = u
