--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -57,7 +57,7 @@
 		Rate       float64
 		Recovered  time.Duration // time since the list became readable after an outage; zero means that no outage is known
 		Whole      bool          // whether Put is the complete list, or Packed with the changes in Put and Removed
-		Packed     []byte        // complete list in the form of packUpstreams; only for a host that understands it
+		Packed     []byte        // in the form of packUpstreams: the complete list if Whole is set, otherwise what Put contains; only for a host that understands it
 		ListBytes  int           // size of the complete list when it is read from the store; zero means unknown
 		Generation int64
 		Put        []fleet.Upstream
@@ -161,9 +161,10 @@
 	if all {
 		f.Put = slices.AppendSeq(f.Put, maps.Values(n.upstreams))
 	}
-	for id, g := range n.changes.changed {
-		if !all && g > since {
-			f.Put = append(f.Put, n.upstreams[id])
+	if !all && !(q.Packed && n.addPackedChanges(&f, since)) {
+		f.Put = n.changedSince(since)
+		if q.Packed && !f.Whole && len(f.Put) >= minPackedChanges {
+			n.packChanges(&f, since)
 		}
 	}
 	for id, r := range n.changes.removed {
--- a/internal/node/packed.go
+++ b/internal/node/packed.go
@@ -26,6 +26,8 @@
 	// maxPackedAge is the age at which a list is packed again. A host that has seen an upstream disappear ignores entries with an earlier heartbeat
 	// of it, which a packed list has if only the heartbeat changed since.
 	maxPackedAge = 2 * time.Second
+	// minPackedChanges is the number of changed entries from which they are packed; few entries repeat little.
+	minPackedChanges = 16
 )
 
 var errPackedTooLarge = errors.New("packed list exceeds the size limit")
@@ -35,7 +37,10 @@
 	packing    sync.Mutex // held while a list is packed, so that hosts that need it at the same time wait for one packing
 	generation int64      // generation of the list in bytes
 	at         time.Time  // when the list in bytes was current
-	bytes      []byte     // empty if no list has been packed
+
+	changes   map[int64][]byte // packed changes since earlier generations, by these
+	changesTo int64            // generation up to which changes go
+	bytes     []byte           // empty if no list has been packed
 }
 
 // packUpstreams encodes the upstreams in a compressed form.
@@ -116,7 +121,44 @@
 	return float64(n.changes.countSince(n.packed.generation)) <= repackShare*float64(len(n.upstreams))
 }
 
-// unpack replaces the packed list in a feed by the entries in it, with the changes that the feed contains beside it.
+// changedSince returns the upstreams that changed after a generation.
+func (n *Node) changedSince(generation int64) []fleet.Upstream {
+	var list []fleet.Upstream
+	for id, g := range n.changes.changed {
+		if g > generation {
+			list = append(list, n.upstreams[id])
+		}
+	}
+	return list
+}
+
+// packChanges packs the changes in a feed, and keeps them for the other hosts that lack the same ones.
+func (n *Node) packChanges(f *Feed, since int64) {
+	changed := make(map[string]fleet.Upstream, len(f.Put))
+	for _, u := range f.Put {
+		changed[u.ID] = u
+	}
+	packed, err := packUpstreams(changed)
+	if err != nil {
+		return // They remain in the feed as they are.
+	}
+	if n.packed.changes == nil || n.packed.changesTo != n.changes.generation {
+		n.packed.changes, n.packed.changesTo = make(map[int64][]byte), n.changes.generation
+	}
+	n.packed.changes[since] = packed
+	f.Packed, f.Put = packed, nil
+}
+
+// addPackedChanges adds packed changes to a feed if they have been packed for another host.
+func (n *Node) addPackedChanges(f *Feed, since int64) bool {
+	if f.Whole || n.packed.changesTo != n.changes.generation || len(n.packed.changes[since]) == 0 {
+		return false
+	}
+	f.Packed = n.packed.changes[since]
+	return true
+}
+
+// unpack replaces what is packed in a feed by the entries in it, a complete list with the changes that the feed contains beside it.
 func (f *Feed) unpack() error {
 	if len(f.Packed) == 0 {
 		return nil
@@ -125,6 +167,10 @@
 	if err != nil {
 		return err
 	}
+	if !f.Whole {
+		f.Put, f.Packed = append(f.Put, list...), nil
+		return nil
+	}
 	all := make(map[string]fleet.Upstream, len(list))
 	for _, u := range list {
 		all[u.ID] = u
--- a/internal/node/packed_test.go
+++ b/internal/node/packed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/gob"
+	"maps"
 	"testing"
 	"time"
 
@@ -90,6 +91,39 @@
 	qt.Check(t, hub.packedUsable(), qt.IsFalse, qt.Commentf("an old list has old heartbeats"))
 }
 
+// TestManyChangesArePacked guards against a hub's link that is full of changes: some percent of 3,000 upstreams change a second, and the entry of
+// each has 400 B for each host.
+func TestManyChangesArePacked(t *testing.T) {
+	t.Parallel()
+	s := Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}}
+	hub, old, hosts := benchHub(), newTestNode(s), []*Node{newTestNode(s), newTestNode(s)}
+	runControl(t, hub)
+	query(t, old, hub, false)
+	for _, n := range hosts {
+		query(t, n, hub, true)
+	}
+	for round := range 3 {
+		hub.control.Ask(func() {
+			next := maps.Clone(hub.upstreams)
+			for i := range 150 {
+				u := benchUpstream(20*i+round, 2)
+				u.OnDisk = u.OnDisk[:10]
+				next[u.ID] = u
+			}
+			delete(next, benchID(2999-round))
+			hub.applyList(time.Now(), next)
+		})
+		time.Sleep(time.Millisecond)
+		for _, n := range hosts {
+			size := query(t, n, hub, true)
+			qt.Check(t, size < 150*200, qt.IsTrue, qt.Commentf("%d bytes", size))
+			qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
+		}
+		query(t, old, hub, false)
+		qt.Assert(t, old.upstreams, qt.DeepEquals, hub.upstreams)
+	}
+}
+
 // TestMalformedPackedList guards against a host that takes a list that is cut off for a complete one, and drops the other upstreams.
 func TestMalformedPackedList(t *testing.T) {
 	t.Parallel()
