fix(node): a busy hub uses the list that it has packed

The age of a packed list counted from the moment before it was packed. On a host on which packing takes longer than the greatest age, 2 s, it was never used, and hosts got the plain list (seen under the race detector at a load average of 47).

--- a/internal/node/packed.go
+++ b/internal/node/packed.go
@@ -36,7 +36,7 @@
 type packedList struct {
 	packing    sync.Mutex // held while a list is packed, so that hosts that need it at the same time wait for one packing
 	generation int64      // generation of the list in bytes
-	at         time.Time  // when the list in bytes was current
+	at         time.Time  // when the list in bytes had been packed
 
 	changes   map[int64][]byte // packed changes since earlier generations, by these
 	changesTo int64            // generation up to which changes go
@@ -96,10 +96,9 @@
 	defer n.packed.packing.Unlock()
 	var list map[string]fleet.Upstream
 	var generation int64
-	var at time.Time
 	n.control.Ask(func() {
 		if !n.packedUsable() {
-			list, generation, at = n.upstreams, n.changes.generation, time.Now()
+			list, generation = n.upstreams, n.changes.generation
 		}
 	})
 	if len(list) == 0 {
@@ -110,7 +109,8 @@
 		n.log("list").Warn("list can't be packed", "event", eventSkipped, "err", err)
 		return
 	}
-	n.control.Ask(func() { n.packed.bytes, n.packed.generation, n.packed.at = packed, generation, at })
+	// The age counts from the end of the packing, which may take longer than maxPackedAge on a busy host.
+	n.control.Ask(func() { n.packed.bytes, n.packed.generation, n.packed.at = packed, generation, time.Now() })
 }
 
 // packedUsable reports whether the packed list and the changes since make up the current one, and the list is recent and the changes are few.
