--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -117,10 +117,8 @@
 	if at := n.progress.RecoveredAt; !at.IsZero() {
 		f.Recovered = now.Sub(at)
 	}
-	if c := n.config.Load(); c != nil && c.Version() > q.Version && q.Unpacks {
-		f.Packed = n.record.pack()
-	} else if c != nil && c.Version() > q.Version {
-		f.Config = n.record.plain
+	if c := n.config.Load(); c != nil && c.Version() > q.Version {
+		f.Config, f.Packed = n.record.forHost(q.Unpacks)
 	}
 	f.Whole = q.From != n.self.Incarnation || q.Generation < n.changes.pruned
 	if f.Whole && q.Unpacks {
--- a/internal/node/record.go
+++ b/internal/node/record.go
@@ -15,8 +15,12 @@
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
 )
 
-// maxUnpackedBytes limits the size of what another host sends compressed. It is the limit on answers of the store.
-const maxUnpackedBytes = 4 << 20
+const (
+	// maxUnpackedBytes limits the size of what another host sends compressed. It is the limit on answers of the store.
+	maxUnpackedBytes = 4 << 20
+	// minPackedBytes is the size below which a record is not worth the memory of a compressor: it takes 26 ms on a link of 10 Mbit/s.
+	minPackedBytes = 32 << 10
+)
 
 // configRecord is the encoded configuration in force. Hosts send it to each other compressed, because many of them have slow links and the
 // names and fields in it recur: a record of 134 kB with 500 models and 350 routes takes 11 kB.
@@ -86,16 +90,20 @@
 	return peers.Decode(data, &f.Put)
 }
 
+// forHost returns the record as a host gets it: compressed if the record is large and the host can unpack it, otherwise plain.
+func (r *configRecord) forHost(unpacks bool) (plain, packed []byte) {
+	if unpacks && len(r.plain) >= minPackedBytes {
+		return nil, r.pack()
+	}
+	return r.plain, nil
+}
+
 // state returns what a heartbeat says about the configuration of a version. It includes the record if the receiver is known to have an
 // earlier one, compressed if the receiver can unpack it.
 func (r *configRecord) state(version int64, receiver *ConfigState) *ConfigState {
 	s := &ConfigState{Version: version, Unpacks: true}
-	switch {
-	case receiver == nil || receiver.Version >= version:
-	case receiver.Unpacks:
-		s.Packed = r.pack()
-	default:
-		s.Record = r.plain
+	if receiver != nil && receiver.Version < version {
+		s.Record, s.Packed = r.forHost(receiver.Unpacks)
 	}
 	return s
 }
--- a/internal/node/record_test.go
+++ b/internal/node/record_test.go
@@ -58,6 +58,10 @@
 	qt.Assert(t, f.Packed, qt.HasLen, 0)
 	f = hub.buildFeed("h", FeedQuery{Version: 7, Unpacks: true})
 	qt.Assert(t, len(f.Config)+len(f.Packed), qt.Equals, 0)
+	small := []byte(`{"version":8}`)
+	hub.applyConfigRecord(small)
+	f = hub.buildFeed("h", FeedQuery{Version: 7, Unpacks: true})
+	qt.Assert(t, f.Config, qt.DeepEquals, small, qt.Commentf("a small record is not worth a compressor"))
 }
 
 // TestHubsExchangeSmallRecords guards against the same between hosts that are no source of each other's list.
