--- a/internal/node/record_test.go
+++ b/internal/node/record_test.go
@@ -102,7 +102,14 @@
 // it for silent and turn to the store. An earlier build still gets the list as it is.
 func TestHubSendsSmallLists(t *testing.T) {
 	t.Parallel()
-	hub := newRecordNode()
+	at := bootNow()
+	newHost := func() *Node {
+		n := newRecordNode()
+		n.bootNow = func() time.Time { return at }
+		n.listAt, n.configAt = at.Add(-time.Second), at
+		return n
+	}
+	hub := newHost()
 	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
 	size := func(f Feed) int {
 		var b bytes.Buffer
@@ -117,29 +124,24 @@
 		}
 		list = append(list, u)
 	}
-	hub.applyListRead(bootNow(), ListChanges{Complete: true, Put: list, Cursor: Cursor{Next: 1000}})
+	hub.applyListRead(at, ListChanges{Complete: true, Put: list, Cursor: Cursor{Next: 1000}})
 	plain := hub.buildFeed("h", FeedQuery{})
 	qt.Assert(t, plain.Put, qt.HasLen, 150)
 	f := hub.buildFeed("h", FeedQuery{Unpacks: true})
 	qt.Assert(t, 3*size(f) < size(plain), qt.IsTrue, qt.Commentf("%d of %d bytes", size(f), size(plain)))
-	newHost := func() *Node {
-		n := newRecordNode()
-		n.listAt = bootNow().Add(-time.Second)
-		return n
-	}
 	for _, f := range []Feed{plain, f} {
 		n := newHost()
-		qt.Assert(t, n.applyFeed(hub.self, &f, bootNow()), qt.IsTrue)
+		qt.Assert(t, n.applyFeed(hub.self, &f, at), qt.IsTrue)
 		qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
 	}
-	hub.applyListRead(bootNow(), ListChanges{Put: []fleet.Upstream{{ID: list[0].ID, Born: 1, Beat: 1, Leaving: true}}, Cursor: Cursor{Next: 1001}})
+	hub.applyListRead(at, ListChanges{Put: []fleet.Upstream{{ID: list[0].ID, Born: 1, Beat: 1, Leaving: true}}, Cursor: Cursor{Next: 1001}})
 	f = hub.buildFeed("h", FeedQuery{Unpacks: true})
 	n := newHost()
-	n.applyFeed(hub.self, &f, bootNow())
+	n.applyFeed(hub.self, &f, at)
 	qt.Assert(t, n.upstreams[list[0].ID].Leaving, qt.IsTrue, qt.Commentf("the list of a later read is sent"))
 	f = hub.buildFeed("h", FeedQuery{From: hub.self.Incarnation, Generation: hub.changes.generation - 1, Unpacks: true})
 	qt.Assert(t, f.Put, qt.HasLen, 1)
 	broken := Feed{Whole: true, PackedPut: []byte{0xff}}
-	qt.Assert(t, n.applyFeed(hub.self, &broken, bootNow()), qt.IsFalse)
+	qt.Assert(t, n.applyFeed(hub.self, &broken, at), qt.IsFalse)
 	qt.Assert(t, n.upstreams, qt.HasLen, 150)
 }
