--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -152,10 +152,8 @@
 		f.Recovered = now.Sub(at)
 	}
 	f.ListBytes = int(n.listBytes.Load())
-	if c := n.config.Load(); c != nil && c.Version() > q.Version && q.Packed {
-		f.ConfigPacked = n.record.pack()
-	} else if c != nil && c.Version() > q.Version {
-		f.Config = n.record.plain
+	if c := n.config.Load(); c != nil && c.Version() > q.Version {
+		f.Config, f.ConfigPacked = n.record.forHost(q.Packed)
 	}
 	f.Whole = n.needsWhole(q)
 	since, all := q.Generation, f.Whole
--- a/internal/node/record_test.go
+++ b/internal/node/record_test.go
@@ -58,6 +58,10 @@
 	qt.Assert(t, f.ConfigPacked, qt.HasLen, 0)
 	f = hub.buildFeed("h", FeedQuery{Version: 7, Packed: true})
 	qt.Assert(t, len(f.Config)+len(f.ConfigPacked), qt.Equals, 0)
+	small := []byte(`{"version":8}`)
+	hub.applyConfigRecord(small)
+	f = hub.buildFeed("h", FeedQuery{Version: 7, Packed: true})
+	qt.Assert(t, f.Config, qt.DeepEquals, small, qt.Commentf("a small record is not worth a compressor"))
 }
 
 // TestHubsExchangeSmallRecords guards against the same between hosts that are no source of each other's list.
@@ -98,7 +102,14 @@
 // it for silent and turn to the store. An earlier build still gets the list as it is.
 func TestHubSendsSmallLists(t *testing.T) {
 	t.Parallel()
-	hub := newRecordNode()
+	at := bootNow()
+	newHost := func() *Node {
+		n := newRecordNode()
+		n.bootNow = func() time.Time { return at }
+		n.listAt, n.configAt = at.Add(-time.Second), at
+		return n
+	}
+	hub := newHost()
 	hub.self = Member{Name: "hub", Incarnation: "hub.1"}
 	runControl(t, hub)
 	packed := func() (f Feed) {
@@ -119,27 +130,22 @@
 		}
 		list = append(list, u)
 	}
-	hub.applyListRead(bootNow(), ListChanges{Complete: true, Put: list, Cursor: Cursor{Next: 1000}})
+	hub.applyListRead(at, ListChanges{Complete: true, Put: list, Cursor: Cursor{Next: 1000}})
 	plain := hub.buildFeed("h", FeedQuery{})
 	qt.Assert(t, plain.Put, qt.HasLen, 150)
 	f := packed()
 	qt.Assert(t, 3*size(f) < size(plain), qt.IsTrue, qt.Commentf("%d of %d bytes", size(f), size(plain)))
-	newHost := func() *Node {
-		n := newRecordNode()
-		n.listAt = bootNow().Add(-time.Second)
-		return n
-	}
 	for _, f := range []Feed{plain, f} {
 		n := newHost()
 		qt.Assert(t, f.unpack(), qt.IsNil)
-		qt.Assert(t, n.applyFeed(hub.self, &f, bootNow()), qt.IsTrue)
+		qt.Assert(t, n.applyFeed(hub.self, &f, at), qt.IsTrue)
 		qt.Assert(t, n.upstreams, qt.DeepEquals, hub.upstreams)
 	}
-	hub.applyListRead(bootNow(), ListChanges{Put: []fleet.Upstream{{ID: list[0].ID, Born: 1, Beat: 1, Leaving: true}}, Cursor: Cursor{Next: 1001}})
+	hub.applyListRead(at, ListChanges{Put: []fleet.Upstream{{ID: list[0].ID, Born: 1, Beat: 1, Leaving: true}}, Cursor: Cursor{Next: 1001}})
 	f = packed()
 	n := newHost()
 	qt.Assert(t, f.unpack(), qt.IsNil)
-	n.applyFeed(hub.self, &f, bootNow())
+	n.applyFeed(hub.self, &f, at)
 	qt.Assert(t, n.upstreams[list[0].ID].Leaving, qt.IsTrue, qt.Commentf("the list of a later read is sent"))
 	f = hub.buildFeed("h", FeedQuery{From: hub.self.Incarnation, Generation: hub.changes.generation - 1, Packed: true})
 	qt.Assert(t, f.Put, qt.HasLen, 1)
