feat(place): replicas go to fast upstreams first

Placement did not know the speeds that hubs learn. Test: TestReplicasPreferFastUpstreams. Open: the learned speeds mix in the pace of the models.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -211,6 +211,7 @@
 		return b, []Member{n.members[n.parent].Member}
 	}
 	n.table.LearnSpeeds()
+	n.placing.SetSpeeds(n.table.Speeds())
 	b.Children = n.childStatuses(now)
 	b.Evidence, b.Leaving = n.blame.Export(now, true), n.table.ExportLeaving(now, false)
 	n.hubs = n.chooseHubs(false)
--- a/pkg/place/controller.go
+++ b/pkg/place/controller.go
@@ -32,8 +32,9 @@
 		stats          Stats
 		ready          []Ready
 		speed          storeSpeed
-		demandSince    time.Time     // when the first request was observed; zero before
-		drainTime      time.Duration // expected time of an unload that waits for requests in progress
+		speeds         map[string]int // speeds of upstreams in percent of the mean
+		demandSince    time.Time      // when the first request was observed; zero before
+		drainTime      time.Duration  // expected time of an unload that waits for requests in progress
 		// blockedSince maps a model to the time when it began to wait for an upstream that has a copy of it but no free memory.
 		blockedSince     map[string]time.Time
 		recentStoreLoads []time.Time // times of the loads from the weight store that were ordered within Settings.LoadWindow
@@ -212,7 +213,7 @@
 			continue
 		}
 		id := u.entry.ID
-		cost := float64(c.running.upstream[id]) / float64(max(u.entry.Slots, 1))
+		cost := float64(c.running.upstream[id]) / float64(max(u.entry.Slots, 1)) / c.speedOf(u)
 		if u.entry.DataCentre != p.DataCentre {
 			cost += 0.05
 		}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -39,6 +39,7 @@
 		number: c.plan.number + 1, storeLoads: c.countStoreLoads(), loads: make(map[string]int), loading: make(map[string]int),
 		copying: make(map[string]bool), needed: make(map[string]int), candidates: make(map[string][]candidate),
 		deadlines: make(map[string][]modelDeadline), rareRates: make(map[*fleet.Engine]float64),
+		holderSums: make(map[string]holderSums),
 	}
 	for _, u := range c.upstreams {
 		if u.load != nil {
--- a/pkg/place/spread_test.go
+++ b/pkg/place/spread_test.go
@@ -122,3 +122,26 @@
 		qt.Assert(t, o.Key.Model, qt.Equals, "m0")
 	}
 }
+
+// TestReplicasPreferFastUpstreams guards against replicas of a popular model on slow upstreams, where responses pause for each prompt, while
+// fast ones have a copy as well.
+func TestReplicasPreferFastUpstreams(t *testing.T) {
+	list := make(map[string]fleet.Upstream)
+	for i := range 4 {
+		id := fmt.Sprint("u", i)
+		list[id] = upstream(id)
+	}
+	list["u0"] = upstream("u0", "m0")
+	e := engine(1)
+	e.Slots = 128
+	c := controller(e, start, list)
+	c.Plan(start)
+	for id, u := range list {
+		c.Report(start, start, id, place.Report{Born: 1, Held: u.Held, OnDisk: []string{"m0"}})
+	}
+	c.SetSpeeds(map[string]int{"u0": 60, "u1": 60, "u2": 60, "u3": 160})
+	c.SetUses(start, "h", []place.Use{{Upstream: "u0", Key: place.Key{Model: "m0"}, Started: 9}})
+	loads := orders(c.Plan(start))
+	qt.Assert(t, loads, qt.Not(qt.HasLen), 0)
+	qt.Assert(t, loads[0].Upstream, qt.Equals, "u3")
+}
--- a/pkg/place/state.go
+++ b/pkg/place/state.go
@@ -91,6 +91,7 @@
 		onlyCopies map[string]int // number of models whose only copy is on an upstream; nil until it is needed
 		deadlines  map[string][]modelDeadline
 		shortages  []shortage // result of Controller.shortages; nil until it is needed
+		holderSums map[string]holderSums
 		rareRates  map[*fleet.Engine]float64
 		rates      map[*upstream]float64 // result of Controller.upstreamRate; nil until it is needed
 	}
--- a/pkg/place/target.go
+++ b/pkg/place/target.go
@@ -17,6 +17,7 @@
 	runningCost    = 0.1                    // cost, in seconds of load time, of each request in progress on the target
 	preemptRatio   = 3                      // ratio of pending requests at which a model may take an upstream reserved for another
 	onlyCopyCost   = 0.5                    // cost, in seconds, of each model whose only copy is on an upstream that loads from the weight store
+	slowCost       = 2.0                    // cost, in seconds, of a target of half the mean speed; a response takes about as much longer there
 	surplusCost    = 1e-3                   // base cost of unloading a replica that its model does not need
 	boundTolerance = 1e-9                   // allows for rounding when a bound is compared with a cost, in seconds
 )
@@ -81,13 +82,18 @@
 
 // cost returns the cost of a load on the target in seconds.
 func (c *Controller) cost(t target) float64 {
-	cost := (t.wait + t.duration).Seconds() + lossWeight*t.loss + runningCost*float64(c.running.upstream[t.upstream.entry.ID])
+	cost := (t.wait + t.duration).Seconds() + lossWeight*t.loss + c.useCost(t.upstream)
 	if t.fromStore {
 		cost += c.storeBlockCost(t.upstream)
 	}
 	return cost
 }
 
+// useCost returns the cost, in seconds, of what slows down responses on the upstream: its requests in progress and its speed.
+func (c *Controller) useCost(u *upstream) float64 {
+	return runningCost*float64(c.running.upstream[u.entry.ID]) + slowCost*(1/c.speedOf(u)-1)
+}
+
 // storeBlockCost returns the cost of a load from the weight store for the models whose only copy is on the upstream: it takes no other
 // order meanwhile.
 func (c *Controller) storeBlockCost(u *upstream) float64 {
@@ -113,7 +119,7 @@
 			continue
 		}
 		wait := c.waitTime(now, u)
-		bound := wait.Seconds() + runningCost*float64(c.running.upstream[u.entry.ID]) + c.storeBlockCost(u)
+		bound := wait.Seconds() + c.useCost(u) + c.storeBlockCost(u)
 		if u.usedMemory(e, c.capacity[e])+c.smallest[e] > c.capacity[e] {
 			victims := c.victimsOf(now, u, e)
 			if len(victims) == 0 {
