fix(relay): charge large events of streams to the client's account

Events above 16 KB are now charged before more of them is read, and a stream waits while there is no room.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -158,12 +158,25 @@
 		c.leaving = false
 		g.leaving--
 	}
+	g.wake()
+}
+
+// wake lets the requests that wait for room try again. The lock must be held.
+func (g *Gate) wake() {
 	if g.freed != nil {
 		close(g.freed)
 		g.freed = nil
 	}
 }
 
+// awaitFreed returns a channel that is closed when room becomes free. The lock must be held.
+func (g *Gate) awaitFreed() <-chan struct{} {
+	if g.freed == nil {
+		g.freed = make(chan struct{})
+	}
+	return g.freed
+}
+
 // stop makes all reads fail from now on.
 func (c *Conn) stop(reason string) {
 	c.interrupted.Store(true)
@@ -333,12 +346,9 @@
 		address = c.account.Address()
 	}
 	victim := g.victim(c.account, address, time.Now())
-	var freed chan struct{}
+	var freed <-chan struct{}
 	if begins := !g.ledger.IsSmall(held+n) && g.ledger.IsSmall(held); !begins || g.leaving > 0 {
-		if g.freed == nil {
-			g.freed = make(chan struct{})
-		}
-		freed = g.freed
+		freed = g.awaitFreed()
 	}
 	g.mu.Unlock()
 	if victim != nil {
@@ -356,3 +366,30 @@
 	defer c.gate.mu.Unlock()
 	return c.gate.ledger.ReserveResponse(c.account, n) == nil
 }
+
+// AwaitResponse charges bytes of a response before they are held for the client, as soon as there is room. It fails if the context ends before.
+func (c *Conn) AwaitResponse(ctx context.Context, n int64) error {
+	for !c.ReserveResponse(n) {
+		c.gate.mu.Lock()
+		freed := c.gate.awaitFreed()
+		c.gate.mu.Unlock()
+		select {
+		case <-freed:
+		case <-time.After(scanInterval): // Room may have become free before the wait.
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// ReleaseResponse releases bytes of a response that are no longer held.
+func (c *Conn) ReleaseResponse(n int64) {
+	if c == nil {
+		return
+	}
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.ledger.ReleaseResponse(c.account, n)
+	c.gate.wake()
+}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -17,6 +17,9 @@
 const (
 	streamBufferSize = 4 << 10
 	maxEventSize     = 256 << 10
+	// smallEvent is the size up to which an event is not charged, and largeEventBytes what is charged for a larger one: its bytes are held twice.
+	smallEvent      = 16 << 10
+	largeEventBytes = 2 * maxEventSize
 	// minRegularIDs is the number of ids in equal steps after which a resumed stream has to go on by the same step. Ids only have to
 	// increase, so that few equal steps may be chance.
 	minRegularIDs = 4
@@ -187,9 +190,21 @@
 	a.events.beginAttempt()
 	flush := http.NewResponseController(a.writer).Flush
 	buffer := make([]byte, streamBufferSize)
+	charged := false
+	defer func() {
+		if charged {
+			a.intakeOf().ReleaseResponse(largeEventBytes)
+		}
+	}()
 	for {
 		n, err := r.Read(buffer)
 		if n > 0 {
+			if !charged && len(a.events.partial)+n > smallEvent {
+				if waitErr := a.intakeOf().AwaitResponse(a.ctx, largeEventBytes); waitErr != nil {
+					return a.handleBroken(waitErr)
+				}
+				charged = true
+			}
 			complete, pushErr := a.events.push(buffer[:n])
 			switch {
 			case errors.Is(pushErr, errNoEvent) || errors.Is(pushErr, errWrongEvent):
@@ -202,6 +217,11 @@
 					return false, sendErr
 				}
 			}
+			if charged && len(a.events.partial) <= smallEvent {
+				a.events.partial = bytes.Clone(a.events.partial) // Its capacity is that of the large event.
+				a.intakeOf().ReleaseResponse(largeEventBytes)
+				charged = false
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -181,6 +181,13 @@
 	return nil
 }
 
+// ReleaseResponse releases bytes of the current response.
+func (l *Ledger) ReleaseResponse(a *Account, n int64) {
+	n = min(n, a.response)
+	a.response -= n
+	l.add(a, -n)
+}
+
 // EndRequest releases what the current request and its response hold.
 func (l *Ledger) EndRequest(a *Account) {
 	l.add(a, -a.request-a.response)
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -113,7 +113,7 @@
 		}
 		at := random.IntN(len(list))
 		a := list[at]
-		switch random.IntN(6) {
+		switch random.IntN(7) {
 		case 0:
 			l.Close(a)
 			list = append(list[:at], list[at+1:]...)
@@ -121,6 +121,8 @@
 			l.EndRequest(a)
 		case 2:
 			_ = l.ReserveResponse(a, random.Int64N(64<<10))
+		case 6:
+			l.ReleaseResponse(a, random.Int64N(32<<10))
 		case 3:
 			if v := l.Victim(nil, netip.Addr{}, now); v != nil {
 				l.Close(v)
