--- a/internal/node/longlist_test.go
+++ b/internal/node/longlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +18,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newTestNode(Settings{Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000}})
 		n.bootNow, n.hasList, n.parent = time.Now, false, ""
-		reads := 0 // one that ends early, one of the complete list, and the next one
+		var reads atomic.Int64 // one that ends early, one of the complete list, and the next one
 		n.platform.Upstreams = func(ctx context.Context, _ Cursor) (ListChanges, error) {
-			reads++
+			reads.Add(1)
 			if !sleep(ctx, time.Second) {
 				return ListChanges{Begun: true}, ctx.Err()
 			}
@@ -33,7 +34,7 @@
 		has := false
 		n.control.Ask(func() { has = n.hasList })
 		qt.Check(t, has, qt.IsTrue)
-		qt.Check(t, reads <= 3, qt.IsTrue, qt.Commentf("%d reads", reads))
+		qt.Check(t, reads.Load() <= 3, qt.IsTrue, qt.Commentf("%d reads", reads.Load()))
 		cancel()
 		n.control.Stop()
 		synctest.Wait()
@@ -51,13 +52,13 @@
 		synctest.Test(t, func(t *testing.T) {
 			n := newTestNode(Settings{Host: HostSettings{LinkMbps: x.mbps}, Limits: LimitSettings{LeaveMS: 3000, ConfigMS: 3000, ContactMS: 4000}})
 			n.bootNow = time.Now
-			lists, configs := 0, 0
+			var lists, configs atomic.Int64
 			n.platform.Upstreams = func(context.Context, Cursor) (ListChanges, error) {
-				lists++
+				lists.Add(1)
 				return ListChanges{}, context.DeadlineExceeded
 			}
 			n.platform.Config = func(context.Context, Cursor, time.Duration) ([]byte, Cursor, error) {
-				configs++
+				configs.Add(1)
 				return nil, Cursor{}, context.DeadlineExceeded
 			}
 			n.applyFeed(Member{Name: "hub", Incarnation: "hub.1"}, &Feed{ListBytes: x.bytes}, time.Now())
@@ -68,10 +69,10 @@
 			go n.watchList(ctx)
 			go n.watchConfig(ctx)
 			time.Sleep(time.Second)
-			qt.Check(t, lists > 0, qt.Equals, x.to, qt.Commentf("%+v", x))
+			qt.Check(t, lists.Load() > 0, qt.Equals, x.to, qt.Commentf("%+v", x))
 			active := false
 			n.control.Ask(func() { active = n.outage.active(time.Now()) })
-			qt.Check(t, active || x.to, qt.IsTrue, qt.Commentf("%d failed reads of the configuration show an outage", configs))
+			qt.Check(t, active || x.to, qt.IsTrue, qt.Commentf("%d failed reads of the configuration show an outage", configs.Load()))
 			cancel()
 			n.control.Stop()
 			synctest.Wait()
