--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Cuts the controller off from the store for 3.4 s, and stops the next controller as planned. TROUBLE=0 does neither.
+set -uo pipefail
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.."
+exec timeout --kill-after=5 115 target/review2/stand2 turns "$folder/record.txt"
