--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -128,11 +128,14 @@
 		Precondition                       *int
 		FenceToken                         int64
 	}
-	at := time.Now()
 	if json.NewDecoder(q.Body).Decode(&o) != nil || o.Holder == "" || o.FenceToken == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !e.run.pass(o.Holder, e.id) {
+		return
+	}
+	at := time.Now()
 	e.mu.Lock()
 	status := e.apply(o.OpKind, o.ModelID, o.AdapterID, o.Precondition, o.FenceToken)
 	e.mu.Unlock()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -30,7 +30,7 @@
 }
 
 func main() {
-	cases := map[string]func(r *run, trouble bool) bool{"turns": runTurns}
+	cases := map[string]func(r *run, trouble bool) bool{"turns": runTurns, "late": runLate}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fail("usage: stand2 CASE RECORD")
 	}
--- a/review/stand2/run.go
+++ b/review/stand2/run.go
@@ -39,6 +39,7 @@
 		mu     sync.Mutex
 		record io.Writer
 		orders []given
+		lossy  string // host whose link to lossyEngine loses packets; empty for none
 	}
 
 	// host is a process of the system.
--- a/review/stand2/turns.go
+++ b/review/stand2/turns.go
@@ -30,17 +30,7 @@
 
 // runTurns cuts the link of the controller to the store, and stops the next controller as planned.
 func runTurns(r *run, trouble bool) bool {
-	r.store.put("keyed.op", "config", config())
-	zones := []string{"a", "b", "c"}
-	for i, zone := range zones {
-		newEngine(r, fmt.Sprintf("i-%d", i+1), zone, 16, false)
-		r.addHost(fmt.Sprintf("front-%s-1", zone), zone, false)
-	}
-	time.Sleep(200 * time.Millisecond)
-	for _, h := range r.hosts {
-		h.start(r)
-	}
-	r.awaitReady()
+	r.startAll(3)
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for i := range callerCount {
@@ -87,6 +77,23 @@
 	return len(broken) == 0
 }
 
+// startAll starts a deployment of three data centres with a host each, and engines that ignore fencing tokens.
+func (r *run) startAll(engines int) {
+	r.store.put("keyed.op", "config", config())
+	zones := []string{"a", "b", "c"}
+	for i := range engines {
+		newEngine(r, fmt.Sprintf("i-%d", i+1), zones[i%len(zones)], 16, false)
+	}
+	for _, zone := range zones {
+		r.addHost(fmt.Sprintf("front-%s-1", zone), zone, false)
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, h := range r.hosts {
+		h.start(r)
+	}
+	r.awaitReady()
+}
+
 // turns describes, for each engine, the first order whose holder had given an order to it within leaseTime, with one of another holder in
 // between. Orders that arrive within thawSlack after a link of their sender healed don't count.
 func (r *run) turns(heals []heal) []string {
