--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -6,15 +6,25 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
 
-var current *run
+// maxRunTime is the time after which a run ends as one that could not be made.
+const maxRunTime = 108 * time.Second
 
-// cleanUp ends all processes that the run started.
+var (
+	current *run
+	// processes is held while a host is started, and for good once the hosts are ended.
+	processes sync.Mutex
+)
+
+// cleanUp ends all processes that the run started, and lets none start any more.
 func cleanUp() {
+	processes.Lock()
 	if current == nil {
 		return
 	}
@@ -43,6 +53,16 @@
 		fail("folder: %v", err)
 	}
 	current = &run{dir: dir, began: time.Now(), record: record, store: newStore()}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case s := <-ended:
+			fail("ended by signal %v", s)
+		case <-time.After(maxRunTime):
+			fail("not finished after %v", maxRunTime)
+		}
+	}()
 	held := cases[os.Args[1]](current, os.Getenv("TROUBLE") != "0")
 	cleanUp()
 	if !held {
--- a/review/stand2/run.go
+++ b/review/stand2/run.go
@@ -161,23 +161,32 @@
 
 // start starts the process of the host.
 func (h *host) start(r *run) {
-	out, err := os.Create(filepath.Join(r.dir, fmt.Sprintf("%s-%d.log", h.name, time.Now().UnixMilli())))
+	if err := h.launch(r.dir); err != nil {
+		fail("start of %s: %v", h.name, err)
+	}
+	r.log("%s starts, process %d", h.name, h.cmd.Process.Pid)
+}
+
+func (h *host) launch(dir string) error {
+	processes.Lock()
+	defer processes.Unlock()
+	out, err := os.Create(filepath.Join(dir, fmt.Sprintf("%s-%d.log", h.name, time.Now().UnixMilli())))
 	if err != nil {
-		fail("log: %v", err)
+		return err
 	}
-	h.cmd = exec.Command("target/fireflycleat", "host")
-	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir, "FIREFLYCLEAT_CONFIG=" + h.settings}
-	h.cmd.Stdout, h.cmd.Stderr = out, out
-	if err := h.cmd.Start(); err != nil {
-		fail("start of %s: %v", h.name, err)
+	cmd, done := exec.Command("target/fireflycleat", "host"), make(chan struct{})
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + dir, "FIREFLYCLEAT_CONFIG=" + h.settings}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
 	}
-	h.done = make(chan struct{})
-	go func(cmd *exec.Cmd, done chan struct{}) {
+	h.cmd, h.done = cmd, done
+	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
 		close(done)
-	}(h.cmd, h.done)
-	r.log("%s starts, process %d", h.name, h.cmd.Process.Pid)
+	}()
+	return nil
 }
 
 func (h *host) signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) }
