fix(lease): a former controller does not order again within the lease time

Cause: a released lease was taken after the stagger of the rank alone, also by a host that had given orders less than leaseMS before the one that released it. Only the gap between the holders is kept by the hold time and the take-over time; nothing kept two terms of one host apart. A restarted process did not know of the orders of the one before.

Change: where engines ignore fences a host begins a term only when its own earlier orders can no longer arrive, and if another host may have held the lease since, only leaseMS and a margin of 200 ms later. The driver reports when orders are sent, answered and given up; a new process counts its start as an unanswered order. Other hosts are not kept from the lease. Event 408 tells of the wait.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -37,6 +37,7 @@
 	eventLeaseAppend    = 405 // The log refused a lease record because it ends elsewhere.
 	eventLeaseOlder     = 406 // A lease record was ignored because a later one is known.
 	eventFenceRefused   = 407
+	eventLeaseWaiting   = 408 // This host does not take the free lease yet, because it gave orders shortly before.
 	eventCrash          = 500 // An upstream ended as it began to answer a request.
 	eventCrashLearned   = 501 // Another host sent evidence of such crashes.
 	eventTrial          = 502 // A request is sent although requests with its parts crashed upstreams.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,8 @@
 	tickInterval      = 100 * time.Millisecond
 	gaugeTicks        = 20 // ticks between two updates of the gauges
 	millicoresPerCore = 1000
-	// leaseMargin is added to LimitSettings.LeaseMS to get the time after which another host may take over the lease.
+	// leaseMargin is added to LimitSettings.LeaseMS to get the time after which another host may take over the lease, and after which a host may
+	// give orders again when another one has given orders since.
 	leaseMargin = 200 * time.Millisecond
 )
 
@@ -115,6 +116,7 @@
 		members           map[string]*member
 		hubs              map[string]bool // names of the hubs of all data centres, as chosen by this host
 		lease             *lease.Lease
+		leaseWaiting      bool // whether this host would have taken the lease but for its earlier orders, as of the last tick
 		clock             bootClock
 		bootNow           func() time.Time // returns the boot time; may be called from any goroutine
 		placing           *place.Controller
@@ -163,12 +165,15 @@
 	n.table.Random = pick.NewRandom(s.Host.Name)
 	leaseSettings := lease.DefaultSettings()
 	leaseSettings.Fenced, leaseSettings.Joins = s.Limits.RequireFence, !s.Host.Bootstrap
-	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, time.Duration(s.Limits.LeaseMS)*time.Millisecond+leaseMargin)
+	leaseSettings.TurnTime = time.Duration(s.Limits.LeaseMS)*time.Millisecond + leaseMargin
+	leaseSettings.TakeOverTime = max(leaseSettings.TakeOverTime, leaseSettings.TurnTime)
+	leaseSettings.OrderLifetime = UserTimeout
 	placeSettings := place.DefaultSettings()
 	placeSettings.LoadWindow = seconds(s.Limits.LoadWindowS)
 	n.placing = place.New(placeSettings)
 	n.stop.ctx, n.stop.cancel = context.WithCancel(context.Background())
 	n.lease = lease.New(leaseSettings, s.Host.Name, incarnation)
+	n.lease.Started(bootNow())
 	n.gate = intake.New(ledger.LimitsFor(s.Host.bounds()), n.reportRefusal, refusalResponse)
 	n.control = ctrl.New(m)
 	n.alarm = ctrl.NewAlarm(n.control, n.plan)
--- a/internal/node/placing.go
+++ b/internal/node/placing.go
@@ -81,6 +81,11 @@
 	_, held := n.lease.Held(now)
 	if _, stopping := n.stop.state(); !stopping && (held || n.mayTakeLease()) {
 		n.callLease(n.lease.Step(now))
+		wait := n.lease.Waiting(now)
+		if wait > 0 && !n.leaseWaiting {
+			n.log("lease").Info("lease is free, but earlier orders of this host are too recent", "event", eventLeaseWaiting, "waitMS", wait.Milliseconds())
+		}
+		n.leaseWaiting = wait > 0
 	}
 	n.updateTerm()
 }
@@ -264,9 +269,12 @@
 	n.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		start := time.Now()
-		answer, signs := n.platform.Order(ctx, address, o, n.self.Name, fence, func() bool { return n.holdsTerm(fence) })
+		start, sent := time.Now(), false
+		answer, signs := n.platform.Order(ctx, address, o, n.self.Name, fence, func() bool { return n.beginOrder(fence, &sent) })
 		n.control.Post(func() {
+			if sent {
+				n.lease.EndOrder(n.now(), answer != place.NoAnswer)
+			}
 			n.applySigns(time.Now(), pick.Process{Upstream: o.Upstream, Born: o.Born}, signs)
 			n.log("place").Info("order answered", "event", eventOrder, "upstream", o.Upstream, "op", o.Op.String(), "model", o.Key.Model,
 				"adapter", o.Key.Adapter, "expect", o.Expect, "fence", fence, "answer", answer.String(), "tookMS", time.Since(start).Milliseconds())
@@ -281,13 +289,17 @@
 	})
 }
 
-// holdsTerm reports whether this host still holds the lease with the fence. It is called just before an order is sent: engines that
-// ignore fences would carry out an order of a holder that was paused since its decision.
-func (n *Node) holdsTerm(fence int64) bool {
+// beginOrder reports whether this host still holds the lease with the fence, and sets sent if the order is recorded as sent. It is called just
+// before the first byte: engines that ignore fences would carry out an order of a holder that was paused since its decision.
+func (n *Node) beginOrder(fence int64, sent *bool) bool {
 	holds, checkedAt := false, time.Time{}
 	n.control.Ask(func() {
 		current, held := n.lease.Held(n.now())
 		holds, checkedAt = held && current == fence, n.bootNow()
+		if holds && !*sent {
+			n.lease.BeginOrder()
+			*sent = true
+		}
 	})
 	// The process may have been paused since the check, so that another host holds the lease by now.
 	return holds && n.bootNow().Sub(checkedAt) < maxTermCheckAge
--- a/internal/node/placing_test.go
+++ b/internal/node/placing_test.go
@@ -56,15 +56,15 @@
 		n.lease.Appended(n.now(), a, 7)
 		fence = n.lease.Fence()
 	})
-	qt.Assert(t, n.holdsTerm(fence), qt.IsTrue)
-	qt.Assert(t, n.holdsTerm(fence-1), qt.IsFalse, qt.Commentf("an order of an earlier term"))
+	qt.Assert(t, n.beginOrder(fence, new(bool)), qt.IsTrue)
+	qt.Assert(t, n.beginOrder(fence-1, new(bool)), qt.IsFalse, qt.Commentf("an order of an earlier term"))
 	n.bootNow = func() time.Time { // The machine is suspended between the check of the lease and the order.
 		n.bootNow = func() time.Time { return bootNow().Add(4 * time.Second) }
 		return bootNow()
 	}
-	qt.Assert(t, n.holdsTerm(fence), qt.IsFalse, qt.Commentf("paused after the check"))
+	qt.Assert(t, n.beginOrder(fence, new(bool)), qt.IsFalse, qt.Commentf("paused after the check"))
 	n.bootNow = bootNow
-	qt.Assert(t, n.holdsTerm(fence), qt.IsTrue)
+	qt.Assert(t, n.beginOrder(fence, new(bool)), qt.IsTrue)
 	n.control.Ask(func() { n.clock.lastRead = n.clock.lastRead.Add(-2 * stoppedThreshold) }) // as after a pause of the process
-	qt.Assert(t, n.holdsTerm(fence), qt.IsFalse)
+	qt.Assert(t, n.beginOrder(fence, new(bool)), qt.IsFalse)
 }
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -54,6 +54,10 @@
 		// the log then keeps the lease until it receives a record of another holder, because no host can take over during an
 		// outage of the log.
 		Fenced bool
+		// OrderLifetime is how long an order that was given up without an answer may still reach its receiver, and TurnTime the shortest
+		// time between two orders of this host if another host may have given one in between. Neither is used if orders are fenced.
+		OrderLifetime time.Duration
+		TurnTime      time.Duration
 		// Joins is set when the host joins a system that has been running: a log without a record has lost them if it ever came back
 		// from a copy.
 		Joins bool
@@ -78,6 +82,7 @@
 		reclaim     bool  // whether this host held the lease when the log came back from a copy
 		lostRecords bool  // whether the log came back from a copy and has no record of a term that began since
 		refused     int64 // highest own fence that a receiver of orders refused
+		orders      orders
 	}
 )
 
@@ -174,7 +179,7 @@
 			return Action{}
 		}
 		return l.append(l.newest.fence(), false)
-	case now.Sub(l.knownSince) < l.takeOverDelay():
+	case now.Sub(l.knownSince) < l.takeOverDelay() || now.Before(l.earliestTerm(now)):
 		if now.Sub(l.knownSince) >= l.settings.OverdueTime && !l.overdueRead && l.rank < overdueReaders {
 			l.overdueRead = true
 			return Action{Kind: Read}
