fix(intake): a body that ends with its last byte is checked against the limit

Cause: readParts accepted what it had read when the reader returned the end together with the last byte; only a further read showed the body as too large.

Change: the number of bytes is checked at the end of the input too.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -58,6 +58,9 @@
 			n, err := b.Reader.Read(part[filled:])
 			filled += n
 			if errors.Is(err, io.EOF) {
+				if int64(filled) == remaining { // A reader may return the end together with the last byte.
+					return nil, tooLarge(b.Limit)
+				}
 				return append(parts, part[:filled]), nil
 			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
