fix(intake): the report of an interrupted client names the bytes that it held

Operators saw 0 held bytes for a client that made room for others.

Cause: Conn.stop interrupted the connection first and asked then what it held; the connection may have released it by then. For a connection that exceeded a time-out the report was left out altogether.

Change: what is held is read before the interruption.

TestRefusalNamesWhatWasHeld, whose connection releases at once, fails before and passes after.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -179,10 +179,11 @@
 
 // stop makes all reads fail from now on.
 func (c *Conn) stop(reason string) {
+	held := c.Held() // An interrupted connection may release it at once.
 	c.interrupted.Store(true)
 	c.interrupt()
-	if reason != Slow || c.Held() > 0 { // A connection that was idle for its time is no event.
-		c.gate.report(Refusal{reason, c.account.Address(), c.Held()})
+	if reason != Slow || held > 0 { // A connection that was idle for its time is no event.
+		c.gate.report(Refusal{reason, c.account.Address(), held})
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -140,3 +140,19 @@
 		qt.Check(t, c.Interrupted(), qt.IsTrue)
 	})
 }
+
+// TestRefusalNamesWhatWasHeld guards against a report that a stalled connection held nothing, because it released its bytes as soon as it was
+// interrupted.
+func TestRefusalNamesWhatWasHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		var c *Conn
+		c, ok := f.Open(one, func() { c.EndRequest() })
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, c.BeginRequest(100, true), qt.IsNil)
+		qt.Assert(t, c.Reserve(t.Context(), 16<<10), qt.IsNil)
+		time.Sleep(16 * time.Second)
+		f.Expire(3*time.Second, 15*time.Second)
+		qt.Check(t, slices.Equal(f.reported, []Refusal{{Slow, one, 16 << 10}}), qt.IsTrue, qt.Commentf("%v", f.reported))
+	})
+}
