feat(signs): log and count upstreams that name a limit

Events 313 and 314 report a limit and its end, and the gauge believed{kind="limitedUpstreams"} counts the upstreams with one. The choice of upstreams is unchanged.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -29,6 +29,8 @@
 	eventSaidLeaving    = 310 // An upstream said in an answer that it leaves.
 	eventPause          = 311 // An upstream answered that it wants no requests for a while.
 	eventLeavingLearned = 312 // Another host reported upstreams that said that they leave.
+	eventLimit          = 313 // An upstream named a limit for its requests in an answer.
+	eventLimitEnded     = 314 // An upstream that had named a limit answered without one.
 	eventLease          = 400
 	eventLeaseLost      = 401
 	eventOrder          = 402
--- a/internal/node/signs.go
+++ b/internal/node/signs.go
@@ -15,11 +15,17 @@
 
 // recordSigns records what the upstream of an attempt says about itself.
 func (n *Node) recordSigns(t relay.Ticket, s relay.Signs) {
-	if s.Pause == 0 && t.Attempt.SaidLeaving() {
+	if s.Pause == 0 && s.Limit == 0 && !(s.Leaving && !t.Attempt.SaidLeaving()) && !(s.Unlimited && t.Attempt.Limited()) {
 		return
 	}
 	now := time.Now()
-	n.control.Post(func() { n.applySigns(now, pick.Process{Upstream: t.Choice.Upstream, Born: t.Choice.Born}, s) })
+	n.control.Post(func() {
+		p := pick.Process{Upstream: t.Choice.Upstream, Born: t.Choice.Born}
+		n.applySigns(now, p, s)
+		if s.Unlimited && n.table.RecordUnlimited(now, p, t.Attempt.StartedAt()) {
+			n.log("signs").Info("upstream names no limit any more", "event", eventLimitEnded, "upstream", p.Upstream, "born", p.Born)
+		}
+	})
 }
 
 // applySigns applies what an upstream said about itself at the given time.
@@ -30,6 +36,9 @@
 		n.log("signs").Info("upstream wants no requests for a while", "event", eventPause, "upstream", p.Upstream, "born", p.Born,
 			"pauseMS", s.Pause.Milliseconds())
 	}
+	if s.Limit > 0 && n.table.RecordLimit(at, p, s.Limit) {
+		n.log("signs").Info("upstream names a limit", "event", eventLimit, "upstream", p.Upstream, "born", p.Born, "perSecond", s.Limit)
+	}
 	if !s.Leaving || !n.table.RecordLeaving(at, p) {
 		return
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -65,6 +65,9 @@
 	Signs struct {
 		Leaving bool          // it stops soon and must get no further requests
 		Pause   time.Duration // how long it wants no requests of this host; zero means that it does not pause
+		// Limit is the number of requests a second that it takes from all hosts together; zero means that it names no valid limit.
+		Limit     float64
+		Unlimited bool // whether the response shows that it has no limit
 	}
 
 	// Dialect reads and writes the headers of callers and upstreams.
--- a/pkg/pick/signs.go
+++ b/pkg/pick/signs.go
@@ -37,6 +37,7 @@
 	gate struct {
 		leaving     atomic.Bool
 		pausedUntil atomic.Pointer[time.Time] // nil means that the upstream never paused
+		limit       atomic.Pointer[limitSign] // nil means that the upstream never named a limit
 		leavingAt   time.Time                 // when the upstream said that it leaves
 		learnedAt   time.Time                 // when this host learned of the last sign
 		listedAt    time.Time                 // when the upstream was last listed with a sign
@@ -151,7 +152,7 @@
 		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g {
 			g.listedAt = now
 		}
-		if !g.leaving.Load() {
+		if !g.leaving.Load() && g.perSecond() == 0 {
 			return g.open(now)
 		}
 		return now.Sub(g.listedAt) > signRetention && now.Sub(g.learnedAt) > signRetention
