fix(signs): upstreams get no more requests than the limit that they name

The limit counts for the process that named it, and hosts pass the newest response on with the heartbeats. pkg/pace has the credit: one host, which follows from the names of those alive, owns the limit of each upstream, and the others take the credit of each request from it by the new method Permit. Without credit an upstream is not chosen, as in a pause; a service without models refuses at once with the promised time, a model is also asked of the controller.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -49,6 +49,15 @@
 	}
 	for {
 		t, available, after, err := n.tryChoose(q, c, n.callerWait(c, exclude))
+		if t.Attempt != nil && !n.takeCredit(ctx, t) {
+			continue
+		}
+		credit := n.creditTime(c)
+		if codes.Is(err, codes.UpstreamsPaused) && !credit.IsZero() {
+			if sleep(ctx, time.Until(credit)) {
+				continue
+			}
+		}
 		if t.Attempt != nil || err != nil {
 			return t, err
 		}
@@ -77,9 +86,12 @@
 				return t, ctx.Err()
 			}
 		}
-		upstream, err := n.awaitUpstream(ctx, c, missing)
+		upstream, err := n.awaitUpstreamUntil(ctx, c, missing, credit)
+		if errors.Is(err, errCreditDue) {
+			continue
+		}
 		if err != nil {
-			return t, err
+			return t, n.creditBefore(c, err)
 		}
 		named = upstream
 		if exclude[upstream] || n.isClosed(c.Service, upstream) {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -31,6 +31,7 @@
 	eventLeavingLearned = 312 // Another host reported upstreams that said that they leave.
 	eventLimit          = 313 // An upstream named a limit for its requests in an answer.
 	eventLimitEnded     = 314 // An upstream that had named a limit answered without one.
+	eventLimitsLearned  = 315 // Another host reported what it learned about limits of upstreams.
 	eventLease          = 400
 	eventLeaseLost      = 401
 	eventOrder          = 402
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -80,6 +80,7 @@
 		Feed     *Feed          // answer to Query
 		Evidence blame.Evidence // of requests that crash upstreams
 		Leaving  []pick.LeavingSign
+		Limits   []pick.LimitSign
 		Config   *ConfigState // nil from some earlier builds
 	}
 
@@ -212,13 +213,13 @@
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		b.Evidence, b.Leaving = n.blame.Export(now, false), n.table.ExportLeaving(now, false)
+		b.Evidence, b.Leaving, b.Limits = n.blame.Export(now, false), n.table.ExportLeaving(now, false), n.table.ExportLimits(now, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
 	n.table.LearnSpeeds()
 	n.placing.SetSpeeds(n.table.Speeds())
 	b.Children = n.childStatuses(now)
-	b.Evidence, b.Leaving = n.blame.Export(now, true), n.table.ExportLeaving(now, false)
+	b.Evidence, b.Leaving, b.Limits = n.blame.Export(now, true), n.table.ExportLeaving(now, false), n.table.ExportLimits(now, false)
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
 	for name := range n.hubs {
@@ -357,6 +358,7 @@
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
 		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
+		reply.Limits = s.node.table.ExportLimits(time.Now(), isNew)
 		if receiver := b.Config; receiver != nil {
 			if b.Query != nil {
 				receiver = nil // The feed contains the record.
@@ -396,6 +398,7 @@
 	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
 	n.mergeLeaving(now, b.From.Name, b.Leaving)
+	n.mergeLimits(now, b.From.Name, b.Limits)
 	for _, c := range b.Children {
 		n.applyHostStatus(now, c)
 	}
--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -25,6 +25,10 @@
 	// The files of these were made in the same way in the commit that added the method Credit.
 	"CreditArgs":  CreditArgs{},
 	"CreditReply": CreditReply{},
+
+	// The files of these were made in the same way in the commit that added the method Permit.
+	"PermitArgs":  PermitArgs{},
+	"PermitReply": PermitReply{},
 }
 
 // TestMessagesOfEarlierBuild guards against a renamed or retyped field in messages between hosts. A host with the change loses the
@@ -63,5 +67,5 @@
 			c.Check(checked[m.Type.In(position).Elem()], qt.IsTrue, qt.Commentf("parameter %d of %s", position, m.Name))
 		}
 	}
-	c.Assert(methods, qt.DeepEquals, []string{"Beat", "Credit", "Placed", "Want"})
+	c.Assert(methods, qt.DeepEquals, []string{"Beat", "Credit", "Permit", "Placed", "Want"})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -357,7 +357,7 @@
 	m.State(n.lease.Fence(), n.ready.Load())
 	m.Load(0, int(n.stop.active.Load()))
 	m.SetHostView("upstreams", float64(len(n.upstreams)))
-	m.SetHostView("limitedUpstreams", float64(n.table.CountLimited()))
+	m.SetHostView("limitedUpstreams", float64(len(n.table.Limits())))
 	m.SetHostView("hosts", float64(n.hostCount()))
 	m.SetHostView("listAge", n.bootNow().Sub(n.listAt).Seconds())
 	m.SetHostView("configurationAge", n.bootNow().Sub(n.configAt).Seconds())
--- a/internal/node/signs.go
+++ b/internal/node/signs.go
@@ -74,12 +74,13 @@
 
 // checkPause is paused on the control thread. It also returns the upstream that accepts requests first.
 func (n *Node) checkPause(now time.Time, c *relay.Call) (string, error) {
-	pause, first := n.table.Pause(now, pick.Query{Service: c.Service, Key: c.Key})
+	pause, first, limited := n.table.Pause(now, pick.Query{Service: c.Service, Key: c.Key})
 	patience := c.AbandonAt
 	if now.After(patience) {
 		patience = c.Deadline // The caller has got events and waits for more.
 	}
-	if pause == 0 || c.Key.Model != "" && now.Add(pause).After(patience) {
+	// A limit may last, so that the model has to be loaded elsewhere.
+	if pause == 0 || c.Key.Model != "" && (limited || now.Add(pause).After(patience)) {
 		return "", nil
 	}
 	return first, codes.Newf(codes.UpstreamsPaused, "%s is the first that accepts requests again", first).
--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -21,6 +21,14 @@
 	return a
 }
 
+// DropAttempt removes an attempt that is not made.
+func (t *Table) DropAttempt(a *Attempt) {
+	if s, ok := t.process(a.choice); ok {
+		delete(s.inFlight, a)
+		s.started[a.key]--
+	}
+}
+
 // process returns the state of the chosen upstream, unless its process has been replaced since: attempts at the earlier one tell nothing about it.
 func (t *Table) process(c Choice) (*upstreamState, bool) {
 	s, ok := t.upstreams[c.Upstream]
@@ -43,8 +51,8 @@
 	}
 	q.Exclude = map[string]bool{a.choice.Upstream: true}
 	other, ok := t.Choose(now, q)
-	if !ok || other.Running >= t.efficientSlots(other.Upstream) {
-		return other, false // An upstream with many requests would refuse this one or serve it no earlier.
+	if !ok || other.Running >= t.efficientSlots(other.Upstream) || t.gate(Process{other.Upstream, other.Born}).perSecond() > 0 {
+		return other, false // An upstream with many requests, or with a limit, would refuse this one or serve it no earlier.
 	}
 	if now.Sub(time.Unix(0, a.upstreamLastEvent.Load())) > silenceLimit && idle > silenceLimit {
 		return other, true
--- a/pkg/pick/signs.go
+++ b/pkg/pick/signs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/fleet"
+	"github.com/fireflycleat/fireflycleat/pkg/pace"
 )
 
 const (
@@ -37,7 +38,9 @@
 	gate struct {
 		leaving     atomic.Bool
 		pausedUntil atomic.Pointer[time.Time] // nil means that the upstream never paused
-		limit       atomic.Pointer[limitSign] // nil means that the upstream never named a limit
+		limit       atomic.Pointer[limit]     // nil means that the upstream never named a limit
+		bucket      *pace.Bucket              // credit of all hosts, used if this one owns it; nil means that there has been no limit
+		deniedUntil time.Time                 // until when there is no credit for this host
 		leavingAt   time.Time                 // when the upstream said that it leaves
 		learnedAt   time.Time                 // when this host learned of the last sign
 		listedAt    time.Time                 // when the upstream was last listed with a sign
@@ -94,22 +97,21 @@
 }
 
 // Pause returns the shortest time until an upstream accepts the request, and its ID, if all that could serve it want no requests for now;
-// otherwise the time is zero.
-func (t *Table) Pause(now time.Time, q Query) (time.Duration, string) {
-	shortest, first := time.Duration(0), ""
+// otherwise the time is zero. limited is set if that upstream does not pause, but has a limit without credit.
+func (t *Table) Pause(now time.Time, q Query) (shortest time.Duration, first string, limited bool) {
 	for id, s := range t.upstreams {
 		if !s.serves(now, q) {
 			continue
 		}
-		d := s.gate.pause(now)
+		d := s.gate.wait(now)
 		if d == 0 {
-			return 0, ""
+			return 0, "", false
 		}
 		if first == "" || d < shortest || d == shortest && id < first {
-			shortest, first = d, id
+			shortest, first, limited = d, id, s.gate.pause(now) == 0
 		}
 	}
-	return shortest, first
+	return shortest, first, limited
 }
 
 // Closed returns the IDs of the upstreams of the service that must get no requests because of what they said in answers, in order.
@@ -152,7 +154,7 @@
 		if s, ok := t.upstreams[p.Upstream]; ok && s.gate == g {
 			g.listedAt = now
 		}
-		if !g.leaving.Load() && g.perSecond() == 0 {
+		if !g.leaving.Load() && g.limit.Load() == nil {
 			return g.open(now)
 		}
 		return now.Sub(g.listedAt) > signRetention && now.Sub(g.learnedAt) > signRetention
@@ -160,7 +162,10 @@
 }
 
 // open reports whether requests may be sent to the upstream.
-func (g *gate) open(now time.Time) bool { return !g.leaving.Load() && g.pause(now) == 0 }
+func (g *gate) open(now time.Time) bool { return !g.leaving.Load() && g.wait(now) == 0 }
+
+// wait returns the time until the upstream may accept a request of this host.
+func (g *gate) wait(now time.Time) time.Duration { return max(g.pause(now), g.denied(now)) }
 
 // pause returns for how long the upstream wants no requests.
 func (g *gate) pause(now time.Time) time.Duration {
@@ -171,9 +176,11 @@
 	return max(until.Sub(now), 0)
 }
 
-// Permitted reports whether the request may be sent now: the upstream may have said since it was chosen that it leaves or wants no
-// requests. It may be called from any goroutine.
-func (a *Attempt) Permitted(now time.Time) bool { return a.gate.open(now) }
+// Permitted reports whether the request may be sent now: the upstream may have said since it was chosen that it leaves, wants no
+// requests, or has a limit. It may be called from any goroutine.
+func (a *Attempt) Permitted(now time.Time) bool {
+	return !a.gate.leaving.Load() && a.gate.pause(now) == 0 && (a.hasCredit || !a.Limited())
+}
 
 // SaidLeaving reports whether the upstream is known to have said in an answer that it leaves. It may be called from any goroutine.
 func (a *Attempt) SaidLeaving() bool { return a.gate.leaving.Load() }
--- a/pkg/pick/table.go
+++ b/pkg/pick/table.go
@@ -84,6 +84,7 @@
 		lastEvent         atomic.Int64  // Unix nanoseconds; zero means none
 		upstreamLastEvent *atomic.Int64 // of all requests of this host at the upstream; Unix nanoseconds
 		gate              *gate
+		hasCredit         bool // whether the credit for the request was taken, in case the upstream has a limit
 	}
 
 	// Table holds one host's view of the upstreams. It is not safe for concurrent use.
@@ -98,7 +99,7 @@
 		rates      *spread.Rates
 		sessions   map[sessionKey]session
 		meanRun    map[string]float64 // mean time from the first event to the end of an attempt by service, in seconds
-		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave or pause
+		signed     map[Process]*gate  // gates of the processes that said in an answer that they leave, pause or have a limit
 	}
 
 	// peerReport is what a peer reported about requests in flight.
