feat(blame): the log of a broken attempt names the digest of its request

Each attempt of a caller has an id of its own, so that the logs of the incident could not show which requests are repeats of each other. Event 204 has a hash of what repeats have in common: method, host, path, query, team and body.

--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -74,7 +74,7 @@
 // arrive before the first events, a request without a head was probably waiting.
 func (n *Node) recordBroken(c *relay.Call, t relay.Ticket, p relay.Progress) bool {
 	n.log("request").Info("connection ended before the response", "event", eventBroken, "id", c.ID, "upstream", t.Choice.Upstream,
-		"born", t.Choice.Born, "head", p.Head, "events", p.Events, "streaming", p.Streaming, "parts", partNames(c.Parts))
+		"born", t.Choice.Born, "head", p.Head, "events", p.Events, "streaming", p.Streaming, "parts", partNames(c.Parts), "digest", digestName(c.Digest))
 	if p.Streaming > beginningTime || len(c.Parts) == 0 {
 		return true
 	}
@@ -255,6 +255,9 @@
 	}
 }
 
+// digestName returns the digest of a request as it appears in logs.
+func digestName(digest uint64) string { return strconv.FormatUint(digest, 16) }
+
 // partNames returns the parts of a prompt as they appear in logs.
 func partNames(parts []uint64) string {
 	names := make([]string, len(parts))
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/fireflycleat/fireflycleat/internal/conns"
@@ -38,6 +39,20 @@
 	return err
 }
 
+// digest returns a hash of what a caller's repeats of the request have in common: its method, host, path, query, team and body.
+func (x *exchange) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.call.Team.Name} {
+		_, _ = d.WriteString(text)
+		_, _ = d.WriteString("\x00")
+	}
+	for _, part := range x.body {
+		_, _ = d.Write(part)
+	}
+	return d.Sum64()
+}
+
 // readBuffered reads up to maxBufferedBody bytes of a response, fewer if the host is short of memory. It reports whether that was the whole
 // response.
 func (x *exchange) readBuffered(r *conns.Response) (body []byte, complete bool, err error) {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -165,6 +165,7 @@
 		Route   fleet.Route
 		Service string
 		Team    fleet.Team // zero if the request needs no API key
+		Digest  uint64     // the same for all attempts of a caller to get the same request served
 		// AdmittedAt is the boot time at which Control.Admit took the credit of the request.
 		AdmittedAt time.Time
 		Urgency    int // priority of the team, or else of the route; zero is the most urgent
