fix(blame): repeats of a request that crashes upstreams are refused

Cause: crashes were recorded only for requests with parts of a prompt, and only by what different requests have in common.

A second ledger of pkg/blame has the digests of whole requests. Three crashes convict one that has not been answered before; its repeats get code 3018 at all hosts. A host does not send a suspected request to another upstream itself.

--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -50,6 +50,7 @@
 	id      string
 	choice  pick.Choice
 	parts   []uint64
+	digest  uint64
 	waiting bool
 	at      time.Time
 }
@@ -59,10 +60,11 @@
 	choice pick.Choice
 	id     string
 	parts  []uint64
+	digest uint64 // zero if the answer shows that the request did not crash the upstream
 	at     time.Time
 }
 
-// guardedAttempt is an attempt that is cancelled if the parts of its prompt are refused before the response begins.
+// guardedAttempt is an attempt that is cancelled if its parts are refused before the response begins.
 type guardedAttempt struct {
 	parts  []uint64
 	cancel context.CancelCauseFunc
@@ -75,15 +77,16 @@
 func (n *Node) recordBroken(c *relay.Call, t relay.Ticket, p relay.Progress) bool {
 	n.log("request").Info("connection ended before the response", "event", eventBroken, "id", c.ID, "upstream", t.Choice.Upstream,
 		"born", t.Choice.Born, "head", p.Head, "events", p.Events, "streaming", p.Streaming, "parts", partNames(c.Parts), "digest", digestName(c.Digest))
-	if p.Streaming > beginningTime || len(c.Parts) == 0 {
+	if p.Streaming > beginningTime {
 		return true
 	}
-	waiting, known := false, false
+	waiting, known, suspected := false, false, false
 	n.control.Ask(func() {
 		waiting = !p.Head && n.earlyHeads[c.Service] > 0.5
 		known = n.blame.Known(time.Now(), c.Parts)
+		suspected = n.repeats.Suspected(c.Digest)
 	})
-	if waiting || known {
+	if (waiting || known) && !suspected {
 		n.background(func(ctx context.Context) { n.probeEnd(ctx, c, t, waiting) })
 		return true
 	}
@@ -96,7 +99,7 @@
 	err := probeUpstream(ctx, t.Choice.Address)
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	n.control.Post(func() {
-		e := unclearEnd{c.ID, t.Choice, c.Parts, waiting, time.Now()}
+		e := unclearEnd{c.ID, t.Choice, c.Parts, c.Digest, waiting, time.Now()}
 		switch {
 		case refused:
 			n.recordCrash(e, err.Error())
@@ -119,14 +122,20 @@
 	return err
 }
 
-// recordCrash records that the upstream of the attempt has ended.
+// recordCrash records that the upstream of the attempt has ended, unless no part and no digest is suspected.
 func (n *Node) recordCrash(e unclearEnd, reason string) {
 	now := time.Now()
-	if !n.blame.RecordCrash(now, e.choice.Upstream, e.choice.Born, e.parts, e.waiting) {
+	isNew := n.blame.RecordCrash(now, e.choice.Upstream, e.choice.Born, e.parts, e.waiting)
+	// Whether a request was probably waiting matters little for its digest, which only its repeats share.
+	if e.digest != 0 && n.repeats.RecordCrash(now, e.choice.Upstream, e.choice.Born, []uint64{e.digest}, false) {
+		isNew = true
+	}
+	if !isNew {
 		return
 	}
-	n.log("blame").Warn("upstream ended as it began to answer", "event", eventCrash, "id", e.id, "upstream", e.choice.Upstream,
-		"born", e.choice.Born, "parts", partNames(e.parts), "waiting", e.waiting, "crashes", n.blame.CrashCount(), "reason", reason)
+	n.suspicious.Store(true)
+	n.log("blame").Warn("upstream ended as it began to answer", "event", eventCrash, "id", e.id, "upstream", e.choice.Upstream, "born", e.choice.Born,
+		"parts", partNames(e.parts), "digest", digestName(e.digest), "waiting", e.waiting, "crashes", n.blame.CrashCount(), "reason", reason)
 	n.applyConvictions(now)
 	n.requestHeartbeat()
 }
@@ -157,9 +166,6 @@
 
 // recordSound records a complete response. A brief one shows that the parts are sound only if the upstream has not ended just after it.
 func (n *Node) recordSound(c *relay.Call, t relay.Ticket, p relay.Completion) {
-	if len(c.Parts) == 0 {
-		return
-	}
 	brief := p.Streaming <= beginningTime
 	if brief && p.CloseDelimited {
 		// The end of such a response looks like that of its upstream.
@@ -168,15 +174,26 @@
 				return
 			}
 			if err := probeUpstream(ctx, t.Choice.Address); errors.Is(err, syscall.ECONNREFUSED) {
-				n.control.Post(func() { n.recordCrash(unclearEnd{id: c.ID, choice: t.Choice, parts: c.Parts}, err.Error()) })
+				n.control.Post(func() {
+					n.recordCrash(unclearEnd{id: c.ID, choice: t.Choice, parts: c.Parts, digest: c.Digest}, err.Error())
+				})
 			}
 		})
 	}
+	digest := c.Digest
+	if !brief || !p.CloseDelimited {
+		digest = 0
+	}
 	n.control.Post(func() {
-		if brief {
-			n.answers = append(n.answers, unconfirmedAnswer{t.Choice, c.ID, c.Parts, time.Now()})
-		} else {
-			n.blame.RecordSound(time.Now(), c.Parts)
+		now := time.Now()
+		if digest == 0 { // A request that crashes upstreams gets no whole answer.
+			n.repeats.RecordSound(now, []uint64{c.Digest})
+		}
+		switch {
+		case brief && (len(c.Parts) > 0 || digest != 0):
+			n.answers = append(n.answers, unconfirmedAnswer{t.Choice, c.ID, c.Parts, digest, now})
+		case !brief:
+			n.blame.RecordSound(now, c.Parts)
 		}
 		early := 0.0
 		if p.HeadLead >= minHeadLead {
@@ -192,23 +209,46 @@
 	i := 0
 	for ; i < len(n.answers) && now.Sub(n.answers[i].at) >= confirmTime; i++ {
 		a := n.answers[i]
-		if n.blame.Ended(a.choice.Upstream, a.choice.Born) || n.replaced(a.choice) {
-			n.recordCrash(unclearEnd{id: a.id, choice: a.choice, parts: a.parts, at: a.at}, reasonAnswered)
+		e := unclearEnd{id: a.id, choice: a.choice, at: a.at}
+		replaced := n.replaced(a.choice)
+		if replaced || n.blame.Ended(a.choice.Upstream, a.choice.Born) {
+			e.parts = a.parts
 		} else {
 			n.blame.RecordSound(a.at, a.parts)
 		}
+		switch {
+		case a.digest == 0:
+		case replaced || n.repeats.Ended(a.choice.Upstream, a.choice.Born):
+			e.digest = a.digest
+		default:
+			n.repeats.RecordSound(a.at, []uint64{a.digest})
+		}
+		n.recordCrash(e, reasonAnswered)
 	}
 	n.answers = slices.Delete(n.answers, 0, i)
 }
 
-// guard cancels the attempt if the parts of its prompt are refused before release is called.
+// guard cancels the attempt if the parts of its prompt, or repeats of its request, are refused before release is called.
 func (n *Node) guard(c *relay.Call, cancel context.CancelCauseFunc) (release func()) {
-	if len(c.Parts) == 0 {
+	suspicious := n.suspicious.Load()
+	if len(c.Parts) == 0 && !suspicious {
 		return func() {}
 	}
-	g := &guardedAttempt{c.Parts, cancel}
-	n.control.Post(func() { n.guarded[g] = true })
-	return func() { n.control.Post(func() { delete(n.guarded, g) }) }
+	g, repeat := &guardedAttempt{c.Parts, cancel}, &guardedAttempt{[]uint64{c.Digest}, cancel}
+	n.control.Post(func() {
+		if len(c.Parts) > 0 {
+			n.guarded[g] = true
+		}
+		if suspicious {
+			n.guardedRepeats[repeat] = true
+		}
+	})
+	return func() {
+		n.control.Post(func() {
+			delete(n.guarded, g)
+			delete(n.guardedRepeats, repeat)
+		})
+	}
 }
 
 // applyConvictions logs new convictions and cancels the attempts whose parts are refused now: upstreams that drop them are not ended by them.
@@ -221,31 +261,59 @@
 				"toldApart", v.ToldApart, "refusedS", v.Until.Sub(now).Seconds(), "known", n.blame.CrashCount())
 		}
 	}
+	for _, v := range n.repeats.Convictions() {
+		name := partNames(v.Parts)
+		if convicted[name] = v.Crashes; n.convicted[name] != v.Crashes {
+			n.log("blame").Warn("repeats of a request are refused", "event", eventRepeatRefused, "digest", name, "crashes", v.Crashes,
+				"refusedS", v.Until.Sub(now).Seconds(), "known", n.repeats.CrashCount())
+		}
+	}
 	n.convicted = convicted
-	for g := range n.guarded {
-		if n.blame.Judge(now, g.parts).Refuse {
+	cancelRefused(now, n.blame, n.guarded)
+	cancelRefused(now, n.repeats, n.guardedRepeats)
+}
+
+// cancelRefused cancels and removes the attempts whose parts the ledger refuses.
+func cancelRefused(now time.Time, l *blame.Ledger, guarded map[*guardedAttempt]bool) {
+	for g := range guarded {
+		if l.Judge(now, g.parts).Refuse {
 			g.cancel(relay.ErrPartsRefused)
-			delete(n.guarded, g)
+			delete(guarded, g)
 		}
 	}
 }
 
-// checkParts returns an error if requests with these parts of the prompt crash upstreams. After a while the controller sends one as a
-// trial; all other hosts refuse them until it was answered.
+// checkParts returns an error if requests with these parts of the prompt crash upstreams.
 func (n *Node) checkParts(now time.Time, parts []uint64) error {
 	v := n.blame.Judge(now, parts)
-	if v.Trial && n.term != 0 && now.Sub(n.lastTrial) > trialInterval {
-		n.lastTrial = now
-		n.log("blame").Info("trial of parts that crashed upstreams", "event", eventTrial, "parts", partNames(parts), "crashes", v.Crashes)
+	if n.permits(now, v, parts) {
 		return nil
 	}
-	if !v.Refuse && !v.Trial {
+	return codes.Newf(codes.CrashingPart, "%d upstreams ended as they began to answer requests with these parts: %s", v.Crashes, partNames(parts)).
+		WithRetryAfter(max(v.Retry, trialInterval))
+}
+
+// checkRepeat returns an error if the request with the digest crashes upstreams.
+func (n *Node) checkRepeat(now time.Time, digest uint64) error {
+	v := n.repeats.Judge(now, []uint64{digest})
+	if n.permits(now, v, []uint64{digest}) {
 		return nil
 	}
-	return codes.Newf(codes.CrashingPart, "%d upstreams ended as they began to answer requests with these parts: %s", v.Crashes, partNames(parts)).
+	return codes.Newf(codes.CrashingRequest, "%d upstreams ended as they began to run request %s", v.Crashes, digestName(digest)).
 		WithRetryAfter(max(v.Retry, trialInterval))
 }
 
+// permits reports whether a request with the verdict may be sent. After a while the controller sends one that is refused as a trial; all other
+// hosts refuse such requests until it was answered.
+func (n *Node) permits(now time.Time, v blame.Verdict, parts []uint64) bool {
+	if v.Trial && n.term != 0 && now.Sub(n.lastTrial) > trialInterval {
+		n.lastTrial = now
+		n.log("blame").Info("trial of what crashed upstreams", "event", eventTrial, "parts", partNames(parts), "crashes", v.Crashes)
+		return true
+	}
+	return !v.Refuse && !v.Trial
+}
+
 // mergeEvidence adds the evidence of another host.
 func (n *Node) mergeEvidence(now time.Time, from string, e blame.Evidence) {
 	if n.blame.Merge(now, e) {
@@ -258,6 +326,16 @@
 // digestName returns the digest of a request as it appears in logs.
 func digestName(digest uint64) string { return strconv.FormatUint(digest, 16) }
 
+// mergeRepeats adds the evidence of another host about requests that crash upstreams.
+func (n *Node) mergeRepeats(now time.Time, from string, e blame.Evidence) {
+	if n.repeats.Merge(now, e) {
+		n.suspicious.Store(true)
+		n.log("blame").Info("crashes learned from another host", "event", eventCrashLearned, "from", from, "crashes", n.repeats.CrashCount())
+		n.applyConvictions(now)
+		n.requestHeartbeat()
+	}
+}
+
 // partNames returns the parts of a prompt as they appear in logs.
 func partNames(parts []uint64) string {
 	names := make([]string, len(parts))
--- a/internal/node/blame_test.go
+++ b/internal/node/blame_test.go
@@ -251,3 +251,59 @@
 		}
 	}
 }
+
+// TestRepeatsPassThroughHubs guards against a host that sends a request that has crashed three upstreams, each of them known to another host, and
+// against a host that sends it again itself although it is suspected.
+func TestRepeatsPassThroughHubs(t *testing.T) {
+	t.Parallel()
+	const digest = 7
+	hub := newTestNode(Settings{Host: HostSettings{Name: "hub"}})
+	go func() { _ = hub.control.Run() }()
+	t.Cleanup(hub.control.Stop)
+	var nodes []*Node
+	for i := range 4 {
+		n := newTestNode(Settings{Host: HostSettings{Name: fmt.Sprint("h", i)}})
+		if i < 3 {
+			choice := pick.Choice{Upstream: fmt.Sprint("u", i), Born: 1}
+			n.recordCrash(unclearEnd{choice: choice, digest: digest}, "")
+		}
+		nodes = append(nodes, n)
+	}
+	last := nodes[3]
+	for _, n := range nodes {
+		reply, b := new(Heartbeat), &Heartbeat{From: n.self, Query: &FeedQuery{MembersFrom: n.membersHub}}
+		n.exportSigns(time.Now(), b, false, false)
+		qt.Assert(t, (&peerService{hub}).Beat(b, reply), qt.IsNil)
+		n.applyHeartbeat(reply)
+	}
+	err := last.checkRepeat(time.Now(), digest)
+	qt.Assert(t, codes.Is(err, codes.CrashingRequest), qt.IsTrue)
+	qt.Assert(t, codes.From(err).Outcome(), qt.Equals, codes.NotRun)
+	qt.Assert(t, codes.From(err).RetryAfter() > time.Minute, qt.IsTrue)
+	qt.Assert(t, last.checkRepeat(time.Now(), digest+1), qt.IsNil)
+}
+
+// TestSuspectedRequestIsNotRepeated guards against a host that sends a request to another upstream after one has ended under it, although another
+// one had before, and against requests that are no longer repeated after their first broken attempt.
+func TestSuspectedRequestIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	n := newTestNode(Settings{})
+	go func() { _ = n.control.Run() }()
+	t.Cleanup(n.control.Stop)
+	c := &relay.Call{Digest: 7}
+	broken := func(upstream string) bool {
+		return n.recordBroken(c, relay.Ticket{Choice: pick.Choice{Upstream: upstream, Born: 1, Address: "127.0.0.1:1"}}, relay.Progress{})
+	}
+	crashes := func() (count int) {
+		n.control.Ask(func() { count = n.repeats.CrashCount() })
+		return count
+	}
+	qt.Assert(t, broken("u1"), qt.IsTrue)
+	for end := time.Now().Add(5 * time.Second); crashes() < 1 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, broken("u2"), qt.IsFalse)
+	qt.Assert(t, crashes(), qt.Equals, 2)
+	n.recordSound(c, relay.Ticket{}, relay.Completion{})
+	qt.Assert(t, broken("u3"), qt.IsTrue, qt.Commentf("it has been answered"))
+}
--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -129,7 +129,10 @@
 func (n *Node) tryChoose(q pick.Query, c *relay.Call, w pick.Wait) (t relay.Ticket, available int, after time.Duration, err error) {
 	n.control.Ask(func() {
 		now := time.Now()
-		if err = n.checkParts(now, c.Parts); err != nil {
+		if err = n.checkParts(now, c.Parts); err == nil {
+			err = n.checkRepeat(now, c.Digest)
+		}
+		if err != nil {
 			return
 		}
 		choice, ok := n.table.Choose(now, q)
@@ -239,11 +242,11 @@
 		now := time.Now()
 		q := pick.Query{Service: c.Service, Key: c.Key, Session: c.Session}
 		choice, stuck := n.table.Stuck(now, t.Attempt, q)
-		v := n.blame.Judge(now, c.Parts)
+		v, repeat := n.blame.Judge(now, c.Parts), n.repeats.Judge(now, []uint64{c.Digest})
 		switch {
 		case !stuck:
 			err = relay.ErrNotStuck
-		case v.Refuse || v.Trial:
+		case v.Refuse || v.Trial || repeat.Refuse || repeat.Trial:
 			err = relay.ErrPartsRefused
 		case !n.repeatWindow(c.Service).Take(now, n.hostCount()):
 			err = errNoRepeats
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -45,6 +45,7 @@
 	eventCrashLearned   = 501 // Another host sent evidence of such crashes.
 	eventTrial          = 502 // A request is sent although requests with its parts crashed upstreams.
 	eventConvicted      = 503 // Requests with all of some parts are refused.
+	eventRepeatRefused  = 504 // A request is refused because its repeats crashed upstreams.
 	eventTeamLimit      = 600 // Requests of a team were refused because of its rate limit.
 	eventLending        = 601 // The controller has heard from enough hosts to lend credit of teams.
 	eventHandOver       = 602 // The controller passed on what it lent to its successor.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -78,7 +78,8 @@
 		Children []HostStatus   // hosts that depend on the sender
 		Query    *FeedQuery     // request for updates from a hub; nil in heartbeats between hubs
 		Feed     *Feed          // answer to Query
-		Evidence blame.Evidence // of requests that crash upstreams
+		Evidence blame.Evidence // of parts of prompts that crash upstreams
+		Repeats  blame.Evidence // of requests that do
 		Leaving  []pick.LeavingSign
 		Limits   []pick.LimitSign
 		Config   *ConfigState // nil from some earlier builds
@@ -213,13 +214,13 @@
 		if n.firstQueryAt.IsZero() {
 			n.firstQueryAt = now
 		}
-		b.Evidence, b.Leaving, b.Limits = n.blame.Export(now, false), n.table.ExportLeaving(now, false), n.table.ExportLimits(now, false)
+		n.exportSigns(now, &b, false, false)
 		return b, []Member{n.members[n.parent].Member}
 	}
 	n.table.LearnSpeeds()
 	n.placing.SetSpeeds(n.table.Speeds())
 	b.Children = n.childStatuses(now)
-	b.Evidence, b.Leaving, b.Limits = n.blame.Export(now, true), n.table.ExportLeaving(now, false), n.table.ExportLimits(now, false)
+	n.exportSigns(now, &b, true, false)
 	n.hubs = n.chooseHubs(false)
 	rank, to := 0, []Member(nil)
 	for name := range n.hubs {
@@ -240,6 +241,12 @@
 	return b, to
 }
 
+// exportSigns sets what the heartbeat tells about upstreams and what crashes them: all of it, or only what this host learned lately.
+func (n *Node) exportSigns(now time.Time, b *Heartbeat, allCrashes, allSigns bool) {
+	b.Evidence, b.Repeats = n.blame.Export(now, allCrashes), n.repeats.Export(now, allCrashes)
+	b.Leaving, b.Limits = n.table.ExportLeaving(now, allSigns), n.table.ExportLimits(now, allSigns)
+}
+
 // chooseHubs returns the hubs of all data centres. With includeSilent, hosts that missed heartbeats may be among them.
 func (n *Node) chooseHubs(includeSilent bool) map[string]bool {
 	all := n.candidates(includeSilent)
@@ -357,8 +364,7 @@
 		*reply = Heartbeat{From: s.node.self, Ready: s.node.ready.Load(), Stopping: stopping, Lease: s.node.leaseUpdate()}
 		// Hosts that depend on this one get what is recent, unless they are new to it.
 		isNew := b.Query != nil && b.Query.MembersFrom != s.node.self.Incarnation
-		reply.Evidence, reply.Leaving = s.node.blame.Export(time.Now(), b.Query == nil || isNew), s.node.table.ExportLeaving(time.Now(), isNew)
-		reply.Limits = s.node.table.ExportLimits(time.Now(), isNew)
+		s.node.exportSigns(time.Now(), reply, b.Query == nil || isNew, isNew)
 		if receiver := b.Config; receiver != nil {
 			if b.Query != nil {
 				receiver = nil // The feed contains the record.
@@ -397,6 +403,7 @@
 		n.applySentRecord(b.Config.Record, b.Config.Packed)
 	}
 	n.mergeEvidence(now, b.From.Name, b.Evidence)
+	n.mergeRepeats(now, b.From.Name, b.Repeats)
 	n.mergeLeaving(now, b.From.Name, b.Leaving)
 	n.mergeLimits(now, b.From.Name, b.Limits)
 	for _, c := range b.Children {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,13 +127,16 @@
 		updateCount       int64                    // number of the last placement update that this host sent as the controller
 		waiting           map[string]chan struct{} // closed when a model may have become ready, by model
 		repeatWindows     map[string]*retry.Window
-		lostDependencies  map[string]bool // names of the dependencies that don't answer
-		blame             *blame.Ledger
+		lostDependencies  map[string]bool          // names of the dependencies that don't answer
+		blame             *blame.Ledger            // of parts of prompts
+		repeats           *blame.Ledger            // of the digests of requests
 		convicted         map[string]int           // crashes that a convicted set of parts explains, by their names, as logged last
 		earlyHeads        map[string]float64       // share of responses whose head arrived before their first event, by service
 		unclear           []unclearEnd             // recent broken attempts whose upstreams may have ended
 		answers           []unconfirmedAnswer      // recent brief answers, by time
-		guarded           map[*guardedAttempt]bool // attempts whose response has not begun
+		guarded           map[*guardedAttempt]bool // attempts whose response has not begun, by the parts of their prompts
+		guardedRepeats    map[*guardedAttempt]bool // the same by the digests of their requests
+		suspicious        atomic.Bool              // whether a crash is known that a request may have caused
 		lastTrial         time.Time
 		storeEra          int64 // highest one that this host or its hub has seen, as of the last tick
 		announced         bool  // whether this host has been published, or is being published again, in announcedEra
@@ -160,7 +163,7 @@
 		},
 		table: pick.New(s.Host.DataCentre), durations: pick.NewDurations(), list: fleet.NewList(), members: make(map[string]*member),
 		waiting: make(map[string]chan struct{}), repeatWindows: make(map[string]*retry.Window),
-		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), earlyHeads: make(map[string]float64), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
+		bootNow: bootNow, storeEra: unknownEra, blame: blame.New(), repeats: blame.NewOfRequests(), guardedRepeats: make(map[*guardedAttempt]bool), earlyHeads: make(map[string]float64), guarded: make(map[*guardedAttempt]bool), lostDependencies: make(map[string]bool), heartbeatDue: make(chan struct{}, 1), reload: make(chan os.Signal, 1),
 	}
 	n.table.Random = pick.NewRandom(s.Host.Name)
 	leaseSettings := lease.DefaultSettings()
@@ -337,6 +340,8 @@
 	n.expireUses(now)
 	n.confirmAnswers(now)
 	n.blame.Expire(now)
+	n.repeats.Expire(now)
+	n.suspicious.Store(n.repeats.CrashCount() > 0)
 	n.updateReady()
 	n.chooseSource()
 	n.checkConfigAge()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -201,7 +201,7 @@
 	}
 	for {
 		t, err := x.relay.control.Choose(ctx, x.call, exclude)
-		if err == nil || x.movedFrom == "" || !x.mayHaveRun || ctx.Err() != nil || codes.Is(err, codes.CrashingPart) || codes.Is(err, codes.NotConfigured) {
+		if err == nil || x.movedFrom == "" || !x.mayHaveRun || ctx.Err() != nil || isFinalRefusal(err) {
 			return t, err
 		}
 		clear(exclude)
@@ -212,6 +212,11 @@
 	}
 }
 
+// isFinalRefusal reports whether no upstream will take the request however long it waits.
+func isFinalRefusal(err error) bool {
+	return codes.Is(err, codes.CrashingPart) || codes.Is(err, codes.CrashingRequest) || codes.Is(err, codes.NotConfigured)
+}
+
 // dropNext releases the upstream that was reserved for an attempt that isn't made.
 func (x *exchange) dropNext() {
 	if x.next.Attempt != nil {
--- a/pkg/blame/convict.go
+++ b/pkg/blame/convict.go
@@ -18,6 +18,11 @@
 	// separateWeight is the weight of three crashes, which is needed if parts of different requests explain the same crashes: two crashes often
 	// have bystanders in common, because callers repeat what the first one cut.
 	separateWeight = 3 * fullWeight
+	// requestWeight is the weight of three crashes, which is needed against a whole request: a sound one that its caller repeats meets two
+	// upstreams that end for other reasons more often than two requests share a part by chance.
+	requestWeight = 3 * fullWeight
+	// requestRefusal is refusalTime for a whole request. Nobody else misses it.
+	requestRefusal = 10 * time.Minute
 	// togetherTime is the time within which upstreams that are lost together end, for example with their machine or in a roll-out.
 	togetherTime = 2 * time.Second
 	// refusalTime is how long requests are refused after the last crash; each further crash doubles it up to maxRefusalTime.
@@ -34,14 +39,15 @@
 	parts     []uint64
 	crashes   []*crash // by time
 	toldApart bool     // whether requests without these parts were answered
-	surplus   int      // number of times that upstreams ended after the crashes that were required
+	refusal   time.Duration
+	surplus   int // number of times that upstreams ended after the crashes that were required
 }
 
 // until returns the time until which requests are refused.
 func (v *conviction) until() time.Time {
 	last := v.crashes[len(v.crashes)-1].at
 	if v.toldApart {
-		return last.Add(min(refusalTime<<min(v.surplus, 8), maxRefusalTime))
+		return last.Add(min(v.refusal<<min(v.surplus, 8), maxRefusalTime))
 	}
 	d := time.Duration(briefRefusal)
 	for range min(v.surplus, 8) {
@@ -105,7 +111,7 @@
 // parts of different requests were at the same crashes; all but one of them are bystanders.
 func (l *Ledger) convict(open map[*crash]bool, known bool) []conviction {
 	var best *record
-	required := requiredWeight
+	required := l.required
 	if known {
 		required = knownWeight
 	}
@@ -118,14 +124,14 @@
 	if best == nil {
 		return nil
 	}
-	v := conviction{crashes: best.crashes, toldApart: !known && l.toldApart(best), surplus: best.surplus(required)}
+	v := conviction{crashes: best.crashes, toldApart: !known && (l.single || l.toldApart(best)), refusal: l.refusal, surplus: best.surplus(required)}
 	var parts []uint64
 	for _, r := range records {
 		if slices.Equal(r.crashes, best.crashes) && slices.Equal(r.weights, best.weights) {
 			parts = append(parts, r.part)
 		}
 	}
-	groups := groupByRequest(best.crashes, parts)
+	groups := l.groupByRequest(best.crashes, parts)
 	if len(groups) > 1 {
 		if best.total < separateWeight {
 			return nil
@@ -142,9 +148,15 @@
 
 // groupByRequest divides parts that were at the same crashes into groups whose parts were in one request at each of these crashes. Such parts
 // can't be told apart: requests with all of them are refused, and one with some of them will show which it is.
-func groupByRequest(crashes []*crash, parts []uint64) [][]uint64 {
+func (l *Ledger) groupByRequest(crashes []*crash, parts []uint64) [][]uint64 {
 	slices.Sort(parts)
 	var groups [][]uint64
+	if l.single {
+		for _, p := range parts {
+			groups = append(groups, []uint64{p})
+		}
+		return groups
+	}
 	for _, p := range parts {
 		group := []uint64{p} // The requests of a crash may be incomplete.
 		for _, q := range parts {
--- a/pkg/blame/ledger.go
+++ b/pkg/blame/ledger.go
@@ -69,6 +69,9 @@
 		blamed      map[uint64]int // number of crashes with the part
 		convictions []conviction
 		stale       bool // whether the evidence has changed since the convictions were determined
+		required    int  // weight of the crashes that convict a part without an answer
+		single      bool // whether each request has one part, which only its repeats share
+		refusal     time.Duration
 	}
 
 	// answer is the last complete answer to a request with a part.
@@ -94,15 +97,25 @@
 	}
 )
 
-// New returns a ledger without evidence.
+// New returns a ledger without evidence about parts of prompts.
 func New() *Ledger {
-	return &Ledger{sound: make(map[uint64]answer), blamed: make(map[uint64]int)}
+	return &Ledger{sound: make(map[uint64]answer), blamed: make(map[uint64]int), required: requiredWeight, refusal: refusalTime}
+}
+
+// NewOfRequests returns a ledger without evidence about whole requests, each of which has one part that only its repeats share.
+func NewOfRequests() *Ledger {
+	l := New()
+	l.required, l.single, l.refusal = requestWeight, true, requestRefusal
+	return l
 }
 
 // RecordCrash records that an upstream ended while a request was there that it may have been beginning to answer, and reports whether that is
 // new. A waiting request had probably not begun.
 func (l *Ledger) RecordCrash(now time.Time, upstream string, born int64, parts []uint64, waiting bool) bool {
-	c := Crash{Upstream: upstream, Born: born, Parts: parts, Requests: [][]uint64{parts}}
+	c := Crash{Upstream: upstream, Born: born, Parts: parts}
+	if !l.single {
+		c.Requests = [][]uint64{parts}
+	}
 	if waiting {
 		c.Parts, c.Waiting = nil, parts
 	}
@@ -284,6 +297,13 @@
 	return n
 }
 
+// Suspected reports whether an upstream ended under a request with the part that has not been answered since.
+func (l *Ledger) Suspected(part uint64) bool {
+	return l.blamed[part] > 0 && slices.ContainsFunc(l.crashes, func(c *crash) bool {
+		return slices.ContainsFunc(c.parts, func(s suspect) bool { return s.part == part }) && l.suspected(c, part)
+	})
+}
+
 // Known reports whether requests with each of the parts have been answered lately.
 func (l *Ledger) Known(now time.Time, parts []uint64) bool {
 	for _, p := range parts {
--- /dev/null
+++ b/pkg/blame/request_test.go
@@ -0,0 +1,104 @@
+package blame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fireflycleat/fireflycleat/pkg/blame"
+)
+
+const (
+	crashing  = uint64(1)
+	bystander = uint64(2)
+)
+
+// crashWith records the crash of another upstream under the requests.
+func crashWith(l *blame.Ledger, now time.Time, requests ...uint64) {
+	upstream := fmt.Sprint("u", l.CrashCount())
+	for _, r := range requests {
+		l.RecordCrash(now, upstream, 1, []uint64{r}, false)
+	}
+}
+
+func refuses(l *blame.Ledger, now time.Time, request uint64) bool {
+	return l.Judge(now, []uint64{request}).Refuse
+}
+
+// TestThirdCrashOfARequest guards against a request that crashes a fourth upstream, and against one that is refused because the two upstreams
+// that it was sent to ended for other reasons.
+func TestThirdCrashOfARequest(t *testing.T) {
+	l := blame.NewOfRequests()
+	now := start
+	for i := range 3 {
+		qt.Assert(t, refuses(l, now, crashing), qt.IsFalse, qt.Commentf("%d crashes", i))
+		crashWith(l, now, crashing, 100+uint64(i))
+		now = now.Add(4 * time.Second)
+	}
+	qt.Assert(t, refuses(l, now, crashing), qt.IsTrue)
+	qt.Assert(t, refuses(l, now, 100), qt.IsFalse)
+	qt.Assert(t, refuses(l, now.Add(9*time.Minute), crashing), qt.IsTrue)
+	v := l.Judge(now.Add(11*time.Minute), []uint64{crashing})
+	qt.Assert(t, v.Trial, qt.IsTrue)
+	crashWith(l, now.Add(11*time.Minute), crashing)
+	qt.Assert(t, refuses(l, now.Add(25*time.Minute), crashing), qt.IsTrue, qt.Commentf("after a trial"))
+}
+
+// TestBystanderOfARequest guards against a sound request that is refused for minutes because its caller repeated it beside the one that crashes
+// upstreams, and against the latter being sent again because the two can't be told apart.
+func TestBystanderOfARequest(t *testing.T) {
+	l := blame.NewOfRequests()
+	now := start
+	for range 3 {
+		crashWith(l, now, crashing, bystander)
+		now = now.Add(time.Second)
+	}
+	qt.Assert(t, refuses(l, now, crashing), qt.IsTrue)
+	qt.Assert(t, refuses(l, now, bystander), qt.IsTrue)
+	qt.Assert(t, refuses(l, now.Add(15*time.Second), bystander), qt.IsFalse)
+	l.RecordSound(now, []uint64{bystander})
+	qt.Assert(t, l.Judge(now, []uint64{bystander}), qt.Equals, blame.Verdict{})
+	qt.Assert(t, refuses(l, now.Add(15*time.Second), crashing), qt.IsTrue)
+}
+
+// TestPopularRequest guards against a request that is refused because it comes from many callers, so that it is at each crash.
+func TestPopularRequest(t *testing.T) {
+	l := blame.NewOfRequests()
+	now := start
+	for i := range 10 {
+		l.RecordSound(now, []uint64{bystander})
+		now = now.Add(500 * time.Millisecond)
+		crashWith(l, now, bystander, 100+uint64(i))
+		now = now.Add(500 * time.Millisecond)
+		qt.Assert(t, refuses(l, now, bystander), qt.IsFalse, qt.Commentf("%d crashes", i+1))
+	}
+	// Upstreams that end within two seconds count once against it.
+	together := blame.NewOfRequests()
+	together.RecordSound(start, []uint64{bystander})
+	for i := range 20 {
+		crashWith(together, start.Add(time.Duration(i)*50*time.Millisecond), bystander)
+	}
+	qt.Assert(t, refuses(together, start.Add(time.Second), bystander), qt.IsFalse)
+}
+
+// TestCrashesOfARequestAtSeveralHosts guards against a request that is not known because each host saw one of its crashes only.
+func TestCrashesOfARequestAtSeveralHosts(t *testing.T) {
+	hosts := []*blame.Ledger{blame.NewOfRequests(), blame.NewOfRequests(), blame.NewOfRequests()}
+	for i, l := range hosts {
+		l.RecordCrash(start, fmt.Sprint("u", i), 1, []uint64{crashing}, false)
+		qt.Assert(t, l.Suspected(crashing), qt.IsTrue)
+		qt.Assert(t, l.Suspected(bystander), qt.IsFalse)
+	}
+	for _, from := range hosts {
+		for _, to := range hosts {
+			to.Merge(start, from.Export(start, false))
+		}
+	}
+	for _, l := range hosts {
+		qt.Assert(t, refuses(l, start, crashing), qt.IsTrue)
+	}
+	hosts[0].RecordSound(start.Add(time.Second), []uint64{crashing})
+	qt.Assert(t, hosts[0].Suspected(crashing), qt.IsFalse)
+}
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -45,6 +45,7 @@
 	NotConfigured   Code = 3015
 	UpstreamsPaused Code = 3016
 	OverMemory      Code = 3017
+	CrashingRequest Code = 3018
 
 	UpstreamFailed  Code = 4001
 	UpstreamUnknown Code = 4002
@@ -126,6 +127,7 @@
 		{NotConfigured, "model is not in the configuration", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamsPaused, "upstreams want no requests for now", NotRun, http.StatusServiceUnavailable, 4},
 		{OverMemory, "host is short of memory", NotRun, http.StatusServiceUnavailable, 4},
+		{CrashingRequest, "request crashes upstreams", NotRun, http.StatusServiceUnavailable, 4},
 		{UpstreamFailed, "upstream failed while running the request", Ran, http.StatusBadGateway, 5},
 		{UpstreamUnknown, "upstream's answer is missing", Unknown, http.StatusGatewayTimeout, 5},
 		{StreamBroken, "answer ended early", Ran, http.StatusBadGateway, 5},
