fix(conns,engine): a response whose status HTTP does not have is none

An upstream in trouble sent an answer with the status 000. A host took a status below 200 for an interim response, so that the caller waited until its deadline, or got the body as the answer if that looks like a head; 600 and 999 were passed on. serve believed all of them.

One check serves both: such a status is an error at once, the outcome is unknown and the connection is closed.

--- a/internal/conns/do.go
+++ b/internal/conns/do.go
@@ -22,6 +22,8 @@
 	// maxHeadBytes limits the bytes of a response before its body, interim (1xx) responses included. An upstream in trouble may send
 	// a head without end, which would otherwise fill the memory of the host.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
 	// maxCopiedBody is the size up to which a body is copied behind the head of its request, which saves writes.
 	maxCopiedBody = 64 << 10
 )
@@ -145,6 +147,14 @@
 // id returns the value of the request's Echo header.
 func (q *Request) id() string { return q.Header.Get(q.Echo) }
 
+// CheckStatus returns an UpstreamUnknown error for a status that no final response has. What came with such a status is no response.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return codes.Newf(codes.UpstreamUnknown, "response has the status %03d", status)
+	}
+	return nil
+}
+
 // readResponse reads the status line and headers of the next response and skips interim (1xx) ones. It fails with errEndlessHead if
 // they exceed maxHeadBytes.
 func (c *conn) readResponse(q *Request) (*http.Response, error) {
@@ -155,9 +165,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.StatusCode >= http.StatusOK {
-			return r, nil
+		isInterim := r.StatusCode >= http.StatusContinue && r.StatusCode < http.StatusOK
+		if isInterim && r.StatusCode != http.StatusSwitchingProtocols { // No request asks to switch protocols.
+			continue
 		}
+		return r, CheckStatus(r.StatusCode)
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/fireflycleat/fireflycleat/internal/conns"
 	"github.com/fireflycleat/fireflycleat/internal/telem"
 	"github.com/fireflycleat/fireflycleat/internal/wire"
 	"github.com/fireflycleat/fireflycleat/pkg/codes"
@@ -29,13 +30,18 @@
 	contentTypeJSON = "application/json"
 )
 
-// Client sends orders, queries and requests to upstreams. It is safe for concurrent use.
-type Client struct {
-	control     *http.Client
-	traffic     *http.Client
-	plain       *http.Client
-	injectTrace func(context.Context, http.Header)
-}
+type (
+	// Client sends orders, queries and requests to upstreams. It is safe for concurrent use.
+	Client struct {
+		control     *http.Client
+		traffic     *http.Client
+		plain       *http.Client
+		injectTrace func(context.Context, http.Header)
+	}
+
+	// checkedTransport rejects responses that are none.
+	checkedTransport struct{ *http.Transport }
+)
 
 // New returns a client. The function injectTrace adds the trace context to the header of each request, and controlLink counts
 // the bytes of orders, statuses and the host list.
@@ -43,15 +49,33 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	dial := dialer.DialContext
 	return &Client{
-		control: &http.Client{Transport: &http.Transport{DialContext: controlLink.Dial(dialer), MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}},
-		traffic: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, MaxResponseHeaderBytes: maxHeadBytes}},
+		control: newHTTPClient(&http.Transport{DialContext: controlLink.Dial(dialer), MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}),
+		traffic: newHTTPClient(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, MaxResponseHeaderBytes: maxHeadBytes}),
 		// Connections to plain services are not reused: net/http retries a request with an Idempotency-Key header when a
 		// reused connection breaks, which could run a booking twice.
-		plain:       &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
+		plain:       newHTTPClient(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 		injectTrace: injectTrace,
 	}
 }
 
+func newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: checkedTransport{t}}
+}
+
+// RoundTrip implements http.RoundTripper. It fails if the response has a status that HTTP does not have.
+func (t checkedTransport) RoundTrip(q *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(q)
+	if err != nil {
+		return nil, err
+	}
+	if err := conns.CheckStatus(resp.StatusCode); err != nil {
+		closeErr := resp.Body.Close()
+		t.CloseIdleConnections() // A connection whose response has no body is idle by now.
+		return nil, errors.CombineErrors(err, closeErr)
+	}
+	return resp, nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.control.CloseIdleConnections()
