fix(blame): a request among many others of a crash is known at all hosts

A ledger keeps 32 requests of a crash, and an upstream may run more. Each host kept others, so that with 60 requests at each of three crashes, three of six hosts did not know the one in common (TestRequestAmongManyOthers). Requests of other crashes are kept first now. Crashes whose requests never came back lapse after 10 minutes and are sent to other hosts for 10 s only (TestEvidenceOfSingleCrashes), and old answers are searched for every 5 s instead of ten times a second. Both tests failed before.

--- a/pkg/blame/bench_test.go
+++ b/pkg/blame/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fireflycleat/fireflycleat/pkg/blame"
 )
@@ -44,3 +45,17 @@
 		l.Judge(start, []uint64{common, theme, 131})
 	}
 }
+
+// BenchmarkRequests measures what the ledger of requests costs for each answered request: its answer, and its share of the search for old ones.
+func BenchmarkRequests(b *testing.B) {
+	l := blame.NewOfRequests()
+	now := start
+	for n := uint64(0); b.Loop(); n++ {
+		now = now.Add(20 * time.Millisecond)
+		l.RecordSound(now, []uint64{n})
+		l.Judge(now, []uint64{n})
+		if n%5 == 0 {
+			l.Expire(now)
+		}
+	}
+}
--- a/pkg/blame/ledger.go
+++ b/pkg/blame/ledger.go
@@ -10,9 +10,13 @@
 const (
 	// crashTTL is how long a crash counts; it is longer than requests are refused, so that one more crash in a trial suffices.
 	crashTTL = time.Hour
+	// singleTTL is that time for a crash whose requests were at no other one: each end of an upstream leaves some that are not sent again.
+	singleTTL = 10 * time.Minute
 	// soundTTL is how long a complete answer is remembered, and maxSound the number of parts of which one is.
 	soundTTL = 2 * time.Minute
 	maxSound = 4096
+	// sweepInterval is the time between two searches for answers that no longer count.
+	sweepInterval = 5 * time.Second
 	// maxCrashes limits the evidence that a host keeps and sends, and maxParts the parts of a crash.
 	maxCrashes = 64
 	maxParts   = 32
@@ -72,6 +76,7 @@
 		required    int  // weight of the crashes that convict a part without an answer
 		single      bool // whether each request has one part, which only its repeats share
 		refusal     time.Duration
+		sweptAt     time.Time // when old answers were dropped
 	}
 
 	// answer is the last complete answer to a request with a part.
@@ -228,9 +233,17 @@
 	if !s.waiting {
 		rank++
 	}
+	if l.single {
+		rank += 4 * min(l.blamed[s.part], requestWeight) // Among the many requests of one crash, those of others are the suspects.
+	}
 	return rank
 }
 
+// repeated reports whether a part of the crash was at another one.
+func (l *Ledger) repeated(c *crash) bool {
+	return slices.ContainsFunc(c.parts, func(s suspect) bool { return l.blamed[s.part] > 1 })
+}
+
 func (l *Ledger) release(part uint64) {
 	if l.blamed[part]--; l.blamed[part] <= 0 {
 		delete(l.blamed, part)
@@ -349,20 +362,27 @@
 		}
 	}
 	l.drop(func(c *crash) bool {
-		return now.Sub(c.at) > crashTTL || !c.acquittedAt.IsZero() && now.Sub(c.acquittedAt) > recentTime
+		lapsed := now.Sub(c.at) > crashTTL || l.single && now.Sub(c.at) > singleTTL && !l.repeated(c)
+		return lapsed || !c.acquittedAt.IsZero() && now.Sub(c.acquittedAt) > recentTime
 	})
+	if now.Sub(l.sweptAt) < sweepInterval {
+		return
+	}
+	l.sweptAt = now
 	maps.DeleteFunc(l.sound, func(part uint64, a answer) bool {
 		// What acquits a part of a crash counts as long as the crash does.
 		return now.Sub(a.at) > soundTTL && l.blamed[part] == 0
 	})
 }
 
-// Export returns the evidence to send to another host: all of it, or only what is recent.
+// Export returns the evidence to send to another host: what is recent, and with all set the rest too. Of crashes of whole requests, the rest has
+// only those with a request that was at several.
 func (l *Ledger) Export(now time.Time, all bool) Evidence {
 	var e Evidence
 	seen := make(map[uint64]bool)
 	for _, c := range l.crashes {
-		if !all && now.Sub(c.learnedAt) > recentTime && (c.acquittedAt.IsZero() || now.Sub(c.acquittedAt) > recentTime) {
+		isRecent := now.Sub(c.learnedAt) <= recentTime || !c.acquittedAt.IsZero() && now.Sub(c.acquittedAt) <= recentTime
+		if !isRecent && (!all || l.single && !l.repeated(c)) {
 			continue
 		}
 		x := Crash{Upstream: c.upstream, Born: c.born, Requests: slices.Clone(c.requests), Age: now.Sub(c.at)}
--- a/pkg/blame/request_test.go
+++ b/pkg/blame/request_test.go
@@ -102,3 +102,49 @@
 	hosts[0].RecordSound(start.Add(time.Second), []uint64{crashing})
 	qt.Assert(t, hosts[0].Suspected(crashing), qt.IsFalse)
 }
+
+// TestRequestAmongManyOthers guards against a request that is not known because a crash has more requests than a ledger keeps of one, so that each
+// host has kept others.
+func TestRequestAmongManyOthers(t *testing.T) {
+	const others = 60
+	var hosts []*blame.Ledger
+	for range 6 {
+		hosts = append(hosts, blame.NewOfRequests())
+	}
+	now := start
+	for i := range 3 {
+		upstream := fmt.Sprint("u", i)
+		for n := range others {
+			hosts[n%len(hosts)].RecordCrash(now, upstream, 1, []uint64{uint64(100 + others*i + n)}, false)
+		}
+		hosts[i].RecordCrash(now, upstream, 1, []uint64{crashing}, false)
+		for range 2 { // Each host tells its hub, which tells the others with their next heartbeats.
+			for _, l := range hosts[1:] {
+				hosts[0].Merge(now, l.Export(now, false))
+				l.Merge(now, hosts[0].Export(now, false))
+			}
+		}
+		now = now.Add(4 * time.Second)
+	}
+	for i, l := range hosts {
+		qt.Check(t, refuses(l, now, crashing), qt.IsTrue, qt.Commentf("host %d", i))
+	}
+}
+
+// TestEvidenceOfSingleCrashes guards against evidence that grows with each end of an upstream, and is sent again and again, although none of its
+// requests came back.
+func TestEvidenceOfSingleCrashes(t *testing.T) {
+	l := blame.NewOfRequests()
+	now := start
+	crashWith(l, now, 100, 101)
+	crashWith(l, now, crashing)
+	crashWith(l, now, crashing)
+	qt.Assert(t, l.Export(now, false).Crashes, qt.HasLen, 3)
+	now = now.Add(20 * time.Second)
+	qt.Assert(t, l.Export(now, false).Crashes, qt.HasLen, 0)
+	qt.Assert(t, l.Export(now, true).Crashes, qt.HasLen, 2)
+	l.Expire(now.Add(9 * time.Minute))
+	qt.Assert(t, l.CrashCount(), qt.Equals, 3)
+	l.Expire(now.Add(11 * time.Minute))
+	qt.Assert(t, l.CrashCount(), qt.Equals, 2)
+}
