fix(node): only requests without an upstream look for credit

Each request asked the control thread once more, and looked through the upstreams, for the time at which a limited upstream has credit, also when it had an upstream already.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -52,13 +52,14 @@
 		if t.Attempt != nil && !n.takeCredit(ctx, t) {
 			continue
 		}
+		if t.Attempt != nil {
+			return t, nil
+		}
 		credit := n.creditTime(c)
-		if codes.Is(err, codes.UpstreamsPaused) && !credit.IsZero() {
-			if sleep(ctx, time.Until(credit)) {
-				continue
-			}
+		if codes.Is(err, codes.UpstreamsPaused) && !credit.IsZero() && sleep(ctx, time.Until(credit)) {
+			continue
 		}
-		if t.Attempt != nil || err != nil {
+		if err != nil {
 			return t, err
 		}
 		if after > 0 {
