--- a/internal/node/blame.go
+++ b/internal/node/blame.go
@@ -60,7 +60,7 @@
 	choice pick.Choice
 	id     string
 	parts  []uint64
-	digest uint64 // zero if the answer shows that the request did not crash the upstream
+	digest uint64 // zero if the answer was whole, which shows that the request did not crash the upstream
 	at     time.Time
 }
 
@@ -180,18 +180,16 @@
 			}
 		})
 	}
-	digest := c.Digest
-	if !brief || !p.CloseDelimited {
-		digest = 0
-	}
 	n.control.Post(func() {
-		now := time.Now()
-		if digest == 0 { // A request that crashes upstreams gets no whole answer.
+		now, unconfirmed := time.Now(), uint64(0)
+		if brief && p.CloseDelimited {
+			unconfirmed = c.Digest
+		} else { // A request that crashes upstreams gets no whole answer.
 			n.repeats.RecordSound(now, []uint64{c.Digest})
 		}
 		switch {
-		case brief && (len(c.Parts) > 0 || digest != 0):
-			n.answers = append(n.answers, unconfirmedAnswer{t.Choice, c.ID, c.Parts, digest, now})
+		case brief && (len(c.Parts) > 0 || unconfirmed != 0):
+			n.answers = append(n.answers, unconfirmedAnswer{t.Choice, c.ID, c.Parts, unconfirmed, now})
 		case !brief:
 			n.blame.RecordSound(now, c.Parts)
 		}
