--- a/pkg/pick/attempts.go
+++ b/pkg/pick/attempts.go
@@ -25,7 +25,9 @@
 func (t *Table) DropAttempt(a *Attempt) {
 	if s, ok := t.process(a.choice); ok {
 		delete(s.inFlight, a)
-		s.started[a.key]--
+		if s.started[a.key] > 0 { // Otherwise it has been reported already.
+			s.started[a.key]--
+		}
 	}
 }
 
--- a/pkg/pick/limits_test.go
+++ b/pkg/pick/limits_test.go
@@ -31,6 +31,15 @@
 	table.DropAttempt(a)
 	qt.Assert(t, choose(t, table, start, pick.Query{}), qt.Equals, "far")
 	qt.Assert(t, table.Running("")["near"], qt.Equals, 0)
+	for _, u := range table.Uses() {
+		qt.Assert(t, u.Started, qt.Equals, 0)
+	}
+	reported := table.StartAttempt(start, c, q)
+	table.Uses()
+	table.DropAttempt(reported)
+	for _, u := range table.Uses() {
+		qt.Assert(t, u.Started, qt.Equals, 0, qt.Commentf("it has been reported"))
+	}
 	now := start.Add(wait)
 	qt.Assert(t, choose(t, table, now, pick.Query{}), qt.Equals, "near")
 	qt.Assert(t, table.TakeCredit(now, process("near")), qt.Equals, time.Duration(0))
