fix(node): hubs own the limits of upstreams

A trial with 84 hosts gave up to 20 credits in 4 s for a limit of 1 a second (11 allowed): the owner was chosen among the hosts alive, and a host that is no hub knows those of its own data centre only, so that each data centre had an owner.

The owner is one of the hubs, which know of each other. Other hosts ask their hub, which passes the request on once.

--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -14,26 +14,29 @@
 )
 
 const (
-	// permitTimeout limits the call to the owner of a limit, and noOwnerWait is the time after a failed call without further ones.
-	permitTimeout = 150 * time.Millisecond
-	noOwnerWait   = 300 * time.Millisecond
+	// permitTimeout limits the call for credit, and forwardTimeout that of a hub to the owner. noOwnerWait is the time after a failed call
+	// without further ones.
+	permitTimeout  = 200 * time.Millisecond
+	forwardTimeout = 100 * time.Millisecond
+	noOwnerWait    = 300 * time.Millisecond
 )
 
 // errCreditDue tells that there may be credit for a request that waits for its model elsewhere.
 var errCreditDue = errors.New("credit of a limited upstream is due")
 
 type (
-	// PermitArgs asks the owner of an upstream's limit for the credit of one request.
+	// PermitArgs asks a hub for the credit of one request to an upstream that has a limit.
 	PermitArgs struct {
-		Upstream string
-		Born     int64
-		Limits   []pick.LimitSign // what the asking host knows about the limit
+		Upstream  string
+		Born      int64
+		Limits    []pick.LimitSign // what the asking host knows about the limit
+		Forwarded bool             // whether a hub passes on the request of another host
 	}
 
 	// PermitReply is the answer to PermitArgs.
 	PermitReply struct {
 		Wait   time.Duration    // until the host may ask again; zero if it has got the credit
-		Limits []pick.LimitSign // what the owner knows about the limit
+		Limits []pick.LimitSign // what the answering host knows about the limit
 	}
 )
 
@@ -43,27 +46,10 @@
 		return true
 	}
 	p := pick.Process{Upstream: t.Choice.Upstream, Born: t.Choice.Born}
-	var owner Member
-	wait := time.Duration(noOwnerWait)
-	args, reply := PermitArgs{Upstream: p.Upstream, Born: p.Born}, new(PermitReply)
-	if !n.control.Ask(func() {
-		now := time.Now()
-		if owner = n.limitOwner(now, p.Upstream); owner.Name == n.self.Name {
-			wait = n.giveCredit(now, p)
-		}
-		args.Limits = n.table.ExportLimit(now, p)
-	}) {
-		return false
-	}
-	var err error
-	if owner.Name != "" && owner.Name != n.self.Name {
-		if err = n.peerClient.CallWithin(ctx, permitTimeout, owner.Peers, peers.ServiceName+".Permit", &args, reply); err == nil {
-			wait = reply.Wait
-		}
-	}
-	if err != nil {
-		n.log("signs").Debug("owner of a limit did not answer", "owner", owner.Name, "upstream", p.Upstream, "err", err)
-	}
+	args := PermitArgs{Upstream: p.Upstream, Born: p.Born}
+	n.control.Ask(func() { args.Limits = n.table.ExportLimit(time.Now(), p) })
+	from, reply := n.requestCredit(ctx, args, permitTimeout)
+	wait := reply.Wait
 	if wait == 0 {
 		t.Attempt.SetCredit()
 		return true
@@ -71,21 +57,47 @@
 	n.metrics.Attempt("noCredit")
 	n.control.Ask(func() {
 		now := time.Now()
-		n.mergeLimits(now, owner.Name, reply.Limits)
+		n.mergeLimits(now, from, reply.Limits)
 		n.table.DenyCredit(now, p, wait)
 		n.table.DropAttempt(t.Attempt)
 	})
 	return false
 }
 
-// limitOwner returns the host that owns the limit of the upstream, as far as this host knows; it is zero if there is none.
-func (n *Node) limitOwner(now time.Time, upstream string) Member {
+// requestCredit takes the credit of one request, from the bucket of this host if it owns the limit, or else from the host that knows more about the
+// owner. It also returns the name of the host that was asked.
+func (n *Node) requestCredit(ctx context.Context, a PermitArgs, timeout time.Duration) (string, PermitReply) {
+	var next Member
+	reply := PermitReply{Wait: noOwnerWait}
+	n.control.Ask(func() {
+		now := time.Now()
+		if next = n.limitOwner(a.Upstream); next.Name == n.self.Name {
+			reply.Wait = n.giveCredit(now, pick.Process{Upstream: a.Upstream, Born: a.Born})
+		}
+	})
+	if next.Name == "" || next.Name == n.self.Name {
+		return n.self.Name, reply
+	}
+	answer := new(PermitReply)
+	if err := n.peerClient.CallWithin(ctx, timeout, next.Peers, peers.ServiceName+".Permit", &a, answer); err != nil {
+		n.log("signs").Debug("no credit of a limited upstream", "asked", next.Name, "upstream", a.Upstream, "err", err)
+		return next.Name, reply
+	}
+	return next.Name, *answer
+}
+
+// limitOwner returns the host that owns the limit of the upstream, or the hub of this host, which knows more: only hubs know which hosts of other
+// data centres are there, and the owner is one of the hubs. It is zero if there is none.
+func (n *Node) limitOwner(upstream string) Member {
+	if n.parent != "" {
+		return n.members[n.parent].Member
+	}
 	var names []string
 	if _, stopping := n.stop.state(); !stopping {
 		names = append(names, n.self.Name)
 	}
-	for name, m := range n.members {
-		if m.alive(now) {
+	for name := range n.hubs {
+		if n.members[name] != nil {
 			names = append(names, name)
 		}
 	}
@@ -108,19 +120,25 @@
 	return n.table.TakeCredit(now, p)
 }
 
-// Permit handles a request for the credit of one request. It returns context.Canceled if this host has stopped.
+// Permit handles a request for the credit of one request, and passes it on if another hub owns the limit.
 func (s *peerService) Permit(a *PermitArgs, reply *PermitReply) error {
-	if !s.node.control.Ask(func() {
-		n, now, p := s.node, time.Now(), pick.Process{Upstream: a.Upstream, Born: a.Born}
-		n.table.MergeLimits(now, a.Limits)
-		reply.Wait = noOwnerWait // The hosts do not agree yet about which of them are there.
-		if n.limitOwner(now, a.Upstream).Name == n.self.Name {
-			reply.Wait = n.giveCredit(now, p)
-		}
-		reply.Limits = n.table.ExportLimit(now, p)
+	n, forward := s.node, false
+	if !n.control.Ask(func() {
+		n.table.MergeLimits(time.Now(), a.Limits)
+		forward = n.limitOwner(a.Upstream).Name != n.self.Name
 	}) {
 		return context.Canceled
 	}
+	if forward && a.Forwarded {
+		reply.Wait = noOwnerWait // The hubs do not agree yet about which of them are there.
+		return nil
+	}
+	next := *a
+	next.Forwarded = true
+	_, *reply = n.requestCredit(n.baseCtx, next, forwardTimeout)
+	n.control.Ask(func() {
+		reply.Limits = n.table.ExportLimit(time.Now(), pick.Process{Upstream: a.Upstream, Born: a.Born})
+	})
 	return nil
 }
 
