fix(blame): requests that differ by their prompts are not repeats of each other

The digest has the model and the prompt too. A whole request is refused for 30 s first, then four times as long after each trial: a sound one of many callers looks the same until a trial (TestPopularRequestWithoutAnAnswer).

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -39,11 +40,12 @@
 	return err
 }
 
-// digest returns a hash of what a caller's repeats of the request have in common: its method, host, path, query, team and body.
-func (x *exchange) digest() uint64 {
+// digest returns a hash of what a caller's repeats of the request have in common: its method, host, path, query, team, model, prompt and body.
+func (x *exchange) digest(h RequestHeaders) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, text := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.call.Team.Name} {
+	prompt := strconv.FormatUint(h.Whole, 16)
+	for _, text := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.call.Team.Name, h.Key.Model, h.Key.Adapter, prompt} {
 		_, _ = d.WriteString(text)
 		_, _ = d.WriteString("\x00")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	c.RequestHeaders, c.Digest = headers, x.digest()
+	c.RequestHeaders, c.Digest = headers, x.digest(headers)
 	c.Service = route.Pick(rand.Float64()) //nolint:gosec // the choice of a service need not be unpredictable
 	c.Deadline = c.Arrived.Add(route.Timeout)
 	if c.Budget > 0 && c.Budget < route.Timeout {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -49,6 +49,7 @@
 		Output    int // maximum number of output tokens
 		Session   uint64
 		Parts     []uint64 // hashes of the ids of the prompt's parts, except the last one, which is the request's own
+		Whole     uint64   // hash of the ids of all parts of the prompt
 		LastEvent string   // id of the last event that the caller received; empty means none
 	}
 
--- a/pkg/blame/convict.go
+++ b/pkg/blame/convict.go
@@ -21,8 +21,11 @@
 	// requestWeight is the weight of three crashes, which is needed against a whole request: a sound one that its caller repeats meets two
 	// upstreams that end for other reasons more often than two requests share a part by chance.
 	requestWeight = 3 * fullWeight
-	// requestRefusal is refusalTime for a whole request. Nobody else misses it.
-	requestRefusal = 10 * time.Minute
+	// requestRefusal is how long a whole request is refused after the last crash; each further crash makes it requestGrowth times as long. Without
+	// an answer, a sound one that many callers send looks the same, and a trial shows that soon. A request at fault ends three upstreams in the
+	// ten minutes after that.
+	requestRefusal = 30 * time.Second
+	requestGrowth  = 4
 	// togetherTime is the time within which upstreams that are lost together end, for example with their machine or in a roll-out.
 	togetherTime = 2 * time.Second
 	// refusalTime is how long requests are refused after the last crash; each further crash doubles it up to maxRefusalTime.
@@ -39,19 +42,22 @@
 	parts     []uint64
 	crashes   []*crash // by time
 	toldApart bool     // whether requests without these parts were answered
-	refusal   time.Duration
-	surplus   int // number of times that upstreams ended after the crashes that were required
+	single    bool     // whether the part is a whole request
+	surplus   int      // number of times that upstreams ended after the crashes that were required
 }
 
 // until returns the time until which requests are refused.
 func (v *conviction) until() time.Time {
 	last := v.crashes[len(v.crashes)-1].at
+	if v.toldApart && !v.single {
+		return last.Add(min(refusalTime<<min(v.surplus, 8), maxRefusalTime))
+	}
+	d, growth := time.Duration(briefRefusal), time.Duration(briefGrowth)
 	if v.toldApart {
-		return last.Add(min(v.refusal<<min(v.surplus, 8), maxRefusalTime))
+		d, growth = requestRefusal, requestGrowth
 	}
-	d := time.Duration(briefRefusal)
 	for range min(v.surplus, 8) {
-		d = min(briefGrowth*d, maxRefusalTime)
+		d = min(growth*d, maxRefusalTime)
 	}
 	return last.Add(d)
 }
@@ -124,7 +130,7 @@
 	if best == nil {
 		return nil
 	}
-	v := conviction{crashes: best.crashes, toldApart: !known && (l.single || l.toldApart(best)), refusal: l.refusal, surplus: best.surplus(required)}
+	v := conviction{crashes: best.crashes, toldApart: !known && (l.single || l.toldApart(best)), single: l.single, surplus: best.surplus(required)}
 	var parts []uint64
 	for _, r := range records {
 		if slices.Equal(r.crashes, best.crashes) && slices.Equal(r.weights, best.weights) {
--- a/pkg/blame/ledger.go
+++ b/pkg/blame/ledger.go
@@ -72,10 +72,9 @@
 		sound       map[uint64]answer
 		blamed      map[uint64]int // number of crashes with the part
 		convictions []conviction
-		stale       bool // whether the evidence has changed since the convictions were determined
-		required    int  // weight of the crashes that convict a part without an answer
-		single      bool // whether each request has one part, which only its repeats share
-		refusal     time.Duration
+		stale       bool      // whether the evidence has changed since the convictions were determined
+		required    int       // weight of the crashes that convict a part without an answer
+		single      bool      // whether each request has one part, which only its repeats share
 		sweptAt     time.Time // when old answers were dropped
 	}
 
@@ -104,13 +103,13 @@
 
 // New returns a ledger without evidence about parts of prompts.
 func New() *Ledger {
-	return &Ledger{sound: make(map[uint64]answer), blamed: make(map[uint64]int), required: requiredWeight, refusal: refusalTime}
+	return &Ledger{sound: make(map[uint64]answer), blamed: make(map[uint64]int), required: requiredWeight}
 }
 
 // NewOfRequests returns a ledger without evidence about whole requests, each of which has one part that only its repeats share.
 func NewOfRequests() *Ledger {
 	l := New()
-	l.required, l.single, l.refusal = requestWeight, true, requestRefusal
+	l.required, l.single = requestWeight, true
 	return l
 }
 
